--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,16 @@
+import process from 'node:process';
+import {Command} from 'commander';
+import {registerCheck} from './check.js';
+import {exitCode} from './exit-code.js';
+import {version} from './version.js';
+
+const program = new Command('jasminehead')
+	.description('Router for separate prefill and decode pools and for plain application services')
+	.version(version);
+registerCheck(program);
+
+// The single executable is CommonJS, which has no top-level await.
+program.parseAsync(process.argv).catch((err: unknown) => { // eslint-disable-line unicorn/prefer-top-level-await
+	console.error(`jasminehead: ${err instanceof Error ? err.message : String(err)}`);
+	process.exitCode = exitCode.unreachable;
+});
--- /dev/null
+++ b/src/common/configuration/document.ts
@@ -0,0 +1,75 @@
+import {
+	isMap, isSeq, LineCounter, parseDocument,
+} from 'yaml';
+import type {Document} from 'yaml';
+import type {z} from 'zod';
+import {at, ConfigurationError} from '../core/errors.js';
+
+/** One fault of a YAML document. */
+export type DocumentIssue = {
+	/** Line in the document, from 1. */
+	readonly line: number;
+	/** Path of the faulty value, such as `services.dossiers.profile`. */
+	readonly path: string;
+	readonly message: string;
+};
+
+/** The checked value of a document, or every fault found in it. */
+export type DocumentResult<T> =
+	| {readonly ok: true; readonly value: T}
+	| {readonly ok: false; readonly issues: readonly DocumentIssue[]};
+
+/** Line of the value at `path`, or of its nearest ancestor that exists. */
+function lineOf(document: Document, lines: LineCounter, path: readonly PropertyKey[]): number {
+	let node: unknown = document.contents;
+	let offset = 0;
+	for (const key of path) {
+		if (isMap(node)) {
+			const pair = node.items.find(item => String(item.key) === String(key));
+			const range = (pair?.key as {range?: [number, number, number]} | undefined)?.range;
+			offset = range?.[0] ?? offset;
+			node = pair?.value;
+		} else if (isSeq(node)) {
+			node = node.items[Number(key)];
+			offset = (node as {range?: [number, number, number]} | undefined)?.range?.[0] ?? offset;
+		}
+	}
+
+	return lines.linePos(offset).line;
+}
+
+/** Parses and checks a YAML document; unknown keys and duplicate keys are faults. */
+export function checkDocument<S extends z.ZodType>(text: string, schema: S): DocumentResult<z.output<S>> {
+	const lines = new LineCounter();
+	const document = parseDocument(text, {lineCounter: lines, uniqueKeys: true});
+	if (document.errors.length > 0) {
+		const issues = document.errors.map(err => ({line: err.linePos?.[0].line ?? 1, path: '', message: err.message.split('\n')[0] ?? err.code}));
+		return {ok: false, issues};
+	}
+
+	const result = schema.safeParse(document.toJS({maxAliasCount: 0}));
+	if (result.success) {
+		return {ok: true, value: result.data};
+	}
+
+	const issues = result.error.issues.flatMap(issue => {
+		const keys: PropertyKey[][] = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...issue.path, key]) : [issue.path];
+		return keys.map(path => ({
+			line: lineOf(document, lines, path),
+			path: path.map(String).join('.'),
+			message: issue.code === 'unrecognized_keys' ? 'this key is not known' : issue.message,
+		}));
+	});
+	return {ok: false, issues};
+}
+
+/** Like `checkDocument`, but throws a `ConfigurationError` that lists every fault. */
+export function parseDocumentStrictly<S extends z.ZodType>(text: string, schema: S, source: string): z.output<S> {
+	const result = checkDocument(text, schema);
+	if (result.ok) {
+		return result.value;
+	}
+
+	const listing = result.issues.map(issue => `${source}:${issue.line}: ${issue.path || '(document)'}: ${issue.message}`);
+	throw new ConfigurationError(listing.join('\n'), at({step: 'configuration.check', peer: source}));
+}
--- /dev/null
+++ b/src/common/configuration/settings.ts
@@ -0,0 +1,47 @@
+import {z} from 'zod';
+import {addressSchema} from '../core/units.js';
+
+const nameSchema = z.string().regex(/^[a-z\d](?:[a-z\d-]{0,61}[a-z\d])?$/, 'names have lower-case letters, digits and inner hyphens, at most 63 characters');
+
+/** Where another process of the cluster listens for peers. */
+export const peerAddressSchema = z.strictObject({
+	vm: nameSchema,
+	address: addressSchema,
+});
+
+/** Settings of one process, read once at start. */
+export const settingsSchema = z.strictObject({
+	cluster: nameSchema,
+	/** Shared secret that authenticates traffic between processes. */
+	clusterKey: z.string().min(16, 'use at least 16 characters'),
+	vm: nameSchema,
+	zone: nameSchema,
+	region: nameSchema,
+	roles: z.array(z.enum(['entry', 'control'])).min(1),
+	listen: z.strictObject({
+		callers: addressSchema.optional(),
+		peers: addressSchema,
+		operators: addressSchema,
+	}),
+	/** The one folder for durable files; required for the control role. */
+	dataFolder: z.string().min(1).optional(),
+	/** Bearer token of the operator API. */
+	operatorToken: z.string().min(16, 'use at least 16 characters'),
+	/** The control VMs a process contacts first. */
+	control: z.array(peerAddressSchema).min(1),
+}).superRefine((settings, context) => {
+	if (settings.roles.includes('control') && settings.dataFolder === undefined) {
+		context.addIssue({code: 'custom', path: ['dataFolder'], message: 'the control role needs a data folder; a VM without a disk can be entry only'});
+	}
+
+	if (settings.roles.includes('entry') && settings.listen.callers === undefined) {
+		context.addIssue({code: 'custom', path: ['listen', 'callers'], message: 'the entry role needs an address for callers'});
+	}
+
+	if (settings.roles.includes('control') && !settings.control.some(peer => peer.vm === settings.vm)) {
+		context.addIssue({code: 'custom', path: ['control'], message: `a control VM lists itself; "${settings.vm}" is missing`});
+	}
+});
+
+export type PeerAddress = z.infer<typeof peerAddressSchema>;
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/src/common/configuration/types.ts
@@ -0,0 +1,2 @@
+export type * from './settings.js';
+export type * from './shared.js';
--- /dev/null
+++ b/src/common/core/clock.test.ts
@@ -0,0 +1,10 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from './clock.js';
+
+test('a manual clock moves only when told to', () => {
+	const clock = new ManualClock(5);
+	assert.equal(clock.nowMs(), 5);
+	clock.advance(10);
+	assert.equal(clock.nowMs(), 15);
+});
--- /dev/null
+++ b/src/node/clock.ts
@@ -0,0 +1,9 @@
+import {performance} from 'node:perf_hooks';
+import {Clock} from '../common/core/clock.js';
+
+/** The process's monotonic clock. */
+export class MonotonicClock extends Clock {
+	override nowMs(): number {
+		return performance.now();
+	}
+}
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,51 @@
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{
+		ignores: ['dist/**', 'examples/**'],
+	},
+	{
+		rules: {
+			// The house style keeps the customary short names, so it goes before XO here.
+			'unicorn/prevent-abbreviations': ['error', {
+				allowList: {
+					req: true, res: true, cfg: true, err: true, args: true, fn: true, params: true, ref: true, i: true, j: true,
+					Req: true, Res: true, Cfg: true, Err: true,
+				},
+				checkFilenames: false,
+			}],
+			'unicorn/catch-error-name': ['error', {name: 'err'}],
+			// Type imports stand apart from value imports.
+			'import-x/no-duplicates': ['error', {'prefer-inline': false}],
+			'import-x/consistent-type-specifier-style': ['error', 'prefer-top-level'],
+			'@typescript-eslint/consistent-type-imports': ['error', {fixStyle: 'separate-type-imports'}],
+			// Log records, retries and protocol steps must run one after the other.
+			'no-await-in-loop': 'off',
+		},
+	},
+	{
+		files: ['src/common/**/*.ts'],
+		rules: {
+			// The common layer runs without the platform: time, I/O and randomness reach it as events.
+			'no-restricted-imports': ['error', {
+				patterns: [
+					{group: ['node:*'], message: 'src/common must not import Node.js modules.'},
+					{regex: String.raw`(^|/)(node|cli|load)/`, message: 'src/common must not import platform layers.'},
+				],
+			}],
+			'no-restricted-globals': ['error', 'process', 'Buffer', 'setTimeout', 'setInterval', 'performance'],
+			'no-restricted-properties': ['error', {object: 'Date', property: 'now'}, {object: 'Math', property: 'random'}],
+		},
+	},
+	{
+		files: ['**/*.test.ts'],
+		rules: {
+			'no-restricted-imports': 'off',
+			'no-restricted-globals': 'off',
+			'@typescript-eslint/no-floating-promises': ['error', {
+				allowForKnownSafeCalls: [{from: 'package', name: ['test', 'describe', 'it'], package: 'node:test'}],
+			}],
+		},
+	},
+];
+
+export default config;
