--- /dev/null
+++ b/src/common/consensus/types.ts
@@ -0,0 +1,90 @@
+import type {
+	BaseEvent, CoreEffect, ReplyToken, VmId,
+} from '../core/types.js';
+
+/** A voter or learner of the replicated log. */
+export type Member = {
+	readonly vm: VmId;
+	/** Random id of the member's data folder; an emptied or replaced disk has a new one. */
+	readonly diskId: string;
+	readonly role: 'voter' | 'learner';
+};
+
+/** What a member must not forget; durable before any message that depends on it leaves. */
+export type HardState = {
+	readonly term: number;
+	readonly votedFor: VmId | undefined;
+	readonly commit: number;
+};
+
+export type LogEntry = {
+	readonly index: number;
+	readonly term: number;
+	/** Serializable by CBOR. `noop` opens a leader's term, `members` changes the membership. */
+	readonly payload:
+		| {readonly kind: 'noop'}
+		| {readonly kind: 'command'; readonly command: unknown}
+		| {readonly kind: 'members'; readonly members: readonly Member[]};
+};
+
+export type Snapshot = {
+	readonly index: number;
+	readonly term: number;
+	readonly members: readonly Member[];
+	/** State of the state machine after `index`. */
+	readonly data: unknown;
+};
+
+/** What a member finds on its disk at start. */
+export type StoredState = {
+	readonly diskId: string;
+	readonly hardState: HardState;
+	readonly snapshot: Snapshot | undefined;
+	readonly entries: readonly LogEntry[];
+};
+
+/** One group commit: hard state and entries that one fsync makes durable. */
+export type PersistBatch = {
+	readonly sequence: number;
+	readonly hardState: HardState | undefined;
+	/** Drops stored entries from this index on before appending. */
+	readonly truncateFrom: number | undefined;
+	readonly entries: readonly LogEntry[];
+};
+
+export type ConsensusRole = 'leader' | 'candidate' | 'follower' | 'learner' | 'halted';
+
+export type ConsensusEvent =
+	| BaseEvent<'consensus/tick'>
+	| (BaseEvent<'consensus/message'> & {readonly from: VmId; readonly message: unknown})
+	/** Proposes a command; the token's fate arrives as `consensus/committed` or `consensus/dropped`. */
+	| (BaseEvent<'consensus/propose'> & {readonly token: ReplyToken; readonly command: unknown})
+	/** Asks for a linearizable read; answered by `consensus/read-ready` or `consensus/read-failed`. */
+	| (BaseEvent<'consensus/read'> & {readonly token: ReplyToken})
+	/** Adds a learner, promotes it when it has caught up, or removes a member; one change at a time. */
+	| (BaseEvent<'consensus/change-members'> & {
+		readonly token: ReplyToken;
+		readonly change: {readonly kind: 'add'; readonly vm: VmId; readonly diskId: string} | {readonly kind: 'remove'; readonly vm: VmId};
+	})
+	| (BaseEvent<'consensus/persisted'> & {readonly sequence: number})
+	/** The disk is full, failing or slower than the limit; the member steps aside. */
+	| (BaseEvent<'consensus/storage-failed'> & {readonly reason: string})
+	| (BaseEvent<'consensus/snapshot-taken'> & {readonly index: number; readonly data: unknown})
+	| (BaseEvent<'consensus/snapshot-saved'> & {readonly index: number});
+
+export type ConsensusEffect =
+	| CoreEffect
+	| {readonly type: 'consensus/persist'; readonly batch: PersistBatch}
+	/** In index order, each index once; `token` only on the member that proposed the entry in this term. */
+	| {readonly type: 'consensus/committed'; readonly index: number; readonly command: unknown; readonly token: ReplyToken | undefined}
+	/** The proposal may or may not commit later; its proposer learns it is unknown or not accepted. */
+	| {readonly type: 'consensus/dropped'; readonly token: ReplyToken; readonly reason: 'not-leader' | 'leadership-lost' | 'overloaded'; readonly leader: VmId | undefined}
+	/** A quorum confirmed the leader after the question arrived, and everything committed before it is applied. */
+	| {readonly type: 'consensus/read-ready'; readonly token: ReplyToken}
+	| {readonly type: 'consensus/read-failed'; readonly token: ReplyToken; readonly leader: VmId | undefined}
+	| {readonly type: 'consensus/role'; readonly role: ConsensusRole; readonly term: number; readonly leader: VmId | undefined}
+	/** Asks the state machine for its state after `index`, the last applied one. */
+	| {readonly type: 'consensus/take-snapshot'; readonly index: number}
+	| {readonly type: 'consensus/save-snapshot'; readonly snapshot: Snapshot}
+	/** Replaces the state machine's state. */
+	| {readonly type: 'consensus/install'; readonly index: number; readonly data: unknown};
--- /dev/null
+++ b/src/common/upstreams/prefix.ts
@@ -0,0 +1,35 @@
+/** Bytes of prompt text in one KV cache block: 64 tokens of 4 bytes. */
+export const blockBytes = 256;
+/** Blocks of a prompt that placement looks at. */
+export const maxPrefixBlocks = 64;
+/** Estimated bytes of text in one token. */
+export const bytesPerToken = 4;
+
+/** Tokens of a text as estimated before an engine has counted them. */
+export function estimateTokens(text: string): number {
+	return Math.max(1, Math.ceil(new TextEncoder().encode(text).length / bytesPerToken));
+}
+
+/**
+Hashes of the prompt's leading full blocks, as engines name them in cache events.
+Each hash covers its block and all before it (FNV-1a over two lanes), so equal hashes mean equal prefixes.
+*/
+export function prefixHashes(prompt: string, maxBlocks = maxPrefixBlocks): string[] {
+	const bytes = new TextEncoder().encode(prompt.slice(0, blockBytes * maxBlocks));
+	const blocks = Math.min(maxBlocks, Math.floor(bytes.length / blockBytes));
+	const hashes: string[] = [];
+	let low = 0x81_1C_9D_C5;
+	let high = 0x9D_C5_81_1C;
+	for (let block = 0; block < blocks; block++) {
+		for (let i = block * blockBytes; i < (block + 1) * blockBytes; i++) {
+			/* eslint-disable no-bitwise -- FNV-1a is defined on 32-bit words */
+			low = Math.imul(low ^ bytes[i]!, 0x01_00_01_93) >>> 0;
+			high = Math.imul(high ^ bytes[i]! ^ (low >>> 24), 0x01_00_01_93) >>> 0;
+			/* eslint-enable no-bitwise */
+		}
+
+		hashes.push(high.toString(36) + low.toString(36));
+	}
+
+	return hashes;
+}
