Add authenticated transport between processes

Cause: processes share nothing yet. Change: length, HMAC and CBOR framing, mutual handshake, requests with deadlines, pings, bounded queues. Socket.setTimeout was tried for silence and ruled out: the side's own writes reset it, so a request on a silent connection ran into its 30 s deadline; the check now counts received bytes only. Result: the silent connection is closed after 2 s and replaced.

--- /dev/null
+++ b/src/node/transport/messages.ts
@@ -0,0 +1,26 @@
+import {z} from 'zod';
+
+/** Raised with each incompatible change of the protocol between processes. */
+export const protocolVersion = 1;
+
+/** First message of both sides. */
+export const helloSchema = z.strictObject({
+	protocol: z.int(),
+	cluster: z.string(),
+	vm: z.string(),
+	incarnation: z.int(),
+	/** Random bytes in hexadecimal; both nonces make the session key. */
+	nonce: z.string().length(32),
+});
+
+/** Messages after the handshake. */
+export const envelopeSchema = z.discriminatedUnion('kind', [
+	z.strictObject({kind: z.literal('ping')}),
+	z.strictObject({kind: z.literal('one-way'), body: z.looseObject({type: z.string()})}),
+	z.strictObject({kind: z.literal('request'), id: z.int(), body: z.looseObject({type: z.string()})}),
+	z.strictObject({kind: z.literal('reply'), id: z.int(), body: z.unknown()}),
+	z.strictObject({kind: z.literal('error'), id: z.int(), message: z.string()}),
+]);
+
+export type Hello = z.infer<typeof helloSchema>;
+export type Envelope = z.infer<typeof envelopeSchema>;
--- /dev/null
+++ b/src/node/transport/peer-connection.ts
@@ -0,0 +1,178 @@
+import {createHmac, randomBytes} from 'node:crypto';
+import type {Socket} from 'node:net';
+import {at, ProtocolError} from '../../common/core/errors.js';
+import type {VmIdentity} from '../../common/core/types.js';
+import {FrameSealer, FrameSplitter} from './frame.js';
+import type {RawFrame} from './frame.js';
+import {envelopeSchema, helloSchema, protocolVersion} from './messages.js';
+import type {Envelope, Hello} from './messages.js';
+
+/** Interval of pings, in milliseconds. */
+const pingIntervalMs = 500;
+/** A connection without traffic for this long is dead: four pings were lost. */
+const silenceLimitMs = 2000;
+/** Bytes waiting in one socket before messages are dropped instead of queued. */
+const maxQueuedBytes = 4_194_304;
+
+export type ConnectionOptions = {
+	readonly cluster: string;
+	readonly clusterKey: Uint8Array;
+	readonly self: VmIdentity;
+};
+
+export type ConnectionListener = {
+	/** The peer has proved that it knows the cluster key. */
+	onReady(connection: PeerConnection): void;
+	onEnvelope(connection: PeerConnection, envelope: Envelope): void;
+	onClose(connection: PeerConnection, err: Error | undefined): void;
+};
+
+/** One authenticated TCP connection between two processes. */
+export class PeerConnection {
+	/** Set once the peer's hello has arrived. */
+	peer: VmIdentity | undefined;
+
+	private readonly _splitter = new FrameSplitter();
+	private readonly _nonce = randomBytes(16).toString('hex');
+	private readonly _helloOut: FrameSealer;
+	private readonly _helloIn: FrameSealer;
+	private _out: FrameSealer | undefined;
+	private _in: FrameSealer | undefined;
+	private _isReady = false;
+	private _isClosed = false;
+	private _lastReceivedMs = performance.now();
+	private readonly _timer: NodeJS.Timeout;
+
+	constructor(
+		private readonly _socket: Socket,
+		private readonly _isDialer: boolean,
+		private readonly _options: ConnectionOptions,
+		private readonly _listener: ConnectionListener,
+	) {
+		this._helloOut = new FrameSealer(_options.clusterKey, this._isDialer ? 'to-acceptor' : 'to-dialer');
+		this._helloIn = new FrameSealer(_options.clusterKey, this._isDialer ? 'to-dialer' : 'to-acceptor');
+		_socket.setNoDelay(true);
+		_socket.on('data', chunk => {
+			this._receive(chunk);
+		});
+		_socket.on('error', err => {
+			this.close(err);
+		});
+		_socket.on('close', () => {
+			this.close(undefined);
+		});
+		this._timer = setInterval(() => {
+			this._checkSilence();
+		}, pingIntervalMs);
+		if (_isDialer) {
+			this._sendHello();
+		}
+	}
+
+	get isReady(): boolean {
+		return this._isReady && !this._isClosed;
+	}
+
+	/** Returns false, and sends nothing, if the connection is not ready or its queue is full. */
+	send(envelope: Envelope): boolean {
+		if (!this._out || this._isClosed || this._socket.writableLength > maxQueuedBytes) {
+			return false;
+		}
+
+		this._socket.write(this._out.seal(envelope));
+		return true;
+	}
+
+	close(err: Error | undefined): void {
+		if (this._isClosed) {
+			return;
+		}
+
+		this._isClosed = true;
+		clearInterval(this._timer);
+		this._socket.destroy();
+		this._listener.onClose(this, err);
+	}
+
+	private _sendHello(): void {
+		const {cluster, self} = this._options;
+		const hello: Hello = {
+			protocol: protocolVersion, cluster, vm: self.vm, incarnation: self.incarnation, nonce: this._nonce,
+		};
+		this._socket.write(this._helloOut.seal(hello));
+	}
+
+	private _receive(chunk: Uint8Array): void {
+		if (this._isClosed) {
+			return;
+		}
+
+		this._lastReceivedMs = performance.now();
+		try {
+			for (const frame of this._splitter.push(chunk)) {
+				this._handleFrame(frame);
+			}
+		} catch (err) {
+			this.close(err instanceof Error ? err : new ProtocolError(String(err), at({step: 'transport.receive'})));
+		}
+	}
+
+	private _handleFrame(frame: RawFrame): void {
+		if (!this._in) {
+			this._handleHello(this._helloIn.open(frame.mac, frame.payload));
+			return;
+		}
+
+		const parsed = envelopeSchema.safeParse(this._in.open(frame.mac, frame.payload));
+		if (!parsed.success) {
+			throw new ProtocolError('an envelope has an unknown form', at({step: 'transport.envelope', peer: this.peer?.vm}));
+		}
+
+		if (!this._isReady) {
+			this._isReady = true;
+			this._listener.onReady(this);
+		}
+
+		if (parsed.data.kind !== 'ping') {
+			this._listener.onEnvelope(this, parsed.data);
+		}
+	}
+
+	private _handleHello(value: unknown): void {
+		const parsed = helloSchema.safeParse(value);
+		const hello = parsed.data;
+		if (hello?.protocol !== protocolVersion) {
+			throw new ProtocolError(`the peer speaks another protocol version than ${protocolVersion}`, at({step: 'transport.hello', peer: hello?.vm}));
+		}
+
+		if (hello.cluster !== this._options.cluster) {
+			throw new ProtocolError(`the peer belongs to cluster "${hello.cluster}"`, at({step: 'transport.hello', peer: hello.vm}));
+		}
+
+		this.peer = {vm: hello.vm, incarnation: hello.incarnation};
+		if (!this._isDialer) {
+			this._sendHello();
+		}
+
+		this._startSession(hello.nonce);
+	}
+
+	/** A hello can be replayed, so the peer counts as authenticated only after its first frame under the session key. */
+	private _startSession(peerNonce: string): void {
+		const nonces = this._isDialer ? this._nonce + peerNonce : peerNonce + this._nonce;
+		const key = createHmac('sha256', this._options.clusterKey).update(nonces).digest();
+		this._out = new FrameSealer(key, this._isDialer ? 'to-acceptor' : 'to-dialer');
+		this._in = new FrameSealer(key, this._isDialer ? 'to-dialer' : 'to-acceptor');
+		this.send({kind: 'ping'});
+	}
+
+	/** Only received bytes prove that the peer lives; `Socket.setTimeout` would also count the bytes that this side writes. */
+	private _checkSilence(): void {
+		if (performance.now() - this._lastReceivedMs > silenceLimitMs) {
+			this.close(new ProtocolError(`no traffic for ${silenceLimitMs} ms`, at({step: 'transport.silence', peer: this.peer?.vm})));
+			return;
+		}
+
+		this.send({kind: 'ping'});
+	}
+}
--- /dev/null
+++ b/src/node/transport/tcp-peer-network.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {setTimeout} from 'node:timers/promises';
+import {z} from 'zod';
+import {FrameSealer} from './frame.js';
+import {TcpPeerNetwork} from './tcp-peer-network.js';
+
+type Overrides = {cluster?: string; clusterKey?: string};
+const echoSchema = z.strictObject({type: z.literal('echo'), text: z.string()});
+
+async function startNetwork(t: TestContext, vm: string, overrides: Overrides = {}) {
+	const counts = new Map<string, number>();
+	const network = await TcpPeerNetwork.listen({
+		cluster: 'test',
+		clusterKey: '0123456789abcdef',
+		...overrides,
+		self: {vm, incarnation: 1},
+		listen: '127.0.0.1:0',
+		count(metric) {
+			counts.set(metric, (counts.get(metric) ?? 0) + 1);
+		},
+	});
+	t.after(async () => network.dispose());
+	network.handle('echo', echoSchema, (from, message) => ({from: from.vm, text: message.text}));
+	return {network, counts};
+}
+
+async function startPair(t: TestContext, overrides: Overrides = {}) {
+	const a = await startNetwork(t, 'a');
+	const b = await startNetwork(t, 'b', overrides);
+	b.network.setAddress('a', a.network.address);
+	return {a, b};
+}
+
+async function requestUntilAnswered(network: TcpPeerNetwork): Promise<unknown> {
+	for (;;) {
+		try {
+			return await network.request('a', {type: 'echo', text: 'after'}, 5000);
+		} catch {
+			await setTimeout(50);
+		}
+	}
+}
+
+test('a request is answered, and the acceptor can ask back over the same connection', async t => {
+	const {a, b} = await startPair(t);
+	assert.deepEqual(await b.network.request('a', {type: 'echo', text: 'one'}, 5000), {from: 'b', text: 'one'});
+	assert.deepEqual(await a.network.request('b', {type: 'echo', text: 'two'}, 5000), {from: 'a', text: 'two'});
+});
+
+test('a wrong cluster, a wrong key and an invalid message are refused and change nothing', async t => {
+	const other = await startPair(t, {cluster: 'other'});
+	await assert.rejects(other.b.network.request('a', {type: 'echo', text: ''}, 5000), {name: 'ProtocolError'});
+	const wrongKey = await startPair(t, {clusterKey: 'fedcba9876543210'});
+	await assert.rejects(wrongKey.b.network.request('a', {type: 'echo', text: ''}, 5000), {name: 'ProtocolError'});
+	assert.equal(wrongKey.a.counts.get('transport_closed_total'), 1);
+	const {a, b} = await startPair(t);
+	await assert.rejects(b.network.request('a', {type: 'echo', text: 7}, 5000), /not valid/);
+	assert.equal(a.counts.get('transport_refused_total'), 1);
+	assert.deepEqual(await b.network.request('a', {type: 'echo', text: 'still open'}, 5000), {from: 'b', text: 'still open'});
+});
+
+test('an oversized frame closes the connection before its payload is buffered', async t => {
+	const {network, counts} = await startNetwork(t, 'a');
+	const socket = connect(Number(network.address.split(':')[1]), '127.0.0.1');
+	socket.write(Buffer.from([0x7F, 0xFF, 0xFF, 0xFF, ...Buffer.alloc(16)]));
+	await once(socket, 'close');
+	assert.equal(counts.get('transport_closed_total'), 1);
+});
+
+test('a replayed hello does not make its sender a peer', async t => {
+	const {network} = await startNetwork(t, 'a');
+	let ups = 0;
+	network.events.on('onPeerUp', () => {
+		ups++;
+	});
+	const hello = {
+		protocol: 1, cluster: 'test', vm: 'b', incarnation: 1, nonce: '0'.repeat(32),
+	};
+	const frame = new FrameSealer(Buffer.from('0123456789abcdef'), 'to-acceptor').seal(hello);
+	const socket = connect(Number(network.address.split(':')[1]), '127.0.0.1');
+	socket.write(frame);
+	await once(socket, 'data');
+	socket.write(frame);
+	await once(socket, 'close');
+	assert.equal(ups, 0);
+});
+
+test('a peer that goes silent is replaced on a new connection, and the request that was lost is rejected', async t => {
+	const {network: target} = await startNetwork(t, 'a');
+	const {network: source} = await startNetwork(t, 'b');
+	const pipes: Socket[] = [];
+	// Forwards bytes until `pause`, then keeps the connection open and drops everything.
+	const forwarder = createServer(inbound => {
+		const outbound = connect(Number(target.address.split(':')[1]), '127.0.0.1');
+		inbound.pipe(outbound).pipe(inbound);
+		inbound.on('error', () => outbound.destroy());
+		outbound.on('error', () => inbound.destroy());
+		inbound.on('close', () => outbound.destroy());
+		pipes.push(inbound, outbound);
+	});
+	forwarder.listen(0, '127.0.0.1');
+	await once(forwarder, 'listening');
+	t.after(() => {
+		forwarder.close();
+		for (const socket of pipes) {
+			socket.destroy();
+		}
+	});
+	source.setAddress('a', `127.0.0.1:${(forwarder.address() as AddressInfo).port}`);
+	await source.request('a', {type: 'echo', text: 'before'}, 5000);
+	for (const socket of pipes) {
+		socket.unpipe();
+		socket.resume();
+	}
+
+	const down = source.events.once('onPeerDown');
+	await assert.rejects(source.request('a', {type: 'echo', text: 'lost'}, 30_000), {name: 'ProtocolError', peer: 'a'});
+	await down;
+	assert.deepEqual(await requestUntilAnswered(source), {from: 'b', text: 'after'});
+});
