Add operator API, command-line client, metrics and logs

Cause: operators cannot reach the system. Change: operator listener with token, health, readiness, metrics, state dump and JSON bodies checked by schema; commands config, keys, drain, orders and state; prom-client metrics with a bound on series; JSON log lines through tslog.

--- /dev/null
+++ b/src/cli/config.ts
@@ -0,0 +1,54 @@
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import type {Command} from 'commander';
+import {checkDocument} from '../common/configuration/document.js';
+import {sharedConfigurationSchema} from '../common/configuration/shared.js';
+import {exitCode} from './exit-code.js';
+import {callOperator, withChangeId, withOperatorOptions} from './operator-client.js';
+import type {OperatorOptions} from './operator-client.js';
+import {describeJson, printReply} from './output.js';
+
+type ApplyOptions = OperatorOptions & {readonly expectedVersion: number};
+
+/** Checks locally first, so that a faulty file is reported with its lines even when no process answers. */
+async function apply(file: string, options: ApplyOptions): Promise<void> {
+	const source = readFileSync(file, 'utf8');
+	const checked = checkDocument(source, sharedConfigurationSchema);
+	if (!checked.ok) {
+		for (const issue of checked.issues) {
+			console.error(`${file}:${issue.line}: ${issue.path || '(document)'}: ${issue.message}`);
+		}
+
+		process.exitCode = exitCode.invalidInput;
+		return;
+	}
+
+	const {changeId, expectedVersion} = options;
+	const reply = await callOperator(options, 'PUT', '/v1/config', {changeId, expectedVersion, source});
+	printReply(options, reply, body => `version ${(body as {version: number}).version} accepted`);
+}
+
+/** Adds `config get|apply|history`. */
+export function registerConfig(program: Command): void {
+	const config = program.command('config').description('read and change the shared configuration');
+	withOperatorOptions(config.command('get').description('print the current shared configuration'))
+		.addHelpText('after', '\nExample:\n  $ jasminehead config get --operators 127.0.0.1:9100 --token "$TOKEN"')
+		.action(async (options: OperatorOptions) => {
+			const reply = await callOperator(options, 'GET', '/v1/config');
+			printReply(options, reply, body => {
+				const {version, source} = body as {version: number; source: string};
+				return `# version ${version}\n${source}`;
+			});
+		});
+	withChangeId(withOperatorOptions(config.command('apply').description('replace the shared configuration if its version is still the expected one')))
+		.argument('<file>', 'YAML file')
+		.requiredOption('--expected-version <n>', 'version that this change was made from; 0 for the first', Number)
+		.addHelpText('after', '\nExample:\n  $ jasminehead config apply --operators 127.0.0.1:9100 --token "$TOKEN" --expected-version 3 configuration.yaml')
+		.addHelpText('after', '\nExit codes: 0 accepted, 1 conflict or no quorum, 2 faulty file, 3 no answer')
+		.action(apply);
+	withOperatorOptions(config.command('history').description('list accepted changes'))
+		.addHelpText('after', '\nExample:\n  $ jasminehead config history --operators 127.0.0.1:9100 --token "$TOKEN" --json')
+		.action(async (options: OperatorOptions) => {
+			printReply(options, await callOperator(options, 'GET', '/v1/config/history'), describeJson);
+		});
+}
--- /dev/null
+++ b/src/cli/fleet.ts
@@ -0,0 +1,50 @@
+import type {Command} from 'commander';
+import {callOperator, withChangeId, withOperatorOptions} from './operator-client.js';
+import type {OperatorOptions} from './operator-client.js';
+import {describeJson, printReply} from './output.js';
+
+type DrainOptions = OperatorOptions & {readonly undo?: boolean};
+
+/** Adds `drain`, which takes an entry VM or an upstream out of service, or back in. */
+export function registerDrain(program: Command): void {
+	withChangeId(withOperatorOptions(program.command('drain').description('stop giving new work to an entry VM or an upstream')))
+		.argument('<kind>', '"vm" or "upstream"')
+		.argument('<name>', 'name of the VM or upstream')
+		.option('--undo', 'give it new work again')
+		.addHelpText('after', '\nExample:\n  $ jasminehead drain upstream engine-3 --operators 127.0.0.1:9100 --token "$TOKEN"')
+		.action(async (kind: string, name: string, options: DrainOptions) => {
+			const isDraining = !options.undo;
+			const reply = await callOperator(options, 'PUT', '/v1/drains', {
+				changeId: options.changeId, kind, name, draining: isDraining,
+			});
+			printReply(options, reply, () => `${kind} ${name} is ${isDraining ? 'draining' : 'in service'}`);
+		});
+}
+
+/** Adds `state`, which dumps the state of one process. */
+export function registerState(program: Command): void {
+	withOperatorOptions(program.command('state').description('dump the state of one process as JSON'))
+		.addHelpText('after', '\nExample:\n  $ jasminehead state --operators 127.0.0.1:9100 --token "$TOKEN"')
+		.action(async (options: OperatorOptions) => {
+			printReply(options, await callOperator(options, 'GET', '/state'), describeJson);
+		});
+}
+
+/** Adds `orders list|submit`. */
+export function registerOrders(program: Command): void {
+	const orders = program.command('orders').description('give orders to engines: load a model or adapter, change role');
+	withOperatorOptions(orders.command('list').description('list orders and their outcomes'))
+		.addHelpText('after', '\nExample:\n  $ jasminehead orders list --operators 127.0.0.1:9100 --token "$TOKEN"')
+		.action(async (options: OperatorOptions) => {
+			printReply(options, await callOperator(options, 'GET', '/v1/orders'), describeJson);
+		});
+	withChangeId(withOperatorOptions(orders.command('submit').description('submit an order for one engine')))
+		.requiredOption('--upstream <name>', 'engine that carries out the order')
+		.requiredOption('--order <json>', 'the order as JSON, see docs/interface.md')
+		.addHelpText('after', '\nExample:\n  $ jasminehead orders submit --upstream engine-3 --order \'{"kind":"set-role","role":"decode"}\' --operators 127.0.0.1:9100 --token "$TOKEN"')
+		.action(async (options: OperatorOptions & {upstream: string; order: string}) => {
+			const {changeId, upstream, order} = options;
+			const reply = await callOperator(options, 'POST', '/v1/orders', {changeId, upstream, order: JSON.parse(order) as unknown});
+			printReply(options, reply, describeJson);
+		});
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,9 @@
 import process from 'node:process';
 import {Command} from 'commander';
 import {registerCheck} from './check.js';
+import {registerConfig} from './config.js';
+import {registerDrain, registerOrders, registerState} from './fleet.js';
+import {registerKeys} from './keys.js';
 import {exitCode} from './exit-code.js';
 import {version} from './version.js';
 
@@ -8,6 +11,11 @@
 	.description('Router for separate prefill and decode pools and for plain application services')
 	.version(version);
 registerCheck(program);
+registerConfig(program);
+registerKeys(program);
+registerDrain(program);
+registerOrders(program);
+registerState(program);
 
 // The single executable is CommonJS, which has no top-level await.
 program.parseAsync(process.argv).catch((err: unknown) => { // eslint-disable-line unicorn/prefer-top-level-await
--- /dev/null
+++ b/src/cli/operator-client.ts
@@ -0,0 +1,55 @@
+import {randomUUID} from 'node:crypto';
+import type {Command} from 'commander';
+import {request} from 'undici';
+import {z} from 'zod';
+import {at, JasmineheadError} from '../common/core/errors.js';
+
+/** Options of every command that talks to the operator listener of a process. */
+export type OperatorOptions = {
+	readonly operators: string;
+	readonly token: string;
+	readonly json?: boolean;
+	readonly changeId?: string;
+};
+
+export type OperatorReply = {readonly status: number; readonly body: unknown};
+
+/** Bound on one operator request, in milliseconds; a commit may wait for an election. */
+const requestTimeoutMs = 10_000;
+const problemSchema = z.looseObject({code: z.string(), detail: z.string().optional()});
+
+/** Adds the options that `callOperator` needs. */
+export function withOperatorOptions(command: Command): Command {
+	return command
+		.requiredOption('--operators <address>', 'operator listener of any process, such as 127.0.0.1:9100')
+		.requiredOption('--token <token>', 'operator token of the settings')
+		.option('--json', 'print the answer as JSON');
+}
+
+/** Adds `--change-id`, which makes a resend of a change return the outcome of the first. */
+export function withChangeId(command: Command): Command {
+	return command.option('--change-id <id>', 'id of this change; reuse it to resend after a lost answer', randomUUID());
+}
+
+/** Calls the operator API. Throws if the process cannot be reached. */
+export async function callOperator(options: OperatorOptions, method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown): Promise<OperatorReply> {
+	try {
+		const res = await request(`http://${options.operators}${path}`, {
+			method,
+			headers: {authorization: `Bearer ${options.token}`, ...(body !== undefined && {'content-type': 'application/json'})},
+			body: body === undefined ? undefined : JSON.stringify(body),
+			headersTimeout: requestTimeoutMs,
+			bodyTimeout: requestTimeoutMs,
+		});
+		const text = await res.body.text();
+		return {status: res.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
+	} catch (err) {
+		throw new JasmineheadError(`${options.operators} did not answer`, at({step: `operators ${method} ${path}`, peer: options.operators, cause: err}));
+	}
+}
+
+/** One line for a person about a refused request. */
+export function describeProblem(reply: OperatorReply): string {
+	const problem = problemSchema.safeParse(reply.body);
+	return problem.success ? `${problem.data.code}: ${problem.data.detail ?? ''}` : `status ${reply.status}`;
+}
--- /dev/null
+++ b/src/common/services/operator-service.ts
@@ -0,0 +1,44 @@
+import {z} from 'zod';
+import {orderSchema} from '../upstreams/engine-api.js';
+
+const changeIdSchema = z.string().min(1).max(128);
+
+export const configApplySchema = z.strictObject({
+	changeId: changeIdSchema,
+	/** The version that the operator saw; 0 before the first. */
+	expectedVersion: z.int().min(0),
+	/** YAML text of the shared configuration. */
+	source: z.string().max(4_194_304),
+});
+export const keyIssueSchema = z.strictObject({changeId: changeIdSchema, tenant: z.string()});
+export const keyWithdrawSchema = z.strictObject({changeId: changeIdSchema, keyId: z.string()});
+export const drainSetSchema = z.strictObject({
+	changeId: changeIdSchema, kind: z.enum(['vm', 'upstream']), name: z.string(), draining: z.boolean(),
+});
+export const orderSubmitSchema = z.strictObject({changeId: changeIdSchema, upstream: z.string(), order: orderSchema});
+
+/** A refusal of an operator's request; `code` is stable. */
+export type OperatorProblem = {
+	readonly [field: string]: unknown;
+	readonly status: number;
+	readonly code: string;
+	readonly detail: string;
+};
+
+export type OperatorResult =
+	| {readonly ok: true; readonly body: unknown}
+	| {readonly ok: false; readonly problem: OperatorProblem};
+
+/** What operators may ask of any process of the cluster. */
+export abstract class OperatorService {
+	abstract configuration(version?: number): Promise<OperatorResult>;
+	abstract configurationHistory(): Promise<OperatorResult>;
+	abstract applyConfiguration(change: z.infer<typeof configApplySchema>): Promise<OperatorResult>;
+	abstract keys(): Promise<OperatorResult>;
+	abstract issueKey(change: z.infer<typeof keyIssueSchema>): Promise<OperatorResult>;
+	abstract withdrawKey(change: z.infer<typeof keyWithdrawSchema>): Promise<OperatorResult>;
+	abstract drains(): Promise<OperatorResult>;
+	abstract setDrain(change: z.infer<typeof drainSetSchema>): Promise<OperatorResult>;
+	abstract orders(): Promise<OperatorResult>;
+	abstract submitOrder(change: z.infer<typeof orderSubmitSchema>): Promise<OperatorResult>;
+}
--- /dev/null
+++ b/src/node/observability/json-logger.ts
@@ -0,0 +1,32 @@
+import process from 'node:process';
+import {Logger as TsLogger} from 'tslog';
+import {Logger} from '../../common/core/log.js';
+import type {LogLevel} from '../../common/core/log.js';
+
+type Line = {readonly message: string; readonly fields: Readonly<Record<string, unknown>>};
+type LineMetadata = {_meta?: {date: Date; logLevelName: string}};
+
+/** Writes one JSON object per line to standard output. */
+export class JsonLogger extends Logger {
+	private readonly _logger: TsLogger<Line>;
+
+	/** `context` goes into every line. */
+	constructor(context: Readonly<Record<string, unknown>>) {
+		super();
+		this._logger = new TsLogger<Line>({
+			type: 'hidden',
+			hideLogPositionForProduction: true,
+			attachedTransports: [entry => {
+				const {message, fields, _meta: metadata} = entry as Line & LineMetadata;
+				const line = {
+					time: metadata?.date.toISOString(), level: metadata?.logLevelName.toLowerCase(), message, ...context, ...fields,
+				};
+				process.stdout.write(JSON.stringify(line) + '\n');
+			}],
+		});
+	}
+
+	override log(level: LogLevel, message: string, fields: Readonly<Record<string, unknown>> = {}): void {
+		this._logger[level]({message, fields});
+	}
+}
--- /dev/null
+++ b/src/node/operators/operator-server.test.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {request} from 'undici';
+import {OperatorService} from '../../common/services/operator-service.js';
+import type {OperatorResult} from '../../common/services/operator-service.js';
+import {PromMetrics} from '../observability/prom-metrics.js';
+import {OperatorServer} from './operator-server.js';
+
+const token = 'operator-token-0123456789';
+
+class RecordingService extends OperatorService {
+	readonly calls: string[] = [];
+
+	override configuration = this._record('configuration');
+	override configurationHistory = this._record('configurationHistory');
+	override applyConfiguration = this._record('applyConfiguration');
+	override keys = this._record('keys');
+	override issueKey = this._record('issueKey');
+	override withdrawKey = this._record('withdrawKey');
+	override drains = this._record('drains');
+	override setDrain = this._record('setDrain');
+	override orders = this._record('orders');
+	override submitOrder = this._record('submitOrder');
+
+	private _record(name: string) {
+		return async (): Promise<OperatorResult> => {
+			this.calls.push(name);
+			return {ok: true, body: {name}};
+		};
+	}
+}
+
+async function startServer(t: TestContext, whyNotReady?: string) {
+	const service = new RecordingService();
+	const server = await OperatorServer.listen({
+		listen: '127.0.0.1:0', token, service, metrics: new PromMetrics({vm: 'a'}), whyNotReady: () => whyNotReady, dump: () => ({members: new Map([['a', 1]])}),
+	});
+	t.after(async () => server.dispose());
+	return {service, origin: `http://${server.address}`};
+}
+
+test('a request without the operator token reaches neither the service nor the state dump', async t => {
+	const {service, origin} = await startServer(t);
+	for (const path of ['/v1/config', '/v1/keys', '/state']) {
+		const res = await request(origin + path, {headers: {authorization: 'Bearer wrong'}});
+		assert.equal(res.statusCode, 401);
+		await res.body.dump();
+	}
+
+	assert.deepEqual(service.calls, []);
+});
+
+test('health, readiness and metrics are open, and readiness differs from health', async t => {
+	const {origin} = await startServer(t, 'no view yet');
+	assert.equal((await request(`${origin}/healthz`)).statusCode, 200);
+	const ready = await request(`${origin}/readyz`);
+	assert.equal(ready.statusCode, 503);
+	const {reason} = await ready.body.json() as {reason: string};
+	assert.equal(reason, 'no view yet');
+	const metrics = await request(`${origin}/metrics`);
+	assert.match(await metrics.body.text(), /process_resident_memory_bytes/);
+});
+
+test('an invalid body is refused with the faulty path and does not reach the service', async t => {
+	const {service, origin} = await startServer(t);
+	const headers = {authorization: `Bearer ${token}`};
+	const res = await request(`${origin}/v1/keys`, {method: 'POST', headers, body: JSON.stringify({changeId: 'c', tenant: 5})});
+	assert.equal(res.statusCode, 400);
+	const {detail} = await res.body.json() as {detail: string};
+	assert.match(detail, /tenant/);
+	const malformed = await request(`${origin}/v1/keys`, {method: 'POST', headers, body: '{'});
+	const {code} = await malformed.body.json() as {code: string};
+	assert.equal(code, 'malformed-json');
+	assert.deepEqual(service.calls, []);
+	const state = await request(`${origin}/state`, {headers});
+	assert.deepEqual(await state.body.json(), {members: {a: 1}});
+});
--- a/src/node/transport/tcp-peer-network.ts
+++ b/src/node/transport/tcp-peer-network.ts
@@ -1,13 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {connect, createServer} from 'node:net';
-import type {Server, Socket} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
 import Emittery from 'emittery';
 import type {z} from 'zod';
 import {at, ProtocolError, TimeoutError} from '../../common/core/errors.js';
 import type {PeerMessage, VmId, VmIdentity} from '../../common/core/types.js';
 import {PeerNetwork} from '../../common/services/peer-network.js';
 import type {MessageHandler, PeerNetworkEvents} from '../../common/services/peer-network.js';
-import {splitAddress} from '../address.js';
+import {joinAddress, splitAddress} from '../address.js';
 import type {Envelope} from './messages.js';
 import {PeerConnection} from './peer-connection.js';
 
@@ -71,12 +71,7 @@
 
 	/** The address that the server listens on; of use when the settings ask for port 0. */
 	get address(): string {
-		const bound = this._server.address();
-		if (bound === null || typeof bound === 'string') {
-			throw new ProtocolError('the peer listener is closed', at({step: 'transport.address'}));
-		}
-
-		return `${bound.address}:${bound.port}`;
+		return joinAddress(this._server.address() as AddressInfo);
 	}
 
 	override setAddress(vm: VmId, address: string): void {
