--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -1,5 +1,8 @@
-/** Runs every `*.test.ts` file below the source folders with Node's test runner; arguments select files by part of their path. */
-import {readdirSync} from 'node:fs';
+/**
+Runs every `*.test.ts` file below the source folders with Node's test runner; arguments select files by part of their path.
+A failure of a test that KNOWN-RED.txt names in a line `test: <title>` is printed and does not fail the run.
+*/
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {spec as Spec} from 'node:test/reporters';
@@ -9,6 +12,7 @@
 const roots = ['src', 'fakes', 'scripts'];
 /** Test files that run at once; process tests start several Node.js processes each. */
 const concurrency = 5;
+const knownRedFile = 'KNOWN-RED.txt';
 const selected = process.argv.slice(2);
 
 const files = roots
@@ -18,10 +22,22 @@
 	.sort()
 	.map(file => path.resolve(file));
 
+const knownRed = new Set((existsSync(knownRedFile) ? readFileSync(knownRedFile, 'utf8') : '')
+	.split('\n')
+	.filter(line => line.startsWith('test: '))
+	.map(line => line.slice('test: '.length).trim()));
+const knownFailures: string[] = [];
+
 const stream = run({files, concurrency});
-stream.on('test:fail', () => {
-	process.exitCode = 1;
+stream.on('test:fail', event => {
+	if (knownRed.has(event.name)) {
+		knownFailures.push(event.name);
+	} else {
+		process.exitCode = 1;
+	}
 });
 pipeline(stream, new Spec(), process.stdout, () => {
-	// The exit code already tells the outcome.
+	for (const name of knownFailures) {
+		console.log(`known failure, see ${knownRedFile}: ${name}`);
+	}
 });
