--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -14,6 +14,11 @@
 export type HardState = {
 	readonly term: number;
 	readonly votedFor: VmId | undefined;
+	/** Disk id of the candidate voted for: a vote for a VM is not a vote for its next disk. */
+	readonly votedForDisk: string | undefined;
+	/** Disk id of the member that formed the cluster; a member never follows a second cluster. */
+	readonly cluster: string | undefined;
+	/** Lower bound of the commit index; written along with other changes only. */
 	readonly commit: number;
 };
 
@@ -40,6 +45,7 @@
 	readonly diskId: string;
 	readonly hardState: HardState;
 	readonly snapshot: Snapshot | undefined;
+	/** Entries after the snapshot, without gaps. */
 	readonly entries: readonly LogEntry[];
 };
 
@@ -72,13 +78,25 @@
 	| (BaseEvent<'consensus/snapshot-taken'> & {readonly index: number; readonly data: unknown})
 	| (BaseEvent<'consensus/snapshot-saved'> & {readonly index: number});
 
+export type DropReason =
+	| 'not-leader'
+	| 'leadership-lost'
+	/** Too many proposals or bytes wait for their commit. */
+	| 'overloaded'
+	/** The command exceeds `maxCommandBytes`. */
+	| 'too-large'
+	/** Another membership change is under way, or the change is not possible. */
+	| 'change-refused';
+
 export type ConsensusEffect =
 	| CoreEffect
 	| {readonly type: 'consensus/persist'; readonly batch: PersistBatch}
 	/** In index order, each index once; `token` only on the member that proposed the entry in this term. */
 	| {readonly type: 'consensus/committed'; readonly index: number; readonly command: unknown; readonly token: ReplyToken | undefined}
 	/** The proposal may or may not commit later; its proposer learns it is unknown or not accepted. */
-	| {readonly type: 'consensus/dropped'; readonly token: ReplyToken; readonly reason: 'not-leader' | 'leadership-lost' | 'overloaded'; readonly leader: VmId | undefined}
+	| {readonly type: 'consensus/dropped'; readonly token: ReplyToken; readonly reason: DropReason; readonly leader: VmId | undefined}
+	/** A membership change is committed; `token` only on the member that accepted the change in this term. */
+	| {readonly type: 'consensus/members-committed'; readonly index: number; readonly members: readonly Member[]; readonly token: ReplyToken | undefined}
 	/** A quorum confirmed the leader after the question arrived, and everything committed before it is applied. */
 	| {readonly type: 'consensus/read-ready'; readonly token: ReplyToken}
 	| {readonly type: 'consensus/read-failed'; readonly token: ReplyToken; readonly leader: VmId | undefined}
@@ -88,3 +106,43 @@
 	| {readonly type: 'consensus/save-snapshot'; readonly snapshot: Snapshot}
 	/** Replaces the state machine's state. */
 	| {readonly type: 'consensus/install'; readonly index: number; readonly data: unknown};
+
+export type ConsensusTimings = {
+	/** Interval of the leader's heartbeats, in ms. */
+	readonly heartbeatMs: number;
+	/** Bounds of the randomised election timeout, in ms; also how long a leader stays without contact to a quorum. */
+	readonly electionMinMs: number;
+	readonly electionMaxMs: number;
+	/** A write that takes longer than this, in ms, makes the member step aside until it ends. */
+	readonly storageLimitMs: number;
+};
+
+export type ConsensusLimits = {
+	/** Entries and estimated bytes of one append message; a single larger entry travels alone. */
+	readonly maxBatchEntries: number;
+	readonly maxBatchBytes: number;
+	/** Append messages with entries that a follower may have unacknowledged. */
+	readonly maxInFlight: number;
+	readonly maxCommandBytes: number;
+	/** Proposals, and their estimated bytes, that may wait for their commit. */
+	readonly maxProposals: number;
+	readonly maxProposalBytes: number;
+	readonly maxReads: number;
+	readonly snapshotChunkBytes: number;
+	/** Largest snapshot a member accepts. */
+	readonly maxSnapshotBytes: number;
+	/** Applied entries since the last snapshot that trigger the next one. */
+	readonly snapshotEvery: number;
+	/** Entries kept in memory before a snapshot, so that a follower slightly behind needs no snapshot. */
+	readonly retainedEntries: number;
+};
+
+export type ConsensusOptions = {
+	readonly vm: VmId;
+	readonly stored: StoredState;
+	/** The VMs that form the cluster at its first start; later only addresses to ask for admission. */
+	readonly initialVms: readonly VmId[];
+	readonly seed: number;
+	readonly timings?: Partial<ConsensusTimings>;
+	readonly limits?: Partial<ConsensusLimits>;
+};
--- /dev/null
+++ b/src/node/storage/crc32c.ts
@@ -0,0 +1,23 @@
+/* eslint-disable no-bitwise -- a CRC is defined on bits */
+
+/** Castagnoli polynomial, bit-reversed (RFC 3720, appendix B.4). */
+const polynomial = 0x82_F6_3B_78;
+
+const table = Uint32Array.from({length: 256}, (_, byte) => {
+	let value = byte;
+	for (let bit = 0; bit < 8; bit++) {
+		value = (value >>> 1) ^ (value & 1 ? polynomial : 0);
+	}
+
+	return value;
+});
+
+/** CRC-32C of the bytes; pass the CRC of what precedes them as `seed` to continue it. */
+export function crc32c(bytes: Uint8Array, seed = 0): number {
+	let crc = ~seed;
+	for (const byte of bytes) {
+		crc = (crc >>> 8) ^ table[(crc ^ byte) & 0xFF]!;
+	}
+
+	return ~crc >>> 0;
+}
--- /dev/null
+++ b/src/node/storage/file-log-storage.test.ts
@@ -0,0 +1,260 @@
+import assert from 'node:assert/strict';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import type {
+	HardState, LogEntry, PersistBatch, Snapshot, StoredState,
+} from '../../common/consensus/types.js';
+import {StorageError} from '../../common/core/errors.js';
+import {SeededRandom} from '../../common/core/random.js';
+import {crc32c} from './crc32c.js';
+import {NodeFileSystem} from './file-system.js';
+import {FileLogStorage} from './file-log-storage.js';
+import {MemoryFileSystem} from './memory-file-system.js';
+import {recordHeaderBytes} from './records.js';
+
+const folder = '/data';
+const firstSegment = '/data/segment-0000000000000001.log';
+
+function storageOn(fileSystem: MemoryFileSystem, segmentBytes?: number): FileLogStorage {
+	return new FileLogStorage({folder, fileSystem, segmentBytes});
+}
+
+function entry(index: number, term = 1): LogEntry {
+	return {index, term, payload: {kind: 'command', command: {name: `change-${index}-${term}`}}};
+}
+
+function hardState(term: number): HardState {
+	return {
+		term, votedFor: 'vm1', votedForDisk: 'disk-1', cluster: 'disk-1', commit: 0,
+	};
+}
+
+function batch(entries: readonly LogEntry[], fields: Partial<PersistBatch> = {}): PersistBatch {
+	return {
+		sequence: 1, hardState: undefined, truncateFrom: undefined, entries, ...fields,
+	};
+}
+
+function snapshot(index: number, term = 1): Snapshot {
+	return {
+		index, term, members: [{vm: 'vm1', diskId: 'disk-1', role: 'voter'}], data: {applied: index},
+	};
+}
+
+async function loadFrom(fileSystem: MemoryFileSystem): Promise<StoredState> {
+	return storageOn(fileSystem).load();
+}
+
+/** A folder whose first segment holds three batches; returns the offsets of their records. */
+async function threeBatches(): Promise<{readonly fileSystem: MemoryFileSystem; readonly offsets: readonly number[]}> {
+	const fileSystem = new MemoryFileSystem();
+	const storage = storageOn(fileSystem);
+	await storage.load();
+	const offsets: number[] = [];
+	for (const index of [1, 2, 3]) {
+		offsets.push(fileSystem.bytes(firstSegment).length);
+		await storage.append(batch([entry(index)]));
+	}
+
+	return {fileSystem, offsets};
+}
+
+test('CRC-32C matches the check value of its definition', () => {
+	assert.equal(crc32c(new TextEncoder().encode('123456789')), 0xE3_06_92_83);
+});
+
+test('entries, hard state, snapshot and disk id are the same after a restart, on the real file system', async context => {
+	const realFolder = await mkdtemp(path.join(tmpdir(), 'jasminehead-storage-'));
+	context.after(async () => rm(realFolder, {recursive: true}));
+	const first = new FileLogStorage({folder: realFolder, fileSystem: new NodeFileSystem()});
+	const {diskId} = await first.load();
+	await first.append(batch([entry(1), entry(2), entry(3)], {hardState: hardState(1)}));
+	await first.append(batch([entry(2, 2), entry(3, 2)], {hardState: hardState(2), truncateFrom: 2}));
+	await first.saveSnapshot(snapshot(2, 2));
+	await first.dispose();
+	const second = new FileLogStorage({folder: realFolder, fileSystem: new NodeFileSystem()});
+	assert.deepEqual(await second.load(), {
+		diskId, hardState: hardState(2), snapshot: snapshot(2, 2), entries: [entry(3, 2)],
+	});
+	await second.dispose();
+});
+
+test('a torn last record is truncated wherever it ends, and the log goes on after it', async () => {
+	const {fileSystem, offsets} = await threeBatches();
+	const whole = fileSystem.bytes(firstSegment);
+	for (let length = offsets[2]!; length < whole.length; length++) {
+		fileSystem.setBytes(firstSegment, whole.subarray(0, length));
+		const survivor = fileSystem.afterPowerCut(new SeededRandom(1));
+		const storage = storageOn(survivor);
+		const {entries} = await storage.load();
+		assert.deepEqual(entries.map(({index}) => index), [1, 2]);
+		await storage.append(batch([entry(3, 2)]));
+		const reloaded = await loadFrom(survivor);
+		assert.deepEqual(reloaded.entries.map(({term}) => term), [1, 1, 2]);
+	}
+});
+
+test('a corrupt record before the tail is refused with file and offset, whichever byte is damaged', async () => {
+	const {fileSystem, offsets} = await threeBatches();
+	const whole = fileSystem.bytes(firstSegment);
+	for (let position = offsets[1]!; position < offsets[2]!; position++) {
+		const damaged = Uint8Array.from(whole);
+		damaged[position]! += 1;
+		fileSystem.setBytes(firstSegment, damaged);
+		await assert.rejects(loadFrom(fileSystem), (err: unknown) => err instanceof StorageError && err.message === `${firstSegment}: corrupt record at offset ${offsets[1]}`);
+	}
+});
+
+test('a damaged end of a segment that is not the last one is refused: acknowledged entries would be lost', async () => {
+	const {fileSystem, offsets} = await threeBatches();
+	await loadFrom(fileSystem);
+	fileSystem.setBytes(firstSegment, fileSystem.bytes(firstSegment).subarray(0, offsets[2]! + recordHeaderBytes));
+	await assert.rejects(loadFrom(fileSystem), /corrupt record at offset/);
+});
+
+test('missing entries, a missing disk id and files of another disk are refused', async () => {
+	const {fileSystem} = await threeBatches();
+	const storage = storageOn(fileSystem);
+	await storage.load();
+	await assert.rejects(storage.append(batch([entry(9)])), /entries before 9 are missing/);
+	const other = await threeBatches();
+	other.fileSystem.setBytes('/data/segment-0000000000000002.log', fileSystem.bytes(firstSegment));
+	await assert.rejects(loadFrom(other.fileSystem), /expected format 1 of disk/);
+	await other.fileSystem.remove('/data/disk-id');
+	await assert.rejects(loadFrom(other.fileSystem), /disk-id: missing/);
+});
+
+test('an append resolves only after its fsync, and survives a power cut from then on', async () => {
+	const fileSystem = new MemoryFileSystem();
+	const storage = storageOn(fileSystem);
+	await storage.load();
+	let openGate: () => void;
+	fileSystem.syncGate = new Promise(resolve => {
+		openGate = resolve;
+	});
+	let isResolved = false;
+	const append = (async () => {
+		await storage.append(batch([entry(1)]));
+		isResolved = true;
+	})();
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	assert.equal(isResolved, false);
+	openGate!();
+	await append;
+	const {entries} = await loadFrom(fileSystem.afterPowerCut(new SeededRandom(1)));
+	assert.deepEqual(entries, [entry(1)]);
+});
+
+test('after a failed fsync nothing more is written: the kernel may have dropped the pages', async () => {
+	const fileSystem = new MemoryFileSystem();
+	const storage = storageOn(fileSystem);
+	await storage.load();
+	fileSystem.isSyncFailing = true;
+	await assert.rejects(storage.append(batch([entry(1)])), StorageError);
+	fileSystem.isSyncFailing = false;
+	await assert.rejects(storage.append(batch([entry(1)])), StorageError);
+	await assert.rejects(storage.saveSnapshot(snapshot(1)), StorageError);
+});
+
+test('partial writes are continued', async () => {
+	const fileSystem = new MemoryFileSystem();
+	fileSystem.maxWriteBytes = 7;
+	const storage = storageOn(fileSystem);
+	await storage.load();
+	await storage.append(batch([entry(1), entry(2)]));
+	const {entries} = await loadFrom(fileSystem);
+	assert.deepEqual(entries, [entry(1), entry(2)]);
+});
+
+test('a snapshot deletes the segments before it, so that restart time is bounded', async () => {
+	const fileSystem = new MemoryFileSystem();
+	const storage = storageOn(fileSystem, 200);
+	await storage.load();
+	for (let index = 1; index <= 50; index++) {
+		await storage.append(batch([entry(index)]));
+	}
+
+	assert.ok(fileSystem.files().length > 10);
+	await storage.saveSnapshot(snapshot(40));
+	await storage.saveSnapshot(snapshot(50));
+	assert.deepEqual(fileSystem.files().map(name => path.basename(name).split('-', 1)[0]), ['disk', 'segment', 'snapshot']);
+});
+
+test('a snapshot of another history replaces the log instead of continuing it', async () => {
+	const fileSystem = new MemoryFileSystem();
+	const storage = storageOn(fileSystem);
+	await storage.load();
+	await storage.append(batch([entry(1), entry(2), entry(3)]));
+	await storage.saveSnapshot(snapshot(2, 2));
+	const {entries} = await loadFrom(fileSystem);
+	assert.deepEqual(entries, []);
+});
+
+type Operation = {readonly kind: 'append' | 'truncate' | 'snapshot' | 'restart'; readonly size: number};
+
+/** What a member should find: the term and index of each entry after the snapshot. */
+type Model = {readonly snapshot: number; readonly term: number; readonly entries: readonly LogEntry[]};
+
+function modelOf({hardState, snapshot, entries}: StoredState): Model {
+	return {snapshot: snapshot?.index ?? 0, term: hardState.term, entries};
+}
+
+function nextModel(model: Model, {kind, size}: Operation): Model {
+	const last = model.snapshot + model.entries.length;
+	const term = model.term + 1;
+	if (kind === 'append' || kind === 'truncate') {
+		const from = kind === 'append' ? last + 1 : Math.max(model.snapshot + 1, last - size);
+		const added = Array.from({length: kind === 'append' ? size : size - 1}, (_, i) => entry(from + i, term));
+		return {...model, term, entries: [...model.entries.filter(({index}) => index < from), ...added]};
+	}
+
+	const index = Math.max(model.snapshot, last - size);
+	return kind === 'snapshot' ? {...model, snapshot: index, entries: model.entries.filter(kept => kept.index > index)} : model;
+}
+
+async function perform(storage: FileLogStorage, before: Model, {kind, after}: {kind: Operation['kind']; after: Model}): Promise<void> {
+	if (kind === 'snapshot') {
+		const last = before.entries.find(({index}) => index === after.snapshot);
+		await (last && storage.saveSnapshot(snapshot(after.snapshot, last.term)));
+		return;
+	}
+
+	const entries = after.entries.filter(({term}) => term === after.term);
+	const truncateFrom = kind === 'truncate' ? before.snapshot + after.entries.length - entries.length + 1 : undefined;
+	await storage.append(batch(entries, {hardState: hardState(after.term), truncateFrom}));
+}
+
+test('after a power cut at any file operation, everything acknowledged is there and nothing is mixed up', async () => {
+	const operation = fc.record({kind: fc.constantFrom<Operation['kind']>('append', 'append', 'truncate', 'snapshot', 'restart'), size: fc.integer({min: 1, max: 4})});
+	await fc.assert(fc.asyncProperty(fc.array(operation, {maxLength: 25}), fc.integer({min: 10, max: 250}), fc.integer(), async (operations, operationsLeft, seed) => {
+		const fileSystem = new MemoryFileSystem();
+		let storage = storageOn(fileSystem, 300);
+		let before = modelOf(await storage.load());
+		let after = before;
+		fileSystem.operationsLeft = operationsLeft;
+		try {
+			for (const next of operations) {
+				after = nextModel(before, next);
+				if (next.kind === 'restart') {
+					storage = storageOn(fileSystem, 300);
+					assert.deepEqual(modelOf(await storage.load()), before);
+				} else {
+					await perform(storage, before, {kind: next.kind, after});
+				}
+
+				before = after;
+			}
+		} catch (err) {
+			assert.match(String(err), /power cut/);
+		}
+
+		const found = modelOf(await loadFrom(fileSystem.afterPowerCut(new SeededRandom(seed))));
+		const expected = [before, after].find(({term, snapshot}) => term === found.term && snapshot === found.snapshot);
+		assert.deepEqual(found, expected);
+	}), {numRuns: 300, seed: 20_260_807});
+});
--- /dev/null
+++ b/src/node/storage/file-log-storage.ts
@@ -0,0 +1,329 @@
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import path from 'node:path';
+import type {
+	LogEntry, PersistBatch, Snapshot, StoredState,
+} from '../../common/consensus/types.js';
+import {at, StorageError} from '../../common/core/errors.js';
+import type {AppendFile, FileSystem} from './file-system.js';
+import type {BatchRecord, StoredRecord} from './types.js';
+import {LogStorage} from './log-storage.js';
+import {encodeRecord, scanRecords} from './records.js';
+import {Replay} from './replay.js';
+import {formatVersion} from './types.js';
+
+const diskIdFile = 'disk-id';
+const temporarySuffix = '.tmp';
+const segmentPattern = /^segment-(\d+)\.log$/;
+const snapshotPattern = /^snapshot-(\d+)\.cbor$/;
+/** Digits that make names sort by number. */
+const numberWidth = 16;
+/** A segment that has reached this size, in bytes, is followed by a new one. */
+const defaultSegmentBytes = 4_194_304;
+
+type Segment = {
+	readonly file: string;
+	/** Highest index in the segment, 0 if none. */
+	lastIndex: number;
+	bytes: number;
+};
+
+type KnownEntry = {readonly index: number; readonly term: number};
+
+export type FileLogStorageOptions = {
+	readonly folder: string;
+	readonly fileSystem: FileSystem;
+	readonly segmentBytes?: number;
+};
+
+/** Keeps the log in append-only segment files and snapshots of one folder. */
+export class FileLogStorage extends LogStorage {
+	private readonly _folder: string;
+	private readonly _fs: FileSystem;
+	private readonly _segmentBytes: number;
+	private _diskId = '';
+	/** What the segments hold after the snapshot; indexes and terms only. */
+	private _known = new Replay<KnownEntry>(undefined, keepTerm);
+	private _segments: Segment[] = [];
+	private _nextSegment = 1;
+	private _file: AppendFile | undefined;
+	private _queue: Promise<void> = Promise.resolve();
+	private _failure: Error | undefined;
+
+	constructor({folder, fileSystem, segmentBytes}: FileLogStorageOptions) {
+		super();
+		this._folder = folder;
+		this._fs = fileSystem;
+		this._segmentBytes = segmentBytes ?? defaultSegmentBytes;
+	}
+
+	override async load(): Promise<StoredState> {
+		return this._run('storage.load', async () => {
+			await this._fs.makeFolder(this._folder);
+			const files = await this._removeTemporary();
+			this._diskId = await this._loadDiskId(files);
+			const snapshot = await this._loadSnapshot(files);
+			const replay = await this._loadSegments(files, snapshot);
+			if (snapshot) {
+				replay.compact(snapshot);
+			}
+
+			this._known = new Replay<KnownEntry>(snapshot, keepTerm);
+			this._known.hardState = replay.hardState;
+			this._known.entries = replay.entries.map(entry => keepTerm(entry));
+			await this._startSegment();
+			return {
+				diskId: this._diskId, hardState: replay.hardState, snapshot, entries: replay.entries,
+			};
+		});
+	}
+
+	override async append({hardState, truncateFrom, entries}: PersistBatch): Promise<void> {
+		return this._run('storage.append', async () => {
+			if (this._segments.at(-1)!.bytes >= this._segmentBytes) {
+				await this._startSegment();
+			}
+
+			const record: BatchRecord = {
+				kind: 'batch', hardState, truncateFrom, entries,
+			};
+			this._known.apply(this._segments.at(-1)!.file, record);
+			await this._write(record);
+			noteEntries(this._segments.at(-1)!, entries);
+		});
+	}
+
+	override async saveSnapshot(snapshot: Snapshot): Promise<void> {
+		const record: StoredRecord = {
+			kind: 'snapshot', format: formatVersion, diskId: this._diskId, snapshot,
+		};
+		return this._run('storage.save-snapshot', async () => {
+			await this._replaceFile(snapshotName(snapshot.index), encodeRecord(record));
+			await this._prune(snapshot);
+		});
+	}
+
+	override async dispose(): Promise<void> {
+		await this._queue;
+		await this._file?.close();
+		this._file = undefined;
+	}
+
+	/** Runs operations one after the other. After a failure the state of the files is unknown, so nothing more is tried. */
+	private async _run<T>(step: string, operation: () => Promise<T>): Promise<T> {
+		const previous = this._queue;
+		let release: () => void;
+		this._queue = new Promise(resolve => {
+			release = resolve;
+		});
+		await previous;
+		try {
+			if (this._failure) {
+				throw this._failure;
+			}
+
+			return await operation();
+		} catch (err) {
+			this._failure ??= err instanceof StorageError ? err : new StorageError(`${this._folder}: ${String(err)}`, at({step, peer: this._folder, cause: err}));
+			throw this._failure;
+		} finally {
+			release!();
+		}
+	}
+
+	private _path(file: string): string {
+		return path.join(this._folder, file);
+	}
+
+	private async _removeTemporary(): Promise<string[]> {
+		const files = await this._fs.list(this._folder);
+		for (const file of files.filter(name => name.endsWith(temporarySuffix))) {
+			await this._fs.remove(this._path(file));
+		}
+
+		return files.filter(name => !name.endsWith(temporarySuffix));
+	}
+
+	private async _loadDiskId(files: readonly string[]): Promise<string> {
+		if (files.includes(diskIdFile)) {
+			const content = await this._fs.read(this._path(diskIdFile));
+			if (content.length === 0) {
+				throw new StorageError(`${this._path(diskIdFile)}: empty`, at({step: 'storage.load', peer: this._folder}));
+			}
+
+			return Buffer.from(content).toString('utf8');
+		}
+
+		if (files.some(file => segmentPattern.test(file) || snapshotPattern.test(file))) {
+			throw new StorageError(`${this._path(diskIdFile)}: missing beside log files`, at({step: 'storage.load', peer: this._folder}));
+		}
+
+		const diskId = randomUUID();
+		await this._replaceFile(diskIdFile, Buffer.from(diskId));
+		return diskId;
+	}
+
+	private async _loadSnapshot(files: readonly string[]): Promise<Snapshot | undefined> {
+		const names = files.filter(file => snapshotPattern.test(file)).sort();
+		const newest = names.pop();
+		if (newest === undefined) {
+			return undefined;
+		}
+
+		const file = this._path(newest);
+		const {values} = scanRecords(file, await this._fs.read(file), false);
+		const [record] = values as StoredRecord[];
+		if (record?.kind !== 'snapshot') {
+			throw new StorageError(`${file}: no snapshot at offset 0`, at({step: 'storage.load', peer: file}));
+		}
+
+		this._checkOrigin(file, record);
+		for (const name of names) {
+			await this._fs.remove(this._path(name));
+		}
+
+		return record.snapshot;
+	}
+
+	private _checkOrigin(file: string, {format, diskId}: {readonly format: number; readonly diskId: string}): void {
+		if (format !== formatVersion || diskId !== this._diskId) {
+			throw new StorageError(`${file}: format ${format} of disk ${diskId}, expected format ${formatVersion} of disk ${this._diskId}`, at({step: 'storage.load', peer: file}));
+		}
+	}
+
+	private async _loadSegments(files: readonly string[], snapshot: Snapshot | undefined): Promise<Replay> {
+		const replay = new Replay(snapshot, entry => entry);
+		const names = files.filter(file => segmentPattern.test(file)).sort();
+		for (const name of names) {
+			await this._loadSegment(name, name === names.at(-1), replay);
+		}
+
+		this._nextSegment = Number(segmentPattern.exec(names.at(-1) ?? '')?.[1] ?? 0) + 1;
+		return replay;
+	}
+
+	private async _loadSegment(name: string, isLast: boolean, replay: Replay): Promise<void> {
+		const file = this._path(name);
+		const content = await this._fs.read(file);
+		const {values, intactBytes} = scanRecords(file, content, isLast);
+		const [header, ...batches] = values as StoredRecord[];
+		if (header?.kind !== 'segment') {
+			if (isLast && !header) {
+				// The process stopped while it created the segment.
+				await this._fs.remove(file);
+				await this._fs.syncFolder(this._folder);
+				return;
+			}
+
+			throw new StorageError(`${file}: no segment header at offset 0`, at({step: 'storage.load', peer: file}));
+		}
+
+		this._checkOrigin(file, header);
+		if (intactBytes < content.length) {
+			await this._truncate(file, intactBytes);
+		}
+
+		replay.hardState = header.hardState;
+		const segment = {file, lastIndex: 0, bytes: intactBytes};
+		for (const batch of batches as BatchRecord[]) {
+			replay.apply(file, batch);
+			noteEntries(segment, batch.entries);
+		}
+
+		this._segments.push(segment);
+	}
+
+	private async _truncate(file: string, length: number): Promise<void> {
+		const handle = await this._fs.open(file);
+		try {
+			await handle.truncate(length);
+			await handle.sync();
+		} finally {
+			await handle.close();
+		}
+	}
+
+	private async _startSegment(): Promise<void> {
+		await this._file?.close();
+		const file = this._path(`segment-${padded(this._nextSegment++)}.log`);
+		this._file = await this._fs.open(file);
+		this._segments.push({file, lastIndex: 0, bytes: 0});
+		await this._write({
+			kind: 'segment', format: formatVersion, diskId: this._diskId, hardState: this._known.hardState,
+		});
+		await this._fs.syncFolder(this._folder);
+	}
+
+	private async _write(record: StoredRecord): Promise<void> {
+		const bytes = encodeRecord(record);
+		await writeAll(this._file!, bytes);
+		await this._file!.sync();
+		this._segments.at(-1)!.bytes += bytes.length;
+	}
+
+	/** Writes under a temporary name and renames, so that the name never stands for half a file. */
+	private async _replaceFile(name: string, bytes: Uint8Array): Promise<void> {
+		const temporary = this._path(name + temporarySuffix);
+		const file = await this._fs.open(temporary);
+		try {
+			await writeAll(file, bytes);
+			await file.sync();
+		} finally {
+			await file.close();
+		}
+
+		await this._fs.rename(temporary, this._path(name));
+		await this._fs.syncFolder(this._folder);
+	}
+
+	/** Deletes the segments and snapshots that the snapshot replaces. */
+	private async _prune(snapshot: Snapshot): Promise<void> {
+		const isContinued = this._known.continues(snapshot);
+		this._known.compact(snapshot);
+		await this._startSegment();
+		const older = this._segments.slice(0, -1);
+		if (isContinued) {
+			const keepFrom = older.findIndex(({lastIndex}) => lastIndex > snapshot.index);
+			await this._removeSegments(keepFrom === -1 ? older : older.slice(0, keepFrom));
+		} else {
+			// Newest first: entries after the snapshot must not outlive the entry that shows their other history.
+			await this._removeSegments(older.reverse());
+		}
+
+		const files = await this._fs.list(this._folder);
+		for (const name of files.filter(file => snapshotPattern.test(file) && file < snapshotName(snapshot.index))) {
+			await this._fs.remove(this._path(name));
+		}
+	}
+
+	private async _removeSegments(segments: readonly Segment[]): Promise<void> {
+		for (const segment of segments) {
+			await this._fs.remove(segment.file);
+			await this._fs.syncFolder(this._folder);
+			this._segments = this._segments.filter(kept => kept !== segment);
+		}
+	}
+}
+
+function keepTerm({index, term}: LogEntry | KnownEntry): KnownEntry {
+	return {index, term};
+}
+
+function noteEntries(segment: Segment, entries: readonly LogEntry[]): void {
+	segment.lastIndex = Math.max(segment.lastIndex, entries.at(-1)?.index ?? 0);
+}
+
+function padded(value: number): string {
+	return String(value).padStart(numberWidth, '0');
+}
+
+function snapshotName(index: number): string {
+	return `snapshot-${padded(index)}.cbor`;
+}
+
+async function writeAll(file: AppendFile, bytes: Uint8Array): Promise<void> {
+	let written = 0;
+	while (written < bytes.length) {
+		written += await file.write(bytes.subarray(written));
+	}
+}
--- /dev/null
+++ b/src/node/storage/types.ts
@@ -0,0 +1,23 @@
+import type {HardState, PersistBatch, Snapshot} from '../../common/consensus/types.js';
+
+/** Version of the file formats; a newer one is refused. */
+export const formatVersion = 1;
+
+/** First record of a segment. Its hard state replaces that of deleted segments. */
+export type SegmentHeader = {
+	readonly kind: 'segment';
+	readonly format: number;
+	readonly diskId: string;
+	readonly hardState: HardState;
+};
+
+export type BatchRecord = {readonly kind: 'batch'} & Omit<PersistBatch, 'sequence'>;
+
+export type SnapshotRecord = {
+	readonly kind: 'snapshot';
+	readonly format: number;
+	readonly diskId: string;
+	readonly snapshot: Snapshot;
+};
+
+export type StoredRecord = SegmentHeader | BatchRecord | SnapshotRecord;
