Add the replicated state machine, token buckets, and the entry process's access slice

Commands, their outcomes and the view of entry processes are defined in src/common/control. The leader's sessions, read-index syncs and log clock are in the control slice; buckets and allowances in src/common/limits. ControlServer, ControlClient and ControlOperator connect them through a PeerNetwork.

--- /dev/null
+++ b/src/common/access/types.ts
@@ -0,0 +1,2 @@
+export type * from './access.js';
+export type * from './view.js';
--- /dev/null
+++ b/src/common/control/apply.ts
@@ -0,0 +1,421 @@
+/**
+The replicated state machine's commands.
+Every member applies the same commands in the same order and must reach the same state,
+so nothing here depends on a clock, on randomness or on the process's own data.
+*/
+import type {VmIdentity} from '../core/types.js';
+import type {
+	Change, Command, CommandOf, Outcome,
+} from './messages.js';
+import {controlLimits, currentVersion} from './state.js';
+import type {
+	Claim, ControlLimits, Lease, ReplicatedState,
+} from './state.js';
+
+type DistributiveOmit<T, K extends PropertyKey> = T extends unknown ? Omit<T, K> : never;
+type NewChange = DistributiveOmit<Exclude<Change, {kind: 'configuration'}>, 'revision'> | {readonly kind: 'configuration'; readonly version: number};
+
+/** The lease whose epoch fences orders to engines. */
+export const ordersLease = 'orders';
+
+function refuse(code: Extract<Outcome, {kind: 'refused'}>['code']): Outcome {
+	return {kind: 'refused', code};
+}
+
+/** Raises the revision and records the change for entry processes. */
+function publish(state: ReplicatedState, change: NewChange, limits: ControlLimits): number {
+	state.revision++;
+	state.changes.push({...change, revision: state.revision});
+	if (state.changes.length > limits.changes) {
+		state.changes.shift();
+	}
+
+	return state.revision;
+}
+
+function applyConfiguration(state: ReplicatedState, command: CommandOf<'config.apply'>, limits: ControlLimits): Outcome {
+	const current = currentVersion(state);
+	if (command.expectedVersion !== current) {
+		return {kind: 'version-conflict', version: current};
+	}
+
+	const {changeId, source, configuration} = command;
+	const version = current + 1;
+	state.history.push({
+		version, changeId, appliedMs: state.logTimeMs, source, configuration,
+	});
+	trimHistory(state, limits);
+	return {kind: 'applied', version, revision: publish(state, {kind: 'configuration', version}, limits)};
+}
+
+function trimHistory(state: ReplicatedState, limits: ControlLimits): void {
+	let bytes = 0;
+	for (const {source, configuration} of state.history) {
+		bytes += source.length + configuration.length;
+	}
+
+	while (state.history.length > 1 && (state.history.length > limits.historyVersions || bytes > limits.historyBytes)) {
+		const oldest = state.history.shift()!;
+		bytes -= oldest.source.length + oldest.configuration.length;
+	}
+}
+
+function issueKey(state: ReplicatedState, {keyId, digest, tenant}: CommandOf<'key.issue'>, limits: ControlLimits): Outcome {
+	if (state.keys.has(keyId)) {
+		return refuse('exists');
+	}
+
+	if (state.keys.size >= limits.keys) {
+		return refuse('too-many');
+	}
+
+	const revision = publish(state, {
+		kind: 'key', keyId, digest, tenant,
+	}, limits);
+	state.keys.set(keyId, {
+		keyId, digest, tenant, revision,
+	});
+	return {
+		kind: 'issued', revision, keyId, digest,
+	};
+}
+
+function withdrawKey(state: ReplicatedState, {keyId}: CommandOf<'key.withdraw'>, limits: ControlLimits): Outcome {
+	if (!state.keys.delete(keyId)) {
+		return refuse('not-found');
+	}
+
+	return {kind: 'done', revision: publish(state, {kind: 'key-withdrawn', keyId}, limits)};
+}
+
+function setDrain(state: ReplicatedState, {target, name, draining}: CommandOf<'drain.set'>, limits: ControlLimits): Outcome {
+	const key = `${target}/${name}`;
+	if (state.drains.has(key) === draining) {
+		return {kind: 'done', revision: state.revision};
+	}
+
+	if (draining && state.drains.size >= limits.drains) {
+		return refuse('too-many');
+	}
+
+	if (draining) {
+		state.drains.set(key, {target, name});
+	} else {
+		state.drains.delete(key);
+	}
+
+	return {
+		kind: 'done', revision: publish(state, {
+			kind: 'drain', target, name, draining,
+		}, limits),
+	};
+}
+
+function submitOrder(state: ReplicatedState, {orderId, upstream, order}: CommandOf<'order.submit'>, limits: ControlLimits): Outcome {
+	if (state.orders.has(orderId)) {
+		return refuse('exists');
+	}
+
+	if (state.orders.size >= limits.orders) {
+		const settled = [...state.orders.values()].find(({status}) => status !== 'submitted');
+		if (!settled) {
+			return refuse('too-many');
+		}
+
+		state.orders.delete(settled.orderId);
+	}
+
+	state.orders.set(orderId, {
+		orderId, upstream, order, status: 'submitted', submittedMs: state.logTimeMs,
+	});
+	return {kind: 'done', revision: state.revision};
+}
+
+function settleOrder(state: ReplicatedState, {orderId, epoch, status, detail}: CommandOf<'order.settle'>): Outcome {
+	const order = state.orders.get(orderId);
+	if (!order) {
+		return refuse('not-found');
+	}
+
+	if (epoch !== state.leases.get(ordersLease)?.epoch) {
+		return refuse('stale');
+	}
+
+	state.orders.set(orderId, {...order, status, ...(detail !== undefined && {detail})});
+	return {kind: 'done', revision: state.revision};
+}
+
+/** Unambiguous, since the parts are quoted. */
+export function claimKey({tenant, service, idempotencyKey}: {readonly tenant: string; readonly service: string; readonly idempotencyKey: string}): string {
+	return JSON.stringify([tenant, service, idempotencyKey]);
+}
+
+/** What a claimant with this request digest learns about a claim. */
+export function claimStatus(claim: Claim | undefined, requestDigest: string): Outcome {
+	if (!claim) {
+		return {kind: 'claim-absent'};
+	}
+
+	if (claim.requestDigest !== requestDigest) {
+		return {kind: 'claim-conflict'};
+	}
+
+	if (claim.outcome) {
+		return {kind: 'claim-recorded', outcome: claim.outcome};
+	}
+
+	return {kind: claim.status === 'unknown' ? 'claim-unknown' : 'claim-pending'};
+}
+
+function openClaim(state: ReplicatedState, command: CommandOf<'claim.open'>, limits: ControlLimits): Outcome {
+	const {claimId, tenant, requestDigest} = command;
+	const key = claimKey(command);
+	const existing = state.claims.get(key);
+	if (existing) {
+		return existing.claimId === claimId && existing.status === 'open' ? {kind: 'claim-granted'} : claimStatus(existing, requestDigest);
+	}
+
+	const count = state.claimsPerTenant.get(tenant) ?? 0;
+	if (count >= limits.claimsPerTenant || state.claims.size >= limits.claims) {
+		return {kind: 'claim-too-many', retryAfterMs: timeToExpiry(state, count >= limits.claimsPerTenant ? tenant : undefined)};
+	}
+
+	state.claimsPerTenant.set(tenant, count + 1);
+	state.claims.set(key, {
+		claimId, tenant, requestDigest, expiresMs: state.logTimeMs + limits.claimTtlMs, status: 'open',
+	});
+	return {kind: 'claim-granted'};
+}
+
+/** Until the first claim of the tenant, or of any tenant, expires. */
+function timeToExpiry(state: ReplicatedState, tenant: string | undefined): number {
+	for (const claim of state.claims.values()) {
+		if (tenant === undefined || claim.tenant === tenant) {
+			return Math.max(0, claim.expiresMs - state.logTimeMs);
+		}
+	}
+
+	return 0;
+}
+
+function dropClaim(state: ReplicatedState, key: string, claim: Claim): void {
+	state.claims.delete(key);
+	state.recordedBytes -= claim.outcome?.body?.length ?? 0;
+	const count = (state.claimsPerTenant.get(claim.tenant) ?? 0) - 1;
+	if (count > 0) {
+		state.claimsPerTenant.set(claim.tenant, count);
+	} else {
+		state.claimsPerTenant.delete(claim.tenant);
+	}
+}
+
+function settleClaim(state: ReplicatedState, command: CommandOf<'claim.settle'>, limits: ControlLimits): Outcome {
+	const key = claimKey(command);
+	const claim = state.claims.get(key);
+	const done: Outcome = {kind: 'done', revision: state.revision};
+	if (claim?.claimId !== command.claimId) {
+		return refuse('not-found');
+	}
+
+	const settlement = command.outcome;
+	if (claim.status === 'recorded') {
+		return done;
+	}
+
+	if (settlement.kind === 'not-run') {
+		// A claim that was reported unknown may have run, so it is not withdrawn.
+		if (claim.status === 'open') {
+			dropClaim(state, key, claim);
+		}
+
+		return done;
+	}
+
+	if (settlement.kind === 'unknown') {
+		claim.status = 'unknown';
+		return done;
+	}
+
+	const {body, ...head} = settlement.outcome;
+	const fits = body !== undefined && state.recordedBytes + body.length <= limits.recordedBytes;
+	claim.status = 'recorded';
+	claim.outcome = fits ? {...head, body} : head;
+	state.recordedBytes += fits ? body.length : 0;
+	return done;
+}
+
+function publishLease(state: ReplicatedState, name: string, {holder, epoch}: Lease, limits: ControlLimits): void {
+	publish(state, {
+		kind: 'lease', name, epoch, ...(holder && {holder}),
+	}, limits);
+}
+
+function holds({holder}: Lease, {holder: vm, incarnation}: {readonly holder: string; readonly incarnation: number}): boolean {
+	return holder?.vm === vm && holder.incarnation === incarnation;
+}
+
+function takenOutcome(lease: Lease | undefined): Outcome {
+	return {kind: 'lease-taken', ...(lease?.holder && {current: {holder: lease.holder, epoch: lease.epoch}})};
+}
+
+function acquireLease(state: ReplicatedState, command: CommandOf<'lease.acquire'>, limits: ControlLimits): Outcome {
+	const {name, ttlMs} = command;
+	const lease: Lease = state.leases.get(name) ?? {holder: undefined, epoch: 0, expiresMs: 0};
+	const isHolder = holds(lease, command);
+	// A higher incarnation of the same VM proves that the former process is gone.
+	const isSuccessor = lease.holder?.vm === command.holder && lease.holder.incarnation < command.incarnation;
+	if (lease.holder && !isHolder && !isSuccessor) {
+		return takenOutcome(lease);
+	}
+
+	if (!state.leases.has(name) && state.leases.size >= limits.leases) {
+		return refuse('too-many');
+	}
+
+	lease.expiresMs = state.logTimeMs + ttlMs;
+	state.leases.set(name, lease);
+	if (!isHolder) {
+		const holder: VmIdentity = {vm: command.holder, incarnation: command.incarnation};
+		lease.holder = holder;
+		lease.epoch++;
+		publishLease(state, name, lease, limits);
+	}
+
+	return {kind: 'lease-held', epoch: lease.epoch};
+}
+
+function renewLease(state: ReplicatedState, command: CommandOf<'lease.renew'>): Outcome {
+	const lease = state.leases.get(command.name);
+	if (!lease || !holds(lease, command) || lease.epoch !== command.epoch) {
+		return takenOutcome(lease);
+	}
+
+	lease.expiresMs = state.logTimeMs + command.ttlMs;
+	return {kind: 'lease-held', epoch: lease.epoch};
+}
+
+function releaseLease(state: ReplicatedState, command: CommandOf<'lease.release'>, limits: ControlLimits): Outcome {
+	const lease = state.leases.get(command.name);
+	if (!lease || !holds(lease, command) || lease.epoch !== command.epoch) {
+		return takenOutcome(lease);
+	}
+
+	lease.holder = undefined;
+	publishLease(state, command.name, lease, limits);
+	return {kind: 'done', revision: state.revision};
+}
+
+function advanceClock(state: ReplicatedState, {elapsedMs}: CommandOf<'clock.advance'>, limits: ControlLimits): Outcome {
+	state.logTimeMs += elapsedMs;
+	for (const [key, claim] of state.claims) {
+		if (claim.expiresMs > state.logTimeMs) {
+			break;
+		}
+
+		dropClaim(state, key, claim);
+	}
+
+	for (const [name, lease] of state.leases) {
+		if (lease.holder && lease.expiresMs <= state.logTimeMs) {
+			lease.holder = undefined;
+			publishLease(state, name, lease, limits);
+		}
+	}
+
+	return {kind: 'done', revision: state.revision};
+}
+
+function execute(state: ReplicatedState, command: Command, limits: ControlLimits): Outcome {
+	switch (command.type) {
+		case 'config.apply': {
+			return applyConfiguration(state, command, limits);
+		}
+
+		case 'key.issue': {
+			return issueKey(state, command, limits);
+		}
+
+		case 'key.withdraw': {
+			return withdrawKey(state, command, limits);
+		}
+
+		case 'claim.open': {
+			return openClaim(state, command, limits);
+		}
+
+		case 'claim.settle': {
+			return settleClaim(state, command, limits);
+		}
+
+		case 'lease.acquire': {
+			return acquireLease(state, command, limits);
+		}
+
+		case 'lease.renew': {
+			return renewLease(state, command);
+		}
+
+		case 'lease.release': {
+			return releaseLease(state, command, limits);
+		}
+
+		case 'drain.set': {
+			return setDrain(state, command, limits);
+		}
+
+		case 'order.submit': {
+			return submitOrder(state, command, limits);
+		}
+
+		case 'order.settle': {
+			return settleOrder(state, command);
+		}
+
+		case 'clock.advance': {
+			return advanceClock(state, command, limits);
+		}
+	}
+}
+
+/** What a change id stands for. The digest of a key is left out: a resend after a lost answer has a new secret. */
+function fingerprint(command: Extract<Command, {changeId: string}>): string {
+	switch (command.type) {
+		case 'config.apply': {
+			return `${command.type} ${command.expectedVersion} ${command.sourceDigest}`;
+		}
+
+		case 'key.issue':
+		case 'key.withdraw': {
+			return `${command.type} ${command.keyId}`;
+		}
+
+		case 'drain.set': {
+			return `${command.type} ${command.target} ${command.name} ${command.draining}`;
+		}
+
+		case 'order.submit': {
+			return `${command.type} ${command.orderId}`;
+		}
+	}
+}
+
+/** Applies one command in place and returns what it did. */
+export function applyCommand(state: ReplicatedState, command: Command, limits: ControlLimits = controlLimits): Outcome {
+	if (!('changeId' in command)) {
+		return execute(state, command, limits);
+	}
+
+	const mark = fingerprint(command);
+	const first = state.outcomes.get(command.changeId);
+	if (first) {
+		return first.fingerprint === mark ? first.outcome : refuse('change-id-reused');
+	}
+
+	const outcome = execute(state, command, limits);
+	state.outcomes.set(command.changeId, {fingerprint: mark, outcome});
+	if (state.outcomes.size > limits.outcomes) {
+		state.outcomes.delete(state.outcomes.keys().next().value!);
+	}
+
+	return outcome;
+}
--- /dev/null
+++ b/src/common/control/read.ts
@@ -0,0 +1,125 @@
+/** Reads of the replicated state: the view of entry processes, and what operators and order holders ask for. */
+import {claimKey, claimStatus} from './apply.js';
+import type {
+	Change, ReadQuery, ReadResult, ViewPage,
+} from './messages.js';
+import {currentVersion} from './state.js';
+import type {ReplicatedState} from './state.js';
+
+/** Keys in one page, about 150 bytes each; a page must fit a frame between processes. */
+const keysPerPage = 3000;
+
+function withoutConfiguration(change: ReplicatedState['changes'][number]): change is Exclude<Change, {kind: 'configuration'}> {
+	return change.kind !== 'configuration';
+}
+
+/** The changes after a revision, or undefined if they are no longer kept. Of several configurations only the last is sent. */
+export function changesSince(state: ReplicatedState, revision: number): Change[] | undefined {
+	const firstKept = state.changes[0]?.revision ?? state.revision + 1;
+	if (revision + 1 < firstKept || revision > state.revision) {
+		return undefined;
+	}
+
+	const missed = state.changes.slice(revision + 1 - firstKept);
+	const changes: Change[] = missed.filter(change => withoutConfiguration(change));
+	if (changes.length < missed.length) {
+		changes.unshift(currentConfiguration(state)!);
+	}
+
+	return changes;
+}
+
+function currentConfiguration(state: ReplicatedState): Change | undefined {
+	const current = state.history.at(-1);
+	return current && {
+		kind: 'configuration', revision: state.revision, version: current.version, configuration: current.configuration,
+	};
+}
+
+/** The first page of the whole view, or the one after `cursor`. Keys follow in the order of their issue. */
+export function readViewPage(state: ReplicatedState, page?: {readonly base: number; readonly cursor: number}): ViewPage {
+	const items: Change[] = page ? [] : readViewHead(state);
+	let next: number | undefined;
+	let count = 0;
+	for (const {keyId, digest, tenant, revision} of state.keys.values()) {
+		if (revision <= (page?.cursor ?? 0)) {
+			continue;
+		}
+
+		if (count === keysPerPage) {
+			next = items.at(-1)!.revision;
+			break;
+		}
+
+		count++;
+		items.push({
+			kind: 'key', revision, keyId, digest, tenant,
+		});
+	}
+
+	return {base: page?.base ?? state.revision, items, ...(next !== undefined && {next})};
+}
+
+function readViewHead(state: ReplicatedState): Change[] {
+	const {revision} = state;
+	const configuration = currentConfiguration(state);
+	const items: Change[] = configuration ? [configuration] : [];
+	for (const {target, name} of state.drains.values()) {
+		items.push({
+			kind: 'drain', revision, target, name, draining: true,
+		});
+	}
+
+	for (const [name, {holder, epoch}] of state.leases) {
+		if (holder) {
+			items.push({
+				kind: 'lease', revision, name, holder, epoch,
+			});
+		}
+	}
+
+	return items;
+}
+
+/** Answers a query from the state as it is. */
+export function readState(state: ReplicatedState, query: ReadQuery): ReadResult {
+	switch (query.what) {
+		case 'configuration': {
+			const version = query.version ?? currentVersion(state);
+			const found = state.history.find(entry => entry.version === version);
+			return {what: 'configuration', version, ...(found && {source: found.source})};
+		}
+
+		case 'history': {
+			return {
+				what: 'history',
+				version: currentVersion(state),
+				logTimeMs: state.logTimeMs,
+				versions: state.history.map(({version, changeId, appliedMs}) => ({version, changeId, appliedMs})),
+			};
+		}
+
+		case 'keys': {
+			const after = [...state.keys.values()].filter(({revision}) => revision > query.after);
+			const keys = after.slice(0, keysPerPage).map(({keyId, tenant, revision}) => ({keyId, tenant, revision}));
+			return {what: 'keys', keys, ...(keys.length < after.length && {next: keys.at(-1)!.revision})};
+		}
+
+		case 'drains': {
+			return {what: 'drains', drains: [...state.drains.values()]};
+		}
+
+		case 'orders': {
+			return {what: 'orders', orders: [...state.orders.values()]};
+		}
+
+		case 'leases': {
+			const leases = [...state.leases].map(([name, {holder, epoch}]) => ({name, epoch, ...(holder && {holder})}));
+			return {what: 'leases', leases};
+		}
+
+		case 'claim': {
+			return {what: 'claim', outcome: claimStatus(state.claims.get(claimKey(query)), query.requestDigest)};
+		}
+	}
+}
--- /dev/null
+++ b/src/common/control/types.ts
@@ -0,0 +1,3 @@
+export type * from './messages.js';
+export type * from './state.js';
+export type * from './control.js';
--- /dev/null
+++ b/src/common/limits/holder.ts
@@ -0,0 +1,358 @@
+/** Allowances of an entry process: granted portions of tenants' buckets, and the requests that wait for them. */
+import type {
+	AllowanceReport, Grant, OwnerStamp, Refund, Shortage, Want,
+} from '../control/messages.js';
+import {syncListLimit} from '../control/messages.js';
+import type {ReplyToken} from '../core/types.js';
+import type {AllowanceResult} from '../services/access-service.js';
+import {grantValidityMs} from './types.js';
+import type {TenantLimit} from './types.js';
+
+/** A grant with less validity left is given back at a sync, since it would expire before the next one. */
+const returnBelowMs = 650;
+/** Time constant of a tenant's recent demand. */
+const demandWindowMs = 1000;
+/** Requests of one tenant that wait at once. */
+const waiterLimit = 1000;
+/** Requests whose settlement is awaited, over all tenants; later ones get no refund. */
+const acquisitionLimit = 20_000;
+/** A request without a settlement for this long is taken for lost. */
+const acquisitionTtlMs = 600_000;
+/** Time for which the owner's answer that a bucket is short serves for later requests too. */
+const shortageValidityMs = 250;
+/** Advice to callers while the leader cannot be asked. */
+const unreachableRetryMs = 1000;
+
+type HeldGrant = {readonly id: number; left: number; spent: number; readonly expiresMs: number};
+type Waiter = {readonly token: ReplyToken; readonly tokens: number; readonly deadlineMs: number; isAnswered: boolean};
+type Acquisition = {readonly tokens: number; readonly stamp: OwnerStamp; readonly atMs: number};
+
+type Allowance = {
+	grants: HeldGrant[];
+	waiters: Waiter[];
+	/** Tokens acquired recently, decaying with `demandWindowMs`. */
+	demand: number;
+	demandMs: number;
+	lastCost: number;
+	acquisitions: Acquisition[];
+	/** When the bucket may cover `readyTokens`, by the owner's answer at `answeredMs`. */
+	readyMs: number;
+	readyTokens: number;
+	answeredMs: number;
+};
+
+/** An answer for a waiting request. */
+export type AllowanceAnswer = {readonly token: ReplyToken; readonly result: AllowanceResult};
+
+/** A request for tokens; it waits at most `maxWaitMs`. */
+export type AllowanceRequest = {
+	readonly tenant: string;
+	readonly tokens: number;
+	readonly maxWaitMs: number;
+	readonly token: ReplyToken;
+	readonly limit: TenantLimit;
+	readonly nowMs: number;
+};
+
+/** The owner's answer to a report that was made at `sentMs`. */
+export type OwnerAnswer = {
+	readonly sentMs: number;
+	readonly grants: readonly Grant[];
+	readonly shortages: readonly Shortage[];
+	readonly stamp: OwnerStamp;
+};
+
+/** Grants and waiting requests of one entry process. */
+export class AllowanceHolder {
+	private readonly _tenants = new Map<string, Allowance>();
+	private _refunds: Refund[] = [];
+	private _charges = new Map<string, number>();
+	private _acquisitionCount = 0;
+	private _stamp: OwnerStamp = {term: 0, atMs: 0};
+
+	get tenantCount(): number {
+		return this._tenants.size;
+	}
+
+	/** When a waiting request makes a sync useful; undefined while none waits. */
+	wakeMs(): number | undefined {
+		let earliest: number | undefined;
+		for (const {waiters, readyMs} of this._tenants.values()) {
+			if (waiters.length > 0) {
+				earliest = Math.min(earliest ?? readyMs, readyMs);
+			}
+		}
+
+		return earliest;
+	}
+
+	/** Takes tokens at once, refuses, or lets the request wait; undefined means that it waits. */
+	acquire(req: AllowanceRequest): AllowanceResult | undefined {
+		const {
+			tenant, tokens, maxWaitMs, token, limit, nowMs,
+		} = req;
+		if (tokens > limit.burst) {
+			return {ok: false, code: 'exceeds-burst'};
+		}
+
+		const allowance = this._allowance(tenant, nowMs);
+		if (allowance.waiters.length === 0 && this._take(allowance, tokens, nowMs)) {
+			return {ok: true};
+		}
+
+		if (maxWaitMs <= 0 || allowance.waiters.length >= waiterLimit) {
+			return {ok: false, code: 'rate-exceeded', retryAfterMs: unreachableRetryMs};
+		}
+
+		if (nowMs - allowance.answeredMs > shortageValidityMs) {
+			allowance.readyMs = nowMs;
+		} else if (allowance.waiters.length === 0) {
+			const readyMs = readyFor(allowance, tokens, limit, nowMs);
+			if (readyMs > nowMs + maxWaitMs) {
+				return {ok: false, code: 'rate-exceeded', retryAfterMs: readyMs - nowMs};
+			}
+		}
+
+		allowance.waiters.push({
+			token, tokens, deadlineMs: nowMs + maxWaitMs, isAnswered: false,
+		});
+		return undefined;
+	}
+
+	/** Ends an acquired request: the unused part goes back to the owner, what was used beyond it is charged. */
+	settle(tenant: string, acquired: number, used: number, nowMs: number): void {
+		if (used > acquired) {
+			this._charges.set(tenant, (this._charges.get(tenant) ?? 0) + used - acquired);
+		}
+
+		const stamp = this._endAcquisition(tenant, acquired);
+		if (stamp && used < acquired && this._refunds.length < syncListLimit) {
+			this._refunds.push({tenant, stamp, tokens: acquired - Math.max(0, used)});
+		}
+
+		this._trim(tenant, nowMs);
+	}
+
+	/** What the next sync tells and asks; what it reports is forgotten, since a lost report only makes the owner count tokens as spent. */
+	report(nowMs: number): AllowanceReport {
+		const report = {
+			spent: [] as AllowanceReport['spent'],
+			returned: [] as AllowanceReport['returned'],
+			refunds: this._refunds,
+			charges: [...this._charges].slice(0, syncListLimit).map(([tenant, tokens]) => ({tenant, tokens})),
+			wanted: [] as Want[],
+		};
+		this._refunds = [];
+		this._charges = new Map([...this._charges].slice(syncListLimit));
+		for (const [tenant, allowance] of this._tenants) {
+			this._reportGrants(allowance, report, nowMs);
+			const want = wantOf(allowance, tenant, nowMs);
+			if (want) {
+				report.wanted.push(want);
+			}
+
+			this._trim(tenant, nowMs);
+		}
+
+		report.wanted.sort((a, b) => Number(b.atLeast > 0) - Number(a.atLeast > 0));
+		report.wanted.length = Math.min(report.wanted.length, syncListLimit);
+		return report;
+	}
+
+	/** Takes the owner's answer to a report made at `sentMs`. */
+	receive(answer: OwnerAnswer, limitOf: (tenant: string) => TenantLimit | undefined, nowMs: number): AllowanceAnswer[] {
+		const expiresMs = answer.sentMs + grantValidityMs;
+		const answers: AllowanceAnswer[] = [];
+		this._stamp = answer.stamp;
+		for (const {id, tenant, tokens} of expiresMs > nowMs ? answer.grants : []) {
+			const allowance = this._allowance(tenant, nowMs);
+			allowance.grants.push({
+				id, left: tokens, spent: 0, expiresMs,
+			});
+			this._serve(allowance, nowMs, answers);
+		}
+
+		for (const {tenant, waitMs} of answer.shortages) {
+			const allowance = this._tenants.get(tenant);
+			const limit = limitOf(tenant);
+			if (allowance && limit && allowance.waiters.length > 0) {
+				allowance.readyMs = nowMs + waitMs;
+				allowance.readyTokens = allowance.waiters[0]!.tokens;
+				allowance.answeredMs = nowMs;
+				refuseHopeless(allowance, limit, nowMs, answers);
+			}
+		}
+
+		return answers;
+	}
+
+	/** Refuses the requests that have waited as long as they may. */
+	expire(nowMs: number): AllowanceAnswer[] {
+		const answers: AllowanceAnswer[] = [];
+		for (const [tenant, allowance] of this._tenants) {
+			const kept: Waiter[] = [];
+			for (const waiter of allowance.waiters) {
+				if (waiter.deadlineMs > nowMs) {
+					kept.push(waiter);
+					continue;
+				}
+
+				// Without the owner's answer nobody knows whether the tenant is over its rate.
+				const code = waiter.isAnswered ? 'rate-exceeded' : 'control-unreachable';
+				const retryAfterMs = waiter.isAnswered ? Math.max(1, allowance.readyMs - nowMs) : unreachableRetryMs;
+				answers.push({token: waiter.token, result: {ok: false, code, retryAfterMs}});
+			}
+
+			if (kept.length < allowance.waiters.length) {
+				allowance.waiters = kept;
+				this._serve(allowance, nowMs, answers);
+			}
+
+			this._trim(tenant, nowMs);
+		}
+
+		return answers;
+	}
+
+	private _allowance(tenant: string, nowMs: number): Allowance {
+		let allowance = this._tenants.get(tenant);
+		if (!allowance) {
+			allowance = {
+				grants: [], waiters: [], demand: 0, demandMs: nowMs, lastCost: 0, acquisitions: [], readyMs: nowMs, readyTokens: 0, answeredMs: Number.NEGATIVE_INFINITY,
+			};
+			this._tenants.set(tenant, allowance);
+		}
+
+		return allowance;
+	}
+
+	private _take(allowance: Allowance, tokens: number, nowMs: number): boolean {
+		const usable = allowance.grants.filter(grant => grant.expiresMs > nowMs);
+		if (usable.reduce((total, {left}) => total + left, 0) < tokens) {
+			return false;
+		}
+
+		let missing = tokens;
+		for (const grant of usable) {
+			const taken = Math.min(grant.left, missing);
+			grant.left -= taken;
+			grant.spent += taken;
+			missing -= taken;
+		}
+
+		allowance.demand = decayedDemand(allowance, nowMs) + tokens;
+		allowance.demandMs = nowMs;
+		allowance.lastCost = tokens;
+		if (this._acquisitionCount < acquisitionLimit) {
+			this._acquisitionCount++;
+			allowance.acquisitions.push({tokens, stamp: this._stamp, atMs: nowMs});
+		}
+
+		return true;
+	}
+
+	private _serve(allowance: Allowance, nowMs: number, answers: AllowanceAnswer[]): void {
+		while (allowance.waiters.length > 0 && this._take(allowance, allowance.waiters[0]!.tokens, nowMs)) {
+			answers.push({token: allowance.waiters.shift()!.token, result: {ok: true}});
+			allowance.readyMs = nowMs;
+			allowance.answeredMs = Number.NEGATIVE_INFINITY;
+		}
+	}
+
+	/**
+	Removes one acquisition of this size and returns the stamp for its refund.
+	Requests of the same size cannot be told apart. The oldest one's stamp serves them all, and the youngest
+	is removed, so that a refund never counts as acquired later than it was.
+	*/
+	private _endAcquisition(tenant: string, tokens: number): OwnerStamp | undefined {
+		const acquisitions = this._tenants.get(tenant)?.acquisitions ?? [];
+		const oldest = acquisitions.find(acquisition => acquisition.tokens === tokens);
+		if (!oldest) {
+			return undefined;
+		}
+
+		acquisitions.splice(acquisitions.findLastIndex(acquisition => acquisition.tokens === tokens), 1);
+		this._acquisitionCount--;
+		return oldest.stamp;
+	}
+
+	private _reportGrants(allowance: Allowance, {spent, returned}: AllowanceReport, nowMs: number): void {
+		const kept: HeldGrant[] = [];
+		for (const grant of allowance.grants) {
+			if (grant.expiresMs <= nowMs) {
+				continue;
+			}
+
+			if (spent.length + returned.length >= syncListLimit) {
+				kept.push(grant);
+			} else if (grant.left > 0 && grant.expiresMs - nowMs < returnBelowMs) {
+				returned.push({grant: grant.id, tokens: grant.left});
+			} else {
+				if (grant.spent > 0) {
+					spent.push({grant: grant.id, tokens: grant.spent});
+				}
+
+				if (grant.left > 0) {
+					kept.push(grant);
+				}
+			}
+		}
+
+		allowance.grants = kept;
+	}
+
+	/** Forgets a tenant that has nothing left to remember. */
+	private _trim(tenant: string, nowMs: number): void {
+		const allowance = this._tenants.get(tenant);
+		if (!allowance) {
+			return;
+		}
+
+		while (allowance.acquisitions.length > 0 && allowance.acquisitions[0]!.atMs + acquisitionTtlMs <= nowMs) {
+			allowance.acquisitions.shift();
+			this._acquisitionCount--;
+		}
+
+		const isIdle = allowance.grants.length === 0 && allowance.waiters.length === 0 && allowance.acquisitions.length === 0;
+		if (isIdle && decayedDemand(allowance, nowMs) < 1) {
+			this._tenants.delete(tenant);
+		}
+	}
+}
+
+function decayedDemand({demand, demandMs}: Allowance, nowMs: number): number {
+	return demand * Math.exp((demandMs - nowMs) / demandWindowMs);
+}
+
+/** What waits, and about a second of demand beyond the last request; one request alone is no demand. */
+function wantOf(allowance: Allowance, tenant: string, nowMs: number): Want | undefined {
+	const held = allowance.grants.reduce((total, {left}) => total + left, 0);
+	const waiting = allowance.waiters.reduce((total, {tokens}) => total + tokens, 0);
+	const ahead = Math.max(0, decayedDemand(allowance, nowMs) - allowance.lastCost);
+	const tokens = Math.ceil(waiting + ahead - held);
+	const atLeast = Math.max(0, (allowance.waiters[0]?.tokens ?? 0) - held);
+	return tokens > 0 || atLeast > 0 ? {tenant, tokens: Math.max(tokens, atLeast), atLeast} : undefined;
+}
+
+/** When the bucket may cover this many tokens, as far as its owner's last answer tells. */
+function readyFor({readyMs, readyTokens}: Allowance, tokens: number, {rate}: TenantLimit, nowMs: number): number {
+	return Math.max(nowMs, readyMs + ((tokens - readyTokens) / rate * 1000));
+}
+
+/** Refuses the requests that the bucket cannot cover in time. */
+function refuseHopeless(allowance: Allowance, limit: TenantLimit, nowMs: number, answers: AllowanceAnswer[]): void {
+	const kept: Waiter[] = [];
+	let ahead = 0;
+	for (const waiter of allowance.waiters) {
+		const readyMs = readyFor(allowance, ahead + waiter.tokens, limit, nowMs);
+		waiter.isAnswered = true;
+		if (readyMs > waiter.deadlineMs) {
+			answers.push({token: waiter.token, result: {ok: false, code: 'rate-exceeded', retryAfterMs: readyMs - nowMs}});
+		} else {
+			kept.push(waiter);
+			ahead += waiter.tokens;
+		}
+	}
+
+	allowance.waiters = kept;
+}
--- /dev/null
+++ b/src/common/limits/types.ts
@@ -0,0 +1,33 @@
+import type {VmId} from '../core/types.js';
+
+/** A tenant's fleet-wide limit. */
+export type TenantLimit = {
+	/** Tokens per second. */
+	readonly rate: number;
+	/** Tokens. */
+	readonly burst: number;
+};
+
+/** Time for which a grant may be spent, counted by its holder from when it asked. */
+export const grantValidityMs = 1000;
+/** Time for which the owner counts a grant as outstanding, counted from its answer; longer, since clocks differ in rate. */
+export const ownerValidityMs = 1100;
+/** Longest time for which tokens are kept aside for a holder that did not come back for them. */
+export const waitingValidityMs = 1000;
+
+/** A grant as its owner knows it. */
+export type OwnedGrant = {
+	readonly id: number;
+	readonly tenant: string;
+	readonly vm: VmId;
+	readonly incarnation: number;
+	/** Tokens not known to be spent. */
+	left: number;
+	readonly tokens: number;
+	/** Undefined until the answer that carries the grant is sent. */
+	expiresMs: number | undefined;
+};
+
+export type * from './headroom.js';
+export type * from './owner.js';
+export type * from './holder.js';
--- /dev/null
+++ b/src/node/control/access-client.ts
@@ -0,0 +1,116 @@
+import Emittery from 'emittery';
+import {isFresh, lookupKey} from '../../common/access/access.js';
+import type {AccessEffect, AccessEvent, AccessState} from '../../common/access/access.js';
+import {changedSchema} from '../../common/control/messages.js';
+import type {Clock} from '../../common/core/clock.js';
+import type {Disposable} from '../../common/core/disposable.js';
+import type {NotifyEffect, ReplyToken} from '../../common/core/types.js';
+import {AccessService} from '../../common/services/access-service.js';
+import type {
+	AccessEvents, AllowanceResult, Identity, View,
+} from '../../common/services/access-service.js';
+import type {PeerNetwork} from '../../common/services/peer-network.js';
+import {digestKey, equalDigests, isKeyShaped} from './keys.js';
+
+/** Time between two ticks of the access slice. */
+const tickIntervalMs = 20;
+/** Slack for a reply that the slice gives at the request's deadline. */
+const replySlackMs = 1000;
+type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
+type AccessInput = WithoutTime<AccessEvent>;
+
+/** The part of `Runtime` that hosts the access slice. */
+export type AccessHost = {
+	dispatch(event: AccessInput): void;
+	ask<T>(makeEvent: (token: ReplyToken) => AccessInput, timeoutMs: number): Promise<T>;
+};
+
+export type AccessClientOptions = {
+	readonly host: AccessHost;
+	/** The slice's state, which the client only reads. */
+	readonly state: AccessState;
+	readonly network: PeerNetwork;
+	readonly clock: Clock;
+};
+
+/** Keys, freshness and allowances of an entry process, from the control VMs. */
+export class AccessClient extends AccessService implements Disposable {
+	override readonly events = new Emittery<AccessEvents>();
+	private readonly _timer: NodeJS.Timeout;
+
+	constructor(private readonly _options: AccessClientOptions) {
+		super();
+		const {network, host} = _options;
+		network.handle('control/changed', changedSchema, (_from, {revision}) => {
+			host.dispatch({type: 'access/changed', revision});
+		});
+		this._timer = setInterval(() => {
+			host.dispatch({type: 'access/tick'});
+		}, tickIntervalMs);
+	}
+
+	override get view(): View | undefined {
+		return this._options.state.published;
+	}
+
+	/** Executes the effect `access/request`. */
+	request({to, message, seq, timeoutMs}: Extract<AccessEffect, {type: 'access/request'}>): void {
+		const {network, host} = this._options;
+		const sent = async () => {
+			try {
+				const body = await network.request(to, message, timeoutMs);
+				return {type: 'access/reply', seq, body} as const;
+			} catch {
+				return {type: 'access/failed', seq} as const;
+			}
+		};
+
+		void (async () => {
+			host.dispatch(await sent());
+		})();
+	}
+
+	/** Executes `notify` effects whose topic starts with `access/`. */
+	notify({topic, value}: NotifyEffect): void {
+		if (topic === 'access/view-changed') {
+			void this.events.emit('onViewChanged', value as View);
+		} else if (topic === 'access/key-withdrawn') {
+			void this.events.emit('onKeyWithdrawn', value as string);
+		}
+	}
+
+	override isFresh(): boolean {
+		return isFresh(this._options.state, this._options.clock.nowMs());
+	}
+
+	override authenticate(key: string): Identity | undefined {
+		if (!isKeyShaped(key)) {
+			return undefined;
+		}
+
+		const digest = digestKey(key);
+		const identity = lookupKey(this._options.state, digest);
+		const known = identity && this._options.state.view.digestsById.get(identity.keyId);
+		return known !== undefined && equalDigests(known, digest) ? identity : undefined;
+	}
+
+	override async acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AllowanceResult> {
+		try {
+			return await this._options.host.ask<AllowanceResult>(token => ({
+				type: 'access/acquire', token, tenant, tokens, maxWaitMs,
+			}), maxWaitMs + replySlackMs);
+		} catch {
+			return {ok: false, code: 'control-unreachable'};
+		}
+	}
+
+	override settle(tenant: string, acquired: number, used: number): void {
+		this._options.host.dispatch({
+			type: 'access/settle', tenant, acquired, used,
+		});
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+	}
+}
--- /dev/null
+++ b/src/node/control/control-server.ts
@@ -0,0 +1,41 @@
+import {
+	proposeRequestSchema, readRequestSchema, syncRequestSchema,
+} from '../../common/control/messages.js';
+import type {ControlEvent} from '../../common/control/control.js';
+import type {Disposable} from '../../common/core/disposable.js';
+import type {ReplyToken} from '../../common/core/types.js';
+import type {PeerNetwork} from '../../common/services/peer-network.js';
+
+/** Callers give up earlier; consensus answers within an election timeout. */
+const answerTimeoutMs = 5000;
+/** Time between two ticks of the control slice. */
+const tickIntervalMs = 100;
+
+type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
+type ControlInput = WithoutTime<ControlEvent>;
+
+/** The part of `Runtime` that hosts the control slice. */
+export type ControlHost = {
+	dispatch(event: ControlInput): void;
+	ask<T>(makeEvent: (token: ReplyToken) => ControlInput, timeoutMs: number): Promise<T>;
+};
+
+/** Serves proposals, syncs and reads of other processes on a control VM. */
+export class ControlServer implements Disposable {
+	private readonly _timer: NodeJS.Timeout;
+
+	constructor(network: PeerNetwork, host: ControlHost) {
+		network.handle('control/propose', proposeRequestSchema, async (_from, {command}) => host.ask(token => ({type: 'control/propose', token, command}), answerTimeoutMs));
+		network.handle('control/read', readRequestSchema, async (_from, {query}) => host.ask(token => ({type: 'control/read', token, query}), answerTimeoutMs));
+		network.handle('control/sync', syncRequestSchema, async (from, request) => host.ask(token => ({
+			type: 'control/sync', token, from, request,
+		}), answerTimeoutMs));
+		this._timer = setInterval(() => {
+			host.dispatch({type: 'control/tick'});
+		}, tickIntervalMs);
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+	}
+}
--- /dev/null
+++ b/src/node/control/test-helper.ts
@@ -0,0 +1,259 @@
+/** Doubles for tests of the control and entry sides: an in-memory network and a replicated log without elections. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {decode, encode} from 'cbor-x';
+import Emittery from 'emittery';
+import type {z} from 'zod';
+import {createAccess, reduceAccess} from '../../common/access/access.js';
+import type {AccessEffect, AccessEvent, AccessState} from '../../common/access/access.js';
+import type {ConsensusEffect} from '../../common/consensus/types.js';
+import {createControl, reduceControl} from '../../common/control/control.js';
+import type {ControlEffect, ControlEvent, ControlSlice} from '../../common/control/control.js';
+import {DisposableStore} from '../../common/core/disposable.js';
+import {at, ProtocolError, TimeoutError} from '../../common/core/errors.js';
+import type {
+	PeerMessage, ReplyToken, VmId, VmIdentity,
+} from '../../common/core/types.js';
+import {PeerNetwork} from '../../common/services/peer-network.js';
+import type {MessageHandler, PeerNetworkEvents} from '../../common/services/peer-network.js';
+import {MonotonicClock} from '../clock.js';
+import {Runtime} from '../runtime.js';
+import {decodeConfiguration} from './configuration-codec.js';
+import {ControlClient} from './control-client.js';
+import {ControlLink} from './control-link.js';
+import {ControlOperator} from './control-operator.js';
+import {ControlServer} from './control-server.js';
+
+type Handler = {readonly schema: z.ZodType; readonly handler: MessageHandler<unknown>};
+
+/** Connects the processes of a test; a silenced VM neither gets nor answers messages. */
+export class MemoryHub {
+	readonly networks = new Map<VmId, MemoryNetwork>();
+	readonly silenced = new Set<VmId>();
+	/** Replies of this message type are lost as long as the count is positive. */
+	readonly lostReplies = new Map<string, number>();
+	/** Encoded size of the largest message or reply, in bytes. */
+	largestBytes = 0;
+
+	join(identity: VmIdentity): MemoryNetwork {
+		const network = new MemoryNetwork(this, identity);
+		this.networks.set(identity.vm, network);
+		return network;
+	}
+
+	/** A message as the receiver decodes it. */
+	copy(value: unknown): unknown {
+		const bytes = encode(value);
+		this.largestBytes = Math.max(this.largestBytes, bytes.length);
+		return decode(bytes);
+	}
+
+	isCut(from: VmId, to: VmId): boolean {
+		return from !== to && (this.silenced.has(from) || this.silenced.has(to));
+	}
+}
+
+/** One process's side of a `MemoryHub`. */
+export class MemoryNetwork extends PeerNetwork {
+	override readonly events = new Emittery<PeerNetworkEvents>();
+	private readonly _handlers = new Map<string, Handler>();
+
+	constructor(private readonly _hub: MemoryHub, private readonly _identity: VmIdentity) {
+		super();
+	}
+
+	override setAddress(): void {
+		// Names suffice in memory.
+	}
+
+	override handle<S extends z.ZodType>(type: string, schema: S, handler: MessageHandler<z.output<S>>): void {
+		this._handlers.set(type, {schema, handler: handler as MessageHandler<unknown>});
+	}
+
+	override send(to: VmId, message: PeerMessage): void {
+		if (!this._hub.isCut(this._identity.vm, to)) {
+			void this._hub.networks.get(to)?.receive(this._identity, message);
+		}
+	}
+
+	override async request(to: VmId, message: PeerMessage, timeoutMs: number): Promise<unknown> {
+		const peer = this._hub.networks.get(to);
+		const answer = peer && !this._hub.isCut(this._identity.vm, to) ? this._ask(peer, to, message) : new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		const timeout = delay(timeoutMs, undefined, {ref: false}).then(() => { // eslint-disable-line promise/prefer-await-to-then
+			throw new TimeoutError(`no reply within ${timeoutMs} ms`, at({step: message.type, peer: to}));
+		});
+		return Promise.race([answer, timeout]);
+	}
+
+	async receive(from: VmIdentity, message: PeerMessage): Promise<unknown> {
+		const entry = this._handlers.get(message.type);
+		if (!entry) {
+			throw new ProtocolError(`no handler for ${message.type}`, at({step: 'memory-network'}));
+		}
+
+		await delay(0);
+		return this._hub.copy(await entry.handler(from, entry.schema.parse(this._hub.copy(message))));
+	}
+
+	override async dispose(): Promise<void> {
+		this._hub.networks.delete(this._identity.vm);
+	}
+
+	private async _ask(peer: MemoryNetwork, to: VmId, message: PeerMessage): Promise<unknown> {
+		const body = await peer.receive(this._identity, message);
+		const lost = this._hub.lostReplies.get(message.type) ?? 0;
+		this._hub.lostReplies.set(message.type, Math.max(0, lost - 1));
+		if (lost > 0 || this._hub.isCut(this._identity.vm, to)) {
+			await new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+		}
+
+		return body;
+	}
+}
+
+type Member = {readonly vm: VmId; readonly deliver: (effect: ConsensusEffect) => void; applied: number};
+
+/** A replicated log whose elections are made by the test. A silenced leader commits nothing and confirms no read. */
+export class ConsensusDouble {
+	readonly log: unknown[] = [];
+	term = 0;
+	leader: VmId | undefined;
+	private readonly _members = new Map<VmId, Member>();
+
+	constructor(private readonly _hub: MemoryHub) {}
+
+	/** Adds a member and brings it up to date, from a snapshot of the log up to `from` if given. */
+	join(vm: VmId, deliver: Member['deliver'], from?: {readonly index: number; readonly data: unknown}): void {
+		const member: Member = {vm, deliver, applied: from?.index ?? 0};
+		this._members.set(vm, member);
+		if (from) {
+			deliver({type: 'consensus/install', ...from});
+		}
+
+		this._catchUp(member, undefined);
+	}
+
+	/** Makes a member the leader; members that are silenced do not learn it. */
+	elect(vm: VmId): void {
+		this.term++;
+		this.leader = vm;
+		for (const member of this._members.values()) {
+			if (!this._hub.silenced.has(member.vm)) {
+				this._catchUp(member, undefined);
+				member.deliver({
+					type: 'consensus/role', role: member.vm === vm ? 'leader' : 'follower', term: this.term, leader: vm,
+				});
+			}
+		}
+	}
+
+	handle(vm: VmId, {event}: Extract<ControlEffect, {type: 'control/to-consensus'}>): void {
+		const member = this._members.get(vm)!;
+		if (this._hub.silenced.has(vm) || this.leader !== vm) {
+			return;
+		}
+
+		if (event.type === 'consensus/read') {
+			member.deliver({type: 'consensus/read-ready', token: event.token});
+		} else if (event.type === 'consensus/propose') {
+			// As on a disk: what a process holds in memory is not shared with the log.
+			this.log.push(this._hub.copy(event.command));
+			for (const other of this._members.values()) {
+				this._catchUp(other, other === member ? event.token : undefined);
+			}
+		}
+	}
+
+	private _catchUp(member: Member, token: ReplyToken | undefined): void {
+		while (!this._hub.silenced.has(member.vm) && member.applied < this.log.length) {
+			member.applied++;
+			member.deliver({
+				type: 'consensus/committed', index: member.applied, command: this.log[member.applied - 1], token: member.applied === this.log.length ? token : undefined,
+			});
+		}
+	}
+}
+
+export type ControlNode = {
+	readonly slice: ControlSlice;
+	readonly runtime: Runtime<ControlEvent, ControlEffect>;
+};
+
+export type EntryNode = {
+	readonly state: AccessState;
+	readonly client: ControlClient;
+	readonly runtime: Runtime<AccessEvent, AccessEffect>;
+};
+
+/** Control and entry processes over a `MemoryHub`; dispose it at the end of the test. */
+export class TestCluster extends DisposableStore {
+	readonly hub = new MemoryHub();
+	readonly consensus = new ConsensusDouble(this.hub);
+	readonly clock = new MonotonicClock();
+
+	constructor(readonly controlVms: readonly VmId[] = ['control-1']) {
+		super();
+	}
+
+	/** Starts a control process; a restart on the same VM replays the log, from a snapshot if given. */
+	addControl(vm: VmId, from?: {readonly index: number; readonly data: unknown}): ControlNode {
+		const network = this.add(this.hub.join({vm, incarnation: 1}));
+		const slice = createControl({decode: decodeConfiguration});
+		const runtime = new Runtime<ControlEvent, ControlEffect>(event => reduceControl(slice, event), this.clock);
+		runtime.on('control/to-consensus', effect => {
+			this.consensus.handle(vm, effect);
+		});
+		runtime.on('send', ({to, message}) => {
+			network.send(to, message);
+		});
+		runtime.on('count', () => undefined);
+		this.consensus.join(vm, effect => {
+			runtime.dispatch({type: 'control/consensus', effect});
+		}, from);
+		this.add(new ControlServer(network, runtime));
+		return {slice, runtime};
+	}
+
+	addEntry(vm: VmId, incarnation = 1): EntryNode {
+		const network = this.add(this.hub.join({vm, incarnation}));
+		const state = createAccess({controlVms: this.controlVms, decode: decodeConfiguration});
+		const runtime = new Runtime<AccessEvent, AccessEffect>(event => reduceAccess(state, event), this.clock);
+		const link = new ControlLink({network, clock: this.clock, controlVms: this.controlVms});
+		const client = this.add(new ControlClient({
+			host: runtime, state, network, clock: this.clock, link,
+		}));
+		runtime.on('access/request', effect => {
+			client.access.request(effect);
+		});
+		runtime.on('notify', effect => {
+			client.access.notify(effect);
+		});
+		runtime.on('count', () => undefined);
+		return {state, client, runtime};
+	}
+
+	addOperator(vm: VmId): ControlOperator {
+		const network = this.add(this.hub.join({vm, incarnation: 1}));
+		return new ControlOperator(new ControlLink({network, clock: this.clock, controlVms: this.controlVms}));
+	}
+}
+
+/** Resolves once the condition holds; the test's own timeout ends a wait that never does. */
+export async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await delay(5);
+	}
+}
+
+/** A configuration with this many tenants, the first of which is `acme`. */
+export function makeDocument({tenants = 1, rate = 1000, burst = 1000} = {}): string {
+	const lines = Array.from({length: tenants}, (_, i) => `  ${i === 0 ? 'acme' : `customer-${i}`}: {rate: ${rate} tokens/s, burst: ${burst}}`);
+	return `profiles:
+  batch: {}
+tenants:
+${lines.join('\n')}
+services:
+  dossiers: {kind: model, profile: batch, model: dossier-7b}
+upstreams:
+  engine-1: {service: dossiers, address: 127.0.0.1:9001, zone: z1, role: both}
+`;
+}
