Add the request path of an entry process

The entry server authenticates callers, takes allowance and runs requests on plain upstreams or on a prefill and a decode engine.

--- /dev/null
+++ b/src/node/entry/chat.ts
@@ -0,0 +1,122 @@
+/* eslint-disable @typescript-eslint/naming-convention -- the published form has snake case */
+import {z} from 'zod';
+import type {Usage} from '../../common/upstreams/engine-api.js';
+import {ProblemError} from './problems.js';
+
+/** Largest output limit a caller may set, in tokens; the tenant's burst is usually lower. */
+const maxOutputTokens = 1_000_000;
+
+const textPartSchema = z.looseObject({type: z.literal('text'), text: z.string()});
+
+/**
+The widely used chat completions form. Engines take neither sampling parameters nor tools, so fields that would change the
+form of the answer are refused, and hints such as `temperature` are ignored.
+*/
+const chatRequestSchema = z.looseObject({
+	/** Names a service. */
+	model: z.string().min(1).max(63),
+	messages: z.array(z.looseObject({
+		role: z.string().min(1).max(32),
+		content: z.union([z.string(), z.array(textPartSchema)]).nullish(),
+	})).min(1),
+	stream: z.boolean().nullish(),
+	stream_options: z.looseObject({include_usage: z.boolean().nullish()}).nullish(),
+	max_tokens: z.int().min(1).max(maxOutputTokens).nullish(),
+	max_completion_tokens: z.int().min(1).max(maxOutputTokens).nullish(),
+	n: z.literal(1, 'only one choice is produced').nullish(),
+	tools: z.array(z.unknown()).max(0, 'tools are not supported').nullish(),
+});
+
+export type ChatRequest = {
+	readonly service: string;
+	readonly prompt: string;
+	readonly isStreaming: boolean;
+	readonly includeUsage: boolean;
+	readonly maxTokens: number | undefined;
+};
+
+/** Throws `ProblemError` naming the first invalid field. */
+export function parseChatRequest(body: Uint8Array): ChatRequest {
+	const result = chatRequestSchema.safeParse(parseJson(body));
+	if (!result.success) {
+		const issue = result.error.issues[0]!;
+		throw new ProblemError('invalid-request', {detail: `${issue.path.join('.') || '(body)'}: ${issue.message}`});
+	}
+
+	const {data} = result;
+	return {
+		service: data.model,
+		prompt: promptOf(data.messages),
+		isStreaming: data.stream ?? false,
+		includeUsage: data.stream_options?.include_usage ?? false,
+		maxTokens: data.max_completion_tokens ?? data.max_tokens ?? undefined,
+	};
+}
+
+function parseJson(body: Uint8Array): unknown {
+	try {
+		return JSON.parse(new TextDecoder('utf8', {fatal: true}).decode(body));
+	} catch (err) {
+		throw new ProblemError('malformed-json', {detail: err instanceof Error ? err.message : 'the body is not JSON'});
+	}
+}
+
+type Message = z.infer<typeof chatRequestSchema>['messages'][number];
+
+/** Conversations with the same leading messages give prompts with the same leading text, so engines can reuse their prefix. */
+function promptOf(messages: readonly Message[]): string {
+	const lines = messages.map(({role, content}) => {
+		const text = typeof content === 'string' ? content : (content ?? []).map(part => part.text).join('');
+		return `${role}: ${text}\n`;
+	});
+	return lines.join('') + 'assistant: ';
+}
+
+/** What every part of one answer has in common. */
+export type CompletionHead = {
+	readonly id: string;
+	/** Seconds since 1970. */
+	readonly created: number;
+	readonly model: string;
+};
+
+export type FinishReason = 'stop' | 'length';
+
+function usageBody({promptTokens, outputTokens}: Usage) {
+	return {prompt_tokens: promptTokens, completion_tokens: outputTokens, total_tokens: promptTokens + outputTokens};
+}
+
+export function completionBody(head: CompletionHead, text: string, finishReason: FinishReason, usage: Usage): string {
+	return JSON.stringify({
+		...head,
+		object: 'chat.completion',
+		choices: [{index: 0, message: {role: 'assistant', content: text}, finish_reason: finishReason}],
+		usage: usageBody(usage),
+	});
+}
+
+function sseEvent(data: unknown): string {
+	return `data: ${JSON.stringify(data)}\n\n`;
+}
+
+export function textChunk(head: CompletionHead, text: string, isFirst: boolean): string {
+	const delta = isFirst ? {role: 'assistant', content: text} : {content: text};
+	return sseEvent({...head, object: 'chat.completion.chunk', choices: [{index: 0, delta, finish_reason: null}]});
+}
+
+/** The last chunks of a complete stream and its end marker. */
+export function finalChunks(head: CompletionHead, finishReason: FinishReason, usage: Usage | undefined): string {
+	const object = 'chat.completion.chunk';
+	const last = sseEvent({...head, object, choices: [{index: 0, delta: {}, finish_reason: finishReason}]});
+	const withUsage = usage
+		? sseEvent({
+			...head, object, choices: [], usage: usageBody(usage),
+		})
+		: '';
+	return `${last}${withUsage}data: [DONE]\n\n`;
+}
+
+/** Tells the caller of a stream that its answer is not complete; no end marker follows. */
+export function errorChunk(document: string): string {
+	return sseEvent({error: JSON.parse(document) as unknown});
+}
--- /dev/null
+++ b/src/node/entry/testing/harness.ts
@@ -0,0 +1,77 @@
+import type {TestContext} from 'node:test';
+import type {EntryLimits} from '../types.js';
+import {EntryServer} from '../entry-server.js';
+import {fakeServices, testConfiguration} from './services.js';
+import type {Handler} from './upstreams.js';
+import {startEngine, TestServer} from './upstreams.js';
+
+export type HarnessOptions = {
+	readonly profile?: Readonly<Record<string, unknown>>;
+	readonly limits?: Partial<EntryLimits>;
+	/** One server of the plain service `desk` for each handler. */
+	readonly desks?: readonly Handler[];
+};
+
+/** An entry server before a prefill engine, two decode engines and servers of plain services; ends with the test. */
+export async function startHarness(t: TestContext, options: HarnessOptions = {}) {
+	const services = fakeServices();
+	const [prefill, decode1, decode2] = [await startEngine(), await startEngine(), await startEngine()];
+	const desks: TestServer[] = [];
+	for (const handler of options.desks ?? []) {
+		desks.push(await TestServer.start(handler));
+	}
+
+	const configuration = testConfiguration({
+		'prefill-1': {address: prefill.address, role: 'prefill'},
+		'decode-1': {address: decode1.address, role: 'decode'},
+		'decode-2': {address: decode2.address, role: 'decode'},
+		...Object.fromEntries(desks.map((desk, i) => [`desk-${i + 1}`, {address: desk.address, role: 'plain' as const}])),
+	}, options.profile);
+	await services.access.setConfiguration(configuration);
+	const entry = new EntryServer(services, {
+		host: '127.0.0.1', port: 0, identity: {vm: 'entry-1', incarnation: 7}, zone: 'z1', seed: 1, ...(options.limits && {limits: options.limits}),
+	});
+	const address = await entry.start();
+	t.after(async () => {
+		await entry.dispose();
+		for (const server of [prefill.server, decode1.server, decode2.server, ...desks]) {
+			server.close();
+		}
+	});
+	return {
+		services, entry, address, url: `http://${address}`, configuration, prefill, decode1, decode2, desks,
+	};
+}
+
+export const bearer = {authorization: 'Bearer key-a'};
+
+/** Body and headers of a chat completion. */
+export function chatInit(fields: Readonly<Record<string, unknown>> = {}, headers: Readonly<Record<string, string>> = bearer): RequestInit {
+	return {
+		method: 'POST',
+		headers: {'content-type': 'application/json', ...headers},
+		body: JSON.stringify({model: 'briefs', messages: [{role: 'user', content: 'Say hello'}], ...fields}),
+	};
+}
+
+/** Data of the server-sent events of an answer. */
+export function eventsOf(body: string): string[] {
+	return body.split('\n').filter(line => line.startsWith('data: ')).map(line => line.slice(6));
+}
+
+/** Text of a streamed answer. */
+export function textOf(body: string): string {
+	return eventsOf(body).filter(data => data !== '[DONE]').map(data => {
+		const {choices} = JSON.parse(data) as {choices?: Array<{delta: {content?: string}}>};
+		return choices?.[0]?.delta.content ?? '';
+	}).join('');
+}
+
+/** Resolves when the condition holds; the test runner's own limit bounds the wait. */
+export async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+}
--- /dev/null
+++ b/src/node/entry/testing/upstreams.ts
@@ -0,0 +1,144 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
+
+export type Handler = (req: IncomingMessage, res: ServerResponse, body: string) => Promise<void> | void;
+
+/** An HTTP server on a free port that keeps what it was asked. */
+export class TestServer {
+	static async start(handler: Handler): Promise<TestServer> {
+		const server = createServer();
+		server.keepAliveTimeout = 60_000;
+		const instance = new TestServer(server, handler);
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		return instance;
+	}
+
+	readonly requests: Array<{method: string; url: string; headers: IncomingMessage['headers']; body: string; port: number}> = [];
+	connections = 0;
+
+	private constructor(private readonly _server: Server, public handler: Handler) {
+		_server.on('connection', () => {
+			this.connections++;
+		});
+		_server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+			void this._answer(req, res);
+		});
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this._server.address() as AddressInfo).port}`;
+	}
+
+	close(): void {
+		this._server.close();
+		this._server.closeAllConnections();
+	}
+
+	private async _answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		try {
+			const body = await text(req);
+			this.requests.push({
+				method: req.method!, url: req.url!, headers: req.headers, body, port: req.socket.remotePort!,
+			});
+			await this.handler(req, res, body);
+		} catch {
+			// The client went away within its request.
+		}
+	}
+}
+
+export function json(res: ServerResponse, status: number, body: unknown): void {
+	res.writeHead(status, {'content-type': 'application/json'});
+	res.end(JSON.stringify(body));
+}
+
+export type EngineScript = {
+	/** Replaces the answer to a call; return false to answer as usual. */
+	on: Partial<Record<'prefill' | 'import' | 'decode' | 'cancel', (res: ServerResponse, body: {requestId: string; after: number}) => Promise<boolean> | boolean>>;
+	/** Texts of the answer, one an event. */
+	words: string[];
+};
+
+/** An engine that answers at once and keeps which requests occupy its memory. */
+export async function startEngine() {
+	const script: EngineScript = {on: {}, words: ['Hello', ' ', 'world']};
+	const held = new Set<string>();
+	const cancelled: string[] = [];
+	const server = await TestServer.start(async (req, res, body) => {
+		if (req.method === 'DELETE') {
+			const id = decodeURIComponent(req.url!.split('/').at(-1)!);
+			if (!await script.on.cancel?.(res, {requestId: id, after: 0})) {
+				held.delete(id);
+				cancelled.push(id);
+				res.writeHead(204).end();
+			}
+
+			return;
+		}
+
+		const call = body === '' ? {requestId: '', after: 0} : JSON.parse(body) as {requestId: string; after: number};
+		switch (req.url!) {
+			case '/v1/prefill': {
+				held.add(call.requestId);
+				if (!await script.on.prefill?.(res, call)) {
+					json(res, 200, {
+						handle: `kv-${call.requestId}`, promptTokens: 5, cachedTokens: 1, kvBytes: 100, expiresInMs: 800,
+					});
+				}
+
+				break;
+			}
+
+			case '/v1/kv/import': {
+				held.add(call.requestId);
+				if (!await script.on.import?.(res, call)) {
+					json(res, 200, {importedBytes: 100});
+				}
+
+				break;
+			}
+
+			case '/v1/decode': {
+				if (!await script.on.decode?.(res, call)) {
+					writeEvents(res, call.requestId, script.words, call.after);
+					held.delete(call.requestId);
+				}
+
+				break;
+			}
+
+			default: {
+				json(res, 404, {code: 'not-found'});
+			}
+		}
+	});
+	return {
+		server, script, held, cancelled, address: server.address,
+	};
+}
+
+export function eventLine(requestId: string, n: number, text: string): string {
+	return `data: ${JSON.stringify({requestId, n, text})}\n\n`;
+}
+
+export function endLine(requestId: string, n: number): string {
+	return `data: ${JSON.stringify({
+		requestId, n, end: true, usage: {promptTokens: 5, outputTokens: n - 1},
+	})}\n\n`;
+}
+
+/** Writes the events behind `after` and the end marker. */
+export function writeEvents(res: ServerResponse, requestId: string, words: readonly string[], after: number): void {
+	res.writeHead(200, {'content-type': 'text/event-stream'});
+	for (const [i, word] of words.entries()) {
+		if (i + 1 > after) {
+			res.write(eventLine(requestId, i + 1, word));
+		}
+	}
+
+	res.end(endLine(requestId, words.length + 1));
+}
