--- a/src/common/requests/concurrency.ts
+++ b/src/common/requests/concurrency.ts
@@ -1,6 +1,14 @@
-/** Bounds the requests that run at once under one name; there is no queue behind it. */
+/** Gives up a place; giving it up twice is harmless. */
+export type Release = () => void;
+
+type Waiter = (release: Release) => void;
+
+/** Bounds the requests that run at once under one name. Waiting requests of different tenants take turns. */
 export class ConcurrencyLimit {
 	private _inFlight = 0;
+	private _waiting = 0;
+	/** Tenants in the order of their turns, each with its waiters in the order of arrival. */
+	private readonly _queues = new Map<string, Waiter[]>();
 
 	constructor(private _limit: number) {}
 
@@ -8,24 +16,81 @@
 		return this._inFlight;
 	}
 
+	get waiting(): number {
+		return this._waiting;
+	}
+
 	/** A lower limit ends nothing that runs. */
 	setLimit(limit: number): void {
 		this._limit = limit;
+		this._admit();
+	}
+
+	/** Takes a place at once, or returns undefined when none is free or others wait. */
+	acquire(): Release | undefined {
+		if (this._inFlight >= this._limit || this._waiting > 0) {
+			return undefined;
+		}
+
+		return this._take();
 	}
 
-	/** Returns a function that releases the place, or undefined when all places are taken. Releasing twice is harmless. */
-	acquire(): (() => void) | undefined {
-		if (this._inFlight >= this._limit) {
+	/**
+	Waits for a place; `waiter` gets it at most once. Returns a function that ends the waiting, or undefined when
+	as many requests wait as may run at once: a longer queue would only delay refusals.
+	*/
+	enqueue(tenant: string, waiter: Waiter): (() => void) | undefined {
+		if (this._waiting >= this._limit) {
 			return undefined;
 		}
 
+		const queue = this._queues.get(tenant) ?? [];
+		queue.push(waiter);
+		this._queues.set(tenant, queue);
+		this._waiting++;
+		return () => {
+			this._remove(tenant, waiter);
+		};
+	}
+
+	private _take(): Release {
 		this._inFlight++;
 		let isReleased = false;
 		return () => {
 			if (!isReleased) {
 				isReleased = true;
 				this._inFlight--;
+				this._admit();
 			}
 		};
 	}
+
+	private _admit(): void {
+		while (this._waiting > 0 && this._inFlight < this._limit) {
+			const [tenant, queue] = this._queues.entries().next().value!;
+			const waiter = queue.shift()!;
+			this._waiting--;
+			// The tenant goes to the end of the turns.
+			this._queues.delete(tenant);
+			if (queue.length > 0) {
+				this._queues.set(tenant, queue);
+			}
+
+			waiter(this._take());
+		}
+	}
+
+	private _remove(tenant: string, waiter: Waiter): void {
+		const queue = this._queues.get(tenant);
+		const position = queue?.indexOf(waiter) ?? -1;
+		if (!queue || position < 0) {
+			return;
+		}
+
+		queue.splice(position, 1);
+		this._waiting--;
+		if (queue.length === 0) {
+			this._queues.delete(tenant);
+		}
+	}
 }
--- a/src/common/requests/ejection.ts
+++ b/src/common/requests/ejection.ts
@@ -1,46 +1,41 @@
 /** Failures in a row after which an upstream gets no requests. */
 export const failuresToEject = 3;
-/** Shortest ejection, in milliseconds; it doubles with each ejection that follows a short readmission. */
-export const minEjectionMs = 500;
-/** Longest ejection, in milliseconds. */
-export const maxEjectionMs = 10_000;
-/** Successes in a row after which earlier ejections are forgotten. */
-const successesToForgive = 20;
-
-/** Ejects an upstream that fails several times in a row and readmits it after a successful probe. */
+/** Time until the first probe of an ejected upstream, in milliseconds; it doubles with each failed probe. */
+export const minProbeDelayMs = 500;
+export const maxProbeDelayMs = 8000;
+
+/**
+Ejects an upstream that fails several times in a row and readmits it after one successful probe. Only failed probes
+lengthen an ejection: requests that fail on every server cannot keep working servers out for long.
+*/
 export class OutlierEjection {
 	private _failures = 0;
-	private _successes = 0;
-	private _ejections = 0;
-	private _ejectedUntilMs: number | undefined;
+	private _delayMs = minProbeDelayMs;
+	private _probeAtMs: number | undefined;
 
 	get isEjected(): boolean {
-		return this._ejectedUntilMs !== undefined;
+		return this._probeAtMs !== undefined;
 	}
 
 	/** Whether an ejected upstream is to be probed now. */
 	isProbeDue(nowMs: number): boolean {
-		return this._ejectedUntilMs !== undefined && nowMs >= this._ejectedUntilMs;
+		return this._probeAtMs !== undefined && nowMs >= this._probeAtMs;
 	}
 
 	/** Counts a request that the upstream answered. */
 	recordSuccess(): void {
 		this._failures = 0;
-		this._successes++;
-		if (this._successes >= successesToForgive) {
-			this._ejections = 0;
-		}
 	}
 
 	/** Counts a failed request; returns whether it ejected the upstream. */
 	recordFailure(nowMs: number): boolean {
 		this._failures++;
-		this._successes = 0;
 		if (this.isEjected || this._failures < failuresToEject) {
 			return false;
 		}
 
-		this._eject(nowMs);
+		this._delayMs = minProbeDelayMs;
+		this._probeAtMs = nowMs + this._delayMs;
 		return true;
 	}
 
@@ -51,18 +46,13 @@
 		}
 
 		if (!isHealthy) {
-			this._eject(nowMs);
+			this._delayMs = Math.min(this._delayMs * 2, maxProbeDelayMs);
+			this._probeAtMs = nowMs + this._delayMs;
 			return false;
 		}
 
-		this._ejectedUntilMs = undefined;
+		this._probeAtMs = undefined;
 		this._failures = 0;
 		return true;
 	}
-
-	private _eject(nowMs: number): void {
-		const durationMs = Math.min(minEjectionMs * (2 ** this._ejections), maxEjectionMs);
-		this._ejections = Math.min(this._ejections + 1, 16);
-		this._ejectedUntilMs = nowMs + durationMs;
-	}
 }
--- a/src/common/requests/route-match.ts
+++ b/src/common/requests/route-match.ts
@@ -10,7 +10,8 @@
 	| {readonly kind: 'no-route'}
 	| {readonly kind: 'method-not-allowed'; readonly allowed: readonly string[]};
 
-const targetPattern = /^\/s\/([a-z\d-]{1,63})(\/[^?#]*)?(\?[^#]*)?$/;
+/** Visible ASCII only; raw bytes beyond are read differently by different servers. */
+const targetPattern = /^\/s\/([a-z\d-]{1,63})(\/[!"$->@-~]*)?(\?[!"$-~]*)?$/;
 
 /**
 Splits `/s/<service>/<path>?<query>`. Dot segments, empty segments, encoded slashes, backslashes and control characters are refused:
--- a/src/node/entry/body.ts
+++ b/src/node/entry/body.ts
@@ -1,36 +1,54 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import type {BodyMemory} from '../../common/requests/body-memory.js';
+import type {Exchange} from './exchange.js';
 import {ProblemError} from './problems.js';
 
-/** Reads a whole body. Throws `ProblemError` as soon as it is too large or late; what follows is not read. */
-export async function readBody(req: IncomingMessage, limitBytes: number, timeoutMs: number): Promise<Uint8Array> {
-	if (Number(req.headers['content-length'] ?? 0) > limitBytes) {
-		throw tooLarge(limitBytes);
+export type BodyLimits = {
+	readonly bytes: number;
+	readonly timeoutMs: number;
+	readonly memory: BodyMemory;
+	/** Whose share of the memory the body takes. */
+	readonly tenant: string;
+};
+
+/**
+Reads a whole body, whose memory is given back when the exchange closes. Throws `ProblemError` as soon as the body is too
+large or late; what follows is not kept.
+*/
+export async function readBody(exchange: Exchange, limits: BodyLimits): Promise<Uint8Array> {
+	const {req} = exchange;
+	if (Number(req.headers['content-length'] ?? 0) > limits.bytes) {
+		throw tooLarge(limits.bytes);
 	}
 
-	return new Promise((resolve, reject) => {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
-		const finish = (err?: Error) => {
+	const chunks: Uint8Array[] = [];
+	let length = 0;
+	exchange.res.once('close', () => {
+		limits.memory.give(limits.tenant, length);
+	});
+	await new Promise<void>((resolve, reject) => {
+		const finish = (err?: ProblemError) => {
 			clearTimeout(timer);
 			req.off('data', onData).off('end', onEnd).off('close', onClose);
 			if (err) {
 				req.pause();
 				reject(err);
 			} else {
-				resolve(Buffer.concat(chunks, length));
+				resolve();
 			}
 		};
 
 		const timer = setTimeout(() => {
-			finish(new ProblemError('body-timeout', {detail: `the body was not complete within ${timeoutMs} ms`}));
-		}, timeoutMs);
+			finish(new ProblemError('body-timeout', {detail: `the body was not complete within ${limits.timeoutMs} ms`}));
+		}, limits.timeoutMs);
 		const onData = (chunk: Uint8Array) => {
-			length += chunk.length;
-			if (length > limitBytes) {
-				finish(tooLarge(limitBytes));
-			} else {
+			if (length + chunk.length > limits.bytes) {
+				finish(tooLarge(limits.bytes));
+			} else if (limits.memory.take(limits.tenant, chunk.length)) {
+				length += chunk.length;
 				chunks.push(chunk);
+			} else {
+				finish(new ProblemError('overloaded', {run: 'not-run', detail: 'the entry point has no memory left for request bodies'}));
 			}
 		};
 
@@ -44,6 +62,7 @@
 
 		req.on('data', onData).on('end', onEnd).on('close', onClose);
 	});
+	return Buffer.concat(chunks, length);
 }
 
 function tooLarge(limitBytes: number): ProblemError {
--- a/src/node/entry/exchange.ts
+++ b/src/node/entry/exchange.ts
@@ -29,6 +29,7 @@
 	outcome: {readonly status: number; readonly code?: string} | undefined;
 	private readonly _slowReaderMs: number;
 	private _isClosing: boolean;
+	private _isClosed = false;
 	private _stopReason: StopReason | undefined;
 	private _onStop: ((reason: StopReason) => void) | undefined;
 
@@ -41,6 +42,7 @@
 			// The close event follows and ends the request.
 		});
 		res.once('close', () => {
+			this._isClosed = true;
 			if (!res.writableFinished) {
 				this.stop('caller-gone');
 			}
@@ -140,6 +142,15 @@
 		});
 	}
 
+	/** Resolves when the answer has been passed on or its connection is gone. */
+	async closed(): Promise<void> {
+		if (!this._isClosed) {
+			await new Promise<void>(resolve => {
+				this.res.once('close', resolve);
+			});
+		}
+	}
+
 	/** Ends the connection, so that the caller cannot take what it has for the whole answer. */
 	cut(): void {
 		this.res.destroy();
--- a/src/node/entry/types.ts
+++ b/src/node/entry/types.ts
@@ -40,6 +40,8 @@
 	readonly keepAliveMs: number;
 	readonly slowReaderMs: number;
 	readonly maxConnections: number;
+	/** Memory that request bodies may occupy together. */
+	readonly bodyMemoryBytes: number;
 	/** Time for the news of a drain to reach every process that answers entry-point questions. */
 	readonly drainSpreadMs: number;
 };
@@ -51,5 +53,6 @@
 	keepAliveMs: 5000,
 	slowReaderMs: 10_000,
 	maxConnections: 10_000,
+	bodyMemoryBytes: 67_108_864,
 	drainSpreadMs: 2000,
 };
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -19,6 +19,9 @@
 /** Cancels under way at once; beyond, the scheduler's reclamation by owner frees the requests. */
 const maxPendingCancels = 10_000;
 
+/** Removed engines kept; later removals displace earlier ones. */
+const maxRetired = 64;
+
 /** A server of a plain service with what contains its faults. */
 export type PlainUpstream = {
 	readonly adapter: PlainAdapter;
@@ -47,7 +50,10 @@
 	private readonly _engines = new Map<string, EngineAdapter>();
 	private readonly _plain = new Map<string, PlainUpstream>();
 	private readonly _services = new Map<string, ServiceGuards>();
+	/** Removed engines; requests that run there may still have to be resumed or cancelled. */
+	private readonly _retired = new Map<string, EngineAdapter>();
 	private _drained: ReadonlySet<string> = new Set();
+	private _leaving: ReadonlySet<string> = new Set();
 	private readonly _cancels = new Set<Promise<void>>();
 	private readonly _prober: NodeJS.Timeout;
 
@@ -72,8 +78,7 @@
 
 		for (const [name, adapter] of this._engines) {
 			if (!isEngine(cfg.upstreams[name])) {
-				adapter.dispose();
-				this._engines.delete(name);
+				this._retire(name, adapter);
 			}
 		}
 
@@ -85,9 +90,14 @@
 		}
 	}
 
-	/** Throws `CallError` if the configuration has no such engine. */
+	/** Plain upstreams that leave according to the platform. */
+	setLeaving(names: ReadonlySet<string>): void {
+		this._leaving = names;
+	}
+
+	/** Throws `CallError` if the configuration has and had no such engine. */
 	engine(name: string): EngineAdapter {
-		const adapter = this._engines.get(name);
+		const adapter = this._engines.get(name) ?? this._retired.get(name);
 		if (!adapter) {
 			throw new CallError('unreachable', false, `there is no engine "${name}"`);
 		}
@@ -114,7 +124,7 @@
 		const candidates: Candidate[] = [];
 		for (const [name, upstream] of this._plain) {
 			if (upstream.service === service) {
-				const isUsable = !upstream.ejection.isEjected && !this._drained.has(name);
+				const isUsable = !upstream.ejection.isEjected && !this._drained.has(name) && !this._leaving.has(name);
 				candidates.push({
 					name, zone: upstream.adapter.zone, inFlight: upstream.concurrency.inFlight, limit, isUsable,
 				});
@@ -141,7 +151,7 @@
 
 	/** Cancels a request on an engine in the background; `settled` waits for it. */
 	cancel(name: string, requestId: string, inDoubt: boolean): void {
-		const adapter = this._engines.get(name);
+		const adapter = this._engines.get(name) ?? this._retired.get(name);
 		if (!adapter || this._cancels.size >= maxPendingCancels) {
 			this._options.metrics.count('cancels_unacknowledged_total', {upstream: name});
 			return;
@@ -165,7 +175,7 @@
 	/** Ends every exchange. */
 	dispose(): void {
 		clearInterval(this._prober);
-		for (const adapter of this._engines.values()) {
+		for (const adapter of [...this._engines.values(), ...this._retired.values()]) {
 			adapter.destroy();
 		}
 
@@ -179,6 +189,17 @@
 		this._options.metrics.count(isAcknowledged ? 'cancels_acknowledged_total' : 'cancels_unacknowledged_total', {upstream: adapter.name});
 	}
 
+	private _retire(name: string, adapter: EngineAdapter): void {
+		adapter.dispose();
+		this._engines.delete(name);
+		this._retired.delete(name);
+		this._retired.set(name, adapter);
+		const [oldest] = this._retired.keys();
+		if (this._retired.size > maxRetired) {
+			this._retired.delete(oldest!);
+		}
+	}
+
 	private _updateService(name: string, profile: Profile): void {
 		const guards = this._services.get(name);
 		if (guards) {
@@ -195,8 +216,11 @@
 		const isSameService = upstream.role === 'plain' ? this._plain.get(name)?.service === upstream.service : this._engines.has(name);
 		const isSame = isSameService && adapter?.address === upstream.address && adapter.zone === upstream.zone;
 		if (!isSame) {
+			if (adapter instanceof EngineAdapter) {
+				this._retire(name, adapter);
+			}
+
 			adapter?.dispose();
-			this._engines.delete(name);
 			this._plain.delete(name);
 			this._open(name, upstream);
 		}
