Add the scheduler of a pool shard, its host and its client

The reducer keeps reservations, a fair queue, a prefix index, learned speeds and engine health; the host runs it while it holds the shard's lease, and the client places into a local share of the slots while no holder answers.

--- /dev/null
+++ b/src/common/membership/rendezvous.ts
@@ -0,0 +1,23 @@
+/** 32-bit hash of a text: FNV-1a with a final mix, so that similar texts get unrelated values. */
+export function hashText(text: string): number {
+	/* eslint-disable no-bitwise -- the hash is defined on 32-bit words */
+	let hash = 0x81_1C_9D_C5;
+	for (let i = 0; i < text.length; i++) {
+		hash = Math.imul(hash ^ text.charCodeAt(i), 0x01_00_01_93); // eslint-disable-line unicorn/prefer-code-point -- one 16-bit unit at a time
+	}
+
+	hash = Math.imul(hash ^ (hash >>> 16), 0x85_EB_CA_6B);
+	hash = Math.imul(hash ^ (hash >>> 13), 0xC2_B2_AE_35);
+	return (hash ^ (hash >>> 16)) >>> 0;
+	/* eslint-enable no-bitwise */
+}
+
+/**
+Rendezvous hashing: nodes in the order of preference for a key.
+Removing a node changes the order of no others, so only that node's keys move.
+*/
+export function rankByRendezvous<T>(key: string, nodes: readonly T[], nameOf: (node: T) => string): T[] {
+	const scored = nodes.map(node => ({node, name: nameOf(node), score: hashText(`${key}|${nameOf(node)}`)}));
+	scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1));
+	return scored.map(({node}) => node);
+}
--- /dev/null
+++ b/src/common/scheduler/admission.ts
@@ -0,0 +1,107 @@
+import type {PlaceReply, PlaceRequest} from '../services/scheduler-client.js';
+import type {QueuedRequest} from './fair-queue.js';
+import type {SchedulerState} from './state.js';
+
+/** Shortest time after which a refused caller may try again, in milliseconds. */
+const minRetryMs = 100;
+/** Retry time when no engine can be used, which lasts until one is probed or configured, in milliseconds. */
+const noUpstreamRetryMs = 1000;
+
+export type Refusal = Extract<PlaceReply, {kind: 'refused'}>;
+
+/** When a request that arrives now would start, in milliseconds. */
+export type StartEstimate = {
+	/** In the queue. */
+	readonly waitMs: number;
+	/** From the end of the wait to the first token, on the quickest engines. */
+	readonly serviceMs: number;
+};
+
+export function refusal(code: Refusal['code'], retryAfterMs: number): Refusal {
+	return {kind: 'refused', code, retryAfterMs: Math.ceil(Math.max(minRetryMs, retryAfterMs))};
+}
+
+/** Undefined when no prefill engine or no decode engine is usable. Leaves out queued requests with a higher shed order than `maxShedOrder`. */
+export function estimateStart(state: SchedulerState, req: PlaceRequest, nowMs: number, maxShedOrder?: number): StartEstimate | undefined {
+	const serviceMs = quickestServiceMs(state, req, nowMs);
+	return serviceMs === undefined ? undefined : {serviceMs, waitMs: queueWaitMs(state, req, nowMs, maxShedOrder)};
+}
+
+/** Refuses at once what would miss its bound on waiting or its target, before any prefill is spent. */
+export function admissionRefusal(req: PlaceRequest, estimate: StartEstimate | undefined): Refusal | undefined {
+	if (!estimate) {
+		return refusal('no-upstream', noUpstreamRetryMs);
+	}
+
+	const {waitMs, serviceMs} = estimate;
+	if (waitMs > req.maxWaitMs) {
+		return refusal('overloaded', waitMs - req.maxWaitMs);
+	}
+
+	const lateMs = waitMs + serviceMs - req.budgetMs;
+	return lateMs > 0 ? refusal('deadline', lateMs) : undefined;
+}
+
+/** Refuses a queued request whose bound on waiting is over or which can no longer meet its target. */
+export function overdueRefusal(state: SchedulerState, {req, arrivedMs, serviceMs}: QueuedRequest, nowMs: number): Refusal | undefined {
+	const waitedMs = nowMs - arrivedMs;
+	if (waitedMs < req.maxWaitMs && waitedMs + serviceMs <= req.budgetMs) {
+		return undefined;
+	}
+
+	const retryAfterMs = queueWaitMs(state, req, nowMs);
+	return refusal(waitedMs >= req.maxWaitMs ? 'overloaded' : 'deadline', retryAfterMs);
+}
+
+/** Wait for the work ahead, by whichever runs out first: decode slots or prefill time. */
+function queueWaitMs({pool, queue, options}: SchedulerState, req: PlaceRequest, nowMs: number, maxShedOrder?: number): number {
+	const ahead = queue.ahead(req, maxShedOrder);
+	let slots = 0;
+	let freeSlots = 0;
+	for (const engine of pool.decodeEngines) {
+		if (engine.isUsable(nowMs)) {
+			const share = options.policy.shareOf(pool, engine);
+			slots += share;
+			freeSlots += Math.max(0, engine.freeSlots(share, pool.isRebuilding));
+		}
+	}
+
+	const slotWaitMs = Math.max(0, ahead.requests + 1 - freeSlots) * pool.hold.value / slots;
+	const prefills = pool.prefillEngines.filter(engine => engine.isUsable(nowMs));
+	if (slots === 0 || prefills.length === 0) {
+		return noUpstreamRetryMs;
+	}
+
+	const backlogsMs = prefills.map(engine => engine.prefillBacklogMs(nowMs));
+	const prefillWaitMs = (sumOf(backlogsMs) + (ahead.promptTokens * pool.prefill.value)) / prefills.length;
+	return Math.max(slotWaitMs, ahead.requests > 0 ? prefillWaitMs : Math.min(...backlogsMs));
+}
+
+function sumOf(values: readonly number[]): number {
+	let sum = 0;
+	for (const value of values) {
+		sum += value;
+	}
+
+	return sum;
+}
+
+/** Prefill, transfer and first token on idle engines. */
+function quickestServiceMs({pool}: SchedulerState, req: PlaceRequest, nowMs: number): number | undefined {
+	let least: number | undefined;
+	for (const prefill of pool.prefillEngines) {
+		if (!prefill.isUsable(nowMs)) {
+			continue;
+		}
+
+		const prefillMs = (req.promptTokens - pool.cachedTokens(prefill, req)) * prefill.prefillSpeed.value;
+		for (const decode of pool.decodeEngines) {
+			if (decode.isUsable(nowMs)) {
+				const serviceMs = prefillMs + pool.transferMs(prefill, decode, req.promptTokens) + decode.firstTokenSpeed.value;
+				least = Math.min(least ?? Infinity, serviceMs);
+			}
+		}
+	}
+
+	return least;
+}
--- /dev/null
+++ b/src/common/scheduler/fixtures.ts
@@ -0,0 +1,113 @@
+import type {ReplyToken, VmIdentity} from '../core/types.js';
+import type {Placement, PlaceRequest} from '../services/scheduler-client.js';
+import type {LoadReply} from '../upstreams/engine-api.js';
+import {createScheduler, reduceScheduler} from './scheduler.js';
+import type {SchedulerOptions} from './scheduler.js';
+import type {
+	EngineSpec, SchedulerEffect, SchedulerEvent, SchedulerReply,
+} from './types.js';
+
+/* Fixtures of the scheduler's tests. */
+
+export const entry1: VmIdentity = {vm: 'entry-1', incarnation: 1};
+
+export function makeEngine(name: string, role: EngineSpec['role'], overrides: Partial<EngineSpec> = {}): EngineSpec {
+	return {
+		name, role, zone: 'z1', slots: 20, cacheBlocks: 2000, linkRate: 1e10, isDrained: false, ...overrides,
+	};
+}
+
+export function makeRequest(requestId: string, overrides: Partial<PlaceRequest> = {}): PlaceRequest {
+	return {
+		requestId, service: 'dossiers', tenant: 'a', priority: 5, shedOrder: 5, promptTokens: 1000, maxTokens: 200, prefix: [], maxWaitMs: 5000, budgetMs: 10_000, zone: 'z1', ...overrides,
+	};
+}
+
+export function makeLoad(overrides: Partial<LoadReply> = {}): LoadReply {
+	return {
+		ageMs: 0, queuedPrefillTokens: 0, activeDecodes: 0, slots: 20, freeBlocks: 2000, totalBlocks: 2000, leaving: false, ...overrides,
+	};
+}
+
+type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
+
+/** Drives a scheduler with a virtual clock and keeps the replies by request. */
+export class SchedulerHarness {
+	nowMs = 0;
+	readonly replies = new Map<ReplyToken, {readonly atMs: number; readonly body: SchedulerReply}>();
+	readonly effects: SchedulerEffect[] = [];
+	readonly state: ReturnType<typeof createScheduler>;
+	private _nextToken = 1;
+
+	constructor(engines: readonly EngineSpec[], options: Partial<SchedulerOptions> = {}, weights: ReadonlyMap<string, number> = new Map()) {
+		this.state = createScheduler(options);
+		this.send({type: 'scheduler/configure', engines, weights});
+	}
+
+	/** Holds the lease with the rebuild over. */
+	lead(epoch = 1): this {
+		this.send({type: 'scheduler/lease', epoch});
+		this.advance(500);
+		return this;
+	}
+
+	send(event: WithoutTime<SchedulerEvent>): SchedulerEffect[] {
+		const effects = reduceScheduler(this.state, {...event, nowMs: this.nowMs});
+		for (const effect of effects) {
+			if (effect.type === 'reply') {
+				this.replies.set(effect.token, {atMs: this.nowMs, body: effect.body as SchedulerReply});
+			}
+		}
+
+		this.effects.push(...effects);
+		return effects;
+	}
+
+	/** Moves the clock in ticks. */
+	advance(elapsedMs: number, stepMs = 20): void {
+		for (let left = elapsedMs; left > 0; left -= stepMs) {
+			this.nowMs += Math.min(left, stepMs);
+			this.send({type: 'scheduler/tick'});
+		}
+	}
+
+	place(requestId: string, overrides: Partial<PlaceRequest> = {}, owner = entry1): ReplyToken {
+		const token = this._nextToken++;
+		this.send({
+			type: 'scheduler/place', token, owner, req: makeRequest(requestId, overrides),
+		});
+		return token;
+	}
+
+	reply(token: ReplyToken): SchedulerReply | undefined {
+		return this.replies.get(token)?.body;
+	}
+
+	/** The placement behind a token that must have one. */
+	placement(token: ReplyToken): Placement {
+		const reply = this.reply(token);
+		if (reply?.kind !== 'placed') {
+			throw new Error(`request ${token} was not placed: ${JSON.stringify(reply)}`);
+		}
+
+		return reply.placement;
+	}
+
+	/** Reports a reservation through to the start of its decoding. */
+	startDecode(reservation: string, owner = entry1): void {
+		this.send({
+			type: 'scheduler/progress', owner, progress: {
+				phase: 'prefilled', reservation, promptTokens: 1000, cachedTokens: 0, durationMs: 100,
+			},
+		});
+		this.send({type: 'scheduler/progress', owner, progress: {phase: 'transferred', reservation, durationMs: 10}});
+	}
+
+	end(reservation: string, outputTokens = 200, owner = entry1): void {
+		this.send({
+			type: 'scheduler/progress', owner, progress: {
+				phase: 'ended', reservation, outputTokens, reason: 'complete',
+			},
+		});
+	}
+}
--- /dev/null
+++ b/src/node/scheduler/scheduler-host.ts
@@ -0,0 +1,196 @@
+import type {Disposable} from '../../common/core/disposable.js';
+import type {VmIdentity} from '../../common/core/types.js';
+import {rankByRendezvous} from '../../common/membership/rendezvous.js';
+import type {EntryDirectory} from '../../common/scheduler/entry-directory.js';
+import type {LeaseKeeper} from '../../common/scheduler/lease-keeper.js';
+import {
+	cancelMessageSchema, placeMessageSchema, progressMessageSchema, replaceMessageSchema,
+} from '../../common/scheduler/messages.js';
+import {allShards, leaseName} from '../../common/scheduler/shards.js';
+import type {NotHolder, Shard} from '../../common/scheduler/types.js';
+import type {AccessService, View} from '../../common/services/access-service.js';
+import type {PeerNetwork} from '../../common/services/peer-network.js';
+import {EngineControlClient} from './engine-control-client.js';
+import {LeaseHolder} from './lease-holder.js';
+import {ShardHost} from './shard-host.js';
+import type {RunnerPlatform} from './shard-runner.js';
+
+/** Interval between attempts to acquire or renew a lease, in milliseconds. */
+const leaseStepMs = 250;
+/** A process of the next lower rank waits so much longer before it tries to acquire a free lease, in milliseconds. */
+const rankDelayMs = 300;
+/** Interval between looks at the leases held and the entry processes known, in milliseconds. */
+const followMs = 50;
+
+export type SchedulerHostOptions = RunnerPlatform & {
+	readonly self: VmIdentity;
+	/** Must deliver a process's messages to itself; see `LoopbackNetwork`. */
+	readonly network: PeerNetwork;
+	readonly access: AccessService;
+	readonly directory: EntryDirectory;
+	readonly leases: LeaseKeeper;
+};
+
+const notHolder: NotHolder = {kind: 'not-holder'};
+
+/** Runs the schedulers of the pool shards whose leases this VM holds, and applies for those that are free. */
+export class SchedulerHost implements Disposable {
+	private readonly _hosts = new Map<string, ShardHost>();
+	private readonly _engines = new EngineControlClient();
+	private readonly _timers: NodeJS.Timeout[] = [];
+	/** Since when each lease has been free in the view. */
+	private readonly _freeSinceMs = new Map<string, number>();
+	private _stopListening: (() => void) | undefined;
+	private _isStopping = false;
+
+	constructor(private readonly _options: SchedulerHostOptions) {
+		this._registerHandlers();
+	}
+
+	/** Starts applying for leases. */
+	start(): void {
+		const {access} = this._options;
+		this._stopListening = access.events.on('onViewChanged', view => {
+			this._applyView(view);
+		});
+		if (access.view) {
+			this._applyView(access.view);
+		}
+
+		this._every(leaseStepMs, () => {
+			this._stepLeases();
+		});
+		this._every(followMs, () => {
+			this._follow();
+		});
+	}
+
+	/** Names of the leases this process holds. */
+	get held(): string[] {
+		return [...this._hosts.values()].filter(({lease}) => lease.epoch !== undefined).map(({leaseName}) => leaseName);
+	}
+
+	/** State of the shards held, for dumps. */
+	dump(): Array<{lease: string; epoch: number | undefined; reservations: number; queued: number; prefixEntries: number}> {
+		return [...this._hosts.values()].map(({leaseName, runner: {state}}) => ({
+			lease: leaseName, epoch: state.epoch, reservations: state.reservations.size, queued: state.queue.length, prefixEntries: state.pool.index.size,
+		}));
+	}
+
+	/** Gives up all leases, so that successors need not wait for them to expire, and applies for none any more. */
+	async stop(): Promise<void> {
+		this._isStopping = true;
+		await this._releaseAll([...this._hosts.values()]);
+	}
+
+	async dispose(): Promise<void> {
+		this._stopListening?.();
+		for (const timer of this._timers) {
+			clearInterval(timer);
+		}
+
+		await this.stop();
+		for (const host of this._hosts.values()) {
+			host.dispose();
+		}
+
+		await this._engines.dispose();
+	}
+
+	private _every(intervalMs: number, run: () => void): void {
+		const timer = setInterval(run, intervalMs);
+		timer.unref();
+		this._timers.push(timer);
+	}
+
+	private _registerHandlers(): void {
+		const {network} = this._options;
+		network.handle('scheduler.place', placeMessageSchema, async (from, {pool, req}) => this._host(pool)?.runner.place(from, req) ?? notHolder);
+		network.handle('scheduler.replace', replaceMessageSchema, async (from, {pool, reservation, failedUpstream}) =>
+			this._host(pool)?.runner.replace(from, reservation, failedUpstream) ?? notHolder);
+		network.handle('scheduler.cancel', cancelMessageSchema, (from, {pool, requestId}) => {
+			this._host(pool)?.runner.runtime.dispatch({type: 'scheduler/cancel', owner: from, requestId});
+		});
+		network.handle('scheduler.progress', progressMessageSchema, (from, {pool, progress}) => {
+			this._host(pool)?.runner.runtime.dispatch({type: 'scheduler/progress', owner: from, progress});
+		});
+	}
+
+	/** A release that fails is left to the lease's expiry. */
+	private async _releaseAll(hosts: readonly ShardHost[]): Promise<void> {
+		await Promise.allSettled(hosts.map(async host => {
+			const released = host.lease.release();
+			host.followLease();
+			await released;
+		}));
+	}
+
+	private _host(pool: Shard): ShardHost | undefined {
+		return this._hosts.get(leaseName(pool));
+	}
+
+	/** Has one host for each shard of the configuration. */
+	private _applyView(view: View): void {
+		const shards = new Map(allShards(view.configuration).map(pool => [leaseName(pool), pool]));
+		for (const [name, host] of this._hosts) {
+			if (!shards.has(name)) {
+				this._hosts.delete(name);
+				host.dispose();
+				void this._releaseAll([host]);
+			}
+		}
+
+		for (const [name, pool] of shards) {
+			let host = this._hosts.get(name);
+			if (!host) {
+				const lease = new LeaseHolder(name, this._options.leases, this._options.clock);
+				host = new ShardHost({
+					...this._options, pool, engines: this._engines, lease,
+				});
+				this._hosts.set(name, host);
+			}
+
+			host.configure(view);
+		}
+	}
+
+	private _follow(): void {
+		for (const host of this._hosts.values()) {
+			host.setEntries(this._options.directory.entries);
+			host.followLease();
+		}
+	}
+
+	private _stepLeases(): void {
+		const {access: {view}, self} = this._options;
+		if (!view || this._isStopping) {
+			return;
+		}
+
+		if (view.drainedVms.has(self.vm)) {
+			void this._releaseAll([...this._hosts.values()]);
+			return;
+		}
+
+		for (const [name, host] of this._hosts) {
+			void host.lease.step(this._mayAcquire(name, view));
+		}
+	}
+
+	/** A free lease goes to the process that ranks first for its name; the others wait in case that one does not apply. */
+	private _mayAcquire(name: string, view: View): boolean {
+		const {clock, self, directory} = this._options;
+		const holder = view.leases.get(name)?.holder;
+		if (holder && holder.vm !== self.vm && !directory.entries.dead.some(({vm, incarnation}) => vm === holder.vm && incarnation >= holder.incarnation)) {
+			this._freeSinceMs.delete(name);
+			return false;
+		}
+
+		const nowMs = clock.nowMs();
+		const sinceMs = this._freeSinceMs.get(name) ?? nowMs;
+		this._freeSinceMs.set(name, sinceMs);
+		const ranked = rankByRendezvous(name, directory.entries.live, ({vm}) => vm);
+		const rank = Math.max(0, ranked.findIndex(({vm}) => vm === self.vm));
+		return nowMs - sinceMs >= rank * rankDelayMs;
+	}
+}
