Test the scheduler host and client over a network in memory

The tests found that a local share released a placement whose answer had not been recorded yet; the refresh before a local placement now only adds.

--- a/src/common/scheduler/owners.ts
+++ b/src/common/scheduler/owners.ts
@@ -2,7 +2,7 @@
 import type {RequestList} from '../upstreams/engine-api.js';
 import {refusal} from './admission.js';
 import {
-	addToBooks, isSameOwner, release, requestKey,
+	addToBooks, freeLink, isSameOwner, release, requestKey,
 } from './state.js';
 import type {Reservation, SchedulerState} from './state.js';
 import type {
@@ -127,6 +127,7 @@
 		if (known) {
 			known.heardMs = nowMs;
 			known.missingReports = 0;
+			catchUp(state, known, running.phase, nowMs);
 		} else {
 			adopt(state, owner, running, nowMs);
 		}
@@ -143,6 +144,19 @@
 	}
 }
 
+/** Frees what a progress message that was lost would have freed. */
+function catchUp(state: SchedulerState, known: Reservation, phase: RunningReservation['phase'], nowMs: number): void {
+	if (phase !== 'prefill') {
+		state.pool.engines.get(known.prefill)?.removePrefill(known.id, nowMs);
+	}
+
+	if (phase === 'decode') {
+		freeLink(state, known);
+	}
+
+	known.phase = phase;
+}
+
 /** Enters a reservation that a predecessor or the entry process itself made. */
 function adopt(state: SchedulerState, owner: VmIdentity, running: RunningReservation, nowMs: number): void {
 	if (!state.pool.engines.has(running.decode)) {
--- /dev/null
+++ b/src/node/scheduler/fixtures.ts
@@ -0,0 +1,253 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import Emittery from 'emittery';
+import type {z} from 'zod';
+import {NullLogger} from '../../common/core/log.js';
+import {sharedConfigurationSchema} from '../../common/configuration/shared.js';
+import type {SharedConfiguration} from '../../common/configuration/types.js';
+import type {PeerMessage, VmId, VmIdentity} from '../../common/core/types.js';
+import {EntryDirectory} from '../../common/scheduler/entry-directory.js';
+import {LeaseKeeper} from '../../common/scheduler/lease-keeper.js';
+import type {EntryProcesses} from '../../common/scheduler/types.js';
+import {AccessService} from '../../common/services/access-service.js';
+import type {
+	AccessEvents, AllowanceResult, LeaseView, View,
+} from '../../common/services/access-service.js';
+import {PeerNetwork} from '../../common/services/peer-network.js';
+import type {MessageHandler, PeerNetworkEvents} from '../../common/services/peer-network.js';
+import type {RequestList} from '../../common/upstreams/engine-api.js';
+import {MonotonicClock} from '../clock.js';
+import {LoopbackNetwork} from './loopback-network.js';
+import {PeerSchedulerClient} from './peer-scheduler-client.js';
+import {SchedulerHost} from './scheduler-host.js';
+
+/* Fixtures of the scheduler's tests: processes in one memory, engines behind real HTTP servers. */
+
+type Registered = {readonly schema: z.ZodType; readonly handler: MessageHandler<unknown>};
+
+/** Connects the networks of a test; a process in `down` neither answers nor receives. */
+export class Switchboard {
+	readonly down = new Set<VmId>();
+	readonly handlers = new Map<VmId, Map<string, Registered>>();
+}
+
+/** A peer network over a switchboard. */
+class MemoryNetwork extends PeerNetwork {
+	override readonly events = new Emittery<PeerNetworkEvents>();
+
+	constructor(private readonly _switchboard: Switchboard, private readonly _self: VmIdentity) {
+		super();
+		_switchboard.handlers.set(_self.vm, new Map());
+	}
+
+	override setAddress(): void {
+		// Processes are found by name.
+	}
+
+	override handle<S extends z.ZodType>(type: string, schema: S, handler: MessageHandler<z.output<S>>): void {
+		this._switchboard.handlers.get(this._self.vm)!.set(type, {schema, handler: handler as MessageHandler<unknown>});
+	}
+
+	override send(to: VmId, message: PeerMessage): void {
+		void this._deliver(to, message).catch(() => undefined); // eslint-disable-line promise/prefer-await-to-then -- a lost message has no effect
+	}
+
+	override async request(to: VmId, message: PeerMessage): Promise<unknown> {
+		return this._deliver(to, message);
+	}
+
+	override async dispose(): Promise<void> {
+		this._switchboard.handlers.delete(this._self.vm);
+	}
+
+	private async _deliver(to: VmId, message: PeerMessage): Promise<unknown> {
+		const target = this._switchboard.handlers.get(to)?.get(message.type);
+		if (!target || this._switchboard.down.has(to) || this._switchboard.down.has(this._self.vm)) {
+			throw new Error(`${to} cannot be reached`);
+		}
+
+		return structuredClone(await target.handler(this._self, target.schema.parse(structuredClone(message))));
+	}
+}
+
+/** An access service whose view the test sets. */
+export class FixedAccess extends AccessService {
+	override readonly events = new Emittery<AccessEvents>();
+	private _view: View;
+
+	constructor(configuration: SharedConfiguration) {
+		super();
+		this._view = {
+			revision: 1, version: 1, configuration, drainedUpstreams: new Set(), drainedVms: new Set(), leases: new Map(),
+		};
+	}
+
+	override get view(): View {
+		return this._view;
+	}
+
+	async change(changes: Partial<View>): Promise<void> {
+		this._view = {...this._view, ...changes, revision: this._view.revision + 1};
+		await this.events.emit('onViewChanged', this._view);
+	}
+
+	override isFresh(): boolean {
+		return true;
+	}
+
+	override authenticate(): undefined {
+		return undefined;
+	}
+
+	override async acquire(): Promise<AllowanceResult> {
+		return {ok: true};
+	}
+
+	override settle(): void {
+		// Nothing is limited.
+	}
+}
+
+/** Leases in memory, published to every process's view. */
+export class MemoryLeases {
+	readonly leases = new Map<string, LeaseView>();
+	private _epoch = 0;
+
+	constructor(private readonly _views: readonly FixedAccess[]) {}
+
+	keeperOf(self: VmIdentity): LeaseKeeper {
+		return new MemoryLeaseKeeper(this, self);
+	}
+
+	async acquire(name: string, holder: VmIdentity): Promise<number | undefined> {
+		const lease = this.leases.get(name);
+		if (lease) {
+			return lease.holder.vm === holder.vm ? lease.epoch : undefined;
+		}
+
+		this.leases.set(name, {holder, epoch: ++this._epoch});
+		await this._publish();
+		return this._epoch;
+	}
+
+	/** As after the holder's death and the lease's expiry. */
+	async expire(name: string): Promise<void> {
+		this.leases.delete(name);
+		await this._publish();
+	}
+
+	private async _publish(): Promise<void> {
+		await Promise.all(this._views.map(async access => access.change({leases: new Map(this.leases)})));
+	}
+}
+
+class MemoryLeaseKeeper extends LeaseKeeper {
+	constructor(private readonly _leases: MemoryLeases, private readonly _self: VmIdentity) {
+		super();
+	}
+
+	override async acquire(name: string): Promise<number | undefined> {
+		return this._leases.acquire(name, this._self);
+	}
+
+	override async renew(name: string, epoch: number): Promise<boolean> {
+		return this._leases.leases.get(name)?.epoch === epoch;
+	}
+
+	override async release(name: string): Promise<void> {
+		await this._leases.expire(name);
+	}
+}
+
+export class FixedDirectory extends EntryDirectory {
+	constructor(public override entries: EntryProcesses) {
+		super();
+	}
+}
+
+/** An engine that reports an idle load, lists the given requests and records cancels. */
+export async function startEngine(requests: RequestList['requests'] = []) {
+	const cancelled: string[] = [];
+	const server = createServer((req, res) => {
+		const url = req.url ?? '';
+		if (req.method === 'DELETE') {
+			cancelled.push(url.slice('/v1/requests/'.length));
+			res.writeHead(204).end();
+		} else if (url.startsWith('/v1/load')) {
+			res.end(JSON.stringify({
+				ageMs: 0, queuedPrefillTokens: 0, activeDecodes: 0, slots: 4, freeBlocks: 2000, totalBlocks: 2000, leaving: false,
+			}));
+		} else if (url.startsWith('/v1/cache-events')) {
+			res.end(JSON.stringify({events: [], last: 0}));
+		} else {
+			res.end(JSON.stringify({requests}));
+		}
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		cancelled,
+		async close() {
+			server.closeAllConnections();
+			server.close();
+		},
+	};
+}
+
+export function makeConfiguration(prefill: string, decode: string): SharedConfiguration {
+	return sharedConfigurationSchema.parse({
+		profiles: {batch: {maxWait: '2s'}},
+		tenants: {a: {rate: '1000 tokens/s', burst: 10_000}},
+		services: {dossiers: {kind: 'model', profile: 'batch', model: 'm'}},
+		upstreams: {
+			p1: {
+				service: 'dossiers', address: prefill, zone: 'z1', role: 'prefill',
+			},
+			d1: {
+				service: 'dossiers', address: decode, zone: 'z1', role: 'decode', slots: 4,
+			},
+			d2: {
+				service: 'dossiers', address: decode, zone: 'z1', role: 'decode', slots: 4,
+			},
+		},
+	});
+}
+
+/** Starts entry processes with a host and a client each. */
+export function startProcesses(identities: readonly VmIdentity[], cfg: SharedConfiguration) {
+	const switchboard = new Switchboard();
+	const accesses = identities.map(() => new FixedAccess(cfg));
+	const leases = new MemoryLeases(accesses);
+	const directory = new FixedDirectory({live: identities, dead: []});
+	const counts = new Map<string, number>();
+	const processes = identities.map((self, i) => {
+		const network = new LoopbackNetwork(new MemoryNetwork(switchboard, self), self);
+		const options = {
+			self, network, directory, access: accesses[i]!, clock: new MonotonicClock(), logger: new NullLogger(), leases: leases.keeperOf(self),
+			count({metric}: {metric: string}) {
+				counts.set(metric, (counts.get(metric) ?? 0) + 1);
+			},
+		};
+		return {self, host: new SchedulerHost(options), client: new PeerSchedulerClient(options)};
+	});
+	return {
+		switchboard, accesses, leases, directory, counts, processes,
+		async dispose() {
+			for (const {host, client} of processes) {
+				client.dispose();
+				await host.dispose();
+			}
+		},
+	};
+}
+
+/** Waits until the condition holds. */
+export async function until(condition: () => boolean): Promise<void> {
+	while (!condition()) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 10);
+		});
+	}
+}
--- a/src/node/scheduler/peer-scheduler-client.ts
+++ b/src/node/scheduler/peer-scheduler-client.ts
@@ -268,7 +268,7 @@
 		const {vm, incarnation} = _options.self;
 		this._runner = new ShardRunner(_options, {policy: this._policy, idPrefix: `${vm}-${incarnation}-`});
 		this._runner.runtime.on('scheduler/ask-report', () => {
-			this._report();
+			this._report(_options.clock.nowMs());
 		});
 		this._runner.runtime.dispatch({type: 'scheduler/lease', epoch: 0});
 		if (_options.access.view) {
@@ -286,7 +286,8 @@
 		const {directory: {entries}, self} = this._options;
 		const vms: VmId[] = [...new Set([...entries.live.map(({vm}) => vm), self.vm])].sort();
 		this._policy.setShare(vms.indexOf(self.vm), vms.length);
-		this._report();
+		// Only adds: a placement answered just now may not be in the list yet.
+		this._report(-Infinity);
 	}
 
 	async place(req: PlaceRequest): Promise<PlaceReply> {
@@ -316,9 +317,9 @@
 		this._runner.dispose();
 	}
 
-	private _report(): void {
+	private _report(askedMs: number): void {
 		this._runner.runtime.dispatch({
-			type: 'scheduler/report', owner: this._options.self, askedMs: this._options.clock.nowMs(), reservations: this._running(),
+			type: 'scheduler/report', owner: this._options.self, askedMs, reservations: this._running(),
 		});
 	}
 }
--- /dev/null
+++ b/src/node/scheduler/scheduler-host.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {makeRequest} from '../../common/scheduler/fixtures.js';
+import {
+	makeConfiguration, startEngine, startProcesses, until,
+} from './fixtures.js';
+
+const vms = ['entry-1', 'entry-2', 'entry-3'].map(vm => ({vm, incarnation: 1}));
+const lease = 'scheduler/dossiers/0';
+const never = new AbortController().signal;
+
+async function setUp(context: TestContext, requests: Parameters<typeof startEngine>[0] = []) {
+	const prefill = await startEngine();
+	const decode = await startEngine(requests);
+	const fleet = startProcesses(vms, makeConfiguration(prefill.address, decode.address));
+	context.after(async () => {
+		await fleet.dispose();
+		await prefill.close();
+		await decode.close();
+	});
+	return {...fleet, decode};
+}
+
+async function elect({processes, leases}: Awaited<ReturnType<typeof setUp>>) {
+	for (const {host} of processes) {
+		host.start();
+	}
+
+	await until(() => leases.leases.has(lease));
+	const holder = processes.find(({self}) => self.vm === leases.leases.get(lease)?.holder.vm)!;
+	await until(() => holder.host.held.includes(lease));
+	return holder;
+}
+
+test('clients of every process place through the one holder of the lease', async context => {
+	const fleet = await setUp(context);
+	const holder = await elect(fleet);
+	const replies = await Promise.all(fleet.processes.map(async ({client}, i) => client.place(makeRequest(`r${i}`, {promptTokens: 10}), never)));
+	assert.ok(replies.every(reply => reply.kind === 'placed' && reply.placement.epoch === 1));
+	assert.equal(holder.host.dump()[0]?.reservations, 3);
+	assert.equal(fleet.counts.get('scheduler_local_placements_total'), undefined);
+});
+
+test('without a holder each process places into its own share of the slots, never beyond', async context => {
+	const {processes} = await setUp(context);
+	const replies = await Promise.all(processes.flatMap(({client}, i) => Array.from({length: 6}, async (_, j) =>
+		client.place(makeRequest(`r${i}-${j}`, {promptTokens: 10, maxWaitMs: 100}), new AbortController().signal))));
+	const placed = replies.flatMap(reply => reply.kind === 'placed' ? [reply.placement] : []);
+	assert.equal(placed.length, 8);
+	for (const engine of ['d1', 'd2']) {
+		assert.ok(placed.filter(({decode}) => decode === engine).length <= 4);
+	}
+});
+
+test('a successor adopts what the entry processes run, so that slots are not given out twice', async context => {
+	const fleet = await setUp(context);
+	const first = await elect(fleet);
+	const others = fleet.processes.filter(process => process !== first);
+	const reply = await others[0]!.client.place(makeRequest('r1'), never);
+	assert.equal(reply.kind, 'placed');
+	fleet.switchboard.down.add(first.self.vm);
+	fleet.directory.entries = {live: vms.filter(({vm}) => vm !== first.self.vm), dead: [first.self]};
+	await first.host.stop();
+	const successor = await (async () => {
+		await until(() => others.some(({host}) => host.held.includes(lease)));
+		return others.find(({host}) => host.held.includes(lease))!;
+	})();
+	await until(() => successor.host.dump()[0]?.reservations === 1);
+	const next = await others[1]!.client.place(makeRequest('r2'), never);
+	assert.ok(next.kind === 'placed' && next.placement.epoch > 1);
+});
+
+test('requests that an engine runs for a dead process are cancelled, others are left alone', async context => {
+	const running = [vms[0]!, {vm: 'entry-9', incarnation: 4}].map(owner => ({
+		requestId: `of-${owner.vm}`, owner, phase: 'decoding' as const, kvBlocks: 3, ageMs: 100,
+	}));
+	const fleet = await setUp(context, running);
+	fleet.directory.entries = {live: vms, dead: [{vm: 'entry-9', incarnation: 4}]};
+	await elect(fleet);
+	await until(() => fleet.decode.cancelled.length > 0);
+	assert.ok(fleet.decode.cancelled.every(id => id === 'of-entry-9'));
+});
+
+test('a caller that is gone leaves the queue and holds no slot', async context => {
+	const fleet = await setUp(context);
+	const holder = await elect(fleet);
+	const {client} = fleet.processes[0]!;
+	await Promise.all(Array.from({length: 8}, async (_, i) => client.place(makeRequest(`r${i}`, {promptTokens: 10}), new AbortController().signal)));
+	const abort = new AbortController();
+	const waiting = client.place(makeRequest('gone'), abort.signal);
+	await until(() => holder.host.dump()[0]?.queued === 1);
+	abort.abort();
+	await assert.rejects(waiting, {name: 'AbortError'});
+	assert.deepEqual([holder.host.dump()[0]?.queued, holder.host.dump()[0]?.reservations], [0, 8]);
+});
+
+test('a placement of a deposed holder is not used', async context => {
+	const fleet = await setUp(context);
+	const holder = await elect(fleet);
+	const {client} = fleet.processes.find(process => process !== holder)!;
+	const {holder: identity} = fleet.leases.leases.get(lease)!;
+	for (const access of fleet.accesses) {
+		await access.change({leases: new Map([[lease, {holder: identity, epoch: 5}]])});
+	}
+
+	const reply = await client.place(makeRequest('r1'), never);
+	assert.equal(reply.kind === 'placed' && reply.placement.epoch, 0);
+});
