--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,11 +5,13 @@
 import {registerDrain, registerOrders, registerState} from './fleet.js';
 import {registerKeys} from './keys.js';
 import {exitCode} from './exit-code.js';
+import {registerServe} from './serve.js';
 import {version} from './version.js';
 
 const program = new Command('jasminehead')
 	.description('Router for separate prefill and decode pools and for plain application services')
 	.version(version);
+registerServe(program);
 registerCheck(program);
 registerConfig(program);
 registerKeys(program);
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -322,6 +322,7 @@
 			return [];
 		}
 
+		case 'consensus/members-committed':
 		case 'consensus/persist':
 		case 'consensus/save-snapshot':
 		case 'send':
--- /dev/null
+++ b/src/node/observability/state-dump.ts
@@ -0,0 +1,60 @@
+import {isFresh} from '../../common/access/access.js';
+import {currentMembers} from '../../common/consensus/state.js';
+import type {Clock} from '../../common/core/clock.js';
+import type {VmIdentity} from '../../common/core/types.js';
+import type {ProcessState, Replica} from '../../common/reducer.js';
+import type {EntryServer} from '../entry/entry-server.js';
+import type {SchedulerHost} from '../scheduler/scheduler-host.js';
+
+type Dumped = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState};
+type DumpedEntry = {readonly scheduler: SchedulerHost; readonly server: EntryServer};
+
+function dumpReplica({consensus, control}: Replica): unknown {
+	return {
+		role: consensus.role,
+		term: consensus.hard.term,
+		leader: consensus.leader,
+		diskId: consensus.diskId,
+		members: currentMembers(consensus),
+		joinRequests: consensus.joinRequests,
+		lastIndex: consensus.log.lastIndex,
+		commit: consensus.hard.commit,
+		applied: consensus.applied,
+		snapshotIndex: consensus.snapshot?.index,
+		progress: Object.fromEntries([...consensus.progress].map(([vm, {match, next}]) => [vm, {match, next}])),
+		revision: control.data.revision,
+		keys: control.data.keys.size,
+		claims: control.data.claims.size,
+		leases: control.data.leases,
+		drains: control.data.drains,
+		sessions: control.sessions,
+	};
+}
+
+function dumpAccess({access}: ProcessState, nowMs: number): unknown {
+	const {published, confirmedMs} = access;
+	return {
+		isFresh: isFresh(access, nowMs),
+		proofAgeMs: confirmedMs === undefined ? undefined : nowMs - confirmedMs,
+		target: access.target,
+		revision: access.view.revision,
+		version: published?.version,
+		keys: access.view.keysByDigest.size,
+		drainedUpstreams: published?.drainedUpstreams,
+		drainedVms: published?.drainedVms,
+		leases: published?.leases,
+	};
+}
+
+/** The state of a process for operators. Keys and their digests are counted, never listed. */
+export function dumpProcess({self, clock, state}: Dumped, entry: DumpedEntry | undefined): unknown {
+	return {
+		self,
+		...(entry && {
+			access: dumpAccess(state, clock.nowMs()),
+			requests: {running: entry.server.running},
+			schedulers: entry.scheduler.dump(),
+		}),
+		...(state.replica && {replica: dumpReplica(state.replica)}),
+	};
+}
--- /dev/null
+++ b/src/node/wiring.ts
@@ -0,0 +1,227 @@
+/** Wires the parts of one process; the only module that constructs them. */
+import path from 'node:path';
+import process from 'node:process';
+import {createAccess} from '../common/access/access.js';
+import type {Settings} from '../common/configuration/types.js';
+import {createConsensus} from '../common/consensus/state.js';
+import {createControl} from '../common/control/control.js';
+import {DisposableStore} from '../common/core/disposable.js';
+import type {CountEffect, VmIdentity} from '../common/core/types.js';
+import {reduce} from '../common/reducer.js';
+import type {
+	ProcessEffect, ProcessEvent, ProcessState, Replica,
+} from '../common/reducer.js';
+import {splitAddress} from './address.js';
+import {MonotonicClock} from './clock.js';
+import {decodeConfiguration} from './control/configuration-codec.js';
+import {ConsensusHost} from './control/consensus-host.js';
+import {ControlClient} from './control/control-client.js';
+import {ControlLeaseKeeper} from './control/control-lease-keeper.js';
+import {ControlLink} from './control/control-link.js';
+import {ControlOperator} from './control/control-operator.js';
+import {ControlServer} from './control/control-server.js';
+import {EntryServer} from './entry/entry-server.js';
+import {StaticDirectory, StaticEntryPoints} from './membership/static-members.js';
+import {JsonLogger} from './observability/json-logger.js';
+import {PromMetrics} from './observability/prom-metrics.js';
+import {dumpProcess} from './observability/state-dump.js';
+import {ControlOperatorService} from './operators/control-operator-service.js';
+import {OperatorServer} from './operators/operator-server.js';
+import {Runtime} from './runtime.js';
+import {LoopbackNetwork} from './scheduler/loopback-network.js';
+import {PeerSchedulerClient} from './scheduler/peer-scheduler-client.js';
+import {SchedulerHost} from './scheduler/scheduler-host.js';
+import {FileLogStorage} from './storage/file-log-storage.js';
+import type {LogStorage} from './storage/log-storage.js';
+import {NodeFileSystem} from './storage/file-system.js';
+import {TcpPeerNetwork} from './transport/tcp-peer-network.js';
+
+/** Parts that every process has. */
+type Platform = {
+	readonly settings: Settings;
+	readonly self: VmIdentity;
+	readonly clock: MonotonicClock;
+	readonly logger: JsonLogger;
+	readonly metrics: PromMetrics;
+	readonly network: LoopbackNetwork;
+	readonly state: ProcessState;
+	readonly runtime: Runtime<ProcessEvent, ProcessEffect>;
+	readonly link: ControlLink;
+	readonly operator: ControlOperator;
+	readonly parts: DisposableStore;
+};
+
+/** Parts of a process with the entry role. */
+type EntryParts = {
+	readonly client: ControlClient;
+	readonly scheduler: SchedulerHost;
+	readonly server: EntryServer;
+};
+
+/** A running process of the system. */
+export class SystemProcess {
+	/** Starts the roles of the settings. Rejects if an address is taken or the data folder cannot be trusted. */
+	static async start(settings: Settings): Promise<SystemProcess> {
+		const parts = new DisposableStore();
+		try {
+			const platform = await createPlatform(settings, parts);
+			const entry = settings.roles.includes('entry') ? await startEntry(platform) : undefined;
+			await startOperators(platform, entry);
+			return new SystemProcess(platform, entry);
+		} catch (err) {
+			await parts.dispose();
+			throw err;
+		}
+	}
+
+	private constructor(private readonly _platform: Platform, private readonly _entry: EntryParts | undefined) {
+		_platform.logger.log('info', 'started', {roles: _platform.settings.roles, incarnation: _platform.self.incarnation});
+	}
+
+	/** Graceful shutdown: leaves the entry-point answers, serves until they have expired and the last request has ended. */
+	async stop(): Promise<void> {
+		const {logger, parts} = this._platform;
+		logger.log('info', 'stopping');
+		if (this._entry) {
+			await this._entry.scheduler.stop();
+			await this._entry.server.drained();
+		}
+
+		await parts.dispose();
+		logger.log('info', 'stopped');
+	}
+}
+
+async function createPlatform(settings: Settings, parts: DisposableStore): Promise<Platform> {
+	// A VM without a disk cannot count its starts, so the incarnation is the start time by the VM's own clock, in ms.
+	const self: VmIdentity = {vm: settings.vm, incarnation: Date.now()};
+	const {vm, zone, region} = settings;
+	const logger = new JsonLogger({vm, zone, region});
+	const metrics = new PromMetrics({vm, zone, region});
+	const clock = new MonotonicClock();
+	const tcp = parts.add(await TcpPeerNetwork.listen({
+		cluster: settings.cluster,
+		clusterKey: settings.clusterKey,
+		self,
+		listen: settings.listen.peers,
+		count(metric, labels) {
+			metrics.count(metric, labels);
+		},
+	}));
+	for (const peer of settings.control) {
+		if (peer.vm !== vm) {
+			tcp.setAddress(peer.vm, peer.address);
+		}
+	}
+
+	const network = parts.add(new LoopbackNetwork(tcp, self));
+	const controlVms = settings.control.map(peer => peer.vm);
+	const storage = settings.roles.includes('control') ? createStorage(settings) : undefined;
+	const state: ProcessState = {
+		access: createAccess({controlVms, decode: decodeConfiguration}),
+		replica: storage && await createReplica(settings, controlVms, storage),
+	};
+	const runtime = new Runtime<ProcessEvent, ProcessEffect>(event => reduce(state, event), clock);
+	registerCoreEffects(runtime, network, logger, metrics);
+	if (storage) {
+		parts.add(new ConsensusHost(network, storage, runtime));
+		parts.add(new ControlServer(network, runtime));
+	}
+
+	const link = new ControlLink({network, clock, controlVms});
+	return {
+		settings, self, clock, logger, metrics, network, state, runtime, link, operator: new ControlOperator(link), parts,
+	};
+}
+
+function createStorage(settings: Settings): LogStorage {
+	return new FileLogStorage({folder: path.join(settings.dataFolder!, 'log'), fileSystem: new NodeFileSystem()});
+}
+
+async function createReplica(settings: Settings, controlVms: readonly string[], storage: LogStorage): Promise<Replica> {
+	const consensus = createConsensus({
+		vm: settings.vm, stored: await storage.load(), initialVms: controlVms, seed: Date.now() + process.pid,
+	});
+	return {consensus, control: createControl({decode: decodeConfiguration}), memberChanges: new Set()};
+}
+
+function registerCoreEffects(runtime: Runtime<ProcessEvent, ProcessEffect>, network: LoopbackNetwork, logger: JsonLogger, metrics: PromMetrics): void {
+	runtime.on('send', ({to, message}) => {
+		network.send(to, message);
+	});
+	runtime.on('count', ({metric, labels, by}) => {
+		metrics.count(metric, labels, by);
+	});
+	runtime.on('log', ({level, message, fields}) => {
+		logger.log(level, message, fields);
+	});
+	runtime.on('notify', () => {
+		// Replaced by the entry role; a control VM has no listener.
+	});
+}
+
+async function startEntry(platform: Platform): Promise<EntryParts> {
+	const {
+		settings, self, clock, logger, metrics, network, state, runtime, link, operator, parts,
+	} = platform;
+	const client = parts.add(new ControlClient({
+		host: runtime, state: state.access, network, clock, link,
+	}));
+	runtime.on('access/request', effect => {
+		client.access.request(effect);
+	});
+	runtime.on('notify', effect => {
+		client.access.notify(effect);
+	});
+	const directory = new StaticDirectory(self);
+	const entryPoints = new StaticEntryPoints(settings.listen.callers!, settings.zone);
+	const schedulerOptions = {
+		self, network, clock, logger, access: client.access, directory, count({metric, labels, by}: CountEffect) {
+			metrics.count(metric, labels, by);
+		},
+	};
+	const scheduler = parts.add(new SchedulerHost({...schedulerOptions, leases: new ControlLeaseKeeper(operator, self)}));
+	const {host, port} = splitAddress(settings.listen.callers!);
+	const server = parts.add(new EntryServer({
+		access: client.access,
+		claims: client.claims,
+		scheduler: parts.add(new PeerSchedulerClient(schedulerOptions)),
+		entryPoints,
+		metrics,
+		logger,
+		clock,
+	}, {
+		host, port, identity: self, zone: settings.zone, seed: self.incarnation,
+	}));
+	scheduler.start();
+	await server.start();
+	return {client, scheduler, server};
+}
+
+async function startOperators(platform: Platform, entry: EntryParts | undefined): Promise<void> {
+	const {settings, metrics, operator, parts} = platform;
+	parts.add(await OperatorServer.listen({
+		listen: settings.listen.operators,
+		token: settings.operatorToken,
+		service: new ControlOperatorService(operator),
+		metrics,
+		whyNotReady: () => whyNotReady(platform, entry),
+		dump: () => dumpProcess(platform, entry),
+	}));
+}
+
+function whyNotReady({state}: Platform, entry: EntryParts | undefined): string | undefined {
+	if (entry && !entry.client.access.view) {
+		return 'no configuration was received yet';
+	}
+
+	if (entry && !entry.client.access.isFresh()) {
+		return 'no quorum confirmed the view recently';
+	}
+
+	if (state.replica && state.replica.consensus.role !== 'leader' && state.replica.consensus.leader === undefined) {
+		return 'the replicated log has no leader';
+	}
+
+	return undefined;
+}
