--- a/src/common/consensus/formation.ts
+++ b/src/common/consensus/formation.ts
@@ -2,7 +2,9 @@
 import type {MessageOf} from './messages.js';
 import type {Context, ConsensusState} from './state.js';
 import {appendEntry, sendWhenDurable, updateHardState} from './durability.js';
-import {currentMembers, isAdmitted, sendNow} from './state.js';
+import {
+	currentMembers, isAdmitted, isBlank, sendNow,
+} from './state.js';
 
 /** Term of the entry that holds the first membership; elections start after it. */
 const formationTerm = 1;
@@ -37,10 +39,6 @@
 	}
 }
 
-function isBlank({log, hard}: ConsensusState): boolean {
-	return log.lastIndex === 0 && hard.term === 0;
-}
-
 function isFounder(state: ConsensusState): boolean {
 	return isBlank(state) && state.initialVms[0] === state.vm && (state.hard.cluster ?? state.diskId) === state.diskId;
 }
--- a/src/common/consensus/reducer.ts
+++ b/src/common/consensus/reducer.ts
@@ -18,7 +18,7 @@
 	completeSave, handleSnapshot, handleSnapshotReply, requestSnapshot, restore, saveTaken,
 } from './snapshot.js';
 import {
-	count, isVoter, sendNow, setRole,
+	count, isBlank, isVoter, sendNow, setRole,
 } from './state.js';
 
 /** Applies one event to a member of the replicated log and returns what the platform must do, in order. */
@@ -201,7 +201,8 @@
 	}
 }
 
-/** Whether the message is for this disk and this cluster. A disk outside any cluster joins that of the leader that admitted it. */
+/** Whether the message is for this disk and this cluster. A blank disk joins the cluster of the leader that admitted it,
+whatever it has promised: an emptied founder may have asked first. */
 function isAddressedHere(state: ConsensusState, {type, cluster, toDisk}: ConsensusMessage): boolean {
 	if (toDisk !== undefined && toDisk !== state.diskId) {
 		return false;
@@ -212,7 +213,7 @@
 	}
 
 	if (type === 'consensus/append' || type === 'consensus/snapshot') {
-		return state.hard.cluster === undefined && toDisk !== undefined;
+		return isBlank(state) && toDisk !== undefined;
 	}
 
 	const isGreeting = type === 'consensus/join' || type === 'consensus/introduce' || type === 'consensus/introduce-reply';
@@ -275,7 +276,7 @@
 
 function followLeader(context: Context, from: VmId, {cluster, term}: {readonly cluster?: string | undefined; readonly term: number}): void {
 	const {state, nowMs} = context;
-	if (state.hard.cluster === undefined) {
+	if (state.hard.cluster !== cluster) {
 		updateHardState(context, {cluster});
 	}
 
--- a/src/common/consensus/snapshot.ts
+++ b/src/common/consensus/snapshot.ts
@@ -50,7 +50,7 @@
 export function requestSnapshot({state, effects}: Context): void {
 	const {applied, persist, limits} = state;
 	const isDue = applied - (state.snapshot?.index ?? 0) >= limits.snapshotEvery;
-	const isBusy = state.takingSnapshot !== undefined || state.savingSnapshots.size > 0;
+	const isBusy = state.takingSnapshot !== undefined || state.savingSnapshot !== undefined;
 	if (isDue && !isBusy && applied <= persist.durableIndex) {
 		state.takingSnapshot = applied;
 		effects.push({type: 'consensus/take-snapshot', index: applied});
@@ -66,7 +66,7 @@
 
 	state.takingSnapshot = undefined;
 	const term = state.log.termAt(index);
-	if (term === undefined || index <= (state.snapshot?.index ?? 0)) {
+	if (term === undefined || index <= (state.snapshot?.index ?? 0) || state.savingSnapshot) {
 		return;
 	}
 
@@ -81,19 +81,20 @@
 }
 
 function save({state, effects}: Context, snapshot: Snapshot, isInstall: boolean): void {
-	state.savingSnapshots.set(snapshot.index, {snapshot, isInstall});
+	state.savingSnapshot = {snapshot, isInstall};
 	effects.push({type: 'consensus/save-snapshot', snapshot});
 }
 
 /** A snapshot is on disk: compacts the log behind it, or replaces log and state machine by it. */
 export function completeSave(context: Context, index: number): void {
 	const {state} = context;
-	const saving = state.savingSnapshots.get(index);
-	state.savingSnapshots.delete(index);
-	if (!saving || index <= (state.snapshot?.index ?? 0)) {
+	const saving = state.savingSnapshot;
+	if (saving?.snapshot.index !== index) {
 		return;
 	}
 
+	state.savingSnapshot = undefined;
+
 	if (saving.isInstall && index > state.hard.commit) {
 		install(context, saving.snapshot);
 	}
@@ -163,8 +164,8 @@
 /** Expects the sender to be the leader of the current term. */
 export function handleSnapshot(context: Context, from: VmId, message: MessageOf<'consensus/snapshot'>): void {
 	const {state} = context;
-	if (state.savingSnapshots.has(message.index)) {
-		// Answered once it is on disk.
+	if (state.savingSnapshot) {
+		// The leader sends the chunk again; by then the one under way is on disk.
 		return;
 	}
 
--- a/src/common/consensus/state.ts
+++ b/src/common/consensus/state.ts
@@ -133,7 +133,8 @@
 	readonly joinRequests: Map<VmId, string>;
 
 	takingSnapshot: number | undefined;
-	readonly savingSnapshots: Map<number, {readonly snapshot: Snapshot; readonly isInstall: boolean}>;
+	/** One snapshot is saved at a time, so that an older one never replaces a newer one. */
+	savingSnapshot: {readonly snapshot: Snapshot; readonly isInstall: boolean} | undefined;
 	incoming: Incoming | undefined;
 };
 
@@ -193,7 +194,7 @@
 		promises: new Map(),
 		joinRequests: new Map(),
 		takingSnapshot: undefined,
-		savingSnapshots: new Map(),
+		savingSnapshot: undefined,
 		incoming: undefined,
 	};
 }
@@ -212,6 +213,11 @@
 	return findMember(state, state.vm)?.diskId === state.diskId;
 }
 
+/** Whether this member has neither voted nor stored anything; it may still join any cluster. */
+export function isBlank({log, hard}: ConsensusState): boolean {
+	return log.lastIndex === 0 && hard.term === 0;
+}
+
 /** Whether the vote or acknowledgement of a VM with this disk counts. */
 export function isVoter(state: ConsensusState, vm: VmId, diskId: string): boolean {
 	const member = findMember(state, vm);
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -58,6 +58,8 @@
 /** Members of one replicated log on a virtual clock and a simulated network and disk; checks safety after every step. */
 export class TestCluster {
 	nowMs = 0;
+	/** Set by tests that inject a fault that must stop a member. */
+	mayHalt = false;
 	faults: NetworkFaults;
 	readonly vms: VmId[];
 	readonly disks = new Map<VmId, Disk>();
@@ -228,11 +230,13 @@
 		return best ? currentMembers(best.state) : [];
 	}
 
-	/** Whether the VM's disk can be emptied with a quorum of intact disks remaining. */
-	canWipe(vm: VmId): boolean {
-		const admitted = this.members().filter(({role}) => role === 'voter');
-		const intact = admitted.filter(member => member.vm !== vm && this.disks.get(member.vm)?.diskId === member.diskId);
-		return intact.length > admitted.length / 2;
+	/** Whether a quorum of intact disks remains without the VM, in every membership that some member believes to be in force. */
+	canLose(vm: VmId): boolean {
+		return [...this.processes.values()].every(({state}) => {
+			const admitted = currentMembers(state).filter(({role}) => role === 'voter');
+			const intact = admitted.filter(member => member.vm !== vm && this.disks.get(member.vm)?.diskId === member.diskId);
+			return admitted.length === 0 || intact.length > admitted.length / 2;
+		});
 	}
 
 	dispatch(vm: VmId, event: WithoutTime<ConsensusEvent>): void {
@@ -326,6 +330,7 @@
 			}
 
 			case 'consensus/role': {
+				check(effect.role !== 'halted' || this.mayHalt, `${process.vm} halted without a storage fault`);
 				if (effect.role === 'leader') {
 					this._checkLeader(process, effect.term);
 				}
--- a/src/node/storage/file-log-storage.ts
+++ b/src/node/storage/file-log-storage.ts
@@ -45,6 +45,7 @@
 	/** What the segments hold after the snapshot; indexes and terms only. */
 	private _known = new Replay<KnownEntry>(undefined, keepTerm);
 	private _segments: Segment[] = [];
+	private _snapshotIndex = 0;
 	private _nextSegment = 1;
 	private _file: AppendFile | undefined;
 	private _queue: Promise<void> = Promise.resolve();
@@ -65,6 +66,7 @@
 			const snapshot = await this._loadSnapshot(files);
 			const replay = await this._loadSegments(files, snapshot);
 			if (snapshot) {
+				this._snapshotIndex = snapshot.index;
 				replay.compact(snapshot);
 			}
 
@@ -98,7 +100,12 @@
 			kind: 'snapshot', format: formatVersion, diskId: this._diskId, snapshot,
 		};
 		return this._run('storage.save-snapshot', async () => {
+			if (snapshot.index <= this._snapshotIndex) {
+				return;
+			}
+
 			await this._replaceFile(snapshotName(snapshot.index), encodeRecord(record));
+			this._snapshotIndex = snapshot.index;
 			await this._prune(snapshot);
 		});
 	}
--- a/src/node/storage/log-storage.ts
+++ b/src/node/storage/log-storage.ts
@@ -7,7 +7,7 @@
 	abstract load(): Promise<StoredState>;
 	/** Resolves once the batch is on disk. Rejects with `StorageError`. */
 	abstract append(batch: PersistBatch): Promise<void>;
-	/** Resolves once the snapshot is on disk and the log before it is deleted. Rejects with `StorageError`. */
+	/** Resolves once the snapshot is on disk and the log before it is deleted; an older one than the last changes nothing. Rejects with `StorageError`. */
 	abstract saveSnapshot(snapshot: Snapshot): Promise<void>;
 	abstract dispose(): Promise<void>;
 }
