--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -11,7 +11,7 @@
 	BaseEvent, CoreEffect, ReplyToken, VmId,
 } from '../core/types.js';
 import {AllowanceHolder} from '../limits/holder.js';
-import type {AllowanceAnswer} from '../limits/holder.js';
+import type {AllowanceAnswer, Settlement} from '../limits/holder.js';
 import type {TenantLimit} from '../limits/types.js';
 import type {Identity, View} from '../services/access-service.js';
 import {
@@ -63,7 +63,7 @@
 	/** Every 10 to 50 ms. */
 	| BaseEvent<'access/tick'>
 	| (BaseEvent<'access/acquire'> & {readonly token: ReplyToken; readonly tenant: string; readonly tokens: number; readonly maxWaitMs: number})
-	| (BaseEvent<'access/settle'> & {readonly tenant: string; readonly acquired: number; readonly used: number})
+	| (BaseEvent<'access/settle'> & Omit<Settlement, 'nowMs'>)
 	/** `body` is checked here. */
 	| (BaseEvent<'access/reply'> & {readonly seq: number; readonly body: unknown})
 	| (BaseEvent<'access/failed'> & {readonly seq: number})
@@ -118,7 +118,7 @@
 		}
 
 		case 'access/settle': {
-			state.holder.settle(event.tenant, event.acquired, event.used, event.nowMs);
+			state.holder.settle(event);
 			return [];
 		}
 
--- /dev/null
+++ b/src/common/control/apply.test.ts
@@ -0,0 +1,218 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {applyCommand} from './apply.js';
+import type {Command, CommandOf, Outcome} from './messages.js';
+import {
+	controlLimits, createReplicatedState, restoreState, snapshotState,
+} from './state.js';
+import type {ControlLimits} from './state.js';
+
+const hour = 3_600_000;
+
+function configApply(changeId: string, expectedVersion: number, text = 'a'): Command {
+	const source = new TextEncoder().encode(text);
+	return {
+		type: 'config.apply', changeId, expectedVersion, sourceDigest: text.padEnd(64, '0'), source, configuration: source,
+	};
+}
+
+function keyIssue(changeId: string, keyId: string, digest = '0'): CommandOf<'key.issue'> {
+	return {
+		type: 'key.issue', changeId, keyId, digest: digest.padEnd(64, '0'), tenant: 'acme',
+	};
+}
+
+function claimOpen(claimId: string, idempotencyKey = 'i-1', requestDigest = 'a', tenant = 'acme'): Command {
+	return {
+		type: 'claim.open', claimId, tenant, service: 'desk', idempotencyKey, requestDigest,
+	};
+}
+
+function claimSettle(claimId: string, outcome: CommandOf<'claim.settle'>['outcome'], idempotencyKey = 'i-1', tenant = 'acme'): Command {
+	return {
+		type: 'claim.settle', claimId, tenant, service: 'desk', idempotencyKey, outcome,
+	};
+}
+
+function leaseAcquire(holder: string, incarnation = 1, name = 'orders'): Command {
+	return {
+		type: 'lease.acquire', name, holder, incarnation, ttlMs: 1000,
+	};
+}
+
+/** Applies commands to a fresh state and returns it with the outcomes' kinds. */
+function run(commands: readonly Command[], limits: ControlLimits = controlLimits) {
+	const state = createReplicatedState();
+	const outcomes: Outcome[] = commands.map(command => applyCommand(state, command, limits));
+	return {state, outcomes, kinds: outcomes.map(({kind}) => kind)};
+}
+
+test('guards against two operators who both win with the same version, and a retry that applies twice', () => {
+	const {state, outcomes} = run([configApply('a', 0, 'a'), configApply('b', 0, 'b'), configApply('c', 1, 'c'), configApply('a', 0, 'a'), configApply('a', 2, 'd')]);
+	assert.deepEqual(outcomes, [
+		{kind: 'applied', version: 1, revision: 1},
+		{kind: 'version-conflict', version: 1},
+		{kind: 'applied', version: 2, revision: 2},
+		{kind: 'applied', version: 1, revision: 1},
+		{kind: 'refused', code: 'change-id-reused'},
+	]);
+	assert.equal(state.history.length, 2);
+});
+
+test('guards against a resent issue that replaces the key of the first attempt', () => {
+	const {state, outcomes} = run([keyIssue('a', 'k', '1'), keyIssue('a', 'k', '2'), keyIssue('b', 'k', '3')]);
+	assert.deepEqual(outcomes[1], outcomes[0]);
+	assert.deepEqual(outcomes[2], {kind: 'refused', code: 'exists'});
+	assert.equal(state.keys.get('k')?.digest, '1'.padEnd(64, '0'));
+});
+
+test('guards against a claimed request that runs twice, or for a different body', () => {
+	const answered = {kind: 'answered' as const, outcome: {status: 200, headers: {}}};
+	const {kinds} = run([
+		claimOpen('a'),
+		claimOpen('a'),
+		claimOpen('b'),
+		claimOpen('b', 'i-1', 'other'),
+		claimSettle('b', {kind: 'not-run'}),
+		claimOpen('b'),
+		claimSettle('a', answered),
+		claimSettle('a', {kind: 'not-run'}),
+		claimOpen('a'),
+		claimOpen('b'),
+	]);
+	assert.deepEqual(kinds, [
+		'claim-granted',
+		'claim-granted',
+		'claim-pending',
+		'claim-conflict',
+		'refused',
+		'claim-pending',
+		'done',
+		'done',
+		'claim-recorded',
+		'claim-recorded',
+	]);
+});
+
+test('guards against a claim of unknown outcome that is handed out again, and one that did not run that is not', () => {
+	const {kinds} = run([
+		claimOpen('a'),
+		claimSettle('a', {kind: 'unknown'}),
+		claimSettle('a', {kind: 'not-run'}),
+		claimOpen('b'),
+		claimOpen('c', 'i-2'),
+		claimSettle('c', {kind: 'not-run'}, 'i-2'),
+		claimOpen('d', 'i-2'),
+	]);
+	assert.deepEqual(kinds, ['claim-granted', 'done', 'done', 'claim-unknown', 'claim-granted', 'done', 'claim-granted']);
+});
+
+test('guards against claims that outgrow their bounds or outlive their time', () => {
+	const limits = {
+		...controlLimits, claimsPerTenant: 2, claims: 3, recordedBytes: 5,
+	};
+	const body = new Uint8Array(4);
+	const {state, outcomes, kinds} = run([
+		claimOpen('a', '1'),
+		{type: 'clock.advance', elapsedMs: hour},
+		claimOpen('b', '2'),
+		claimOpen('c', '3'),
+		claimOpen('d', '1', 'a', 'zeta'),
+		claimOpen('e', '2', 'a', 'zeta'),
+		claimSettle('a', {kind: 'answered', outcome: {status: 200, headers: {}, body}}, '1'),
+		claimSettle('b', {kind: 'answered', outcome: {status: 200, headers: {}, body}}, '2'),
+		{type: 'clock.advance', elapsedMs: 23 * hour},
+		claimOpen('f', '3'),
+		claimOpen('g', '2'),
+	], limits);
+	assert.deepEqual(outcomes[3], {kind: 'claim-too-many', retryAfterMs: 23 * hour});
+	assert.deepEqual(kinds.slice(4), ['claim-granted', 'claim-too-many', 'done', 'done', 'done', 'claim-granted', 'claim-recorded']);
+	assert.deepEqual([state.claims.size, state.recordedBytes], [3, 0]);
+});
+
+test('guards against two holders of a lease with the same epoch, and a former holder that renews', () => {
+	const renew: Command = {
+		type: 'lease.renew', name: 'orders', holder: 'vm-1', incarnation: 1, epoch: 1, ttlMs: 1000,
+	};
+	const {outcomes} = run([
+		leaseAcquire('vm-1'),
+		leaseAcquire('vm-2'),
+		{type: 'clock.advance', elapsedMs: 999},
+		renew,
+		{type: 'clock.advance', elapsedMs: 999},
+		leaseAcquire('vm-2'),
+		{type: 'clock.advance', elapsedMs: 1},
+		leaseAcquire('vm-2'),
+		renew,
+		leaseAcquire('vm-2', 2),
+		leaseAcquire('vm-2', 1),
+	]);
+	const taken = (vm: string, incarnation: number, epoch: number) => ({kind: 'lease-taken', current: {holder: {vm, incarnation}, epoch}});
+	assert.deepEqual(outcomes.filter(({kind}) => kind !== 'done'), [
+		{kind: 'lease-held', epoch: 1},
+		taken('vm-1', 1, 1),
+		{kind: 'lease-held', epoch: 1},
+		taken('vm-1', 1, 1),
+		{kind: 'lease-held', epoch: 2},
+		taken('vm-2', 1, 2),
+		{kind: 'lease-held', epoch: 3},
+		taken('vm-2', 2, 3),
+	]);
+});
+
+test('guards against an order that a former holder of the lease settles', () => {
+	const submit: Command = {
+		type: 'order.submit', changeId: 'a', orderId: 'o', upstream: 'engine-1', order: {load: 'm'},
+	};
+	const settle = (epoch: number): Command => ({
+		type: 'order.settle', orderId: 'o', epoch, status: 'done',
+	});
+	const {state, outcomes} = run([submit, submit, leaseAcquire('vm-1'), leaseAcquire('vm-1', 2), settle(1), settle(2)]);
+	assert.deepEqual(outcomes[4], {kind: 'refused', code: 'stale'});
+	assert.equal(state.orders.get('o')?.status, 'done');
+});
+
+test('guards against history, outcomes and changes that grow without bound', () => {
+	const limits = {
+		...controlLimits, outcomes: 3, historyVersions: 2, changes: 4, keys: 5,
+	};
+	const {state, outcomes} = run([
+		...Array.from({length: 5}, (_, i) => configApply(`c${i}`, i)),
+		...Array.from({length: 6}, (_, i) => keyIssue(`k${i}`, `k${i}`)),
+	], limits);
+	assert.deepEqual([state.history.length, state.outcomes.size, state.changes.length, state.keys.size], [2, 3, 4, 5]);
+	assert.deepEqual(outcomes.at(-1), {kind: 'refused', code: 'too-many'});
+});
+
+const ids = fc.constantFrom('a', 'b', 'c');
+const commands: fc.Arbitrary<Command> = fc.oneof(
+	fc.tuple(ids, fc.nat({max: 3}), ids).map(([changeId, version, text]) => configApply(changeId + text, version, text)),
+	fc.tuple(ids, ids).map(([changeId, keyId]) => keyIssue(`k${changeId}`, keyId)),
+	fc.tuple(ids, ids).map(([changeId, keyId]): Command => ({type: 'key.withdraw', changeId: `w${changeId}`, keyId})),
+	fc.tuple(ids, ids, ids).map(([claimId, key, digest]) => claimOpen(claimId, key, digest)),
+	fc.tuple(ids, ids, fc.constantFrom<CommandOf<'claim.settle'>['outcome']>({kind: 'not-run'}, {kind: 'unknown'}, {kind: 'answered', outcome: {status: 200, headers: {}, body: new Uint8Array(3)}}))
+		.map(([claimId, key, outcome]) => claimSettle(claimId, outcome, key)),
+	fc.tuple(ids, fc.nat({max: 2})).map(([holder, incarnation]) => leaseAcquire(holder, incarnation)),
+	fc.tuple(ids, ids, fc.boolean()).map(([changeId, name, draining]): Command => ({
+		type: 'drain.set', changeId: `d${changeId}${name}${draining}`, target: 'vm', name, draining,
+	})),
+	fc.nat({max: 2 * hour}).map((elapsedMs): Command => ({type: 'clock.advance', elapsedMs})),
+);
+
+test('guards against a member that differs from the others after it restored a snapshot', () => {
+	fc.assert(fc.property(fc.array(commands, {maxLength: 60}), fc.nat({max: 60}), (list, cut) => {
+		const {state, outcomes} = run(list.slice(0, cut));
+		const snapshot = snapshotState(state);
+		const before = structuredClone(snapshot);
+		const restored = restoreState(structuredClone(snapshot));
+		for (const command of list.slice(cut)) {
+			outcomes.push(applyCommand(state, command));
+			assert.deepEqual(applyCommand(restored, command), outcomes.at(-1));
+		}
+
+		assert.deepEqual(snapshotState(restored), snapshotState(state));
+		assert.deepEqual(snapshot, before);
+		assert.deepEqual(run(list).outcomes, outcomes);
+	}), {seed: 5, numRuns: 300});
+});
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -34,7 +34,8 @@
 	demand: number;
 	demandMs: number;
 	lastCost: number;
-	acquisitions: Acquisition[];
+	/** By the token of their request, oldest first. */
+	readonly acquisitions: Map<ReplyToken, Acquisition>;
 	/** When the bucket may cover `readyTokens`, by the owner's answer at `answeredMs`. */
 	readyMs: number;
 	readyTokens: number;
@@ -54,6 +55,16 @@
 	readonly nowMs: number;
 };
 
+/** How an acquired request ended. */
+export type Settlement = {
+	readonly tenant: string;
+	readonly acquired: number;
+	readonly used: number;
+	/** Token of the request that acquired; without it, refunds are smaller than they could be. */
+	readonly acquisition?: ReplyToken | undefined;
+	readonly nowMs: number;
+};
+
 /** The owner's answer to a report that was made at `sentMs`. */
 export type OwnerAnswer = {
 	readonly sentMs: number;
@@ -96,7 +107,7 @@
 		}
 
 		const allowance = this._allowance(tenant, nowMs);
-		if (allowance.waiters.length === 0 && this._take(allowance, tokens, nowMs)) {
+		if (allowance.waiters.length === 0 && this._take(allowance, req, nowMs)) {
 			return {ok: true};
 		}
 
@@ -120,12 +131,12 @@
 	}
 
 	/** Ends an acquired request: the unused part goes back to the owner, what was used beyond it is charged. */
-	settle(tenant: string, acquired: number, used: number, nowMs: number): void {
+	settle({tenant, acquired, used, acquisition, nowMs}: Settlement): void {
 		if (used > acquired) {
 			this._charges.set(tenant, (this._charges.get(tenant) ?? 0) + used - acquired);
 		}
 
-		const stamp = this._endAcquisition(tenant, acquired);
+		const stamp = this._endAcquisition(tenant, acquired, acquisition);
 		if (stamp && used < acquired && this._refunds.length < syncListLimit) {
 			this._refunds.push({tenant, stamp, tokens: acquired - Math.max(0, used)});
 		}
@@ -218,7 +229,7 @@
 		let allowance = this._tenants.get(tenant);
 		if (!allowance) {
 			allowance = {
-				grants: [], waiters: [], demand: 0, demandMs: nowMs, lastCost: 0, acquisitions: [], readyMs: nowMs, readyTokens: 0, answeredMs: Number.NEGATIVE_INFINITY,
+				grants: [], waiters: [], demand: 0, demandMs: nowMs, lastCost: 0, acquisitions: new Map(), readyMs: nowMs, readyTokens: 0, answeredMs: Number.NEGATIVE_INFINITY,
 			};
 			this._tenants.set(tenant, allowance);
 		}
@@ -226,7 +237,7 @@
 		return allowance;
 	}
 
-	private _take(allowance: Allowance, tokens: number, nowMs: number): boolean {
+	private _take(allowance: Allowance, {token, tokens}: Pick<Waiter, 'token' | 'tokens'>, nowMs: number): boolean {
 		const usable = allowance.grants.filter(grant => grant.expiresMs > nowMs);
 		if (usable.reduce((total, {left}) => total + left, 0) < tokens) {
 			return false;
@@ -245,14 +256,14 @@
 		allowance.lastCost = tokens;
 		if (this._acquisitionCount < acquisitionLimit) {
 			this._acquisitionCount++;
-			allowance.acquisitions.push({tokens, stamp: this._stamp, atMs: nowMs});
+			allowance.acquisitions.set(token, {tokens, stamp: this._stamp, atMs: nowMs});
 		}
 
 		return true;
 	}
 
 	private _serve(allowance: Allowance, nowMs: number, answers: AllowanceAnswer[]): void {
-		while (allowance.waiters.length > 0 && this._take(allowance, allowance.waiters[0]!.tokens, nowMs)) {
+		while (allowance.waiters.length > 0 && this._take(allowance, allowance.waiters[0]!, nowMs)) {
 			answers.push({token: allowance.waiters.shift()!.token, result: {ok: true}});
 			allowance.readyMs = nowMs;
 			allowance.answeredMs = Number.NEGATIVE_INFINITY;
@@ -260,20 +271,19 @@
 	}
 
 	/**
-	Removes one acquisition of this size and returns the stamp for its refund.
-	Requests of the same size cannot be told apart. The oldest one's stamp serves them all, and the youngest
-	is removed, so that a refund never counts as acquired later than it was.
+	Removes an acquisition and returns the stamp for its refund.
+	Without its token, requests of the same size cannot be told apart: then the oldest one's stamp serves them all
+	and the youngest is removed, so that a refund never counts as acquired later than it was.
 	*/
-	private _endAcquisition(tenant: string, tokens: number): OwnerStamp | undefined {
-		const acquisitions = this._tenants.get(tenant)?.acquisitions ?? [];
-		const oldest = acquisitions.find(acquisition => acquisition.tokens === tokens);
-		if (!oldest) {
-			return undefined;
+	private _endAcquisition(tenant: string, tokens: number, acquisition: ReplyToken | undefined): OwnerStamp | undefined {
+		const acquisitions = this._tenants.get(tenant)?.acquisitions ?? new Map<ReplyToken, Acquisition>();
+		const candidates = [...acquisitions.keys()].filter(token => acquisition === undefined ? acquisitions.get(token)!.tokens === tokens : token === acquisition);
+		const stamp = acquisitions.get(candidates[0] ?? Number.NaN)?.stamp;
+		if (acquisitions.delete(candidates.at(-1) ?? Number.NaN)) {
+			this._acquisitionCount--;
 		}
 
-		acquisitions.splice(acquisitions.findLastIndex(acquisition => acquisition.tokens === tokens), 1);
-		this._acquisitionCount--;
-		return oldest.stamp;
+		return stamp;
 	}
 
 	private _reportGrants(allowance: Allowance, {spent, returned}: AllowanceReport, nowMs: number): void {
@@ -308,12 +318,16 @@
 			return;
 		}
 
-		while (allowance.acquisitions.length > 0 && allowance.acquisitions[0]!.atMs + acquisitionTtlMs <= nowMs) {
-			allowance.acquisitions.shift();
+		for (const [token, {atMs}] of allowance.acquisitions) {
+			if (atMs + acquisitionTtlMs > nowMs) {
+				break;
+			}
+
+			allowance.acquisitions.delete(token);
 			this._acquisitionCount--;
 		}
 
-		const isIdle = allowance.grants.length === 0 && allowance.waiters.length === 0 && allowance.acquisitions.length === 0;
+		const isIdle = allowance.grants.length === 0 && allowance.waiters.length === 0 && allowance.acquisitions.size === 0;
 		if (isIdle && decayedDemand(allowance, nowMs) < 1) {
 			this._tenants.delete(tenant);
 		}
--- /dev/null
+++ b/src/common/limits/limits.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {noFaults, Simulation} from './simulation.js';
+import type {SimulatedRequest, SimulationOptions} from './simulation.js';
+
+/** Sums of many floating-point steps differ by far less. */
+const roundingTokens = 1e-3;
+
+const limits = fc.record({rate: fc.integer({min: 50, max: 5000}), burstSeconds: fc.double({min: 0.5, max: 5, noNaN: true})})
+	.map(({rate, burstSeconds}) => ({rate, burst: Math.ceil(rate * burstSeconds)}));
+
+const faults = fc.record({
+	lostShare: fc.double({min: 0, max: 0.2, noNaN: true}),
+	lateShare: fc.double({min: 0, max: 0.3, noNaN: true}),
+	lateMs: fc.integer({min: 0, max: 3000}),
+	electionEveryMs: fc.constantFrom(0, 1500, 4000),
+	restartEveryMs: fc.constantFrom(0, 1000, 5000),
+});
+
+const options: fc.Arbitrary<SimulationOptions> = fc.record({
+	seed: fc.integer(), limit: limits, entries: fc.integer({min: 1, max: 8}), faults, clockDrift: fc.constantFrom(0, 0.05), namesAcquisitions: fc.boolean(),
+});
+
+/** Requests of up to half the burst, each used in part, several times the rate together. */
+function overload(simulation: Simulation, {limit, entries}: SimulationOptions, loadFactor: number): void {
+	const {random} = simulation;
+	const meanTokens = limit.burst / 8;
+	for (let entry = 0; entry < entries; entry++) {
+		simulation.offer(entry, limit.rate * loadFactor / meanTokens / entries, () => {
+			const tokens = 1 + random.integer(0, Math.ceil(limit.burst / 4));
+			return {
+				tokens, used: random.integer(0, tokens + 1), durationMs: random.next() * 6000, maxWaitMs: random.next() * 1500,
+			};
+		});
+	}
+}
+
+test('guards against a tenant that gets more than burst + rate * t in any window, over all entry processes', () => {
+	fc.assert(fc.property(options, fc.constantFrom(0.7, 2, 6), (settings, loadFactor) => {
+		const simulation = new Simulation(settings);
+		overload(simulation, settings, loadFactor);
+		simulation.runUntil(15_000);
+		assert.ok(simulation.excess() <= roundingTokens, `${simulation.excess()} tokens too many`);
+	}), {seed: 1, numRuns: 300});
+});
+
+/** Offers requests at several entry processes, and only those that a bucket of this limit over all of them lets through. */
+function offerWithinRate(simulation: Simulation, {limit, entries}: SimulationOptions, makeRequest: () => SimulatedRequest): void {
+	let level = limit.burst;
+	let lastMs = simulation.nowMs;
+	const {tokens: typical} = makeRequest();
+	const take = () => {
+		const req = makeRequest();
+		level = Math.min(limit.burst, level + (limit.rate * (simulation.nowMs - lastMs) / 1000));
+		lastMs = simulation.nowMs;
+		const isWithin = level >= req.used;
+		level -= isWithin ? req.used : 0;
+		return isWithin ? req : undefined;
+	};
+
+	for (let entry = 0; entry < entries; entry++) {
+		simulation.offer(entry, 2 * limit.rate / typical / entries, take);
+	}
+}
+
+function refusedShare({refusals, consumed}: Simulation): number {
+	return refusals.length / (refusals.length + consumed.length);
+}
+
+test('guards against wrongful refusals of a tenant within its rate whose requests spread over entry processes', () => {
+	const shares: number[] = [];
+	fc.assert(fc.property(fc.integer(), limits, fc.integer({min: 1, max: 6}), fc.constantFrom(4, 50), (seed, limit, entries, requestsPerBurst) => {
+		const settings = {
+			seed, limit, entries, faults: noFaults, clockDrift: 0.01,
+		};
+		const simulation = new Simulation(settings);
+		simulation.runUntil(10_000);
+		const tokens = Math.max(1, Math.floor(limit.burst / requestsPerBurst));
+		offerWithinRate(simulation, settings, () => ({
+			tokens, used: tokens, durationMs: 100, maxWaitMs: 1000,
+		}));
+		simulation.runUntil(40_000);
+		shares.push(refusedShare(simulation));
+	}), {seed: 2, numRuns: 60});
+	// The source uses the whole rate, so a burst below a second leaves no slack for tokens that are on their way.
+	assert.ok(Math.max(...shares) <= 0.02, `up to ${Math.max(...shares)} refused`);
+	assert.ok(shares.reduce((sum, share) => sum + share, 0) / shares.length <= 0.001);
+});
+
+test('guards against output limits that count in full although less is used', () => {
+	const limit = {rate: 2000, burst: 8000};
+	const settings = {
+		seed: 3, limit, entries: 3, faults: noFaults, clockDrift: 0,
+	};
+	const simulation = new Simulation(settings);
+	simulation.runUntil(10_000);
+	for (let entry = 0; entry < 3; entry++) {
+		simulation.offer(entry, 0.8 * limit.rate / 120 / 3, () => ({
+			tokens: 400, used: 120, durationMs: 1000, maxWaitMs: 1000,
+		}));
+	}
+
+	simulation.runUntil(60_000);
+	assert.ok(refusedShare(simulation) <= 0.001, `${refusedShare(simulation)} refused`);
+});
+
+test('guards against one entry process that takes the whole bucket while others want it too', () => {
+	const limit = {rate: 1000, burst: 2000};
+	const simulation = new Simulation({
+		seed: 4, limit, entries: 4, faults: noFaults, clockDrift: 0,
+	});
+	for (let entry = 0; entry < 4; entry++) {
+		// The first wants ten times as much as each of the others, in larger requests.
+		const tokens = entry === 0 ? 100 : 30;
+		simulation.offer(entry, entry === 0 ? 30 : 10, () => ({
+			tokens, used: tokens, durationMs: 10, maxWaitMs: 1000,
+		}));
+	}
+
+	simulation.runUntil(30_000);
+	const shares = [0, 1, 2, 3].map(entry => simulation.consumed.filter(item => item.entry === entry).reduce((total, {tokens}) => total + tokens, 0));
+	const total = shares.reduce((sum, share) => sum + share, 0);
+	assert.ok(Math.min(...shares) >= total / 4 * 0.9, `shares ${shares.join(', ')}`);
+	assert.ok(total >= limit.rate * 28, `${total} tokens of ${limit.rate * 30} used`);
+});
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -17,6 +17,8 @@
 const smallestGrant = 1;
 
 type Claimant = {readonly tokens: number; readonly untilMs: number};
+/** `tag` is the virtual time at which the claim is due: tokens that its holder had before, compared with the others. */
+type Waiting = Claimant & {readonly tag: number};
 
 type Bucket = {
 	limit: TenantLimit;
@@ -25,8 +27,12 @@
 	outstanding: number;
 	updatedMs: number;
 	readonly headroom: HeadroomHistory;
-	/** Holders whose waiting request was not covered, in the order in which they are served. */
-	readonly waiting: Map<VmId, Claimant>;
+	/** Holders whose waiting request was not covered. */
+	readonly waiting: Map<VmId, Waiting>;
+	/** Tag of the last claim that was covered. */
+	virtualTokens: number;
+	/** Virtual time at which each holder's last portion ends; a holder that is not there has had less than the others. */
+	readonly finish: Map<VmId, number>;
 	/** What each holder asked for recently. */
 	readonly demand: Map<VmId, Claimant>;
 };
@@ -138,6 +144,12 @@
 			const {sinceMs, limit} = this._limits.get(tenant)!;
 			dropExpired(bucket.waiting, nowMs);
 			dropExpired(bucket.demand, nowMs);
+			for (const [vm, finish] of bucket.finish) {
+				if (finish <= bucket.virtualTokens) {
+					bucket.finish.delete(vm);
+				}
+			}
+
 			const isFull = bucket.outstanding === 0 && bucket.level >= limit.burst && levelSince(limit, nowMs - sinceMs) >= limit.burst;
 			if (isFull && bucket.waiting.size === 0 && bucket.demand.size === 0) {
 				this._buckets.delete(tenant);
@@ -166,6 +178,8 @@
 			updatedMs: nowMs,
 			headroom: new HeadroomHistory(),
 			waiting: new Map(),
+			virtualTokens: 0,
+			finish: new Map(),
 			demand: new Map(),
 		};
 		noteHeadroom(created, nowMs);
@@ -265,27 +279,30 @@
 		return {id, tenant, tokens};
 	}
 
-	/** Tokens for a want: the whole of what a waiting request needs, then a share in proportion to what the others asked for. */
+	/** Tokens for a want: the whole of what a waiting request needs, then a fair part of what nobody waits for. */
 	private _portion(bucket: Bucket, vm: VmId, {tokens, atLeast}: Want, nowMs: number): number {
 		dropExpired(bucket.waiting, nowMs);
 		dropExpired(bucket.demand, nowMs);
+		const tag = bucket.waiting.get(vm)?.tag ?? Math.max(bucket.virtualTokens, bucket.finish.get(vm) ?? 0);
+		const free = bucket.level - keptAside(bucket, vm, tag);
 		bucket.demand.set(vm, {tokens, untilMs: nowMs + waitingValidityMs});
-		const free = bucket.level - keptAside(bucket, vm);
 		if (free < atLeast) {
-			// The first ones keep their place, or small requests elsewhere would always overtake a large one.
-			bucket.waiting.set(vm, {tokens: atLeast, untilMs: nowMs + waitingValidityMs});
+			// Tokens are kept aside for it, or small requests elsewhere would always overtake a large one.
+			bucket.waiting.set(vm, {tokens: atLeast, untilMs: nowMs + waitingValidityMs, tag});
 			return 0;
 		}
 
 		bucket.waiting.delete(vm);
-		const behind = sum(bucket.waiting);
-		const spare = Math.max(0, free - atLeast - behind);
-		const share = spare * Math.max(0, tokens - atLeast) / Math.max(1, sum(bucket.demand) - atLeast);
-		return Math.floor(Math.min(Math.max(tokens, atLeast), atLeast + share));
+		const spare = Math.max(0, bucket.level - atLeast - sum(bucket.waiting));
+		const portion = Math.floor(Math.max(atLeast, Math.min(tokens, atLeast + fairPart(bucket.demand, spare))));
+		bucket.virtualTokens = Math.max(bucket.virtualTokens, tag);
+		bucket.finish.set(vm, tag + portion);
+		return portion;
 	}
 
 	private _timeToCover(bucket: Bucket, vm: VmId, tokens: number): number {
-		const missing = keptAside(bucket, vm) + tokens - bucket.level;
+		const tag = bucket.waiting.get(vm)?.tag ?? bucket.virtualTokens;
+		const missing = keptAside(bucket, vm, tag) + tokens - bucket.level;
 		return Math.max(0, missing / bucket.limit.rate * 1000);
 	}
 }
@@ -310,7 +327,7 @@
 	bucket.headroom.note(nowMs, bucket.limit.burst - bucket.level - bucket.outstanding);
 }
 
-function dropExpired(claimants: Map<VmId, Claimant>, nowMs: number): void {
+function dropExpired(claimants: Map<VmId, Claimant> | Map<VmId, Waiting>, nowMs: number): void {
 	for (const [vm, {untilMs}] of claimants) {
 		if (untilMs <= nowMs) {
 			claimants.delete(vm);
@@ -327,16 +344,30 @@
 	return total;
 }
 
-/** What holders before this one wait for. */
-function keptAside(bucket: Bucket, vm: VmId): number {
+/** What holders wait for that have had less than this one. */
+function keptAside(bucket: Bucket, vm: VmId, tag: number): number {
 	let total = 0;
-	for (const [other, {tokens}] of bucket.waiting) {
-		if (other === vm) {
-			break;
+	for (const [other, waiting] of bucket.waiting) {
+		if (other !== vm && waiting.tag < tag) {
+			total += waiting.tokens;
 		}
-
-		total += tokens;
 	}
 
 	return total;
 }
+
+/** Largest amount that each may have of `spare` tokens, where those that ask for less leave the rest to the others. */
+function fairPart(demand: ReadonlyMap<VmId, Claimant>, spare: number): number {
+	const wanted = [...demand.values()].map(({tokens}) => tokens).sort((a, b) => a - b);
+	let left = spare;
+	for (const [i, tokens] of wanted.entries()) {
+		const part = left / (wanted.length - i);
+		if (tokens >= part) {
+			return part;
+		}
+
+		left -= tokens;
+	}
+
+	return left;
+}
--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -19,6 +19,9 @@
 type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 type AccessInput = WithoutTime<AccessEvent>;
 
+/** Names the acquisition, so that its settlement finds it again. */
+export type AcquireResult = AllowanceResult & {readonly acquisition?: ReplyToken | undefined};
+
 /** The part of `Runtime` that hosts the access slice. */
 export type AccessHost = {
 	dispatch(event: AccessInput): void;
@@ -94,19 +97,25 @@
 		return known !== undefined && equalDigests(known, digest) ? identity : undefined;
 	}
 
-	override async acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AllowanceResult> {
+	override async acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AcquireResult> {
+		let acquisition: ReplyToken | undefined;
 		try {
-			return await this._options.host.ask<AllowanceResult>(token => ({
-				type: 'access/acquire', token, tenant, tokens, maxWaitMs,
-			}), maxWaitMs + replySlackMs);
+			const result = await this._options.host.ask<AllowanceResult>(token => {
+				acquisition = token;
+				return {
+					type: 'access/acquire', token, tenant, tokens, maxWaitMs,
+				};
+			}, maxWaitMs + replySlackMs);
+			return result.ok ? {...result, acquisition} : result;
 		} catch {
 			return {ok: false, code: 'control-unreachable'};
 		}
 	}
 
-	override settle(tenant: string, acquired: number, used: number): void {
+	/** @param acquisition - from the result of `acquire`; without it, refunds are smaller than they could be */
+	override settle(tenant: string, acquired: number, used: number, acquisition?: ReplyToken): void {
 		this._options.host.dispatch({
-			type: 'access/settle', tenant, acquired, used,
+			type: 'access/settle', tenant, acquired, used, acquisition,
 		});
 	}
 
--- a/src/node/control/test-helper.ts
+++ b/src/node/control/test-helper.ts
@@ -112,14 +112,16 @@
 
 type Member = {readonly vm: VmId; readonly deliver: (effect: ConsensusEffect) => void; applied: number};
 
-/** A replicated log whose elections are made by the test. A silenced leader commits nothing and confirms no read. */
+/** A replicated log whose elections are made by the test. */
 export class ConsensusDouble {
+	/** Members that reach no other member: they commit nothing, confirm no read and learn of no election. */
+	readonly isolated = new Set<VmId>();
 	readonly log: unknown[] = [];
 	term = 0;
 	leader: VmId | undefined;
 	private readonly _members = new Map<VmId, Member>();
 
-	constructor(private readonly _hub: MemoryHub) {}
+	constructor(private readonly _copy: (value: unknown) => unknown) {}
 
 	/** Adds a member and brings it up to date, from a snapshot of the log up to `from` if given. */
 	join(vm: VmId, deliver: Member['deliver'], from?: {readonly index: number; readonly data: unknown}): void {
@@ -132,12 +134,12 @@
 		this._catchUp(member, undefined);
 	}
 
-	/** Makes a member the leader; members that are silenced do not learn it. */
+	/** Makes a member the leader of a new term. */
 	elect(vm: VmId): void {
 		this.term++;
 		this.leader = vm;
 		for (const member of this._members.values()) {
-			if (!this._hub.silenced.has(member.vm)) {
+			if (!this.isolated.has(member.vm)) {
 				this._catchUp(member, undefined);
 				member.deliver({
 					type: 'consensus/role', role: member.vm === vm ? 'leader' : 'follower', term: this.term, leader: vm,
@@ -148,7 +150,7 @@
 
 	handle(vm: VmId, {event}: Extract<ControlEffect, {type: 'control/to-consensus'}>): void {
 		const member = this._members.get(vm)!;
-		if (this._hub.silenced.has(vm) || this.leader !== vm) {
+		if (this.isolated.has(vm) || this.leader !== vm) {
 			return;
 		}
 
@@ -156,7 +158,7 @@
 			member.deliver({type: 'consensus/read-ready', token: event.token});
 		} else if (event.type === 'consensus/propose') {
 			// As on a disk: what a process holds in memory is not shared with the log.
-			this.log.push(this._hub.copy(event.command));
+			this.log.push(this._copy(event.command));
 			for (const other of this._members.values()) {
 				this._catchUp(other, other === member ? event.token : undefined);
 			}
@@ -164,7 +166,7 @@
 	}
 
 	private _catchUp(member: Member, token: ReplyToken | undefined): void {
-		while (!this._hub.silenced.has(member.vm) && member.applied < this.log.length) {
+		while (!this.isolated.has(member.vm) && member.applied < this.log.length) {
 			member.applied++;
 			member.deliver({
 				type: 'consensus/committed', index: member.applied, command: this.log[member.applied - 1], token: member.applied === this.log.length ? token : undefined,
@@ -187,7 +189,7 @@
 /** Control and entry processes over a `MemoryHub`; dispose it at the end of the test. */
 export class TestCluster extends DisposableStore {
 	readonly hub = new MemoryHub();
-	readonly consensus = new ConsensusDouble(this.hub);
+	readonly consensus = new ConsensusDouble(value => this.hub.copy(value));
 	readonly clock = new MonotonicClock();
 
 	constructor(readonly controlVms: readonly VmId[] = ['control-1']) {
