--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -13,28 +13,37 @@
 
 /** Grant ids of one term; ids of later terms are higher, so a report never meets another leader's grant. */
 const grantsPerTerm = 2 ** 32;
+/** When to ask again for tokens that other holders may give back at their next sync. */
+const returnPollMs = 100;
 /** Smallest portion worth a grant, in tokens. */
 const smallestGrant = 1;
 
-type Claimant = {readonly tokens: number; readonly untilMs: number};
-/** `tag` is the virtual time at which the claim is due: tokens that its holder had before, compared with the others. */
-type Waiting = Claimant & {readonly tag: number};
+/** What one holder asked of a bucket. Kept while it may matter to the others. */
+type Claimant = {
+	/** Tokens that it wanted last. */
+	wanted: number;
+	/** Tokens that its waiting request needs and did not get. */
+	waiting: number;
+	/** Until when both count. */
+	untilMs: number;
+	/** Virtual time of its claim: tokens that it had before, compared with the others. */
+	tag: number;
+	/** Virtual time at which its last portion ends. */
+	finish: number;
+};
 
 type Bucket = {
 	limit: TenantLimit;
 	/** Negative after a charge that the bucket could not cover. */
 	level: number;
 	outstanding: number;
+	/** Part of the outstanding tokens that nobody waited for when they were granted. */
+	returnable: number;
 	updatedMs: number;
 	readonly headroom: HeadroomHistory;
-	/** Holders whose waiting request was not covered. */
-	readonly waiting: Map<VmId, Waiting>;
+	readonly claimants: Map<VmId, Claimant>;
 	/** Tag of the last claim that was covered. */
 	virtualTokens: number;
-	/** Virtual time at which each holder's last portion ends; a holder that is not there has had less than the others. */
-	readonly finish: Map<VmId, number>;
-	/** What each holder asked for recently. */
-	readonly demand: Map<VmId, Claimant>;
 };
 
 type LimitRecord = {readonly limit: TenantLimit; readonly sinceMs: number};
@@ -104,7 +113,7 @@
 			// Grants of an earlier leader may still be spent.
 			const tokens = startsInMs > 0 ? 0 : this._portion(bucket, holder.vm, want, nowMs);
 			if (tokens >= smallestGrant) {
-				grants.push(this._grant(bucket, holder, want.tenant, tokens));
+				grants.push(this._grant(bucket, holder, want, tokens));
 			}
 
 			if (want.atLeast > 0 && tokens < want.atLeast) {
@@ -142,16 +151,9 @@
 		for (const tenant of this._buckets.keys()) {
 			const bucket = this._bucket(tenant, nowMs)!;
 			const {sinceMs, limit} = this._limits.get(tenant)!;
-			dropExpired(bucket.waiting, nowMs);
-			dropExpired(bucket.demand, nowMs);
-			for (const [vm, finish] of bucket.finish) {
-				if (finish <= bucket.virtualTokens) {
-					bucket.finish.delete(vm);
-				}
-			}
-
+			expireClaims(bucket, nowMs);
 			const isFull = bucket.outstanding === 0 && bucket.level >= limit.burst && levelSince(limit, nowMs - sinceMs) >= limit.burst;
-			if (isFull && bucket.waiting.size === 0 && bucket.demand.size === 0) {
+			if (isFull && bucket.claimants.size === 0) {
 				this._buckets.delete(tenant);
 			}
 		}
@@ -175,12 +177,11 @@
 			limit,
 			level: levelSince(limit, nowMs - sinceMs),
 			outstanding: 0,
+			returnable: 0,
 			updatedMs: nowMs,
 			headroom: new HeadroomHistory(),
-			waiting: new Map(),
+			claimants: new Map(),
 			virtualTokens: 0,
-			finish: new Map(),
-			demand: new Map(),
 		};
 		noteHeadroom(created, nowMs);
 		this._buckets.set(tenant, created);
@@ -235,9 +236,12 @@
 	private _spend(grant: OwnedGrant, total: number, nowMs: number): void {
 		const newlySpent = Math.min(grant.left, Math.max(0, total - (grant.tokens - grant.left)));
 		const bucket = this._bucket(grant.tenant, nowMs);
+		const noLongerReturnable = grant.returnable - Math.min(grant.returnable, grant.left - newlySpent);
 		grant.left -= newlySpent;
+		grant.returnable -= noLongerReturnable;
 		if (bucket) {
 			bucket.outstanding -= newlySpent;
+			bucket.returnable -= noLongerReturnable;
 		}
 
 		if (grant.left <= 0) {
@@ -251,6 +255,7 @@
 		const bucket = this._bucket(grant.tenant, nowMs);
 		if (bucket) {
 			bucket.outstanding = Math.max(0, bucket.outstanding - grant.left);
+			bucket.returnable = Math.max(0, bucket.returnable - grant.returnable);
 			bucket.level += returned;
 		}
 	}
@@ -269,41 +274,44 @@
 		}
 	}
 
-	private _grant(bucket: Bucket, {vm, incarnation}: VmIdentity, tenant: string, tokens: number): Grant {
+	private _grant(bucket: Bucket, {vm, incarnation}: VmIdentity, {tenant, atLeast}: Want, tokens: number): Grant {
 		const id = (this.term * grantsPerTerm) + this._nextGrant++;
 		bucket.level -= tokens;
 		bucket.outstanding += tokens;
+		bucket.returnable += tokens - atLeast;
 		this._grants.set(id, {
-			id, tenant, vm, incarnation, left: tokens, tokens, expiresMs: undefined,
+			id, tenant, vm, incarnation, left: tokens, returnable: tokens - atLeast, tokens, expiresMs: undefined,
 		});
 		return {id, tenant, tokens};
 	}
 
 	/** Tokens for a want: the whole of what a waiting request needs, then a fair part of what nobody waits for. */
 	private _portion(bucket: Bucket, vm: VmId, {tokens, atLeast}: Want, nowMs: number): number {
-		dropExpired(bucket.waiting, nowMs);
-		dropExpired(bucket.demand, nowMs);
-		const tag = bucket.waiting.get(vm)?.tag ?? Math.max(bucket.virtualTokens, bucket.finish.get(vm) ?? 0);
-		const free = bucket.level - keptAside(bucket, vm, tag);
-		bucket.demand.set(vm, {tokens, untilMs: nowMs + waitingValidityMs});
-		if (free < atLeast) {
+		expireClaims(bucket, nowMs);
+		const claimant = claimantOf(bucket, vm);
+		claimant.tag = claimant.waiting > 0 ? claimant.tag : Math.max(bucket.virtualTokens, claimant.finish);
+		claimant.wanted = tokens;
+		claimant.untilMs = nowMs + waitingValidityMs;
+		if (bucket.level - keptAside(bucket, vm, claimant.tag) < atLeast) {
 			// Tokens are kept aside for it, or small requests elsewhere would always overtake a large one.
-			bucket.waiting.set(vm, {tokens: atLeast, untilMs: nowMs + waitingValidityMs, tag});
+			claimant.waiting = atLeast;
 			return 0;
 		}
 
-		bucket.waiting.delete(vm);
-		const spare = Math.max(0, bucket.level - atLeast - sum(bucket.waiting));
-		const portion = Math.floor(Math.max(atLeast, Math.min(tokens, atLeast + fairPart(bucket.demand, spare))));
-		bucket.virtualTokens = Math.max(bucket.virtualTokens, tag);
-		bucket.finish.set(vm, tag + portion);
+		claimant.waiting = 0;
+		const spare = Math.max(0, bucket.level - atLeast - keptAside(bucket, vm, Number.POSITIVE_INFINITY));
+		const portion = Math.floor(Math.max(atLeast, Math.min(tokens, atLeast + fairPart(bucket.claimants, spare))));
+		bucket.virtualTokens = Math.max(bucket.virtualTokens, claimant.tag);
+		claimant.finish = claimant.tag + portion;
 		return portion;
 	}
 
 	private _timeToCover(bucket: Bucket, vm: VmId, tokens: number): number {
-		const tag = bucket.waiting.get(vm)?.tag ?? bucket.virtualTokens;
+		const tag = bucket.claimants.get(vm)?.tag ?? bucket.virtualTokens;
 		const missing = keptAside(bucket, vm, tag) + tokens - bucket.level;
-		return Math.max(0, missing / bucket.limit.rate * 1000);
+		const refillMs = Math.max(0, missing / bucket.limit.rate * 1000);
+		// Other holders may give back what they hold in advance, so the request need not be refused yet.
+		return missing <= bucket.returnable ? Math.min(refillMs, returnPollMs) : refillMs;
 	}
 }
 
@@ -327,29 +335,47 @@
 	bucket.headroom.note(nowMs, bucket.limit.burst - bucket.level - bucket.outstanding);
 }
 
-function dropExpired(claimants: Map<VmId, Claimant> | Map<VmId, Waiting>, nowMs: number): void {
-	for (const [vm, {untilMs}] of claimants) {
-		if (untilMs <= nowMs) {
-			claimants.delete(vm);
-		}
+function claimantOf(bucket: Bucket, vm: VmId): Claimant {
+	let claimant = bucket.claimants.get(vm);
+	if (!claimant) {
+		claimant = {
+			wanted: 0, waiting: 0, untilMs: 0, tag: 0, finish: 0,
+		};
+		bucket.claimants.set(vm, claimant);
 	}
+
+	return claimant;
 }
 
-function sum(claimants: ReadonlyMap<VmId, Claimant>): number {
-	let total = 0;
-	for (const {tokens} of claimants.values()) {
-		total += tokens;
+function expireClaims(bucket: Bucket, nowMs: number): void {
+	let isIdle = true;
+	for (const [vm, claimant] of bucket.claimants) {
+		if (claimant.untilMs > nowMs) {
+			isIdle = false;
+			continue;
+		}
+
+		claimant.wanted = 0;
+		claimant.waiting = 0;
+		// A holder that has had no more than the others needs no memory of it.
+		if (claimant.finish <= bucket.virtualTokens) {
+			bucket.claimants.delete(vm);
+		} else {
+			isIdle &&= claimant.untilMs + waitingValidityMs <= nowMs;
+		}
 	}
 
-	return total;
+	if (isIdle) {
+		bucket.claimants.clear();
+	}
 }
 
 /** What holders wait for that have had less than this one. */
 function keptAside(bucket: Bucket, vm: VmId, tag: number): number {
 	let total = 0;
-	for (const [other, waiting] of bucket.waiting) {
-		if (other !== vm && waiting.tag < tag) {
-			total += waiting.tokens;
+	for (const [other, claimant] of bucket.claimants) {
+		if (other !== vm && claimant.tag < tag) {
+			total += claimant.waiting;
 		}
 	}
 
@@ -357,16 +383,16 @@
 }
 
 /** Largest amount that each may have of `spare` tokens, where those that ask for less leave the rest to the others. */
-function fairPart(demand: ReadonlyMap<VmId, Claimant>, spare: number): number {
-	const wanted = [...demand.values()].map(({tokens}) => tokens).sort((a, b) => a - b);
+function fairPart(claimants: ReadonlyMap<VmId, Claimant>, spare: number): number {
+	const amounts = [...claimants.values()].map(({wanted}) => wanted).filter(wanted => wanted > 0).sort((a, b) => a - b);
 	let left = spare;
-	for (const [i, tokens] of wanted.entries()) {
-		const part = left / (wanted.length - i);
-		if (tokens >= part) {
+	for (const [i, wanted] of amounts.entries()) {
+		const part = left / (amounts.length - i);
+		if (wanted >= part) {
 			return part;
 		}
 
-		left -= tokens;
+		left -= wanted;
 	}
 
 	return left;
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -23,6 +23,8 @@
 	readonly incarnation: number;
 	/** Tokens not known to be spent. */
 	left: number;
+	/** Part of `left` that nobody waited for when it was granted. */
+	returnable: number;
 	readonly tokens: number;
 	/** Undefined until the answer that carries the grant is sent. */
 	expiresMs: number | undefined;
