--- a/src/common/requests/model-lifecycle.ts
+++ b/src/common/requests/model-lifecycle.ts
@@ -52,7 +52,7 @@
 	| (BaseEvent<'request/decode-broken'> & {readonly failure: CallFailure})
 	| (BaseEvent<'request/stopped'> & {readonly reason: StopReason});
 
-export type ModelRefusalCode = 'overloaded' | 'deadline' | 'no-upstream' | 'engine-failed' | 'timeout' | 'key-withdrawn';
+export type ModelRefusalCode = 'overloaded' | 'deadline' | 'no-upstream' | 'engine-failed' | 'timeout' | 'key-withdrawn' | 'control-unreachable';
 
 export type ModelEffect =
 	/** `attemptId` names the request on the engines. */
@@ -355,11 +355,19 @@
 	return resume(state, placement, nowMs);
 }
 
+const stopCodes: Readonly<Record<StopReason, ModelRefusalCode>> = {
+	'caller-gone': 'timeout',
+	'slow-reader': 'timeout',
+	'key-withdrawn': 'key-withdrawn',
+	'stale-view': 'control-unreachable',
+	deadline: 'timeout',
+};
+
 function onStopped(state: ModelState, reason: StopReason): ModelEffect[] {
 	// A call that has not been answered may have run.
 	state.mayHaveRun ||= state.phase !== 'placing';
 	const ending = endAttempt(state, 'cancelled');
-	return [...ending, ...refuse(state, reason === 'key-withdrawn' ? 'key-withdrawn' : 'timeout')];
+	return [...ending, ...refuse(state, stopCodes[reason])];
 }
 
 type PlacedEvent = Exclude<ModelEvent, {type: 'request/start' | 'request/placed' | 'request/stopped'}>;
--- a/src/common/requests/types.ts
+++ b/src/common/requests/types.ts
@@ -6,7 +6,7 @@
 export type RunStatement = 'not-run' | 'unknown';
 
 /** Why a request ends before its answer does. */
-export type StopReason = 'caller-gone' | 'key-withdrawn' | 'deadline' | 'slow-reader';
+export type StopReason = 'caller-gone' | 'key-withdrawn' | 'deadline' | 'slow-reader' | 'stale-view';
 
 /** How a call to an upstream failed. */
 export type CallFailure = {
--- a/src/node/entry/chat-handler.ts
+++ b/src/node/entry/chat-handler.ts
@@ -84,8 +84,11 @@
 			maxWaitMs: wait.leftMs,
 			sink: this._sink(exchange, chat, engineRequestId),
 		});
-		await run.run();
-		leave();
+		try {
+			await run.run();
+		} finally {
+			leave();
+		}
 	}
 
 	/** Unique in the cluster, unlike the ids that callers choose. */
--- a/src/node/entry/gatekeeper.ts
+++ b/src/node/entry/gatekeeper.ts
@@ -115,7 +115,7 @@
 	/** Names other entry points, whose connection to the control VMs may work. */
 	unreachable(retryAfterMs?: number): ProblemError {
 		const {entryPoints} = this._services.entryPoints.answer(undefined, this._zone);
-		const options: ProblemOptions = {entryPoints, ...(retryAfterMs !== undefined && {retryAfterMs})};
+		const options: ProblemOptions = {run: 'not-run', entryPoints, ...(retryAfterMs !== undefined && {retryAfterMs})};
 		return new ProblemError('control-unreachable', options);
 	}
 
--- a/src/node/entry/model-path.ts
+++ b/src/node/entry/model-path.ts
@@ -219,6 +219,15 @@
 			return;
 		}
 
+		// The view may have become too old while the request waited for its placement.
+		if (reply.kind === 'placed' && !this._services.access.isFresh()) {
+			this._services.scheduler.progress({
+				phase: 'ended', reservation: reply.placement.reservation, outputTokens: 0, reason: 'cancelled',
+			});
+			exchange.stop('stale-view');
+			return;
+		}
+
 		this._report(signal, {type: 'request/placed', reply});
 	}
 
@@ -238,7 +247,7 @@
 		try {
 			const reply = await this._engine(upstream).prefill({
 				requestId: attemptId, owner: this._options.identity, model: service.model, prompt: chat.prompt, priority: profile.priority,
-			}, {timeoutMs, signal});
+			}, {timeoutMs, signal, headers: this._traceHeaders});
 			this._count('prefill_tokens_total', reply.promptTokens - reply.cachedTokens);
 			this._report(signal, {type: 'request/prefilled', reply});
 		} catch (err) {
@@ -253,7 +262,7 @@
 			const source = this._engine(effect.source).address;
 			await this._engine(effect.upstream).importCache({
 				requestId: effect.attemptId, owner: this._options.identity, source, handle: effect.handle,
-			}, {timeoutMs: Math.max(heldMs * transferShare, minTransferTimeoutMs), signal});
+			}, {timeoutMs: Math.max(heldMs * transferShare, minTransferTimeoutMs), signal, headers: this._traceHeaders});
 			this._report(signal, {type: 'request/imported'});
 		} catch (err) {
 			this._report(signal, {type: 'request/import-failed', failure: failureOf(err)});
@@ -277,7 +286,7 @@
 		try {
 			const events = this._engine(effect.upstream).decode({
 				requestId: effect.attemptId, owner: this._options.identity, maxTokens: this._request.maxTokens, after: effect.after,
-			}, signal, effect.isResume);
+			}, {signal, isNewConnection: effect.isResume, headers: this._traceHeaders});
 			for await (const event of events) {
 				this._report(signal, {type: 'request/decode-event', event});
 				await this._writing;
@@ -331,6 +340,11 @@
 		this._request.sink.refuse(document);
 	}
 
+	private get _traceHeaders(): string[] {
+		const {requestId, traceparent} = this._request.exchange.ids;
+		return ['x-request-id', requestId, 'traceparent', traceparent];
+	}
+
 	private get _labels() {
 		return {service: this._request.serviceName};
 	}
--- a/src/node/entry/plain-path.ts
+++ b/src/node/entry/plain-path.ts
@@ -183,8 +183,12 @@
 		} catch (err) {
 			attempt.release();
 			if (!abort.signal.aborted) {
-				this._upstreams.record(upstream.adapter.name, false);
-				this._dispatch({type: 'plain/attempt-failed', attempt: number, failure: failureOf(err)});
+				const failure = failureOf(err);
+				if (failure.kind !== 'error') {
+					this._upstreams.record(upstream.adapter.name, false);
+				}
+
+				this._dispatch({type: 'plain/attempt-failed', attempt: number, failure});
 			}
 		}
 	}
--- a/src/node/entry/problems.ts
+++ b/src/node/entry/problems.ts
@@ -41,7 +41,7 @@
 	internal: row(500, 'The request failed for an unexpected reason', 'no', 'unknown'),
 	'engine-failed': row(502, 'An engine failed', 'yes', 'varies'),
 	'upstream-failed': row(502, 'The service failed', 'if-not-run', 'varies'),
-	'control-unreachable': row(503, 'The shared state cannot be confirmed at the moment', 'yes'),
+	'control-unreachable': row(503, 'The shared state cannot be confirmed at the moment', 'yes', 'varies'),
 	overloaded: row(503, 'The service has no room for the request', 'yes', 'varies'),
 	deadline: row(503, 'The request could not start in time', 'yes', 'varies'),
 	'no-upstream': row(503, 'The service has no working upstream', 'if-not-run', 'varies'),
--- a/src/node/upstreams/call-error.ts
+++ b/src/node/upstreams/call-error.ts
@@ -1,3 +1,4 @@
+import {errors} from 'undici';
 import type {CallFailure} from '../../common/requests/types.js';
 
 /** A failed call to an upstream. */
@@ -12,6 +13,11 @@
 			return new CallError('timeout', maySent, 'no answer in time');
 		}
 
+		// The message itself is at fault, not the upstream.
+		if (err instanceof errors.InvalidArgumentError) {
+			return new CallError('error', maySent, message);
+		}
+
 		return new CallError(maySent ? 'broken' : 'unreachable', maySent, message);
 	}
 
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -23,18 +23,46 @@
 const maxCancelRetryMs = 1000;
 /** A call given up on one connection can reach the engine after a cancel on another; the cancel is repeated behind it. */
 const confirmCancelMs = 300;
+/** How often an engine is asked about a prefill that has not ended; with the bound on the question, a loss is found within 2 s. */
+const watchEveryMs = 1000;
+const watchTimeoutMs = 800;
+const jsonType = ['content-type', 'application/json'];
 /** Largest JSON answer of an engine, in bytes. */
 const maxReplyBytes = 4_194_304;
 
 export type CallOptions = {
 	readonly timeoutMs: number;
 	readonly signal?: AbortSignal;
+	/** Trace headers, names and values in turn. */
+	readonly headers?: readonly string[];
+	readonly isNewConnection?: boolean;
+};
+
+export type StreamOptions = {
+	readonly signal: AbortSignal;
+	readonly isNewConnection: boolean;
+	readonly headers?: readonly string[];
 };
 
 /** Client of one engine, as `src/common/upstreams/engine-api.ts` describes it. Every call rejects with `CallError`. */
 export class EngineAdapter extends UpstreamAdapter {
+	/**
+	A prefill takes long and sends nothing meanwhile. To tell a long prefill from a silent connection, the engine is asked on
+	a new connection whether it holds the request; if it does not, the call has failed.
+	*/
 	async prefill(req: PrefillRequest, options: CallOptions): Promise<PrefillReply> {
-		return this._json('/v1/prefill', prefillReplySchema, options, req);
+		const lost = new AbortController();
+		const watch = setInterval(async () => {
+			if (!await this._holds(req.requestId)) {
+				lost.abort();
+			}
+		}, watchEveryMs);
+		const signal = options.signal ? AbortSignal.any([options.signal, lost.signal]) : lost.signal;
+		try {
+			return await this._json('/v1/prefill', prefillReplySchema, {...options, signal}, req);
+		} finally {
+			clearInterval(watch);
+		}
 	}
 
 	/** Makes this engine pull the KV cache from the engine that made it. */
@@ -43,9 +71,15 @@
 	}
 
 	/** Yields the numbered events; the stream may end without an end marker, which the consumer has to check. */
-	async * decode(req: DecodeRequest, signal: AbortSignal, isNewConnection: boolean): AsyncGenerator<DecodeEvent, void, void> {
+	async * decode(req: DecodeRequest, options: StreamOptions): AsyncGenerator<DecodeEvent, void, void> {
 		const answer = await this._pool.call({
-			method: 'POST', path: '/v1/decode', headers: ['content-type', 'application/json'], body: JSON.stringify(req), headersTimeoutMs: streamOpenMs, signal, isNewConnection,
+			method: 'POST',
+			path: '/v1/decode',
+			headers: [...jsonType, ...options.headers ?? []],
+			body: JSON.stringify(req),
+			headersTimeoutMs: streamOpenMs,
+			signal: options.signal,
+			isNewConnection: options.isNewConnection,
 		});
 		await throwUnlessOk(answer);
 		for await (const data of readEventStream(answer.body, streamSilenceMs)) {
@@ -136,11 +170,23 @@
 		}
 	}
 
-	private async _send(path: string, {timeoutMs, signal}: CallOptions, req?: unknown): Promise<Answer> {
+	/** Whether the engine knows the request; an engine that does not answer counts as not knowing it. */
+	private async _holds(requestId: string): Promise<boolean> {
+		try {
+			const {requests} = await this.requests({timeoutMs: watchTimeoutMs, isNewConnection: true});
+			return requests.some(request => request.requestId === requestId);
+		} catch {
+			return false;
+		}
+	}
+
+	private async _send(path: string, options: CallOptions, req?: unknown): Promise<Answer> {
+		const {timeoutMs, signal, headers = [], isNewConnection = false} = options;
 		return this._pool.call({
 			method: req === undefined ? 'GET' : 'POST',
 			path,
-			headers: req === undefined ? [] : ['content-type', 'application/json'],
+			headers: req === undefined ? [...headers] : [...jsonType, ...headers],
+			isNewConnection,
 			headersTimeoutMs: timeoutMs,
 			...(req !== undefined && {body: JSON.stringify(req)}),
 			...(signal && {signal}),
