--- /dev/null
+++ b/src/node/entry/caller-listener.test.ts
@@ -0,0 +1,166 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	bearer, chatInit, startHarness, until,
+} from './testing/harness.js';
+import {RawClient} from './testing/raw-client.js';
+
+const post = 'POST /s/desk/entries HTTP/1.1';
+const host = 'Host: entry';
+const key = 'Authorization: Bearer key-a';
+
+/** Messages whose end two parsers could see in different places, and messages that are too large. */
+const hostile: Readonly<Record<string, {lines: string[]; status: string; code: string}>> = {
+	'two lengths': {lines: [post, host, key, 'Content-Length: 5', 'Content-Length: 6', '', 'hello!'], status: '400', code: 'malformed-request'},
+	'equal lengths twice': {lines: [post, host, key, 'Content-Length: 5', 'Content-Length: 5', '', 'hello'], status: '400', code: 'malformed-request'},
+	'a length and a transfer encoding': {lines: [post, host, key, 'Content-Length: 5', 'Transfer-Encoding: chunked', '', '0', '', ''], status: '400', code: 'malformed-request'},
+	'an unknown transfer encoding': {lines: [post, host, key, 'Transfer-Encoding: chunked, x', '', '0', '', ''], status: '400', code: 'malformed-request'},
+	'a length that is no number': {lines: [post, host, key, 'Content-Length: 0x5', '', 'hello'], status: '400', code: 'malformed-request'},
+	'a folded header': {lines: [post, host, key, 'X-A: 1', ' Content-Length: 5', 'Content-Length : 5', '', 'hello'], status: '400', code: 'malformed-request'},
+	'too large headers': {lines: [post, host, key, `X-A: ${'a'.repeat(17_000)}`, '', ''], status: '431', code: 'headers-too-large'},
+};
+
+for (const [name, {lines, status, code}] of Object.entries(hostile)) {
+	test(`a message with ${name} is refused with its connection and reaches no upstream`, async t => {
+		const {address, desks} = await startHarness(t, {
+			desks: [(_req, res) => {
+				res.end();
+			}],
+		});
+		const client = await RawClient.connect(address);
+		client.send(...lines);
+		client.send('GET /healthz HTTP/1.1', host, '', '');
+		await until(() => client.isClosed);
+		assert.deepEqual(client.statuses, [status]);
+		assert.match(client.received, new RegExp(`"code":"${code}","run":"not-run"`));
+		assert.equal(desks[0]!.requests.length, 0);
+	});
+}
+
+test('headers and bodies that arrive too slowly end with their own codes', async t => {
+	const {address, entry} = await startHarness(t, {
+		limits: {headersTimeoutMs: 100, bodyTimeoutMs: 100}, desks: [(_req, res) => {
+			res.end();
+		}],
+	});
+	const slowHeaders = await RawClient.connect(address);
+	slowHeaders.send(post, host, 'X-A: ');
+	const slowBody = await RawClient.connect(address);
+	slowBody.send(post, host, key, 'Content-Length: 5', '', 'hel');
+	await until(() => slowHeaders.isClosed && slowBody.isClosed);
+	assert.match(slowHeaders.received, /408[^]*"code":"headers-timeout"/);
+	assert.match(slowBody.received, /408[^]*"code":"body-timeout"/);
+	assert.equal(entry.running, 0);
+});
+
+test('a body over the limit is refused before it has arrived, with a declared length or in chunks', async t => {
+	const {address, desks, services} = await startHarness(t, {
+		profile: {bodyLimit: '1KiB'}, desks: [(_req, res) => {
+			res.end();
+		}],
+	});
+	const declared = await RawClient.connect(address);
+	declared.send(post, host, key, 'Content-Length: 1000000000', '', 'x');
+	const chunked = await RawClient.connect(address);
+	chunked.send(post, host, key, 'Transfer-Encoding: chunked', '', '800', 'y'.repeat(2048), '');
+	for (const client of [declared, chunked]) {
+		await until(() => client.isClosed);
+		assert.match(client.received, /413[^]*"code":"body-too-large","run":"not-run"/);
+	}
+
+	assert.equal(desks[0]!.requests.length, 0);
+	assert.equal(services.access.settlements.length, 0, 'no allowance was taken');
+});
+
+test('malformed JSON and invalid fields are refused with the field\'s name', async t => {
+	const {url} = await startHarness(t);
+	const cases: Array<[string, string, RegExp]> = [
+		['{"model": ', 'malformed-json', /JSON/],
+		['{"model": "briefs", "messages": [], "model": "briefs"}', 'invalid-request', /messages/],
+		['{"model": "briefs", "messages": [{"role": "user", "content": 7}]}', 'invalid-request', /messages\.0\.content/],
+		['{"model": "briefs", "messages": [{"role": "user", "content": "x"}], "n": 2}', 'invalid-request', /only one choice/],
+		['{"model": "__proto__", "messages": [{"role": "user", "content": "x"}]}', 'unknown-service', /__proto__/],
+	];
+	for (const [body, code, detail] of cases) {
+		const res = await fetch(`${url}/v1/chat/completions`, {...chatInit(), body});
+		const document = await res.json() as {code: string; detail: string; run: string};
+		assert.deepEqual([document.code, document.run], [code, 'not-run']);
+		assert.match(document.detail, detail);
+		assert.equal(res.headers.get('content-type'), 'application/problem+json');
+	}
+});
+
+test('pipelined requests are answered in their order, each once', async t => {
+	const {address} = await startHarness(t, {
+		desks: [(req, res) => {
+			setTimeout(() => {
+				res.end(`<${req.url}>`);
+			}, req.url === '/lookup/1' ? 50 : 0);
+		}],
+	});
+	const client = await RawClient.connect(address);
+	client.send('GET /s/desk/lookup/1 HTTP/1.1', host, key, '', 'GET /s/desk/lookup/2 HTTP/1.1', host, key, '', '');
+	await until(() => client.received.includes('</lookup/2>'));
+	assert.ok(client.received.indexOf('</lookup/1>') < client.received.indexOf('</lookup/2>'));
+	assert.deepEqual(client.statuses, ['200', '200']);
+});
+
+test('an idle connection ends when the key it used is withdrawn, and no other', async t => {
+	const {address, services} = await startHarness(t, {
+		desks: [(_req, res) => {
+			res.end();
+		}],
+	});
+	const clients = await Promise.all(['key-a', 'key-b'].map(async name => {
+		const client = await RawClient.connect(address);
+		client.send('GET /s/desk/lookup HTTP/1.1', host, `Authorization: Bearer ${name}`, '', '');
+		await until(() => client.statuses.length === 1);
+		return client;
+	}));
+	await services.access.withdraw('key-a');
+	await until(() => clients[0]!.isClosed);
+	clients[1]!.send('GET /s/desk/lookup HTTP/1.1', host, 'Authorization: Bearer key-b', '', '');
+	await until(() => clients[1]!.statuses.length === 2);
+});
+
+test('a drain ends no request and serves new ones until the last answer with its address has expired', async t => {
+	let release!: () => void;
+	const held = new Promise<void>(resolve => {
+		release = resolve;
+	});
+	const {url, address, entry, services} = await startHarness(t, {
+		limits: {keepAliveMs: 10, drainSpreadMs: 50}, desks: [async (req, res) => {
+			if (req.url === '/lookup/held') {
+				await held;
+			}
+
+			res.end('done');
+		}],
+	});
+	services.entryPoints.validForMs = 1500;
+	const running = fetch(`${url}/s/desk/lookup/held`, {headers: bearer});
+	await until(() => entry.running === 1);
+	await fetch(`${url}/v1/entry-points`);
+	entry.beginDrain();
+	let isDrained = false;
+	const drained = (async () => {
+		await entry.drained();
+		isDrained = true;
+	})();
+	const client = await RawClient.connect(address);
+	client.send('GET /s/desk/lookup HTTP/1.1', host, key, '', '');
+	await until(() => client.isClosed);
+	assert.match(client.received, /200 ok[^]*connection: close[^]*done/i);
+	await assert.rejects(async () => {
+		for (;;) {
+			const probe = await RawClient.connect(address);
+			probe.socket.destroy();
+		}
+	}, /ECONNREFUSED|ECONNRESET/);
+
+	assert.ok(!isDrained, 'a request still runs');
+	release();
+	const res = await running;
+	assert.equal(await res.text(), 'done');
+	await drained;
+});
--- /dev/null
+++ b/src/node/entry/model-path.test.ts
@@ -0,0 +1,274 @@
+import assert from 'node:assert/strict';
+import type {ServerResponse} from 'node:http';
+import {test} from 'node:test';
+import {
+	bearer, chatInit, eventsOf, startHarness, textOf, until,
+} from './testing/harness.js';
+import type {EngineScript} from './testing/upstreams.js';
+import {endLine, eventLine, json} from './testing/upstreams.js';
+
+const words = ['one ', 'two ', 'three ', 'four'];
+const text = words.join('');
+
+type DecodeHook = NonNullable<EngineScript['on']['decode']>;
+type Engine = {readonly script: EngineScript};
+
+/** Lets the first stream of an engine misbehave; later ones are as usual. */
+function onFirstStream(engine: Engine, misbehave: (res: ServerResponse, requestId: string) => void): number[] {
+	const afters: number[] = [];
+	engine.script.words = words;
+	const hook: DecodeHook = (res, {requestId, after}) => {
+		afters.push(after);
+		if (afters.length > 1) {
+			return false;
+		}
+
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		misbehave(res, requestId);
+		return true;
+	};
+
+	engine.script.on.decode = hook;
+	return afters;
+}
+
+function write(res: ServerResponse, ...lines: string[]): void {
+	res.write(lines.join(''));
+}
+
+const faults: Readonly<Record<string, (res: ServerResponse, id: string) => void>> = {
+	'breaks off'(res, id) {
+		res.write(eventLine(id, 1, words[0]!) + eventLine(id, 2, words[1]!), () => res.destroy());
+	},
+	'ends without an end marker'(res, id) {
+		res.end(eventLine(id, 1, words[0]!) + eventLine(id, 2, words[1]!));
+	},
+	'falls silent'(res, id) {
+		write(res, eventLine(id, 1, words[0]!), eventLine(id, 2, words[1]!));
+	},
+	'loses an event'(res, id) {
+		write(res, eventLine(id, 1, words[0]!), eventLine(id, 2, words[1]!), eventLine(id, 4, words[3]!), endLine(id, 5));
+	},
+	'mixes in another request'(res, id) {
+		write(res, eventLine(id, 1, words[0]!), eventLine(id, 2, words[1]!), eventLine('entry-1-7-99.1', 3, 'WRONG'), endLine(id, 5));
+	},
+	'repeats events'(res, id) {
+		write(res, eventLine(id, 1, words[0]!), eventLine(id, 1, words[0]!), eventLine(id, 2, words[1]!));
+		res.destroy();
+	},
+	'sends what is not an event'(res, id) {
+		write(res, eventLine(id, 1, words[0]!), eventLine(id, 2, words[1]!), 'data: {"n": "x"}\n\n');
+	},
+};
+
+for (const [fault, misbehave] of Object.entries(faults)) {
+	test(`the caller gets the whole answer once when a stream ${fault}`, async t => {
+		const {url, decode1} = await startHarness(t);
+		const afters = onFirstStream(decode1, misbehave);
+		const res = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}));
+		const body = await res.text();
+		assert.equal(textOf(body), text);
+		assert.equal(eventsOf(body).at(-1), '[DONE]');
+		assert.ok(afters[1] === 2 || fault === 'repeats events', 'resumed behind the last event');
+		const ports = new Set(decode1.server.requests.filter(({url}) => url === '/v1/decode').map(({port}) => port));
+		assert.equal(ports.size, 2, 'resumed on a new connection');
+	});
+}
+
+test('a stream that cannot be resumed ends with an error and without the end marker', async t => {
+	const {url, decode1} = await startHarness(t);
+	const afters = onFirstStream(decode1, faults['breaks off']!);
+	const first = decode1.script.on.decode!;
+	decode1.script.on.decode = async (res, call) => {
+		if (afters.length === 0) {
+			return first(res, call);
+		}
+
+		json(res, 404, {code: 'unknown-request'});
+		return true;
+	};
+
+	const res = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}));
+	const body = await res.text();
+	assert.equal(textOf(body), 'one two ');
+	assert.match(eventsOf(body).at(-1)!, /"code":"engine-failed","run":"unknown"/);
+});
+
+test('a failed transfer goes to another decode engine without a second prefill', async t => {
+	const {
+		url, prefill, decode1, decode2, services,
+	} = await startHarness(t);
+	decode1.script.on.import = res => {
+		json(res, 500, {code: 'link-failed'});
+		return true;
+	};
+
+	const res = await fetch(`${url}/v1/chat/completions`, chatInit());
+	assert.equal(res.status, 200);
+	assert.equal(prefill.server.requests.filter(({url}) => url === '/v1/prefill').length, 1);
+	assert.equal(decode2.server.requests.filter(({url}) => url === '/v1/decode').length, 1);
+	await until(() => decode1.held.size === 0 && prefill.held.size === 0);
+	assert.deepEqual(services.scheduler.progresses.map(({phase}) => phase), ['prefilled', 'transferred', 'first-token', 'ended']);
+});
+
+test('a stalled transfer is given up while the prefill result still lives', async t => {
+	const {url, prefill, decode1} = await startHarness(t);
+	decode1.script.on.import = () => true;
+	const res = await fetch(`${url}/v1/chat/completions`, chatInit());
+	assert.equal(res.status, 200);
+	assert.equal(prefill.server.requests.filter(({url}) => url === '/v1/prefill').length, 1);
+	await until(() => decode1.held.size === 0);
+});
+
+test('an expired prefill result is recomputed once', async t => {
+	const {url, prefill, decode1, services} = await startHarness(t);
+	let imports = 0;
+	decode1.script.on.import = res => {
+		imports++;
+		if (imports > 1) {
+			return false;
+		}
+
+		json(res, 410, {code: 'expired'});
+		return true;
+	};
+
+	const res = await fetch(`${url}/v1/chat/completions`, chatInit());
+	assert.equal(res.status, 200);
+	assert.equal(services.metrics.counts.get('prefill_tokens_wasted_total'), 4);
+	await until(() => prefill.cancelled.length === 2 && prefill.held.size === 0);
+});
+
+test('a prefill whose connection fell silent is found lost and repeated', async t => {
+	const {url, prefill} = await startHarness(t);
+	let prefills = 0;
+	prefill.script.on.prefill = () => {
+		prefills++;
+		return prefills === 1;
+	};
+
+	// The engine double knows no list of requests, like an engine that never got the call.
+	const res = await fetch(`${url}/v1/chat/completions`, chatInit());
+	assert.equal(res.status, 200);
+	assert.equal(prefills, 2);
+});
+
+const phases: Readonly<Record<string, (harness: Awaited<ReturnType<typeof startHarness>>, reached: () => void) => void>> = {
+	placement({services}, reached) {
+		services.scheduler.gate = new Promise(() => {
+			// Never placed.
+		});
+		reached();
+	},
+	prefill({prefill}, reached) {
+		prefill.script.on.prefill = () => {
+			reached();
+			return true;
+		};
+	},
+	transfer({decode1}, reached) {
+		decode1.script.on.import = () => {
+			reached();
+			return true;
+		};
+	},
+	decoding({decode1}, reached) {
+		decode1.script.on.decode = (res, {requestId}) => {
+			res.writeHead(200, {'content-type': 'text/event-stream'});
+			res.write(eventLine(requestId, 1, 'one'), reached);
+			return true;
+		};
+	},
+};
+
+for (const [phase, hold] of Object.entries(phases)) {
+	test(`no engine holds memory for a caller that left during ${phase}`, async t => {
+		const harness = await startHarness(t);
+		const abort = new AbortController();
+		const reached = new Promise<void>(resolve => {
+			hold(harness, resolve);
+		});
+		// The first cancel of each engine gets no acknowledgement and has to be repeated.
+		for (const engine of [harness.prefill, harness.decode1]) {
+			let cancels = 0;
+			engine.script.on.cancel = res => {
+				cancels++;
+				if (cancels > 1) {
+					return false;
+				}
+
+				res.destroy();
+				return true;
+			};
+		}
+
+		const answer = fetch(`${harness.url}/v1/chat/completions`, {...chatInit({stream: true}), signal: abort.signal});
+		await reached;
+		await until(() => harness.services.scheduler.places.length === 1);
+		abort.abort();
+		await assert.rejects(async () => {
+			const res = await answer;
+			await res.text();
+		});
+		await until(() => harness.entry.running === 0 && harness.prefill.held.size === 0 && harness.decode1.held.size === 0);
+		if (phase !== 'placement') {
+			assert.deepEqual(harness.services.scheduler.progresses.at(-1)?.phase, 'ended');
+		}
+	});
+}
+
+test('a withdrawn key ends its stream, and frees the engines, but no other key\'s', async t => {
+	const harness = await startHarness(t);
+	const {url, services, decode1} = harness;
+	const reached = new Promise<void>(resolve => {
+		phases.decoding!(harness, resolve);
+	});
+	const stream = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}));
+	await reached;
+	const other = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}, {authorization: 'Bearer key-b'}));
+	await services.access.withdraw('key-a');
+	const streamed = await stream.text();
+	assert.match(eventsOf(streamed).at(-1)!, /key-withdrawn/);
+	await until(() => decode1.held.size === 1);
+	assert.equal(harness.entry.running, 1, 'the other key\'s stream goes on');
+	const refused = await fetch(`${url}/v1/chat/completions`, chatInit());
+	assert.equal(refused.status, 401);
+	await other.body!.cancel();
+	await until(() => decode1.held.size === 0);
+});
+
+test('callers that choose the same request id get their own answers', async t => {
+	const {url, decode1} = await startHarness(t);
+	decode1.script.on.decode = async (res, {requestId}) => {
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		res.end(eventLine(requestId, 1, requestId) + endLine(requestId, 2));
+		return true;
+	};
+
+	const headers = {...bearer, 'x-request-id': 'same'};
+	const answers = await Promise.all([1, 2, 3].map(async () => {
+		const res = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}, headers));
+		assert.equal(res.headers.get('x-request-id'), 'same');
+		const body = await res.text();
+		return textOf(body);
+	}));
+	assert.equal(new Set(answers).size, 3);
+});
+
+test('a caller that does not read is disconnected, and its engine is freed', async t => {
+	const {url, decode1, entry} = await startHarness(t, {limits: {slowReaderMs: 100}});
+	decode1.script.on.decode = async (res, {requestId}) => {
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		for (let n = 1; !res.destroyed; n++) {
+			res.write(eventLine(requestId, n, 'x'.repeat(10_000)));
+			await until(() => res.destroyed || !res.writableNeedDrain);
+		}
+
+		return true;
+	};
+
+	const res = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}));
+	assert.equal(res.status, 200);
+	await until(() => entry.running === 0 && decode1.held.size === 0);
+	await assert.rejects(async () => res.text());
+});
--- /dev/null
+++ b/src/node/entry/testing/raw-client.ts
@@ -0,0 +1,35 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+
+/** A caller that writes bytes as they are. */
+export class RawClient {
+	static async connect(address: string): Promise<RawClient> {
+		const [host, port] = address.split(':');
+		const socket = connect(Number(port), host);
+		await once(socket, 'connect');
+		return new RawClient(socket);
+	}
+
+	received = '';
+	isClosed = false;
+
+	private constructor(readonly socket: Socket) {
+		socket.on('data', (data: Uint8Array) => {
+			this.received += new TextDecoder().decode(data);
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			this.isClosed = true;
+		});
+	}
+
+	/** Status of each answer so far. */
+	get statuses(): string[] {
+		return [...this.received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(match => match[1]!);
+	}
+
+	send(...lines: string[]): void {
+		this.socket.write(lines.join('\r\n'));
+	}
+}
--- /dev/null
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {once} from 'node:events';
+import {text} from 'node:stream/consumers';
+import {test} from 'node:test';
+import {ManualClock} from '../../common/core/clock.js';
+import {TestServer} from '../entry/testing/upstreams.js';
+import {CallError} from './call-error.js';
+import type {Call} from './connection-pool.js';
+import {ConnectionPool, maxIdleMs} from './connection-pool.js';
+
+function call(fields: Partial<Call> = {}): Call {
+	return {
+		method: 'GET', path: '/', headers: [], headersTimeoutMs: 200, ...fields,
+	};
+}
+
+test('an idle connection is used again while it is young and replaced when it is older', async t => {
+	const server = await TestServer.start((_req, res) => {
+		res.end('ok');
+	});
+	const clock = new ManualClock();
+	const pool = new ConnectionPool(server.address, clock);
+	t.after(() => {
+		pool.destroy();
+		server.close();
+	});
+	const connections: number[] = [];
+	for (const idleMs of [0, maxIdleMs - 1, maxIdleMs]) {
+		clock.advance(idleMs);
+		const answer = await pool.call(call());
+		await text(answer.body);
+		connections.push(server.connections);
+	}
+
+	assert.deepEqual(connections, [1, 1, 2]);
+});
+
+test('a failure tells whether anything can have been sent', async t => {
+	const server = await TestServer.start((req, res) => {
+		if (req.url === '/broken') {
+			res.destroy();
+		}
+	});
+	const closed = createServer();
+	closed.listen(0, '127.0.0.1');
+	await once(closed, 'listening');
+	const {port} = closed.address() as AddressInfo;
+	closed.close();
+	const pools = [new ConnectionPool(server.address, new ManualClock()), new ConnectionPool(`127.0.0.1:${port}`, new ManualClock())];
+	t.after(() => {
+		for (const pool of pools) {
+			pool.destroy();
+		}
+
+		server.close();
+	});
+	const failure = async (pool: ConnectionPool, fields: Partial<Call>) => {
+		try {
+			await pool.call(call(fields));
+		} catch (err) {
+			return err instanceof CallError ? [err.kind, err.maySent] : err;
+		}
+
+		return 'answered';
+	};
+
+	assert.deepEqual(await failure(pools[1]!, {}), ['unreachable', false]);
+	assert.deepEqual(await failure(pools[0]!, {path: '/broken'}), ['broken', true]);
+	assert.deepEqual(await failure(pools[0]!, {path: '/silent', headersTimeoutMs: 50}), ['timeout', true]);
+	assert.deepEqual(await failure(pools[0]!, {signal: AbortSignal.abort()}), ['broken', false]);
+	assert.deepEqual(await failure(pools[0]!, {headers: ['bad name', 'x']}), ['error', false]);
+	assert.equal(pools[0]!.busy, 0);
+});
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -1,3 +1,4 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
 import {Client, DecoratorHandler} from 'undici';
 import type {Dispatcher} from 'undici';
@@ -31,7 +32,7 @@
 
 export type Answer = {
 	readonly status: number;
-	/** Names and values in turn, as received. */
+	/** Lower-case names and values in turn; a header of several lines has several names. */
 	readonly headers: readonly string[];
 	readonly body: Readable;
 };
@@ -50,6 +51,10 @@
 	return observer;
 }
 
+function flatten(headers: IncomingHttpHeaders): string[] {
+	return Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().flatMap(line => [name, line]));
+}
+
 /** Connections to one upstream, each used by one exchange at a time. Nothing is shared between upstreams. */
 export class ConnectionPool implements Disposable {
 	private readonly _idle: Connection[] = [];
@@ -85,13 +90,13 @@
 				progress.maySent = true;
 			})));
 			const {statusCode, headers, body} = await observed.request({
-				method: call.method, path: call.path, headers: call.headers, body: call.body, responseHeaders: 'raw',
+				method: call.method, path: call.path, headers: call.headers, body: call.body,
 			});
 			body.once('close', () => {
 				call.signal?.removeEventListener('abort', giveUp);
 				this._release(connection, body);
 			});
-			return {status: statusCode, headers: headers as unknown as string[], body};
+			return {status: statusCode, headers: flatten(headers), body};
 		} catch (err) {
 			call.signal?.removeEventListener('abort', giveUp);
 			giveUp();
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {z} from 'zod';
 import type {
 	CacheEventsReply, DecodeEvent, DecodeRequest, ImportRequest, LoadReply, OrderRequest, OrderState, PrefillReply, PrefillRequest, RequestList,
@@ -46,6 +47,8 @@
 
 /** Client of one engine, as `src/common/upstreams/engine-api.ts` describes it. Every call rejects with `CallError`. */
 export class EngineAdapter extends UpstreamAdapter {
+	private readonly _destroyed = new AbortController();
+
 	/**
 	A prefill takes long and sends nothing meanwhile. To tell a long prefill from a silent connection, the engine is asked on
 	a new connection whether it holds the request; if it does not, the call has failed.
@@ -97,7 +100,7 @@
 			return isAcknowledged;
 		}
 
-		await sleep(confirmCancelMs);
+		await this._pause(confirmCancelMs);
 		return this._cancelUntilAcknowledged(requestId);
 	}
 
@@ -132,14 +135,28 @@
 		}
 	}
 
+	/** Ends cancels under way, too. */
+	override destroy(): void {
+		this._destroyed.abort();
+		super.destroy();
+	}
+
+	private async _pause(durationMs: number): Promise<void> {
+		try {
+			await sleep(durationMs, undefined, {signal: this._destroyed.signal});
+		} catch {
+			// The adapter is being destroyed.
+		}
+	}
+
 	private async _cancelUntilAcknowledged(requestId: string): Promise<boolean> {
 		let delayMs = firstCancelRetryMs;
-		for (let spentMs = 0; spentMs < cancelBoundMs; spentMs += delayMs + cancelAttemptMs) {
+		for (let spentMs = 0; spentMs < cancelBoundMs && !this._destroyed.signal.aborted; spentMs += delayMs + cancelAttemptMs) {
 			if (await this._tryCancel(requestId, spentMs > 0)) {
 				return true;
 			}
 
-			await sleep(delayMs);
+			await this._pause(delayMs);
 			delayMs = Math.min(delayMs * 2, maxCancelRetryMs);
 		}
 
@@ -194,12 +211,6 @@
 	}
 }
 
-async function sleep(durationMs: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, durationMs);
-	});
-}
-
 function parseEvent(data: string): DecodeEvent {
 	try {
 		return decodeEventSchema.parse(JSON.parse(data));
