Bound what slow readers and uploads of withdrawn keys hold

Answers that were ended but not taken are cut after the slow-reader limit. Header values of upstreams keep their bytes; characters beyond Latin-1 made Node.js throw within a detached promise.

--- a/src/node/entry/answer-sink.ts
+++ b/src/node/entry/answer-sink.ts
@@ -48,9 +48,8 @@
 			return;
 		}
 
-		this._exchange.res.end(errorChunk(problem.body), () => {
-			this._exchange.cut();
-		});
+		this._exchange.closeAfterAnswer();
+		this._exchange.res.end(errorChunk(problem.body));
 	}
 
 	private _start(): void {
--- a/src/node/entry/body.ts
+++ b/src/node/entry/body.ts
@@ -61,6 +61,11 @@
 		};
 
 		req.on('data', onData).on('end', onEnd).on('close', onClose);
+		exchange.onStop(reason => {
+			if (reason === 'key-withdrawn') {
+				finish(new ProblemError('key-withdrawn', {run: 'not-run'}));
+			}
+		});
 	});
 	return Buffer.concat(chunks, length);
 }
--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -164,3 +164,27 @@
 	assert.equal(await res.text(), 'done');
 	await drained;
 });
+
+test('a caller that never reads the end of its answer does not hold memory', async t => {
+	const {address, entry} = await startHarness(t, {
+		limits: {slowReaderMs: 100}, profile: {bodyLimit: '1KiB'}, desks: [(_req, res) => {
+			res.end('x'.repeat(50_000_000));
+		}],
+	});
+	const client = await RawClient.connect(address);
+	client.socket.pause();
+	client.send('GET /s/desk/lookup HTTP/1.1', host, key, '', '');
+	await until(() => entry.running === 1);
+	await until(() => entry.running === 0);
+	client.socket.destroy();
+});
+
+test('a withdrawn key ends the upload of a body', async t => {
+	const {address, services, entry} = await startHarness(t, {desks: []});
+	const client = await RawClient.connect(address);
+	client.send(post, host, key, 'Content-Length: 5', '', 'hel');
+	await until(() => entry.running === 1);
+	await services.access.withdraw('key-a');
+	await until(() => client.isClosed);
+	assert.match(client.received, /"code":"key-withdrawn","run":"not-run"/);
+});
--- a/src/node/entry/entry-server.ts
+++ b/src/node/entry/entry-server.ts
@@ -57,6 +57,16 @@
 		return this._sessions.running;
 	}
 
+	/** What the process holds at the moment, for the operator's dump. */
+	state() {
+		return {
+			isDraining: this._drain !== undefined,
+			running: this._sessions.running,
+			bodyBytes: this._memory.used,
+			...this._upstreams.state(),
+		};
+	}
+
 	/** Resolves with the address, IP and port, on which it listens. */
 	async start(): Promise<string> {
 		return listen(this._server, this._options.host, this._options.port);
@@ -149,6 +159,7 @@
 			nowMs: this._services.clock.nowMs(), isClosing: this._drain !== undefined, slowReaderMs: this._limits.slowReaderMs,
 		});
 		this._sessions.begin(exchange);
+		this._services.metrics.gauge('requests_running', this._sessions.running);
 		try {
 			await handler(exchange);
 		} catch (err) {
@@ -157,6 +168,7 @@
 
 		await exchange.closed();
 		this._sessions.end(exchange);
+		this._services.metrics.gauge('requests_running', this._sessions.running);
 		this._count(exchange);
 	}
 
--- a/src/node/entry/exchange.ts
+++ b/src/node/entry/exchange.ts
@@ -142,13 +142,24 @@
 		});
 	}
 
-	/** Resolves when the answer has been passed on or its connection is gone. */
+	/** Resolves when the answer has been passed on or its connection is gone; a caller that takes nothing of it is disconnected. */
 	async closed(): Promise<void> {
+		let pending = this.res.writableLength;
+		const watch = setInterval(() => {
+			// A pipelined answer has no socket while the one before it is being written.
+			if (this.res.socket && this.res.writableLength >= pending) {
+				this.cut();
+			}
+
+			pending = this.res.writableLength;
+		}, this._slowReaderMs);
 		if (!this._isClosed) {
 			await new Promise<void>(resolve => {
 				this.res.once('close', resolve);
 			});
 		}
+
+		clearInterval(watch);
 	}
 
 	/** Ends the connection, so that the caller cannot take what it has for the whole answer. */
--- a/src/node/entry/plain-path.test.ts
+++ b/src/node/entry/plain-path.test.ts
@@ -237,16 +237,13 @@
 });
 
 test('a key withdrawn while its request waits for allowance never reaches an upstream', async t => {
-	const {url, services, desks, entry} = await startHarness(t, {desks: [ok]});
+	const {url, services, desks} = await startHarness(t, {desks: [ok]});
 	let grant!: (result: {ok: true}) => void;
 	services.access.nextAllowance = new Promise(resolve => {
 		grant = resolve;
 	});
 	const waiting = fetch(`${url}/s/desk/entries`, entryInit());
-	await until(() => entry.running === 1);
-	await new Promise(resolve => {
-		setTimeout(resolve, 50);
-	});
+	await until(() => services.access.acquisitions === 1);
 	await services.access.withdraw('key-a');
 	grant({ok: true});
 	const res = await answer(await waiting);
--- a/src/node/entry/plain-path.ts
+++ b/src/node/entry/plain-path.ts
@@ -176,8 +176,6 @@
 			});
 			attempt.answer = answer;
 			answer.body.once('close', attempt.release);
-			// An error behind the headers is reported by whoever reads the body.
-			answer.body.on('error', () => undefined);
 			this._upstreams.record(upstream.adapter.name, !unhealthyStatuses.has(answer.status));
 			this._dispatch({type: 'plain/answered', attempt: number, status: answer.status});
 		} catch (err) {
@@ -219,11 +217,11 @@
 		const {exchange} = this._request;
 		const answer = attempt.answer!;
 		this._relayed = answer;
-		if (!exchange.res.destroyed) {
-			exchange.writeHead(answer.status, returnedHeaders(answer.headers));
-		}
-
 		try {
+			if (!exchange.res.destroyed) {
+				exchange.writeHead(answer.status, returnedHeaders(answer.headers));
+			}
+
 			for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
 				this._record(chunk);
 				await exchange.write(chunk);
--- a/src/node/entry/testing/harness.ts
+++ b/src/node/entry/testing/harness.ts
@@ -1,3 +1,5 @@
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {TestContext} from 'node:test';
 import type {EntryLimits} from '../types.js';
 import {EntryServer} from '../entry-server.js';
@@ -67,11 +69,13 @@
 	}).join('');
 }
 
-/** Resolves when the condition holds; the test runner's own limit bounds the wait. */
+/** Looks at a condition this often before giving up; a bound on hanging tests, not a measure of speed. */
+const maxPolls = 2000;
+
+/** Resolves when the condition holds. */
 export async function until(condition: () => boolean): Promise<void> {
-	while (!condition()) {
-		await new Promise(resolve => {
-			setTimeout(resolve, 5);
-		});
+	for (let polls = 0; !condition(); polls++) {
+		assert.ok(polls < maxPolls, `never held: ${condition.toString()}`);
+		await sleep(5);
 	}
 }
--- a/src/node/entry/testing/services.ts
+++ b/src/node/entry/testing/services.ts
@@ -23,6 +23,7 @@
 	readonly keys = new Map<string, Identity>([['key-a', {tenant: 'tenant-a', keyId: 'id-a'}], ['key-b', {tenant: 'tenant-b', keyId: 'id-b'}]]);
 	readonly settlements: Array<{tenant: string; acquired: number; used: number}> = [];
 	isConfirmed = true;
+	acquisitions = 0;
 	nextAllowance: Promise<AllowanceResult> = Promise.resolve({ok: true});
 	private _view: View | undefined;
 
@@ -39,6 +40,7 @@
 	}
 
 	override async acquire(): Promise<AllowanceResult> {
+		this.acquisitions++;
 		return this.nextAllowance;
 	}
 
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
 import {Client, DecoratorHandler} from 'undici';
@@ -51,8 +52,9 @@
 	return observer;
 }
 
+/** Undici decodes header values as UTF-8; Node.js sends one byte a character, which restores the bytes as they were received. */
 function flatten(headers: IncomingHttpHeaders): string[] {
-	return Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().flatMap(line => [name, line]));
+	return Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().flatMap(line => [name, Buffer.from(line, 'utf8').toString('latin1')]));
 }
 
 /** Connections to one upstream, each used by one exchange at a time. Nothing is shared between upstreams. */
@@ -92,6 +94,8 @@
 			const {statusCode, headers, body} = await observed.request({
 				method: call.method, path: call.path, headers: call.headers, body: call.body,
 			});
+			// Whoever reads the body sees its errors; a body that is discarded needs a listener all the same.
+			body.on('error', () => undefined);
 			body.once('close', () => {
 				call.signal?.removeEventListener('abort', giveUp);
 				this._release(connection, body);
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -165,6 +165,16 @@
 		})();
 	}
 
+	/** In-flight and waiting requests by service and by plain upstream, for the operator's dump. */
+	state() {
+		return {
+			pendingCancels: this._cancels.size,
+			services: [...this._services].map(([name, {concurrency}]) => ({name, inFlight: concurrency.inFlight, waiting: concurrency.waiting})),
+			plainUpstreams: [...this._plain].map(([name, {concurrency, ejection}]) => ({name, inFlight: concurrency.inFlight, isEjected: ejection.isEjected})),
+			engines: [...this._engines].map(([name, {busy}]) => ({name, busy})),
+		};
+	}
+
 	/** Resolves when no cancel is under way. */
 	async settled(): Promise<void> {
 		while (this._cancels.size > 0) {
