Eject plain upstreams whose requests are overdue

A deadline ended the attempt before its own timeout could count it, so a server that stalls requests that are not idempotent was never ejected.

--- a/src/node/entry/model-path.test.ts
+++ b/src/node/entry/model-path.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import type {ServerResponse} from 'node:http';
 import {test} from 'node:test';
+import {SeededRandom} from '../../common/core/random.js';
 import {
 	bearer, chatInit, eventsOf, startHarness, textOf, until,
 } from './testing/harness.js';
@@ -272,3 +273,53 @@
 	await until(() => entry.running === 0 && decode1.held.size === 0);
 	await assert.rejects(async () => res.text());
 });
+
+test('many concurrent streams with random faults each bring their own whole answer and leave no memory held', async t => {
+	const {url, prefill, decode1, services} = await startHarness(t);
+	const random = new SeededRandom(5);
+	decode1.script.on.decode = (res, {requestId, after}) => {
+		const own = Array.from({length: 20}, (_, i) => eventLine(requestId, i + 1, `${requestId}/${i} `));
+		const lines = [...own, endLine(requestId, 21)].slice(Math.max(0, after - 1));
+		const fault = random.integer(0, 5);
+		const at = random.integer(1, lines.length + 1);
+		res.writeHead(200, {'content-type': 'text/event-stream'});
+		switch (fault) {
+			case 0: {
+				res.write(lines.slice(0, at).join(''), () => res.destroy());
+
+				break;
+			}
+
+			case 1: {
+				res.end([...lines.slice(0, at), ...lines.slice(at + 1)].join(''));
+
+				break;
+			}
+
+			case 2: {
+				res.end([...lines.slice(0, at), eventLine('entry-1-7-1.9', after + at, 'WRONG'), ...lines.slice(at)].join(''));
+
+				break;
+			}
+
+			default: {
+				res.end(lines.join(''));
+				decode1.held.delete(requestId);
+			}
+		}
+
+		return true;
+	};
+
+	await Promise.all(Array.from({length: 100}, async () => {
+		const res = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}));
+		const body = await res.text();
+		const pieces = textOf(body).trim().split(' ');
+		const own = pieces[0]!.split('/')[0]!;
+		assert.deepEqual(pieces.slice(0, 20), Array.from({length: pieces.length}, (_, i) => `${own}/${i}`));
+		// A stream that brought nothing new three times in a row is given up, and says so.
+		assert.ok(eventsOf(body).at(-1) === '[DONE]' ? pieces.length === 20 : eventsOf(body).at(-1)!.includes('engine-failed'));
+	}));
+	assert.ok(services.metrics.counts.get('stream_resumptions_total')! > 20);
+	await until(() => prefill.held.size === 0);
+});
--- a/src/node/entry/plain-path.test.ts
+++ b/src/node/entry/plain-path.test.ts
@@ -147,6 +147,15 @@
 	}
 });
 
+test('a server that stalls is ejected even if no request to it may be retried', async t => {
+	const {url, desks} = await startHarness(t, {profile: {timeout: '40ms'}, desks: [stalling, ok]});
+	for (let i = 0; i < 30; i++) {
+		await fetch(`${url}/s/desk/entries`, entryInit());
+	}
+
+	assert.equal(runs([desks[0]!]), 3);
+});
+
 test('retries stay within the budget of the service', async t => {
 	const {url, desks} = await startHarness(t, {profile: {retryBudget: 0}, desks: [breaking, breaking]});
 	const res = await answer(await fetch(`${url}/s/desk/lookup`, {headers: bearer}));
--- a/src/node/entry/plain-path.ts
+++ b/src/node/entry/plain-path.ts
@@ -50,6 +50,7 @@
 	private readonly _recorded: Uint8Array[] = [];
 	private _recordedBytes = 0;
 	private _relayed: Answer | undefined;
+	private _isOverdue = false;
 	private _settling: Promise<void> = Promise.resolve();
 	private _finish!: () => void;
 
@@ -68,6 +69,7 @@
 		await new Promise<void>(resolve => {
 			this._finish = resolve;
 			timers.push(setTimeout(() => {
+				this._isOverdue = true;
 				this._dispatch({type: 'plain/stopped', reason: 'deadline'});
 			}, profile.timeout));
 			if (profile.hedgeAfter !== undefined && this._isLookup) {
@@ -197,15 +199,18 @@
 		return route.idempotent && number === 1 ? Math.min(remainingMs, profile.timeout * attemptShare) : remainingMs;
 	}
 
-	/** An attempt that loses against its hedge before any answer counts as failed, since a stalled server shows in no other way. */
+	/**
+	An attempt without an answer counts as failed when the request is overdue or when its hedge has won,
+	since a stalled server shows in no other way.
+	*/
 	private _abort(number: number): void {
 		const attempt = this._attempts.get(number);
 		if (!attempt) {
 			return;
 		}
 
-		const hasLost = this._state.phase === 'relaying' && attempt.answer === undefined && number === 1;
-		if (hasLost) {
+		const hasLost = this._state.phase === 'relaying' && number === 1;
+		if (attempt.answer === undefined && (hasLost || this._isOverdue)) {
 			this._upstreams.record(attempt.upstream.adapter.name, false);
 		}
 
--- /dev/null
+++ b/src/node/upstreams/engine-adapter.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../../common/core/clock.js';
+import {json, TestServer} from '../entry/testing/upstreams.js';
+import type {Handler} from '../entry/testing/upstreams.js';
+import {CallError} from './call-error.js';
+import {EngineAdapter} from './engine-adapter.js';
+
+const prefill = {
+	requestId: 'r', owner: {vm: 'v', incarnation: 1}, model: 'm', prompt: 'p', priority: 5,
+};
+const options = {timeoutMs: 100};
+
+async function failureOfPrefill(t: {after: (fn: () => void) => void}, handler: Handler) {
+	const server = await TestServer.start(handler);
+	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock());
+	t.after(() => {
+		engine.destroy();
+		server.close();
+	});
+	try {
+		await engine.prefill(prefill, options);
+	} catch (err) {
+		return err instanceof CallError ? err.failure : err;
+	}
+
+	return 'answered';
+}
+
+test('a refusal, a lost result, an answer that is no reply and a stalled answer are told apart', async t => {
+	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
+		json(res, 429, {code: 'full'});
+	}), {kind: 'full', maySent: true});
+	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
+		json(res, 410, {code: 'expired'});
+	}), {kind: 'gone', maySent: true});
+	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
+		json(res, 503, {});
+	}), {kind: 'error', maySent: true});
+	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
+		json(res, 200, {handle: 7});
+	}), {kind: 'broken', maySent: true});
+	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
+		res.writeHead(200).write('{');
+	}), {kind: 'timeout', maySent: true});
+	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
+		res.end('x'.repeat(5_000_000));
+	}), {kind: 'broken', maySent: true}, 'the memory for an answer is bounded');
+});
+
+test('load, cache events and orders follow the engine API', async t => {
+	const load = {
+		ageMs: 1, queuedPrefillTokens: 2, activeDecodes: 3, slots: 4, freeBlocks: 5, totalBlocks: 6, leaving: false,
+	};
+	const server = await TestServer.start((req, res) => {
+		json(res, 200, req.url === '/v1/load' ? load : {events: [{n: 8, kind: 'stored', hash: 'h'}], last: 9});
+	});
+	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock());
+	t.after(() => {
+		engine.destroy();
+		server.close();
+	});
+	assert.deepEqual(await engine.load(options), load);
+	assert.equal(await engine.probe(100), true);
+	const {events, last} = await engine.cacheEvents(7, options);
+	assert.deepEqual([events.length, last], [1, 9]);
+	await engine.submitOrder({orderId: 'o', fencing: 3, order: {kind: 'set-role', role: 'decode'}}, options);
+	assert.deepEqual(server.requests.slice(-2).map(({method, url}) => `${method} ${url}`), ['GET /v1/cache-events?after=7', 'POST /v1/orders']);
+});
