--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -140,7 +140,9 @@
 	services.entryPoints.validForMs = 1500;
 	const running = fetch(`${url}/s/desk/lookup/held`, {headers: bearer});
 	await until(() => entry.running === 1);
+	const answeredAtMs = services.clock.nowMs();
 	await fetch(`${url}/v1/entry-points`);
+	services.entryPoints.validForMs = 10;
 	entry.beginDrain();
 	let isDrained = false;
 	const drained = (async () => {
@@ -157,6 +159,7 @@
 			probe.socket.destroy();
 		}
 	}, /ECONNREFUSED|ECONNRESET/);
+	assert.ok(services.clock.nowMs() >= answeredAtMs + 1500, 'a caller may still hold an answer with this address');
 
 	assert.ok(!isDrained, 'a request still runs');
 	release();
--- a/src/node/entry/model-path.test.ts
+++ b/src/node/entry/model-path.test.ts
@@ -218,6 +218,39 @@
 	});
 }
 
+test('a prefill that reaches its engine behind the cancel is freed, too', async t => {
+	const {url, prefill} = await startHarness(t);
+	const abort = new AbortController();
+	prefill.script.on.prefill = async (_res, {requestId}) => {
+		prefill.held.delete(requestId);
+		abort.abort();
+		await until(() => prefill.cancelled.length === 1);
+		prefill.held.add(requestId);
+		return true;
+	};
+
+	await assert.rejects(fetch(`${url}/v1/chat/completions`, {...chatInit(), signal: abort.signal}));
+	await until(() => prefill.cancelled.length === 2);
+	assert.equal(prefill.held.size, 0);
+});
+
+test('a request placed after the view became too old does not run, and its reservation is given back', async t => {
+	const {url, services, prefill} = await startHarness(t);
+	let open!: () => void;
+	services.scheduler.gate = new Promise(resolve => {
+		open = resolve;
+	});
+	const waiting = fetch(`${url}/v1/chat/completions`, chatInit());
+	await until(() => services.scheduler.places.length === 1);
+	services.access.isConfirmed = false;
+	open();
+	const res = await waiting;
+	const document = await res.json() as {code: string; run: string};
+	assert.deepEqual([document.code, document.run], ['control-unreachable', 'not-run']);
+	assert.deepEqual(services.scheduler.progresses.map(({phase}) => phase), ['ended']);
+	assert.equal(prefill.server.requests.length, 0);
+});
+
 test('a withdrawn key ends its stream, and frees the engines, but no other key\'s', async t => {
 	const harness = await startHarness(t);
 	const {url, services, decode1} = harness;
--- a/src/node/entry/plain-path.test.ts
+++ b/src/node/entry/plain-path.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {bearer, startHarness, until} from './testing/harness.js';
 import {RawClient} from './testing/raw-client.js';
+import type {FakeAccess} from './testing/services.js';
 import type {Handler} from './testing/upstreams.js';
 
 const ok: Handler = (_req, res, body) => {
@@ -245,16 +246,27 @@
 	assert.equal(runs(desks), 0);
 });
 
-test('a key withdrawn while its request waits for allowance never reaches an upstream', async t => {
-	const {url, services, desks} = await startHarness(t, {desks: [ok]});
-	let grant!: (result: {ok: true}) => void;
-	services.access.nextAllowance = new Promise(resolve => {
-		grant = resolve;
+const waitEnders: Readonly<Record<string, (access: FakeAccess) => Promise<void> | void>> = {
+	async 'key-withdrawn'(access) {
+		await access.withdraw('key-a');
+	},
+	'control-unreachable'(access) {
+		access.isConfirmed = false;
+	},
+};
+
+for (const [code, end] of Object.entries(waitEnders)) {
+	test(`a request that becomes ${code} while it waits for allowance never reaches an upstream`, async t => {
+		const {url, services, desks} = await startHarness(t, {desks: [ok]});
+		let grant!: (result: {ok: true}) => void;
+		services.access.nextAllowance = new Promise(resolve => {
+			grant = resolve;
+		});
+		const waiting = fetch(`${url}/s/desk/entries`, entryInit());
+		await until(() => services.access.acquisitions === 1);
+		await end(services.access);
+		grant({ok: true});
+		const res = await answer(await waiting);
+		assert.deepEqual([res.code, res.run, runs(desks)], [code, 'not-run', 0]);
 	});
-	const waiting = fetch(`${url}/s/desk/entries`, entryInit());
-	await until(() => services.access.acquisitions === 1);
-	await services.access.withdraw('key-a');
-	grant({ok: true});
-	const res = await answer(await waiting);
-	assert.deepEqual([res.code, res.run, runs(desks)], ['key-withdrawn', 'not-run', 0]);
-});
+}
