--- a/src/node/entry/plain-path.ts
+++ b/src/node/entry/plain-path.ts
@@ -50,6 +50,7 @@
 	private readonly _recorded: Uint8Array[] = [];
 	private _recordedBytes = 0;
 	private _relayed: Answer | undefined;
+	private _isOverdue = false;
 	private _settling: Promise<void> = Promise.resolve();
 	private _finish!: () => void;
 
@@ -68,6 +69,7 @@
 		await new Promise<void>(resolve => {
 			this._finish = resolve;
 			timers.push(setTimeout(() => {
+				this._isOverdue = true;
 				this._dispatch({type: 'plain/stopped', reason: 'deadline'});
 			}, profile.timeout));
 			if (profile.hedgeAfter !== undefined && this._isLookup) {
@@ -176,15 +178,17 @@
 			});
 			attempt.answer = answer;
 			answer.body.once('close', attempt.release);
-			// An error behind the headers is reported by whoever reads the body.
-			answer.body.on('error', () => undefined);
 			this._upstreams.record(upstream.adapter.name, !unhealthyStatuses.has(answer.status));
 			this._dispatch({type: 'plain/answered', attempt: number, status: answer.status});
 		} catch (err) {
 			attempt.release();
 			if (!abort.signal.aborted) {
-				this._upstreams.record(upstream.adapter.name, false);
-				this._dispatch({type: 'plain/attempt-failed', attempt: number, failure: failureOf(err)});
+				const failure = failureOf(err);
+				if (failure.kind !== 'error') {
+					this._upstreams.record(upstream.adapter.name, false);
+				}
+
+				this._dispatch({type: 'plain/attempt-failed', attempt: number, failure});
 			}
 		}
 	}
@@ -195,15 +199,18 @@
 		return route.idempotent && number === 1 ? Math.min(remainingMs, profile.timeout * attemptShare) : remainingMs;
 	}
 
-	/** An attempt that loses against its hedge before any answer counts as failed, since a stalled server shows in no other way. */
+	/**
+	An attempt without an answer counts as failed when the request is overdue or when its hedge has won,
+	since a stalled server shows in no other way.
+	*/
 	private _abort(number: number): void {
 		const attempt = this._attempts.get(number);
 		if (!attempt) {
 			return;
 		}
 
-		const hasLost = this._state.phase === 'relaying' && attempt.answer === undefined && number === 1;
-		if (hasLost) {
+		const hasLost = this._state.phase === 'relaying' && number === 1;
+		if (attempt.answer === undefined && (hasLost || this._isOverdue)) {
 			this._upstreams.record(attempt.upstream.adapter.name, false);
 		}
 
@@ -215,11 +222,11 @@
 		const {exchange} = this._request;
 		const answer = attempt.answer!;
 		this._relayed = answer;
-		if (!exchange.res.destroyed) {
-			exchange.writeHead(answer.status, returnedHeaders(answer.headers));
-		}
-
 		try {
+			if (!exchange.res.destroyed) {
+				exchange.writeHead(answer.status, returnedHeaders(answer.headers));
+			}
+
 			for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
 				this._record(chunk);
 				await exchange.write(chunk);
