--- a/src/node/scheduler/scheduler-host.ts
+++ b/src/node/scheduler/scheduler-host.ts
@@ -65,9 +65,9 @@
 		});
 	}
 
-	/** Names of the leases this process holds. */
+	/** Names of the leases under which this process places. */
 	get held(): string[] {
-		return [...this._hosts.values()].filter(({lease}) => lease.epoch !== undefined).map(({leaseName}) => leaseName);
+		return [...this._hosts.values()].filter(({runner}) => runner.state.epoch !== undefined).map(({leaseName}) => leaseName);
 	}
 
 	/** State of the shards held, for dumps. */
@@ -173,10 +173,15 @@
 		}
 
 		for (const [name, host] of this._hosts) {
-			void host.lease.step(this._mayAcquire(name, view));
+			void this._stepLease(host, this._mayAcquire(name, view));
 		}
 	}
 
+	private async _stepLease(host: ShardHost, mayAcquire: boolean): Promise<void> {
+		await host.lease.step(mayAcquire);
+		host.followLease();
+	}
+
 	/** A free lease goes to the process that ranks first for its name; the others wait in case that one does not apply. */
 	private _mayAcquire(name: string, view: View): boolean {
 		const {clock, self, directory} = this._options;
