Test the scheduler's mechanisms and check its books with random events

Promotion now compares a tenant with the waiting tenant served least: with a slack of one request the last tenant served was always within its share, so a flooding tenant's backlog was promoted over higher priorities.

--- a/src/common/scheduler/engine.ts
+++ b/src/common/scheduler/engine.ts
@@ -6,9 +6,9 @@
 /** Polls in a row that fail before an engine counts as unreachable. */
 const failedPollsToAvoid = 3;
 /** Weight of a pool-wide estimate in an engine's own, in prompt tokens, first tokens and output tokens. */
-const priorPromptTokens = 2000;
-const priorFirstTokens = 4;
-const priorOutputTokens = 200;
+const priorPromptTokens = 500;
+const priorFirstTokens = 2;
+const priorOutputTokens = 50;
 
 /** Speeds learned over the whole pool; what an engine without samples of its own is assumed to do. */
 export type PoolSpeeds = {
--- a/src/common/scheduler/fair-queue.ts
+++ b/src/common/scheduler/fair-queue.ts
@@ -28,6 +28,10 @@
 /** Band of promoted requests, ahead of every priority. */
 const promotedBand = -1;
 
+function isOld({req, arrivedMs}: QueuedRequest, nowMs: number): boolean {
+	return nowMs - arrivedMs >= req.maxWaitMs / 2;
+}
+
 /** Tokens that a request occupies the pool for. */
 export function costOf({promptTokens, maxTokens}: PlaceRequest): number {
 	return promptTokens + maxTokens;
@@ -68,10 +72,12 @@
 
 	/** The request to place next. */
 	peek(nowMs: number): QueuedRequest | undefined {
+		const fairShare = this._fairShare();
 		let best: Candidate | undefined;
 		for (const tenant of this._tenants.values()) {
 			for (const [priority, [item]] of tenant.bands) {
-				const candidate = {item: item!, tenant, band: this._isPromoted(item!, tenant, nowMs) ? promotedBand : priority};
+				const isPromoted = tenant.virtualTime <= fairShare && isOld(item!, nowMs);
+				const candidate = {item: item!, tenant, band: isPromoted ? promotedBand : priority};
 				best = best && !this._isBefore(candidate, best) ? best : candidate;
 			}
 		}
@@ -178,9 +184,14 @@
 		return tenant;
 	}
 
-	private _isPromoted({req, arrivedMs}: QueuedRequest, tenant: TenantQueue, nowMs: number): boolean {
-		const isOld = nowMs - arrivedMs >= req.maxWaitMs / 2;
-		return isOld && tenant.virtualTime <= this._virtualTime + (costOf(req) / tenant.weight);
+	/** Virtual time up to which a tenant is not ahead of its fair share: that of the waiting tenant served least, or of the last one served. */
+	private _fairShare(): number {
+		let least = Infinity;
+		for (const {length, virtualTime} of this._tenants.values()) {
+			least = length > 0 ? Math.min(least, virtualTime) : least;
+		}
+
+		return Math.max(least, this._virtualTime);
 	}
 
 	private _isBefore(a: Candidate, b: Candidate): boolean {
--- /dev/null
+++ b/src/common/scheduler/mechanisms.test.ts
@@ -0,0 +1,357 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	entry1, makeEngine, makeLoad, SchedulerHarness,
+} from './fixtures.js';
+import type {SchedulerOptions} from './scheduler.js';
+import type {EngineSpec, RunningReservation, SchedulerReply} from './types.js';
+
+/** One prefill engine and one decode engine with one slot, which is taken. */
+function makeBusy(options: Partial<SchedulerOptions> = {}, weights?: ReadonlyMap<string, number>) {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots: 1})], options, weights).lead();
+	let running = harness.placement(harness.place('first', {tenant: 'first'})).reservation;
+	return {
+		harness,
+		/** Ends the running request and tells which of the tokens gets the slot. */
+		next(tokens: readonly number[], outputTokens = 200): number | undefined {
+			const waiting = tokens.filter(token => harness.reply(token) === undefined);
+			harness.startDecode(running);
+			harness.end(running, outputTokens);
+			const placed = waiting.find(token => harness.reply(token)?.kind === 'placed');
+			running = placed === undefined ? running : harness.placement(placed).reservation;
+			return placed;
+		},
+	};
+}
+
+function code(reply: SchedulerReply | undefined): string | undefined {
+	return reply?.kind === 'refused' ? reply.code : reply?.kind;
+}
+
+const order = (busy: ReturnType<typeof makeBusy>, tokens: readonly number[]) => tokens.map(() => tokens.indexOf(busy.next(tokens)!));
+
+test('a lower priority number goes first', () => {
+	const busy = makeBusy();
+	assert.deepEqual(order(busy, [busy.harness.place('low', {priority: 6}), busy.harness.place('high', {priority: 1})]), [1, 0]);
+});
+
+test('a request that waited half of its bound goes ahead of higher priorities, so that it does not starve', () => {
+	const busy = makeBusy();
+	const low = busy.harness.place('low', {tenant: 'b', priority: 9, maxWaitMs: 4000});
+	busy.harness.advance(2000);
+	assert.equal(busy.next([low, busy.harness.place('high', {priority: 0})]), low);
+});
+
+test('the backlog of a tenant beyond its share is not promoted by waiting', () => {
+	const busy = makeBusy();
+	const flood = Array.from({length: 6}, (_, i) => busy.harness.place(`flood-${i}`, {tenant: 'flood', priority: 5, maxWaitMs: 3000}));
+	busy.next(flood);
+	busy.next(flood);
+	busy.harness.advance(1500);
+	const other = busy.harness.place('other', {tenant: 'other', priority: 3});
+	assert.equal(busy.next([...flood, other]), other);
+});
+
+test('tenants share by weight, and unused output is given back', () => {
+	const weighted = makeBusy({}, new Map([['heavy', 3]]));
+	const heavy = ['h1', 'h2', 'h3', 'h4'].map(id => weighted.harness.place(id, {tenant: 'heavy'}));
+	const light = ['l1', 'l2', 'l3', 'l4'].map(id => weighted.harness.place(id, {tenant: 'light'}));
+	const firstFour = order(weighted, [...heavy, ...light]).slice(0, 4);
+	assert.equal(firstFour.filter(i => i < heavy.length).length, 3);
+	const refunded = makeBusy();
+	const short = ['s1', 's2'].map(id => refunded.harness.place(id, {tenant: 'short', promptTokens: 1, maxTokens: 1000}));
+	const long = ['x1', 'x2'].map(id => refunded.harness.place(id, {tenant: 'long', promptTokens: 1, maxTokens: 300}));
+	refunded.next([...short, ...long]);
+	assert.equal(refunded.next([...short, ...long], 1), long[0]);
+	assert.equal(refunded.next([...short, ...long], 300), short[1]);
+});
+
+test('a request that would miss its target is refused at once with a retry time, before any prefill', () => {
+	const {harness} = makeBusy();
+	const late = harness.place('late', {promptTokens: 8000, budgetMs: 500});
+	const reply = harness.reply(late);
+	assert.ok(reply?.kind === 'refused' && reply.code === 'deadline' && reply.retryAfterMs > 0);
+	assert.equal(harness.replies.get(late)?.atMs, harness.nowMs);
+	for (let i = 0; i < 10; i++) {
+		harness.place(`q${i}`, {tenant: `t${i}`, maxWaitMs: 20_000, budgetMs: 30_000});
+	}
+
+	assert.equal(code(harness.reply(harness.place('behind', {budgetMs: 30_000, maxWaitMs: 1000}))), 'overloaded');
+});
+
+test('a queued request is answered when its bound is over or its target is out of reach, not later', () => {
+	const {harness} = makeBusy();
+	const bounded = harness.place('bounded', {maxWaitMs: 1200});
+	const targeted = harness.place('targeted', {maxWaitMs: 9000, budgetMs: 3000, promptTokens: 5000});
+	harness.advance(6000);
+	assert.equal(code(harness.reply(bounded)), 'overloaded');
+	assert.equal(code(harness.reply(targeted)), 'deadline');
+	assert.ok(harness.replies.get(bounded)!.atMs <= 500 + 1200 + 20);
+	assert.ok(harness.replies.get(targeted)!.atMs <= 500 + 3000);
+});
+
+test('a valuable request sheds those with a higher shed order, and only where that lets it in', () => {
+	const {harness} = makeBusy({maxQueued: 2});
+	const cheap = harness.place('cheap', {shedOrder: 9});
+	const kept = harness.place('kept', {shedOrder: 2, tenant: 'b'});
+	const valuable = harness.place('valuable', {shedOrder: 1, tenant: 'c'});
+	assert.deepEqual([cheap, kept, valuable].map(token => code(harness.reply(token))), ['overloaded', undefined, undefined]);
+	assert.equal(code(harness.reply(harness.place('worse', {shedOrder: 7}))), 'overloaded');
+	assert.equal(code(harness.reply(harness.place('hopeless', {shedOrder: 0, budgetMs: 10}))), 'deadline');
+	assert.equal(harness.reply(kept), undefined);
+});
+
+/** Two prefill engines, the first of which holds the prefix, and two decode engines. */
+function makeCached(overrides: Partial<EngineSpec> = {}) {
+	const prefix = Array.from({length: 10}, (_, i) => `h${i}`);
+	const harness = new SchedulerHarness([
+		makeEngine('p1', 'prefill', overrides), makeEngine('p2', 'prefill'), makeEngine('d1', 'decode'), makeEngine('d2', 'decode'),
+	]).lead();
+	const events = prefix.map((hash, i) => ({n: i + 1, kind: 'stored' as const, hash}));
+	harness.send({
+		type: 'scheduler/cache-events', engine: 'p2', after: 0, reply: {events, last: 10},
+	});
+	const placeCached = (id: string) => harness.placement(harness.place(id, {prefix, promptTokens: 700}));
+	return {harness, prefix, placeCached};
+}
+
+test('the engine that holds the prefix is preferred until its queue costs more than it saves', () => {
+	const {harness, placeCached} = makeCached();
+	const first = placeCached('r1');
+	assert.equal(first.prefill, 'p2');
+	harness.send({type: 'scheduler/load', engine: 'p2', load: makeLoad({queuedPrefillTokens: 20_000})});
+	assert.equal(placeCached('r2').prefill, 'p1');
+});
+
+test('a gap in cache events invalidates what the engine was believed to hold', () => {
+	const {harness, placeCached} = makeCached();
+	harness.send({
+		type: 'scheduler/cache-events', engine: 'p2', after: 10, reply: {events: [{n: 13, kind: 'stored', hash: 'z'}], last: 13},
+	});
+	assert.equal(harness.state.pool.index.size, 1);
+	harness.send({
+		type: 'scheduler/cache-events', engine: 'p2', after: 5, reply: {events: [{n: 6, kind: 'stored', hash: 'late'}], last: 6},
+	});
+	assert.equal(harness.state.pool.index.lastEvent('p2'), 13, 'an answer to an older question must not be applied');
+	assert.equal(placeCached('r1').prefill, 'p1');
+});
+
+test('the index is bounded', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill', {cacheBlocks: 5}), makeEngine('d1', 'decode')], {maxPrefixEntries: 100});
+	const events = Array.from({length: 50}, (_, i) => ({n: i + 1, kind: 'stored' as const, hash: `h${i}`}));
+	harness.send({
+		type: 'scheduler/cache-events', engine: 'p1', after: 0, reply: {events, last: 50},
+	});
+	assert.equal(harness.state.pool.index.size, 5);
+});
+
+test('prefills that find less cached than predicted lower the trust in predictions', () => {
+	const {harness, prefix, placeCached} = makeCached();
+	const engine = harness.state.pool.engines.get('p2')!;
+	const before = harness.state.pool.cachedTokens(engine, {promptTokens: 700, prefix});
+	for (let i = 0; i < 12; i++) {
+		const {reservation} = placeCached(`r${i}`);
+		harness.advance(200);
+		harness.startDecode(reservation);
+		harness.end(reservation);
+	}
+
+	assert.ok(harness.state.pool.cachedTokens(engine, {promptTokens: 700, prefix}) < before / 2);
+	assert.equal(before, 640);
+});
+
+test('a decode engine in the zone of the prefill engine is preferred, and a fast link over a slow one', () => {
+	const zoned = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {zone: 'z2'}), makeEngine('d2', 'decode')]).lead();
+	assert.equal(zoned.placement(zoned.place('r1')).decode, 'd2');
+	const linked = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {linkRate: 1e9}), makeEngine('d2', 'decode')]).lead();
+	assert.equal(linked.placement(linked.place('r1')).decode, 'd2');
+});
+
+test('link time is reserved: transfers that wait for a link make another engine cheaper', () => {
+	const slow = {linkRate: 1e8};
+	const harness = new SchedulerHarness([
+		makeEngine('p1', 'prefill'), makeEngine('p2', 'prefill'), makeEngine('d1', 'decode', slow), makeEngine('d2', 'decode', {...slow, zone: 'z2'}),
+	]).lead();
+	const decodes = ['r1', 'r2'].map(id => harness.placement(harness.place(id)).decode);
+	assert.deepEqual(decodes, ['d1', 'd2']);
+});
+
+test('KV cache blocks are reserved, so that large requests do not overfill an engine with free slots', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {cacheBlocks: 40})]).lead();
+	harness.place('r1', {promptTokens: 1800, maxTokens: 200});
+	harness.advance(400);
+	assert.equal(harness.reply(harness.place('r2', {promptTokens: 1800, maxTokens: 200})), undefined);
+});
+
+test('a reservation moves to another decode engine and frees the first', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode'), makeEngine('d2', 'decode')]).lead();
+	const {reservation, decode} = harness.placement(harness.place('r1'));
+	harness.send({
+		type: 'scheduler/replace', token: 99, owner: entry1, reservation, failedUpstream: decode,
+	});
+	const moved = harness.placement(99);
+	assert.notEqual(moved.decode, decode);
+	assert.equal(moved.reservation, reservation);
+	assert.equal(harness.state.pool.engines.get(decode)?.decodes.size, 0);
+});
+
+const running = (reservation: string, phase: RunningReservation['phase'] = 'prefill'): RunningReservation => ({
+	reservation, requestId: reservation, tenant: 'a', prefill: 'p1', decode: 'd1', promptTokens: 1000, maxTokens: 200, phase,
+});
+
+test('reservations of a dead entry process are freed and cancelled on their engines', () => {
+	const {harness} = makeBusy();
+	const waiting = harness.place('next', {}, {vm: 'entry-2', incarnation: 1});
+	harness.send({type: 'scheduler/entries', entries: {live: [{vm: 'entry-2', incarnation: 1}], dead: [entry1]}});
+	assert.equal(code(harness.reply(waiting)), 'placed');
+	assert.deepEqual(harness.effects.flatMap(effect => effect.type === 'scheduler/cancel-request' ? [[effect.engine, effect.requestId]] : []), [['p1', 'first'], ['d1', 'first']]);
+	const requests = [{
+		requestId: 'orphan', owner: {vm: 'entry-2', incarnation: 0}, phase: 'decoding' as const, kvBlocks: 1, ageMs: 1,
+	}, {
+		requestId: 'kept', owner: {vm: 'entry-2', incarnation: 1}, phase: 'decoding' as const, kvBlocks: 1, ageMs: 1,
+	}];
+	const cancelled = harness.send({type: 'scheduler/engine-requests', engine: 'd1', requests});
+	assert.deepEqual(cancelled.flatMap(effect => effect.type === 'scheduler/cancel-request' ? [effect.requestId] : []), ['orphan']);
+});
+
+test('an owner that membership never names counts as dead after a while, but not at once', () => {
+	const {harness} = makeBusy();
+	const requests = [{
+		requestId: 'r9', owner: {vm: 'entry-9', incarnation: 1}, phase: 'decoding' as const, kvBlocks: 1, ageMs: 1,
+	}];
+	assert.deepEqual(harness.send({type: 'scheduler/engine-requests', engine: 'd1', requests}), []);
+	harness.advance(10_000);
+	assert.equal(harness.send({type: 'scheduler/engine-requests', engine: 'd1', requests})[0]?.type, 'scheduler/cancel-request');
+});
+
+test('a silent owner loses its reservations, a reporting one keeps them', () => {
+	const {harness} = makeBusy();
+	for (let i = 0; i < 5; i++) {
+		harness.advance(2000);
+		harness.send({
+			type: 'scheduler/report', owner: entry1, askedMs: harness.nowMs, reservations: [running('1-1')],
+		});
+	}
+
+	assert.ok(harness.effects.some(({type}) => type === 'scheduler/ask-report'));
+	assert.equal(harness.state.reservations.size, 1);
+	harness.advance(8000);
+	assert.equal(harness.state.reservations.size, 0);
+});
+
+test('a reservation that two reports omit is released, since its end was lost; one report may have crossed its placement', () => {
+	const {harness} = makeBusy();
+	harness.advance(100);
+	for (const left of [1, 0]) {
+		harness.send({
+			type: 'scheduler/report', owner: entry1, askedMs: harness.nowMs, reservations: [],
+		});
+		assert.equal(harness.state.reservations.size, left);
+	}
+});
+
+test('a report makes up for lost progress: the prefill engine and the link are free again', () => {
+	const {harness} = makeBusy();
+	harness.send({
+		type: 'scheduler/report', owner: entry1, askedMs: harness.nowMs, reservations: [running('1-1', 'decode')],
+	});
+	const engine = harness.state.pool.engines.get('p1')!;
+	assert.deepEqual([engine.hasPrefills, engine.linkBacklogMs], [false, 0]);
+});
+
+/** Places a request and lets the given engine fail it. */
+function failOn(harness: SchedulerHarness, id: string, engine: string) {
+	const {reservation} = harness.placement(harness.place(id, {promptTokens: 10}));
+	harness.send({
+		type: 'scheduler/progress', owner: entry1, progress: {
+			phase: 'ended', reservation, outputTokens: 0, reason: 'failed', failedUpstream: engine,
+		},
+	});
+}
+
+test('an engine that fails in a row is ejected, gets one probe after a while and returns when that succeeds', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	for (let i = 0; i < 3; i++) {
+		failOn(harness, `f${i}`, 'd1');
+	}
+
+	assert.equal(code(harness.reply(harness.place('ejected'))), 'no-upstream');
+	harness.advance(1000);
+	const probe = harness.placement(harness.place('probe', {promptTokens: 10}));
+	harness.advance(100);
+	const second = harness.place('second');
+	assert.notEqual(code(harness.reply(second)), 'placed');
+	harness.startDecode(probe.reservation);
+	harness.send({type: 'scheduler/progress', owner: entry1, progress: {phase: 'first-token', reservation: probe.reservation, durationMs: 5}});
+	assert.equal(code(harness.reply(harness.place('third'))), 'placed');
+	harness.advance(200);
+	failOn(harness, 'f4', 'd1');
+	assert.equal(code(harness.reply(harness.place('fourth'))), 'placed', 'one failure after a success ejects nothing');
+});
+
+test('an engine whose load cannot be read gets no work until it answers', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	for (let i = 0; i < 3; i++) {
+		harness.send({type: 'scheduler/poll-failed', engine: 'd1'});
+	}
+
+	assert.equal(code(harness.reply(harness.place('r1'))), 'no-upstream');
+	harness.send({type: 'scheduler/load', engine: 'd1', load: makeLoad()});
+	assert.equal(code(harness.reply(harness.place('r2'))), 'placed');
+});
+
+test('drained and leaving engines get no new work but keep what they run', () => {
+	for (const stop of ['drain', 'leave']) {
+		const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+		harness.place('r1', {promptTokens: 10});
+		if (stop === 'drain') {
+			harness.send({type: 'scheduler/configure', engines: [makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {isDrained: true})], weights: new Map()});
+		} else {
+			harness.send({type: 'scheduler/load', engine: 'd1', load: makeLoad({leaving: true})});
+		}
+
+		assert.equal(code(harness.reply(harness.place('r2'))), 'no-upstream');
+		assert.equal(harness.state.reservations.size, 1);
+	}
+});
+
+test('slots that others filled, as the engine reports, are not given out again', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots: 2})]).lead();
+	harness.send({type: 'scheduler/load', engine: 'd1', load: makeLoad({activeDecodes: 2})});
+	const token = harness.place('r1');
+	assert.equal(harness.reply(token), undefined);
+	harness.send({type: 'scheduler/load', engine: 'd1', load: makeLoad({activeDecodes: 0})});
+	assert.equal(code(harness.reply(token)), 'placed');
+});
+
+test('speeds are learned: admission and choice follow what engines did, not fixed figures', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('p2', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	for (let i = 0; i < 20; i++) {
+		const placements = [`r${i}`, `s${i}`].map(id => harness.placement(harness.place(id)));
+		for (const [engine, durationMs] of [['p2', 50], ['p1', 400]] as const) {
+			const {reservation} = placements.find(({prefill}) => prefill === engine)!;
+			harness.advance(durationMs - (engine === 'p1' ? 50 : 0), 10);
+			harness.send({
+				type: 'scheduler/progress', owner: entry1, progress: {
+					phase: 'prefilled', reservation, promptTokens: 1000, cachedTokens: 0, durationMs,
+				},
+			});
+			harness.send({type: 'scheduler/progress', owner: entry1, progress: {phase: 'transferred', reservation, durationMs: 200}});
+			harness.send({type: 'scheduler/progress', owner: entry1, progress: {phase: 'first-token', reservation, durationMs: 5}});
+		}
+
+		harness.advance(1000);
+		for (const {reservation} of placements) {
+			harness.end(reservation, 100);
+		}
+	}
+
+	const {pool} = harness.state;
+	const [p2, d1] = [pool.engines.get('p2')!, pool.engines.get('d1')!];
+	assert.ok(Math.abs(p2.prefillSpeed.value - 0.05) < 0.015);
+	assert.ok(Math.abs(d1.outputSpeed.value - 11.75) < 1.5);
+	assert.ok(Math.abs(pool.transferMs(p2, d1, 1000) - 200) < 10);
+	assert.ok(Math.abs(pool.hold.value - 1400) < 150);
+	assert.equal(harness.placement(harness.place('last')).prefill, 'p2');
+	assert.equal(code(harness.reply(harness.place('late', {budgetMs: 200}))), 'deadline');
+});
--- /dev/null
+++ b/src/common/scheduler/scheduler.property.test.ts
@@ -0,0 +1,253 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {SeededRandom} from '../core/random.js';
+import {
+	entry1, makeEngine, makeLoad, SchedulerHarness,
+} from './fixtures.js';
+
+const engines = (drained: string) => [
+	makeEngine('p1', 'prefill', {isDrained: drained === 'p1'}),
+	makeEngine('p2', 'prefill', {zone: 'z2'}),
+	makeEngine('d1', 'decode', {slots: 2, isDrained: drained === 'd1'}),
+	makeEngine('d2', 'decode', {slots: 3}),
+	makeEngine('b1', 'both', {slots: 2}),
+];
+
+const pick = fc.nat(1000);
+const command = fc.oneof(
+	{
+		weight: 6, arbitrary: fc.record({
+			kind: fc.constant('place' as const), pick, promptTokens: fc.integer({min: 1, max: 8000}), priority: fc.nat(9), budgetMs: fc.integer({min: 50, max: 8000}),
+		}),
+	},
+	{weight: 4, arbitrary: fc.record({kind: fc.constantFrom('prefilled', 'transferred', 'first-token', 'ended', 'replace', 'report', 'cancel', 'failed'), pick})},
+	{weight: 3, arbitrary: fc.record({kind: fc.constant('advance' as const), pick})},
+	{weight: 1, arbitrary: fc.record({kind: fc.constantFrom('die', 'revive', 'drain', 'load', 'poll-failed', 'lease'), pick})},
+);
+type Command = typeof command extends fc.Arbitrary<infer T> ? T : never;
+
+/** Runs commands against a scheduler and checks its books after each. */
+class Model {
+	readonly harness = new SchedulerHarness(engines('')).lead();
+	readonly tokens = new Set<number>();
+	private readonly _answered = new Set<number>();
+	private _seen = 0;
+	private _epoch = 1;
+	private _incarnation = 1;
+
+	run(step: Command): void {
+		const {harness} = this;
+		const reservations = [...harness.state.reservations.values()];
+		const chosen = reservations[step.pick % Math.max(1, reservations.length)];
+		const owner = chosen?.owner ?? entry1;
+		if (step.kind === 'place') {
+			const current = [entry1, {vm: 'entry-2', incarnation: this._incarnation}][step.pick % 2]!;
+			const {promptTokens, priority, budgetMs} = step;
+			this.tokens.add(harness.place(`r${step.pick}`, {
+				promptTokens, priority, budgetMs, shedOrder: priority, tenant: `t${step.pick % 5}`, maxWaitMs: 2000,
+			}, current));
+		} else if (step.kind === 'advance') {
+			harness.advance(step.pick);
+		} else {
+			this._runOther(step.kind, step.pick, owner, chosen?.id ?? 'none');
+		}
+
+		this.check();
+	}
+
+	check(): void {
+		const {state, effects} = this.harness;
+		for (const effect of effects.slice(this._seen)) {
+			if (effect.type === 'reply') {
+				assert.ok(!this._answered.has(effect.token), 'a token was answered twice');
+				this._answered.add(effect.token);
+			}
+		}
+
+		this._seen = effects.length;
+		const held = new Map<string, string>();
+		for (const engine of state.pool.engines.values()) {
+			assert.ok(engine.decodes.size <= engine.spec.slots, `${engine.spec.name} holds more reservations than slots`);
+			for (const id of engine.decodes.keys()) {
+				assert.ok(!held.has(id), 'a reservation holds two slots');
+				held.set(id, engine.spec.name);
+			}
+		}
+
+		assert.deepEqual(held, new Map([...state.reservations.values()].map(({id, decode}) => [id, decode])));
+		assert.equal(state.byRequest.size, state.reservations.size);
+	}
+
+	finish(): void {
+		this.harness.advance(3000);
+		assert.deepEqual([...this.tokens].filter(token => !this.harness.replies.has(token)), [], 'requests without answer');
+		for (const {id, owner} of this.harness.state.reservations.values()) {
+			this.harness.end(id, 1, owner);
+		}
+
+		this.check();
+		for (const engine of this.harness.state.pool.engines.values()) {
+			assert.deepEqual([engine.decodes.size, engine.hasPrefills, Math.round(engine.linkBacklogMs), engine.hasBlocks(engine.spec.cacheBlocks)], [0, false, 0, true]);
+		}
+	}
+
+	private _runOther(kind: string, choice: number, owner: typeof entry1, reservation: string): void {
+		const {harness} = this;
+		const token = 100_000 + this.tokens.size;
+		switch (kind) {
+			case 'prefilled': {
+				harness.startDecode(reservation, owner);
+				break;
+			}
+
+			case 'transferred': {
+				harness.send({type: 'scheduler/progress', owner, progress: {phase: 'transferred', reservation, durationMs: choice}});
+				break;
+			}
+
+			case 'first-token': {
+				harness.send({type: 'scheduler/progress', owner, progress: {phase: 'first-token', reservation, durationMs: choice}});
+				break;
+			}
+
+			case 'failed': {
+				harness.send({
+					type: 'scheduler/progress', owner, progress: {
+						phase: 'ended', reservation, outputTokens: 0, reason: 'failed', failedUpstream: 'd2',
+					},
+				});
+				break;
+			}
+
+			case 'ended': {
+				harness.end(reservation, choice, owner);
+				break;
+			}
+
+			case 'replace': {
+				this.tokens.add(token);
+				harness.send({
+					type: 'scheduler/replace', token, owner, reservation, failedUpstream: harness.state.reservations.get(reservation)?.decode ?? 'd1',
+				});
+				break;
+			}
+
+			case 'report': {
+				harness.send({
+					type: 'scheduler/report', owner, askedMs: harness.nowMs, reservations: [],
+				});
+				break;
+			}
+
+			case 'cancel': {
+				harness.send({type: 'scheduler/cancel', owner, requestId: `r${choice}`});
+				break;
+			}
+
+			case 'die': {
+				harness.send({type: 'scheduler/entries', entries: {live: [entry1], dead: [{vm: 'entry-2', incarnation: this._incarnation}]}});
+				break;
+			}
+
+			case 'revive': {
+				this._incarnation++;
+				harness.send({type: 'scheduler/entries', entries: {live: [entry1, {vm: 'entry-2', incarnation: this._incarnation}], dead: []}});
+				break;
+			}
+
+			case 'drain': {
+				harness.send({type: 'scheduler/configure', engines: engines(['d1', 'p1', ''][choice % 3]!), weights: new Map([['t1', 3]])});
+				break;
+			}
+
+			case 'load': {
+				harness.send({type: 'scheduler/load', engine: ['d1', 'd2', 'p1'][choice % 3]!, load: makeLoad({activeDecodes: choice % 4, queuedPrefillTokens: choice})});
+				break;
+			}
+
+			case 'poll-failed': {
+				harness.send({type: 'scheduler/poll-failed', engine: 'b1'});
+				break;
+			}
+
+			default: {
+				harness.send({type: 'scheduler/lease', epoch: choice % 2 === 0 ? undefined : ++this._epoch});
+			}
+		}
+	}
+}
+
+test('no engine holds more reservations than slots, none is lost or doubled, and every question gets one answer', () => {
+	fc.assert(fc.property(fc.array(command, {minLength: 40, maxLength: 120}), commands => {
+		const model = new Model();
+		for (const step of commands) {
+			model.run(step);
+		}
+
+		model.finish();
+	}), {seed: 7, numRuns: 200});
+});
+
+type Waits = {readonly meanMs: number; readonly worstMs: number};
+
+/** Longest time a request of the model below holds its slot. */
+const holdMs = 100;
+const slots = 8;
+
+/** Waiting time of four tenants at 60% of the pool together, next to one that sends `flood` times its 20%. */
+function waitsNextTo(flood: number, seed: number): Waits {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots})]).lead();
+	const random = new SeededRandom(seed);
+	const ends: Array<{readonly atMs: number; readonly id: string}> = [];
+	const asked = new Map<number, {readonly atMs: number; readonly tenant: string}>();
+	const waits: number[] = [];
+	const perMs = slots / holdMs;
+	for (let i = 0; i < 4000; i++) {
+		harness.advance(5, 5);
+		for (const {id} of ends.filter(({atMs}) => atMs <= harness.nowMs).splice(0)) {
+			harness.end(id);
+		}
+
+		ends.splice(0, ends.length, ...ends.filter(({atMs}) => atMs > harness.nowMs));
+		for (const tenant of ['a', 'b', 'c', 'd', 'flood']) {
+			const share = tenant === 'flood' ? 0.2 * flood : 0.15;
+			for (let due = share * perMs * 5; random.next() < due; due--) {
+				asked.set(harness.place(`${i}-${tenant}-${due}`, {
+					tenant, promptTokens: 1, maxTokens: 200, maxWaitMs: 1000,
+				}), {atMs: harness.nowMs, tenant});
+			}
+		}
+
+		for (const [token, {atMs, tenant}] of asked) {
+			const reply = harness.replies.get(token);
+			if (reply) {
+				asked.delete(token);
+				waits.push(...(tenant === 'flood' ? [] : [reply.atMs - atMs]));
+				assert.ok(tenant === 'flood' || reply.body.kind === 'placed', `${tenant} was refused`);
+				if (reply.body.kind === 'placed') {
+					harness.startDecode(reply.body.placement.reservation);
+					ends.push({atMs: harness.nowMs + random.integer(holdMs / 2, holdMs), id: reply.body.placement.reservation});
+				}
+			}
+		}
+	}
+
+	let total = 0;
+	for (const wait of waits) {
+		total += wait;
+	}
+
+	return {meanMs: total / waits.length, worstMs: Math.max(...waits)};
+}
+
+test('a tenant at eight times its rate delays the others by less than a turn of every tenant', () => {
+	for (const seed of [1, 2, 3]) {
+		const alone = waitsNextTo(1, seed);
+		const flooded = waitsNextTo(8, seed);
+		// Five tenants take turns on `slots` slots: at most 5 requests are served before one's own.
+		const turnMs = holdMs * 5 / slots;
+		assert.ok(flooded.meanMs <= alone.meanMs + turnMs, `mean ${alone.meanMs} became ${flooded.meanMs}`);
+		assert.ok(flooded.worstMs <= alone.worstMs + (2 * holdMs), `worst ${alone.worstMs} became ${flooded.worstMs}`);
+	}
+});
