Answer every overdue request at one tick and close gaps in the scheduler's tests

Iterating over the queue while refusing requests skipped every second one, so overdue requests waited for later ticks. Tenants are forgotten when nobody waits; before, a tenant that was served once stayed until others had caught up.

--- a/src/common/scheduler/fair-queue.ts
+++ b/src/common/scheduler/fair-queue.ts
@@ -155,18 +155,15 @@
 		return worst?.item;
 	}
 
-	* [Symbol.iterator](): Generator<QueuedRequest> {
-		for (const tenant of this._tenants.values()) {
-			for (const items of tenant.bands.values()) {
-				yield * items;
-			}
-		}
+	/** All waiting requests, as a list that removals do not change. */
+	waiting(): QueuedRequest[] {
+		return [...this._tenants.values()].flatMap(({bands}) => [...bands.values()].flat());
 	}
 
-	/** Forgets tenants whose state equals that of an unknown tenant. */
+	/** Forgets tenants whose state equals that of an unknown tenant; when nobody waits, there is nothing to be fair about and all start anew. */
 	compact(): void {
 		for (const [name, tenant] of this._tenants) {
-			if (tenant.length === 0 && tenant.virtualTime <= this._virtualTime) {
+			if (this._length === 0 || (tenant.length === 0 && tenant.virtualTime <= this._virtualTime)) {
 				this._tenants.delete(name);
 			}
 		}
--- a/src/common/scheduler/mechanisms.test.ts
+++ b/src/common/scheduler/mechanisms.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {FairQueue} from './fair-queue.js';
 import {
-	entry1, makeEngine, makeLoad, SchedulerHarness,
+	entry1, makeEngine, makeLoad, makeRequest, SchedulerHarness,
 } from './fixtures.js';
 import type {SchedulerOptions} from './scheduler.js';
 import type {EngineSpec, RunningReservation, SchedulerReply} from './types.js';
@@ -52,6 +53,54 @@
 	assert.equal(busy.next([...flood, other]), other);
 });
 
+test('a low-priority request is promoted over its own tenant\'s other requests too', () => {
+	const busy = makeBusy();
+	const flood = Array.from({length: 3}, (_, i) => busy.harness.place(`h${i}`, {tenant: 'b', priority: 0}));
+	busy.next(flood);
+	const low = busy.harness.place('low', {tenant: 'b', priority: 9, maxWaitMs: 4000});
+	busy.harness.advance(2000);
+	assert.equal(busy.next([...flood, low]), low);
+});
+
+test('a tenant earns no credit while it is idle', () => {
+	const busy = makeBusy();
+	const {harness} = busy;
+	const early = harness.place('early', {tenant: 'idle'});
+	busy.next([early]);
+	const before = Array.from({length: 6}, (_, i) => harness.place(`x${i}`, {tenant: 'busy'}));
+	for (let i = 0; i < 4; i++) {
+		busy.next(before);
+	}
+
+	const returning = Array.from({length: 3}, (_, i) => harness.place(`y${i}`, {tenant: 'idle'}));
+	const served = order(busy, [...before, ...returning]).slice(0, 3);
+	assert.ok(served.some(i => i >= 0 && i < before.length), `the returning tenant took every turn: ${served.join(',')}`);
+});
+
+test('tenants without waiting requests are forgotten once their share has caught up, so that the queue stays small', () => {
+	const queue = new FairQueue();
+	const push = (tenant: string) => {
+		const item = {
+			req: makeRequest(tenant, {tenant}), owner: entry1, token: 1, arrivedMs: 0, serviceMs: 0,
+		};
+		queue.push(item, 1);
+		return item;
+	};
+
+	for (let i = 0; i < 50; i++) {
+		queue.take(push(`t${i}`));
+	}
+
+	const waiting = [push('a'), push('a'), push('a')];
+	queue.take(waiting[0]!);
+	queue.take(waiting[1]!);
+	queue.compact();
+	assert.equal(queue.tenantCount, 1, 'tenants that virtual time has passed');
+	queue.remove(waiting[2]!);
+	queue.compact();
+	assert.equal(queue.tenantCount, 0, 'an empty queue');
+});
+
 test('tenants share by weight, and unused output is given back', () => {
 	const weighted = makeBusy({}, new Map([['heavy', 3]]));
 	const heavy = ['h1', 'h2', 'h3', 'h4'].map(id => weighted.harness.place(id, {tenant: 'heavy'}));
@@ -119,6 +168,7 @@
 	const {harness, placeCached} = makeCached();
 	const first = placeCached('r1');
 	assert.equal(first.prefill, 'p2');
+	harness.end(first.reservation);
 	harness.send({type: 'scheduler/load', engine: 'p2', load: makeLoad({queuedPrefillTokens: 20_000})});
 	assert.equal(placeCached('r2').prefill, 'p1');
 });
@@ -184,7 +234,7 @@
 });
 
 test('a reservation moves to another decode engine and frees the first', () => {
-	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode'), makeEngine('d2', 'decode')]).lead();
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode'), makeEngine('d2', 'decode', {linkRate: 1e7})]).lead();
 	const {reservation, decode} = harness.placement(harness.place('r1'));
 	harness.send({
 		type: 'scheduler/replace', token: 99, owner: entry1, reservation, failedUpstream: decode,
@@ -220,7 +270,9 @@
 		requestId: 'r9', owner: {vm: 'entry-9', incarnation: 1}, phase: 'decoding' as const, kvBlocks: 1, ageMs: 1,
 	}];
 	assert.deepEqual(harness.send({type: 'scheduler/engine-requests', engine: 'd1', requests}), []);
-	harness.advance(10_000);
+	harness.advance(5000);
+	assert.deepEqual(harness.send({type: 'scheduler/engine-requests', engine: 'd1', requests}), []);
+	harness.advance(5000);
 	assert.equal(harness.send({type: 'scheduler/engine-requests', engine: 'd1', requests})[0]?.type, 'scheduler/cancel-request');
 });
 
@@ -259,6 +311,64 @@
 	assert.deepEqual([engine.hasPrefills, engine.linkBacklogMs], [false, 0]);
 });
 
+test('the end of a transfer frees the link and leaves the prefix in the index', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	const {reservation} = harness.placement(harness.place('r1', {prefix: ['h0', 'h1']}));
+	const engine = harness.state.pool.engines.get('d1')!;
+	assert.ok(engine.linkBacklogMs > 0);
+	harness.startDecode(reservation);
+	assert.deepEqual([engine.linkBacklogMs, engine.decodes.size, harness.state.pool.index.size], [0, 1, 2]);
+});
+
+test('progress from a process that does not own the reservation changes nothing', () => {
+	const {harness} = makeBusy();
+	harness.end('1-1', 0, {vm: 'entry-2', incarnation: 1});
+	assert.equal(harness.state.reservations.size, 1);
+});
+
+test('a caller that leaves the queue is answered and gets no slot; asking again replaces the first question', () => {
+	const busy = makeBusy();
+	const {harness} = busy;
+	const gone = harness.place('gone');
+	const [first, second] = [harness.place('twice'), harness.place('twice')];
+	harness.send({type: 'scheduler/cancel', owner: entry1, requestId: 'gone'});
+	assert.deepEqual([gone, first, second].map(token => code(harness.reply(token))), ['overloaded', 'overloaded', undefined]);
+	assert.equal(busy.next([second]), second);
+});
+
+test('a queued request of a dead process is answered and gets no slot', () => {
+	const busy = makeBusy();
+	const waiting = busy.harness.place('next', {}, {vm: 'entry-2', incarnation: 1});
+	busy.harness.send({type: 'scheduler/entries', entries: {live: [entry1], dead: [{vm: 'entry-2', incarnation: 1}]}});
+	assert.equal(code(busy.harness.reply(waiting)), 'overloaded');
+	busy.next([]);
+	assert.equal(busy.harness.state.reservations.size, 0);
+});
+
+test('a report asked for before the placement does not release it', () => {
+	const {harness} = makeBusy();
+	for (let i = 0; i < 3; i++) {
+		harness.send({
+			type: 'scheduler/report', owner: entry1, askedMs: harness.nowMs - 1, reservations: [],
+		});
+	}
+
+	assert.equal(harness.state.reservations.size, 1);
+});
+
+test('load read under an earlier lease does not count in a rebuild, which ends when all entry processes have reported', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]);
+	harness.send({type: 'scheduler/entries', entries: {live: [entry1], dead: []}});
+	harness.send({type: 'scheduler/load', engine: 'd1', load: makeLoad()});
+	harness.send({type: 'scheduler/lease', epoch: 3});
+	const token = harness.place('r1');
+	assert.equal(harness.reply(token), undefined);
+	harness.send({
+		type: 'scheduler/report', owner: entry1, askedMs: 0, reservations: [],
+	});
+	assert.equal(code(harness.reply(token)), 'placed');
+});
+
 /** Places a request and lets the given engine fail it. */
 function failOn(harness: SchedulerHarness, id: string, engine: string) {
 	const {reservation} = harness.placement(harness.place(id, {promptTokens: 10}));
@@ -315,6 +425,37 @@
 	}
 });
 
+test('requests spread over decode engines that are otherwise equal', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode'), makeEngine('d2', 'decode')]).lead();
+	const decodes = ['r1', 'r2'].map(id => harness.placement(harness.place(id, {promptTokens: 1})).decode);
+	assert.deepEqual(decodes.sort(), ['d1', 'd2']);
+});
+
+test('every overdue request is answered at one tick', () => {
+	const {harness} = makeBusy();
+	const tokens = Array.from({length: 6}, (_, i) => harness.place(`r${i}`, {tenant: `t${i % 2}`, maxWaitMs: 3000}));
+	harness.nowMs += 6000;
+	harness.send({type: 'scheduler/tick'});
+	assert.deepEqual(tokens.map(token => code(harness.reply(token))), tokens.map(() => 'overloaded'));
+	const [ahead, behind] = [9000, 1500].map(maxWaitMs => harness.place(`w${maxWaitMs}`, {maxWaitMs}));
+	harness.advance(1500);
+	assert.deepEqual([code(harness.reply(ahead!)), code(harness.reply(behind!))], [undefined, 'overloaded'], 'also behind one that is not overdue');
+});
+
+test('a request is refused when only engines are free that would miss its target', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots: 1}), makeEngine('d2', 'decode', {linkRate: 1e7})]).lead();
+	const {reservation} = harness.placement(harness.place('r1'));
+	harness.startDecode(reservation);
+	assert.equal(code(harness.reply(harness.place('r2', {budgetMs: 500}))), 'deadline');
+});
+
+test('own reservations among the reported decodes are not counted twice', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots: 2})]).lead();
+	harness.place('r1', {promptTokens: 10});
+	harness.send({type: 'scheduler/load', engine: 'd1', load: makeLoad({activeDecodes: 1})});
+	assert.equal(code(harness.reply(harness.place('r2'))), 'placed');
+});
+
 test('slots that others filled, as the engine reports, are not given out again', () => {
 	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots: 2})]).lead();
 	harness.send({type: 'scheduler/load', engine: 'd1', load: makeLoad({activeDecodes: 2})});
@@ -349,9 +490,31 @@
 	const {pool} = harness.state;
 	const [p2, d1] = [pool.engines.get('p2')!, pool.engines.get('d1')!];
 	assert.ok(Math.abs(p2.prefillSpeed.value - 0.05) < 0.015);
+	assert.ok(Math.abs(d1.firstTokenSpeed.value - 5) < 2);
 	assert.ok(Math.abs(d1.outputSpeed.value - 11.75) < 1.5);
 	assert.ok(Math.abs(pool.transferMs(p2, d1, 1000) - 200) < 10);
 	assert.ok(Math.abs(pool.hold.value - 1400) < 150);
 	assert.equal(harness.placement(harness.place('last')).prefill, 'p2');
 	assert.equal(code(harness.reply(harness.place('late', {budgetMs: 200}))), 'deadline');
 });
+
+test('the time a prefill waited in its engine does not count as the time it took', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	for (let i = 0; i < 10; i++) {
+		const first = harness.placement(harness.place(`a${i}`));
+		harness.advance(60);
+		const second = harness.placement(harness.place(`b${i}`));
+		harness.advance(40);
+		harness.startDecode(first.reservation);
+		harness.advance(100);
+		harness.send({
+			type: 'scheduler/progress', owner: entry1, progress: {
+				phase: 'prefilled', reservation: second.reservation, promptTokens: 1000, cachedTokens: 0, durationMs: 140,
+			},
+		});
+		harness.end(first.reservation);
+		harness.end(second.reservation);
+	}
+
+	assert.ok(Math.abs(harness.state.pool.prefill.value - 0.1) < 0.005);
+});
--- a/src/common/scheduler/owners.ts
+++ b/src/common/scheduler/owners.ts
@@ -38,7 +38,7 @@
 
 function dropDeadCallers(state: SchedulerState): SchedulerEffect[] {
 	const effects: SchedulerEffect[] = [];
-	for (const item of state.queue) {
+	for (const item of state.queue.waiting()) {
 		if (isDead(state, item.owner)) {
 			state.queue.remove(item);
 			effects.push({type: 'reply', token: item.token, body: refusal('overloaded', 0)});
--- a/src/common/scheduler/prefix-index.ts
+++ b/src/common/scheduler/prefix-index.ts
@@ -64,13 +64,6 @@
 		}
 	}
 
-	/** Forgets blocks that the engine turned out not to hold. */
-	evict(engine: string, hashes: readonly string[]): void {
-		for (const hash of hashes) {
-			this._engines.get(engine)?.hashes.delete(hash);
-		}
-	}
-
 	/** Forgets everything the engine was believed to hold. */
 	invalidate(engine: string): void {
 		this._engines.get(engine)?.hashes.clear();
--- a/src/common/scheduler/progress.ts
+++ b/src/common/scheduler/progress.ts
@@ -1,13 +1,10 @@
 import type {VmIdentity} from '../core/types.js';
 import type {Progress} from '../services/scheduler-client.js';
-import {blockBytes, bytesPerToken} from '../upstreams/prefix.js';
 import type {Engine} from './engine.js';
 import {freeLink, isSameOwner, release} from './state.js';
 import type {Reservation, SchedulerState} from './state.js';
 import type {SchedulerEffect} from './types.js';
 
-const blockTokens = blockBytes / bytesPerToken;
-
 type ProgressOf<Phase extends Progress['phase']> = Extract<Progress, {phase: Phase}>;
 
 /** Applies what an entry process tells of its reservation; unknown reservations and other owners are counted. */
@@ -54,13 +51,10 @@
 		learnPrefill(state, engine, progress, nowMs - startedMs);
 	}
 
-	const cachedBlocks = Math.floor(progress.cachedTokens / blockTokens);
 	if (reservation.predictedTokens > 0) {
 		engine.cacheTrust.observe(Math.min(progress.cachedTokens, reservation.predictedTokens), reservation.predictedTokens);
 	}
 
-	// What was predicted and not found is gone; what was computed just now is there.
-	pool.index.evict(reservation.prefill, reservation.prefix.slice(cachedBlocks));
 	pool.index.store(reservation.prefill, reservation.prefix);
 	return succeeded(engine, nowMs);
 }
--- a/src/common/scheduler/scheduler.ts
+++ b/src/common/scheduler/scheduler.ts
@@ -107,7 +107,7 @@
 
 /** Sends every waiting caller to the new holder. */
 function abandonQueue(state: SchedulerState): SchedulerEffect[] {
-	const effects = [...state.queue].map(({token}) => ({type: 'reply', token, body: notHolder}) as const);
+	const effects = state.queue.waiting().map(({token}) => ({type: 'reply', token, body: notHolder}) as const);
 	state.queue = new FairQueue();
 	return effects;
 }
@@ -210,7 +210,7 @@
 
 /** Withdraws a queued request; its own waiter is answered so that nothing is held for it. */
 function cancel(state: SchedulerState, {owner, requestId}: EventOf<'scheduler/cancel'>): SchedulerEffect[] {
-	for (const item of state.queue) {
+	for (const item of state.queue.waiting()) {
 		if (item.req.requestId === requestId && isSameOwner(item.owner, owner)) {
 			state.queue.remove(item);
 			return [refuse(item.token, refusal('overloaded', 0))];
@@ -331,7 +331,7 @@
 	}
 
 	const effects = [...endRebuild(state, nowMs), ...watchOwners(state, nowMs)];
-	for (const item of state.queue) {
+	for (const item of state.queue.waiting()) {
 		const refused = overdueRefusal(state, item, nowMs);
 		if (refused) {
 			state.queue.remove(item);
