--- a/src/common/scheduler/fair-queue.ts
+++ b/src/common/scheduler/fair-queue.ts
@@ -28,6 +28,10 @@
 /** Band of promoted requests, ahead of every priority. */
 const promotedBand = -1;
 
+function isOld({req, arrivedMs}: QueuedRequest, nowMs: number): boolean {
+	return nowMs - arrivedMs >= req.maxWaitMs / 2;
+}
+
 /** Tokens that a request occupies the pool for. */
 export function costOf({promptTokens, maxTokens}: PlaceRequest): number {
 	return promptTokens + maxTokens;
@@ -68,10 +72,12 @@
 
 	/** The request to place next. */
 	peek(nowMs: number): QueuedRequest | undefined {
+		const fairShare = this._fairShare();
 		let best: Candidate | undefined;
 		for (const tenant of this._tenants.values()) {
 			for (const [priority, [item]] of tenant.bands) {
-				const candidate = {item: item!, tenant, band: this._isPromoted(item!, tenant, nowMs) ? promotedBand : priority};
+				const isPromoted = tenant.virtualTime <= fairShare && isOld(item!, nowMs);
+				const candidate = {item: item!, tenant, band: isPromoted ? promotedBand : priority};
 				best = best && !this._isBefore(candidate, best) ? best : candidate;
 			}
 		}
@@ -149,18 +155,15 @@
 		return worst?.item;
 	}
 
-	* [Symbol.iterator](): Generator<QueuedRequest> {
-		for (const tenant of this._tenants.values()) {
-			for (const items of tenant.bands.values()) {
-				yield * items;
-			}
-		}
+	/** All waiting requests, as a list that removals do not change. */
+	waiting(): QueuedRequest[] {
+		return [...this._tenants.values()].flatMap(({bands}) => [...bands.values()].flat());
 	}
 
-	/** Forgets tenants whose state equals that of an unknown tenant. */
+	/** Forgets tenants whose state equals that of an unknown tenant; when nobody waits, there is nothing to be fair about and all start anew. */
 	compact(): void {
 		for (const [name, tenant] of this._tenants) {
-			if (tenant.length === 0 && tenant.virtualTime <= this._virtualTime) {
+			if (this._length === 0 || (tenant.length === 0 && tenant.virtualTime <= this._virtualTime)) {
 				this._tenants.delete(name);
 			}
 		}
@@ -178,9 +181,14 @@
 		return tenant;
 	}
 
-	private _isPromoted({req, arrivedMs}: QueuedRequest, tenant: TenantQueue, nowMs: number): boolean {
-		const isOld = nowMs - arrivedMs >= req.maxWaitMs / 2;
-		return isOld && tenant.virtualTime <= this._virtualTime + (costOf(req) / tenant.weight);
+	/** Virtual time up to which a tenant is not ahead of its fair share: that of the waiting tenant served least, or of the last one served. */
+	private _fairShare(): number {
+		let least = Infinity;
+		for (const {length, virtualTime} of this._tenants.values()) {
+			least = length > 0 ? Math.min(least, virtualTime) : least;
+		}
+
+		return Math.max(least, this._virtualTime);
 	}
 
 	private _isBefore(a: Candidate, b: Candidate): boolean {
