--- /dev/null
+++ b/fakes/weight-store.ts
@@ -0,0 +1,48 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {SharedLink} from './link.js';
+import {FakeServer} from './server.js';
+import type {FakeServerOptions} from './server.js';
+
+export type FakeWeightStoreOptions = FakeServerOptions & {
+	/** Bytes per second over all loads together. */
+	readonly rate?: number;
+};
+
+/** The store of model weights: `GET /v1/weights?bytes=N` is answered once N bytes have passed its rate limit. */
+export class FakeWeightStore extends FakeServer {
+	private readonly _link: SharedLink;
+	private readonly _loads: Array<{bytes: number; isComplete: boolean}> = [];
+
+	constructor(options: FakeWeightStoreOptions) {
+		super(options);
+		this._link = new SharedLink(options.rate ?? 1e9);
+	}
+
+	override async dispose(): Promise<void> {
+		this._link.dispose();
+		await super.dispose();
+	}
+
+	override record(): unknown {
+		return {loads: this._loads};
+	}
+
+	protected override async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const url = new URL(req.url ?? '/', 'http://store');
+		const bytes = Number(url.searchParams.get('bytes'));
+		if (url.pathname !== '/v1/weights' || !(bytes >= 0)) {
+			this.reply(res, 404, {code: 'unknown-path'});
+			return;
+		}
+
+		const load = {bytes, isComplete: false};
+		this._loads.push(load);
+		const abort = new AbortController();
+		res.once('close', () => {
+			abort.abort(new Error('the engine closed the connection'));
+		});
+		await this._link.transfer(bytes, abort.signal);
+		load.isComplete = true;
+		this.reply(res, 200, {bytes});
+	}
+}
