--- a/src/load/cluster.ts
+++ b/src/load/cluster.ts
@@ -113,10 +113,17 @@
 
 	constructor(private readonly _options: ClusterOptions) {}
 
-	/** Plans and starts the control and entry VMs, and waits until each answers `GET /readyz` with 200. */
+	/** Chooses addresses and folders, without starting anything. */
+	async prepare(): Promise<void> {
+		if (this.plans.length === 0) {
+			await this._plan();
+		}
+	}
+
+	/** Starts the control and entry VMs; `waitReady` waits for them. */
 	async start(): Promise<void> {
 		try {
-			await this._plan();
+			await this.prepare();
 			for (const plan of this.plans) {
 				this._writeSettings(plan);
 				this.startVm(plan.vm);
--- /dev/null
+++ b/src/load/outcome.ts
@@ -0,0 +1,27 @@
+import type {TraceRequest} from './trace.js';
+
+/**
+What became of a request, from the caller's view:
+`complete` answered in full and to the right caller; `refused` not run, by the router's own word;
+`unknown` may have run; `cancelled` by the caller; `crossed` holds another request's content;
+`incomplete` presented as whole but is not.
+*/
+export type OutcomeKind = 'complete' | 'refused' | 'unknown' | 'cancelled' | 'crossed' | 'incomplete';
+
+/** Result of one request; times are in milliseconds from the start of the replay. */
+export type Outcome = {
+	readonly request: TraceRequest;
+	readonly kind: OutcomeKind;
+	readonly sentMs: number;
+	/** First token, or first byte of the answer of a plain service. */
+	readonly firstMs?: number;
+	readonly endMs: number;
+	/** Times between tokens. */
+	readonly gapsMs: readonly number[];
+	readonly outputTokens: number;
+	readonly status?: number;
+	/** Code of the problem document, or of the error of the connection. */
+	readonly code?: string;
+	/** Connections tried. */
+	readonly attempts: number;
+};
--- /dev/null
+++ b/src/load/prompts.ts
@@ -0,0 +1,42 @@
+import {marker} from '../../fakes/answer.js';
+import {bytesPerToken} from '../common/upstreams/prefix.js';
+import {SeededRandom} from '../common/core/random.js';
+import type {ModelTraceRequest} from './trace.js';
+
+const words = ['article', 'judge', 'entry', 'course', 'stitch', 'pattern', 'fee', 'rule', 'measure', 'class', 'record', 'border', 'thread', 'order', 'trial', 'draft'];
+const sharedTexts = new Map<string, string>();
+
+function seedOf(name: string): number {
+	let seed = 7;
+	for (const character of name) {
+		seed = ((seed * 31) + character.codePointAt(0)!) % 2_147_483_647;
+	}
+
+	return seed;
+}
+
+/** Text of exactly this many estimated tokens, always the same for a name. */
+export function textOf(name: string, tokens: number): string {
+	const random = new SeededRandom(seedOf(name));
+	const length = tokens * bytesPerToken;
+	const parts: string[] = [];
+	for (let total = 0; total < length;) {
+		const word = `${random.pick(words)}-${random.integer(0, 1000)} `;
+		parts.push(word);
+		total += word.length;
+	}
+
+	return parts.join('').slice(0, length);
+}
+
+function sharedText(name: string, tokens: number): string {
+	const key = `${name}/${tokens}`;
+	const text = sharedTexts.get(key) ?? textOf(name, tokens);
+	sharedTexts.set(key, text);
+	return text;
+}
+
+/** The prompt of a request in a trace. */
+export function buildPrompt({id, shared, ownTokens}: ModelTraceRequest): string {
+	return shared.map(({name, tokens}) => sharedText(name, tokens)).join('') + textOf(id, ownTokens) + marker(id);
+}
