--- /dev/null
+++ b/scripts/demo.ts
@@ -0,0 +1,101 @@
+/** Runs three control and four entry processes with the engines and services of `examples/bereket`, sends real requests, and checks the guarantees. */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	loadExample, readRecords, sendTrace, startSystem,
+} from '../src/load/replay.js';
+import type {Target} from '../src/load/replay.js';
+import {score} from '../src/load/scoring.js';
+import type {Measures} from '../src/load/scoring.js';
+import {withTimeout} from '../src/load/child-process.js';
+import {generateTrace} from '../src/load/workload.js';
+
+const workload = 'bereket';
+const seed = 7;
+const durationMs = 15_000;
+/** Share of the peak load, so that a laptop has room for 20 processes. */
+const load = 0.4;
+const stoppedVm = 'entry-2';
+const killedVm = 'entry-3';
+const stopAtMs = 4000;
+const killAtMs = 7000;
+/** Bound on the whole run, in milliseconds. */
+const deadlineMs = 45_000;
+/** Least share of requests within the limits that must be answered in time although two of four entry processes end. */
+const leastGoodput = 0.9;
+
+type Check = {readonly name: string; readonly isHeld: boolean; readonly detail: string};
+
+async function interrupt({cluster}: Target): Promise<number | string> {
+	await sleep(stopAtMs);
+	cluster.signal(stoppedVm, 'SIGTERM');
+	await sleep(killAtMs - stopAtMs);
+	cluster.signal(killedVm, 'SIGKILL');
+	return cluster.exited(stoppedVm);
+}
+
+function checkAll(measures: Measures, stopStatus: number | string): Check[] {
+	const isZero = (name: string, value: number): Check => ({name, isHeld: value === 0, detail: String(value)});
+	return [
+		{name: 'goodput', isHeld: measures.goodput >= leastGoodput, detail: `${measures.goodput.toFixed(3)}, at least ${leastGoodput} wanted`},
+		{name: 'graceful stop exits with 0', isHeld: stopStatus === 0, detail: String(stopStatus)},
+		isZero('wrongful refusals', measures.wrongfulRefusals),
+		isZero('non-idempotent calls run twice', measures.duplicateRuns),
+		isZero('answers to the wrong caller', measures.crossedAnswers),
+		isZero('incomplete answers', measures.incompleteAnswers),
+		isZero('tokens admitted beyond the limits', measures.overAdmitted),
+		isZero('requests left in engines', measures.leakedEngineRequests),
+		isZero('keys seen by upstreams', measures.keysSeenByUpstreams),
+	];
+}
+
+function printTable(rows: ReadonlyArray<readonly [string, string | number]>): void {
+	for (const [name, value] of rows) {
+		console.log(`${name.padEnd(34)} ${value}`);
+	}
+}
+
+async function runDemo(): Promise<boolean> {
+	const trace = generateTrace({
+		workload, seed, configuration: loadExample(workload).value, durationMs, load,
+	});
+	const target = await startSystem(workload);
+	try {
+		const [outcomes, stopStatus] = await Promise.all([sendTrace(target, trace), interrupt(target)]);
+		const measures = score({trace, outcomes, ...await readRecords(target.cluster)});
+		const checks = checkAll(measures, stopStatus);
+		printTable([
+			['requests', measures.requests],
+			['answered whole', measures.complete],
+			['refused, not run', measures.refused],
+			['unknown', measures.unknown],
+			['cancelled by the caller', measures.cancelled],
+			['run twice', measures.duplicateRuns],
+			['goodput', measures.goodput.toFixed(3)],
+			['wasted prefill', measures.wastedPrefillRatio.toFixed(3)],
+			['worst tenant, share of the mean', measures.worstTenantGoodput.toFixed(3)],
+			['wrongful refusals', measures.wrongfulRefusals],
+			['codes', JSON.stringify(measures.refusalCodes)],
+			['first token, ms', JSON.stringify(measures.firstTokenMs)],
+		]);
+		const failed = checks.filter(({isHeld}) => !isHeld);
+		for (const {name, detail} of failed) {
+			console.log(`failed: ${name}: ${detail}`);
+		}
+
+		console.log(failed.length === 0 ? 'all checks held' : `${failed.length} of ${checks.length} checks failed`);
+		return failed.length === 0;
+	} finally {
+		await target.cluster.dispose();
+	}
+}
+
+try {
+	process.exitCode = await withTimeout(runDemo(), deadlineMs, 'demo.run') ? 0 : 1; // eslint-disable-line unicorn/prefer-top-level-await -- the deadline needs the promise
+} catch (err) {
+	console.error(err instanceof Error ? err.message : err);
+	process.exitCode = 1;
+}
+
+// Ends processes that a timeout left running: the exit handler kills them.
+process.exit(); // eslint-disable-line unicorn/no-process-exit
