--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -12,6 +12,8 @@
 const roots = ['src', 'fakes', 'scripts'];
 /** Test files that run at once; process tests start several Node.js processes each. */
 const concurrency = 5;
+/** Bound on one test file, in milliseconds; a process that does not end must fail the run instead of blocking it. */
+const fileTimeoutMs = 180_000;
 const knownRedFile = 'KNOWN-RED.txt';
 const selected = process.argv.slice(2);
 
@@ -28,7 +30,7 @@
 	.map(line => line.slice('test: '.length).trim()));
 const knownFailures: string[] = [];
 
-const stream = run({files, concurrency});
+const stream = run({files, concurrency, timeout: fileTimeoutMs});
 stream.on('test:fail', event => {
 	if (knownRed.has(event.name)) {
 		knownFailures.push(event.name);
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -31,7 +31,8 @@
 	program.command('serve')
 		.description('run one process of the system with the roles of its settings')
 		.requiredOption('--settings <file>', 'YAML file with the settings of this process')
-		.addHelpText('after', '\nExample:\n  $ jasminehead serve --settings examples/bereket/entry-1.yaml\n\nExit codes: 0 after a graceful shutdown, 1 when stopped twice, 2 faulty settings, 3 an address or file cannot be used')
+		.addHelpText('after', '\nExample:\n  $ jasminehead serve --settings examples/bereket/entry-1.yaml')
+		.addHelpText('after', '\nExit codes: 0 after a graceful shutdown, 1 when stopped twice, 2 faulty settings, 3 an address or file cannot be used')
 		.action(async ({settings}: {settings: string}) => {
 			try {
 				await serve(settings);
