Add members and replay commands

Cause: operators could neither replace a control VM nor measure the system. Change: members list|add|remove against the leader; replay against real processes and the baseline.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,8 @@
 import {registerDrain, registerOrders, registerState} from './fleet.js';
 import {registerKeys} from './keys.js';
 import {exitCode} from './exit-code.js';
+import {registerMembers} from './members.js';
+import {registerReplay} from './replay.js';
 import {registerServe} from './serve.js';
 import {version} from './version.js';
 
@@ -17,6 +19,8 @@
 registerKeys(program);
 registerDrain(program);
 registerOrders(program);
+registerMembers(program);
+registerReplay(program);
 registerState(program);
 
 // The single executable is CommonJS, which has no top-level await.
--- a/src/common/services/operator-service.ts
+++ b/src/common/services/operator-service.ts
@@ -17,6 +17,12 @@
 });
 export const orderSubmitSchema = z.strictObject({changeId: changeIdSchema, upstream: z.string(), order: orderSchema});
 
+/** Changes the control VMs; answered by the leader only. */
+export const memberChangeSchema = z.discriminatedUnion('kind', [
+	z.strictObject({kind: z.literal('add'), vm: z.string(), diskId: z.string()}),
+	z.strictObject({kind: z.literal('remove'), vm: z.string()}),
+]);
+
 /** A refusal of an operator's request; `code` is stable. */
 export type OperatorProblem = {
 	readonly [field: string]: unknown;
@@ -41,4 +47,6 @@
 	abstract setDrain(change: z.infer<typeof drainSetSchema>): Promise<OperatorResult>;
 	abstract orders(): Promise<OperatorResult>;
 	abstract submitOrder(change: z.infer<typeof orderSubmitSchema>): Promise<OperatorResult>;
+	abstract members(): Promise<OperatorResult>;
+	abstract changeMembers(change: z.infer<typeof memberChangeSchema>): Promise<OperatorResult>;
 }
--- a/src/node/operators/control-operator-service.ts
+++ b/src/node/operators/control-operator-service.ts
@@ -1,8 +1,9 @@
 import {createHash} from 'node:crypto';
 import type {z} from 'zod';
+import type {MemberChangeReply} from '../../common/reducer.js';
 import {OperatorService} from '../../common/services/operator-service.js';
 import type {
-	configApplySchema, drainSetSchema, keyIssueSchema, keyWithdrawSchema, OperatorProblem, OperatorResult, orderSubmitSchema,
+	configApplySchema, drainSetSchema, keyIssueSchema, keyWithdrawSchema, memberChangeSchema, OperatorProblem, OperatorResult, orderSubmitSchema,
 } from '../../common/services/operator-service.js';
 import type {ControlOperator} from '../control/control-operator.js';
 
@@ -26,9 +27,17 @@
 	return `${prefix}-${createHash('sha256').update(changeId).digest('hex').slice(0, 16)}`;
 }
 
+/** The members of the replicated log as a control VM knows them. */
+export type ReplicaMembers = {
+	list(): unknown;
+	change(change: z.infer<typeof memberChangeSchema>): Promise<MemberChangeReply>;
+};
+
+const notControl: OperatorResult = {ok: false, problem: {status: 421, code: 'not-control', detail: 'this process has no replica; ask a control VM'}};
+
 /** Serves operators from the replicated state machine. */
 export class ControlOperatorService extends OperatorService {
-	constructor(private readonly _operator: ControlOperator) {
+	constructor(private readonly _operator: ControlOperator, private readonly _replica: ReplicaMembers | undefined) {
 		super();
 	}
 
@@ -111,4 +120,27 @@
 		const result = await this._operator.submitOrder(upstream, order, orderId, changeId);
 		return result.kind === 'refused' ? refused(result) : ok({orderId});
 	}
+
+	override async members(): Promise<OperatorResult> {
+		return this._replica ? ok(this._replica.list()) : notControl;
+	}
+
+	override async changeMembers(change: z.infer<typeof memberChangeSchema>): Promise<OperatorResult> {
+		if (!this._replica) {
+			return notControl;
+		}
+
+		const reply = await this._replica.change(change);
+		if (reply.kind === 'changed') {
+			return ok({members: reply.members});
+		}
+
+		const isElsewhere = reply.reason === 'not-leader';
+		const detail = isElsewhere ? `ask the leader, ${reply.leader ?? 'which is not known'}` : `the change was refused: ${reply.reason}`;
+		return {
+			ok: false, problem: {
+				status: isElsewhere ? 421 : 409, code: reply.reason, detail, leader: reply.leader,
+			},
+		};
+	}
 }
--- a/src/node/operators/operator-server.test.ts
+++ b/src/node/operators/operator-server.test.ts
@@ -22,6 +22,8 @@
 	override setDrain = this._record('setDrain');
 	override orders = this._record('orders');
 	override submitOrder = this._record('submitOrder');
+	override members = this._record('members');
+	override changeMembers = this._record('changeMembers');
 
 	private _record(name: string) {
 		return async (): Promise<OperatorResult> => {
--- a/src/node/operators/operator-server.ts
+++ b/src/node/operators/operator-server.ts
@@ -7,7 +7,7 @@
 import type {z} from 'zod';
 import type {Disposable} from '../../common/core/disposable.js';
 import {
-	configApplySchema, drainSetSchema, keyIssueSchema, keyWithdrawSchema, orderSubmitSchema,
+	configApplySchema, drainSetSchema, keyIssueSchema, keyWithdrawSchema, memberChangeSchema, orderSubmitSchema,
 } from '../../common/services/operator-service.js';
 import type {OperatorProblem, OperatorResult, OperatorService} from '../../common/services/operator-service.js';
 import {joinAddress, splitAddress} from '../address.js';
@@ -140,6 +140,8 @@
 		route('get', '/v1/drains', async () => service.drains());
 		route('put', '/v1/drains', this._withBody(drainSetSchema, async change => service.setDrain(change)));
 		route('get', '/v1/orders', async () => service.orders());
+		route('get', '/v1/members', async () => service.members());
+		route('post', '/v1/members', this._withBody(memberChangeSchema, async change => service.changeMembers(change)));
 		route('post', '/v1/orders', this._withBody(orderSubmitSchema, async change => service.submitOrder(change)));
 	}
 
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -3,13 +3,13 @@
 import process from 'node:process';
 import {createAccess} from '../common/access/access.js';
 import type {Settings} from '../common/configuration/types.js';
-import {createConsensus} from '../common/consensus/state.js';
+import {createConsensus, currentMembers} from '../common/consensus/state.js';
 import {createControl} from '../common/control/control.js';
 import {DisposableStore} from '../common/core/disposable.js';
 import type {CountEffect, VmIdentity} from '../common/core/types.js';
 import {reduce} from '../common/reducer.js';
 import type {
-	ProcessEffect, ProcessEvent, ProcessState, Replica,
+	MemberChangeReply, ProcessEffect, ProcessEvent, ProcessState, Replica,
 } from '../common/reducer.js';
 import {splitAddress} from './address.js';
 import {MonotonicClock} from './clock.js';
@@ -26,6 +26,7 @@
 import {PromMetrics} from './observability/prom-metrics.js';
 import {dumpProcess} from './observability/state-dump.js';
 import {ControlOperatorService} from './operators/control-operator-service.js';
+import type {ReplicaMembers} from './operators/control-operator-service.js';
 import {OperatorServer} from './operators/operator-server.js';
 import {Runtime} from './runtime.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
@@ -36,6 +37,9 @@
 import {NodeFileSystem} from './storage/file-system.js';
 import {TcpPeerNetwork} from './transport/tcp-peer-network.js';
 
+/** Bound on the commit of a membership change, in milliseconds. */
+const memberChangeTimeoutMs = 5000;
+
 /** Parts that every process has. */
 type Platform = {
 	readonly settings: Settings;
@@ -203,13 +207,21 @@
 	parts.add(await OperatorServer.listen({
 		listen: settings.listen.operators,
 		token: settings.operatorToken,
-		service: new ControlOperatorService(operator),
+		service: new ControlOperatorService(operator, replicaMembers(platform)),
 		metrics,
 		whyNotReady: () => whyNotReady(platform, entry),
 		dump: () => dumpProcess(platform, entry),
 	}));
 }
 
+function replicaMembers({state, runtime}: Platform): ReplicaMembers | undefined {
+	const consensus = state.replica?.consensus;
+	return consensus && {
+		list: () => ({leader: consensus.leader, members: currentMembers(consensus), joinRequests: consensus.joinRequests}),
+		change: async change => runtime.ask<MemberChangeReply>(token => ({type: 'consensus/change-members', token, change}), memberChangeTimeoutMs),
+	};
+}
+
 function whyNotReady({state}: Platform, entry: EntryParts | undefined): string | undefined {
 	if (entry && !entry.client.access.view) {
 		return 'no configuration was received yet';
