--- /dev/null
+++ b/src/load/bench-capacity.ts
@@ -0,0 +1,273 @@
+/** Slopes for docs/CAPACITY.md: cost of one sync, one placement, one allowance and one view, at sizes of the two-year plan. */
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
+import {createAccess, reduceAccess} from '../common/access/access.js';
+import type {AccessState} from '../common/access/access.js';
+import {addPage, publishView} from '../common/access/view.js';
+import type {PagedView} from '../common/access/view.js';
+import {sharedConfigurationSchema} from '../common/configuration/shared.js';
+import type {ConsensusEffect} from '../common/consensus/types.js';
+import {createControl, reduceControl} from '../common/control/control.js';
+import type {ControlEffect, ControlSlice} from '../common/control/control.js';
+import type {Command, SyncReply, SyncRequest} from '../common/control/messages.js';
+import {syncReplySchema, syncRequestSchema} from '../common/control/messages.js';
+import {readViewPage} from '../common/control/read.js';
+import {createScheduler, reduceScheduler} from '../common/scheduler/scheduler.js';
+import type {EngineSpec} from '../common/scheduler/types.js';
+import {compressText, decodeConfiguration, encodeConfiguration} from '../node/control/configuration-codec.js';
+import {FrameSealer} from '../node/transport/frame.js';
+
+/** Sizes of the two-year plan. */
+const tenantCount = 20_000;
+const nodeCount = 400;
+const serverCount = 600;
+/** Engines of one scheduler shard. */
+const shardEngineCount = 64;
+/** Tenants that ask one entry process for tokens within one sync interval. */
+const activeTenants = 15;
+const bytesPerMegabyte = 1e6;
+
+export type CapacityResult = {readonly [figure: string]: number | string; readonly scenario: string};
+
+setFlagsFromString('--expose-gc');
+const collectGarbage = runInNewContext('gc') as () => void;
+
+function heapBytes(): number {
+	collectGarbage();
+	return process.memoryUsage().heapUsed;
+}
+
+function measureMicroseconds(count: number, step: (i: number) => void): number {
+	const startMs = performance.now();
+	for (let i = 0; i < count; i++) {
+		step(i);
+	}
+
+	return (performance.now() - startMs) * 1000 / count;
+}
+
+function makeConfiguration() {
+	const zones = Array.from({length: 7}, (_, i) => `zone-${i}`);
+	return sharedConfigurationSchema.parse({
+		profiles: {batch: {}},
+		tenants: Object.fromEntries(Array.from({length: tenantCount}, (_, i) => [`tenant-${i}`, {rate: '1000 tokens/s', burst: 4000}])),
+		services: Object.fromEntries(Array.from({length: 4}, (_, i) => [`model-${i}`, {kind: 'model', profile: 'batch', model: `m${i}`}])),
+		upstreams: Object.fromEntries(Array.from({length: serverCount}, (_, i) => [`engine-${i}`, {
+			service: `model-${i % 4}`, address: `10.0.${Math.floor(i / 200)}.${i % 200}:9000`, zone: zones[i % 7], role: i % 3 === 0 ? 'prefill' : 'decode',
+		}])),
+	});
+}
+
+/** A leader that applies what it proposes at once. */
+class Leader {
+	readonly slice: ControlSlice = createControl({decode: decodeConfiguration});
+	reply: unknown;
+	private _index = 0;
+
+	constructor() {
+		this._take({
+			type: 'consensus/role', role: 'leader', term: 1, leader: 'control-1',
+		}, 0);
+	}
+
+	send(event: Parameters<typeof reduceControl>[1]): unknown {
+		this._run(reduceControl(this.slice, event), event.nowMs);
+		return this.reply;
+	}
+
+	propose(command: Command): void {
+		this.send({
+			type: 'control/propose', nowMs: 0, token: ++this._index, command,
+		});
+	}
+
+	private _take(effect: ConsensusEffect, nowMs: number): void {
+		this._run(reduceControl(this.slice, {type: 'control/consensus', nowMs, effect}), nowMs);
+	}
+
+	private _run(effects: readonly ControlEffect[], nowMs: number): void {
+		for (const effect of effects) {
+			if (effect.type === 'reply') {
+				this.reply = effect.body;
+			} else if (effect.type === 'control/to-consensus' && effect.event.type === 'consensus/propose') {
+				this._take({
+					type: 'consensus/committed', index: ++this._index, command: effect.event.command, token: effect.event.token,
+				}, nowMs);
+			} else if (effect.type === 'control/to-consensus' && effect.event.type === 'consensus/read') {
+				this._take({type: 'consensus/read-ready', token: effect.event.token}, nowMs);
+			}
+		}
+	}
+}
+
+function createLoadedLeader(): {leader: Leader; configurationBytes: number} {
+	const leader = new Leader();
+	const configuration = encodeConfiguration(makeConfiguration());
+	leader.propose({
+		type: 'config.apply', changeId: 'c1', expectedVersion: 0, sourceDigest: '0'.repeat(64), source: compressText('x'), configuration,
+	});
+	for (let i = 0; i < tenantCount; i++) {
+		leader.propose({
+			type: 'key.issue', changeId: `k${i}`, keyId: `key-${i}`, digest: i.toString(16).padStart(64, '0'), tenant: `tenant-${i}`,
+		});
+	}
+
+	return {leader, configurationBytes: configuration.length};
+}
+
+function makeSync(seq: number, node: number, revision: number): SyncRequest {
+	const wanted = Array.from({length: activeTenants}, (_, i) => ({tenant: `tenant-${((node * 50) + i) % tenantCount}`, tokens: 500, atLeast: 100}));
+	return {
+		type: 'control/sync', seq, revision, load: 5, allowances: {
+			spent: [], returned: [], refunds: [], charges: [], wanted,
+		},
+	};
+}
+
+/** Cost of one sync on the leader: frame, schema, reducer, allowances and reply. */
+function benchSync(leader: Leader): CapacityResult {
+	const key = new Uint8Array(32);
+	const [outbound, inbound, replies] = [new FrameSealer(key, 'to-acceptor'), new FrameSealer(key, 'to-acceptor'), new FrameSealer(key, 'to-dialer')];
+	const {revision} = leader.slice.data;
+	let requestBytes = 0;
+	let replyBytes = 0;
+	const frames: Uint8Array[] = Array.from({length: 4000}, (_, i) => outbound.seal(makeSync(1 + Math.floor(i / nodeCount), i % nodeCount, revision)));
+	const micros = measureMicroseconds(frames.length, i => {
+		const frame = frames[i]!;
+		const request = syncRequestSchema.parse(inbound.open(frame.subarray(4, 20), frame.subarray(20)));
+		const reply = leader.send({
+			type: 'control/sync', nowMs: 2000 + (i * 1.25), token: 100_000 + i, from: {vm: `entry-${i % nodeCount}`, incarnation: 1}, request,
+		});
+		requestBytes += frame.length;
+		replyBytes += replies.seal(reply).length;
+	});
+	return {
+		scenario: 'capacity/leader-sync', microsecondsPerSync: micros, requestBytes: requestBytes / frames.length, replyBytes: replyBytes / frames.length, tenantsPerSync: activeTenants,
+	};
+}
+
+/** Size and cost of the whole view that a restarted entry process fetches, and the memory it takes there. */
+function benchView(leader: Leader): CapacityResult {
+	const sealer = new FrameSealer(new Uint8Array(32), 'to-dialer');
+	const before = heapBytes();
+	const startMs = performance.now();
+	let bytes = 0;
+	let pages = 0;
+	let paged: PagedView | undefined;
+	let cursor: {base: number; cursor: number} | undefined;
+	do {
+		const page = readViewPage(leader.slice.data, cursor);
+		bytes += sealer.seal(page).length;
+		pages++;
+		paged = addPage(paged, page, decodeConfiguration);
+		cursor = page.next === undefined ? undefined : {base: page.base, cursor: page.next};
+	} while (cursor);
+
+	const elapsedMs = performance.now() - startMs;
+	const view = publishView(paged.view);
+	const heap = heapBytes() - before;
+	return {
+		scenario: 'capacity/view', tenants: Object.keys(view?.configuration.tenants ?? {}).length, keys: paged.view.keysByDigest.size, bytes, pages, milliseconds: elapsedMs, heapMegabytes: heap / bytesPerMegabyte,
+	};
+}
+
+/** Cost of one request's allowance at the entry process, from the tokens in hand. */
+function benchAllowance(leader: Leader): CapacityResult {
+	const access: AccessState = createAccess({controlVms: ['control-1'], decode: decodeConfiguration});
+	let nowMs = 10_000;
+	const step = (): void => {
+		nowMs += 20;
+		for (const effect of reduceAccess(access, {type: 'access/tick', nowMs})) {
+			if (effect.type === 'access/request') {
+				const body = syncReplySchema.parse(leader.send({
+					type: 'control/sync', nowMs, token: 900_000 + effect.seq, from: {vm: 'entry-x', incarnation: 1}, request: effect.message,
+				}));
+				reduceAccess(access, {
+					type: 'access/reply', nowMs, seq: effect.seq, body,
+				});
+			}
+		}
+	};
+
+	for (let i = 0; i < 200; i++) {
+		// Demand is what the grants follow.
+		reduceAccess(access, {
+			type: 'access/acquire', nowMs, token: 1_000_000 + i, tenant: `tenant-${i % activeTenants}`, tokens: 5, maxWaitMs: 100,
+		});
+		step();
+	}
+
+	let granted = 0;
+	const micros = measureMicroseconds(20_000, i => {
+		if (i % 100 === 0) {
+			step();
+		}
+
+		const effects = reduceAccess(access, {
+			type: 'access/acquire', nowMs, token: i + 1, tenant: `tenant-${i % activeTenants}`, tokens: 5, maxWaitMs: 0,
+		});
+		granted += effects.some(effect => effect.type === 'reply' && (effect.body as {ok: boolean}).ok) ? 1 : 0;
+	});
+	return {scenario: 'capacity/allowance', microsecondsPerRequest: micros, granted};
+}
+
+/** Cost of one placement with its progress reports in a full shard. */
+function benchPlacement(): CapacityResult {
+	const engines: EngineSpec[] = Array.from({length: shardEngineCount}, (_, i) => ({
+		name: `engine-${i}`, zone: `zone-${i % 7}`, role: i % 3 === 0 ? 'prefill' as const : 'decode' as const, slots: 20, cacheBlocks: 2000, linkRate: 1e10, isDrained: false,
+	}));
+	const state = createScheduler({});
+	const owner = {vm: 'entry-1', incarnation: 1};
+	reduceScheduler(state, {
+		type: 'scheduler/configure', nowMs: 0, engines, weights: new Map(),
+	});
+	reduceScheduler(state, {type: 'scheduler/lease', nowMs: 0, epoch: 1});
+	reduceScheduler(state, {type: 'scheduler/tick', nowMs: 1000});
+	const prefix = Array.from({length: 16}, (_, i) => `block-${i}`);
+	let placed = 0;
+	const before = heapBytes();
+	const count = 5000;
+	const micros = measureMicroseconds(count, i => {
+		const nowMs = 1000 + (i * 4);
+		const effects = reduceScheduler(state, {
+			type: 'scheduler/place', nowMs, token: i + 1, owner, req: {
+				requestId: `r${i}`, service: 's', tenant: `tenant-${i % 200}`, priority: 5, shedOrder: 5, promptTokens: 2000, maxTokens: 300,
+				prefix: [...prefix.slice(0, 8), `own-${i}`], maxWaitMs: 1000, budgetMs: 800, zone: 'zone-1',
+			},
+		});
+		for (const effect of effects) {
+			if (effect.type === 'reply' && (effect.body as {kind: string}).kind === 'placed') {
+				placed++;
+				const {reservation} = (effect.body as {placement: {reservation: string}}).placement;
+				const send = (progress: Parameters<typeof reduceScheduler>[1] extends infer E ? E extends {progress: infer P} ? P : never : never): void => {
+					reduceScheduler(state, {
+						type: 'scheduler/progress', nowMs, owner, progress,
+					});
+				};
+
+				send({
+					phase: 'prefilled', reservation, promptTokens: 2000, cachedTokens: 500, durationMs: 80,
+				});
+				send({phase: 'transferred', reservation, durationMs: 20});
+				send({phase: 'first-token', reservation, durationMs: 120});
+				send({
+					phase: 'ended', reservation, outputTokens: 300, reason: 'complete',
+				});
+			}
+		}
+	});
+	return {
+		scenario: 'capacity/placement', engines: shardEngineCount, microsecondsPerRequest: micros, placed, heapMegabytes: (heapBytes() - before) / bytesPerMegabyte,
+	};
+}
+
+/** Runs every scenario in this process; takes a few seconds. */
+export async function benchCapacity(): Promise<CapacityResult[]> {
+	const before = heapBytes();
+	const {leader, configurationBytes} = createLoadedLeader();
+	const state: CapacityResult = {
+		scenario: 'capacity/leader-state', tenants: tenantCount, keys: tenantCount, heapMegabytes: (heapBytes() - before) / bytesPerMegabyte, configurationBytes,
+	};
+	return [state, benchSync(leader), benchView(leader), benchAllowance(leader), benchPlacement()];
+}
