--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	bearer, chatInit, startHarness, until,
 } from './testing/harness.js';
-import {RawClient} from './testing/raw-client.js';
+import {RawClient, untilRefused} from './testing/raw-client.js';
 
 const post = 'POST /s/desk/entries HTTP/1.1';
 const host = 'Host: entry';
@@ -153,12 +154,7 @@
 	client.send('GET /s/desk/lookup HTTP/1.1', host, key, '', '');
 	await until(() => client.isClosed);
 	assert.match(client.received, /200 ok[^]*connection: close[^]*done/i);
-	await assert.rejects(async () => {
-		for (;;) {
-			const probe = await RawClient.connect(address);
-			probe.socket.destroy();
-		}
-	}, /ECONNREFUSED|ECONNRESET/);
+	await untilRefused(address);
 	assert.ok(services.clock.nowMs() >= answeredAtMs + 1500, 'a caller may still hold an answer with this address');
 
 	assert.ok(!isDrained, 'a request still runs');
@@ -191,3 +187,45 @@
 	await until(() => client.isClosed);
 	assert.match(client.received, /"code":"key-withdrawn","run":"not-run"/);
 });
+
+test('a drain leaves idle connections to their own timeout, so that no request crosses with their end', async t => {
+	const {address, entry, services} = await startHarness(t, {
+		limits: {drainSpreadMs: 1}, desks: [(_req, res) => {
+			res.end();
+		}],
+	});
+	services.entryPoints.validForMs = 1;
+	const client = await RawClient.connect(address);
+	client.send('GET /s/desk/lookup HTTP/1.1', host, key, '', '');
+	await until(() => client.statuses.length === 1);
+	entry.beginDrain();
+	await sleep(50);
+	client.send('GET /s/desk/lookup HTTP/1.1', host, key, '', '');
+	await until(() => client.isClosed);
+	assert.deepEqual(client.statuses, ['200', '200']);
+});
+
+test('the memory for bodies is bounded over all requests and given back', async t => {
+	const {url, address} = await startHarness(t, {
+		limits: {bodyMemoryBytes: 4000}, desks: [(_req, res) => {
+			res.end();
+		}],
+	});
+	const upload = {method: 'POST', headers: bearer, body: 'x'.repeat(900)};
+	const client = await RawClient.connect(address);
+	client.send(post, host, key, 'Content-Length: 900', '', 'x'.repeat(500));
+	const untilAnswered = async (status: number) => {
+		for (let tries = 0; tries < 500; tries++) {
+			const res = await fetch(`${url}/s/desk/entries`, upload);
+			if (res.status === status) {
+				return;
+			}
+		}
+
+		assert.fail(`never answered ${status}`);
+	};
+
+	await untilAnswered(503);
+	client.socket.destroy();
+	await untilAnswered(200);
+});
--- a/src/node/entry/entry-server.ts
+++ b/src/node/entry/entry-server.ts
@@ -25,6 +25,7 @@
 	private readonly _sessions = new Sessions();
 	private readonly _memory: BodyMemory;
 	private readonly _unsubscribe: Array<() => void>;
+	private readonly _disposed = new AbortController();
 	private _answersExpireAtMs = 0;
 	private _drain: Promise<void> | undefined;
 
@@ -97,6 +98,7 @@
 			unsubscribe();
 		}
 
+		this._disposed.abort();
 		const closed = this._close();
 		this._server.closeAllConnections();
 		await closed;
@@ -110,7 +112,7 @@
 		// An idle connection is closed by its own timeout within this time, so no request can cross with its end.
 		const idleMs = this._limits.keepAliveMs + 1000;
 		logger.log('info', 'draining', {expiryMs});
-		await sleep(Math.max(expiryMs, idleMs));
+		await this._pause(Math.max(expiryMs, idleMs));
 		const closed = this._close();
 		await this._sessions.idle();
 		await this._upstreams.settled();
@@ -118,6 +120,14 @@
 		logger.log('info', 'drained');
 	}
 
+	private async _pause(durationMs: number): Promise<void> {
+		try {
+			await sleep(durationMs, undefined, {signal: this._disposed.signal});
+		} catch {
+			// The server is being disposed, which ends a drain at once.
+		}
+	}
+
 	private async _close(): Promise<void> {
 		if (this._server.listening) {
 			await new Promise<void>(resolve => {
--- a/src/node/entry/model-path.test.ts
+++ b/src/node/entry/model-path.test.ts
@@ -141,7 +141,7 @@
 });
 
 test('a prefill whose connection fell silent is found lost and repeated', async t => {
-	const {url, prefill} = await startHarness(t);
+	const {url, prefill} = await startHarness(t, {profile: {latency: {firstToken: '20s'}, timeout: '20s'}});
 	let prefills = 0;
 	prefill.script.on.prefill = () => {
 		prefills++;
--- a/src/node/entry/plain-path.test.ts
+++ b/src/node/entry/plain-path.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {bearer, startHarness, until} from './testing/harness.js';
-import {RawClient} from './testing/raw-client.js';
+import {RawClient, untilRefused} from './testing/raw-client.js';
 import type {FakeAccess} from './testing/services.js';
 import type {Handler} from './testing/upstreams.js';
 
@@ -81,13 +81,13 @@
 	assert.equal(runs(desks), 2);
 });
 
-test('a claimed request whose caller left runs to its end and its answer waits for the resend', async t => {
+test('a claimed request whose caller left runs to its end before a drain is over, and its answer waits for the resend', async t => {
 	let release!: () => void;
 	const held = new Promise<void>(resolve => {
 		release = resolve;
 	});
-	const {url, desks, services} = await startHarness(t, {
-		desks: [async (req, res, body) => {
+	const {url, address, desks, services, entry} = await startHarness(t, {
+		limits: {keepAliveMs: 10, drainSpreadMs: 1}, desks: [async (req, res, body) => {
 			await held;
 			await ok(req, res, body);
 		}],
@@ -97,9 +97,18 @@
 	await until(() => runs(desks) === 1);
 	abort.abort();
 	await assert.rejects(lost);
+	let isDrained = false;
+	const drained = (async () => {
+		await entry.drained();
+		isDrained = true;
+	})();
+	await untilRefused(address);
+	assert.ok(!isDrained);
 	release();
-	await until(() => services.claims.settled.length === 1);
-	const resent = await answer(await fetch(`${url}/s/desk/entries`, entryInit('k1')));
+	await drained;
+	assert.equal(services.claims.settled.length, 1);
+	const {url: otherUrl} = await startHarness(t, {services});
+	const resent = await answer(await fetch(`${otherUrl}/s/desk/entries`, entryInit('k1')));
 	assert.deepEqual([resent.status, resent.body, runs(desks)], [200, 'ran dog', 1]);
 });
 
--- a/src/node/entry/testing/harness.ts
+++ b/src/node/entry/testing/harness.ts
@@ -10,13 +10,15 @@
 export type HarnessOptions = {
 	readonly profile?: Readonly<Record<string, unknown>>;
 	readonly limits?: Partial<EntryLimits>;
+	/** Shared with another harness. */
+	readonly services?: ReturnType<typeof fakeServices>;
 	/** One server of the plain service `desk` for each handler. */
 	readonly desks?: readonly Handler[];
 };
 
 /** An entry server before a prefill engine, two decode engines and servers of plain services; ends with the test. */
 export async function startHarness(t: TestContext, options: HarnessOptions = {}) {
-	const services = fakeServices();
+	const services = options.services ?? fakeServices();
 	const [prefill, decode1, decode2] = [await startEngine(), await startEngine(), await startEngine()];
 	const desks: TestServer[] = [];
 	for (const handler of options.desks ?? []) {
--- a/src/node/entry/testing/raw-client.ts
+++ b/src/node/entry/testing/raw-client.ts
@@ -1,6 +1,8 @@
+import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {connect} from 'node:net';
 import type {Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 /** A caller that writes bytes as they are. */
 export class RawClient {
@@ -33,3 +35,14 @@
 		this.socket.write(lines.join('\r\n'));
 	}
 }
+
+/** Resolves when nothing listens on the address. */
+export async function untilRefused(address: string): Promise<void> {
+	await assert.rejects(async () => {
+		for (;;) {
+			const {socket} = await RawClient.connect(address);
+			socket.destroy();
+			await sleep(5);
+		}
+	}, /ECONNREFUSED|ECONNRESET/);
+}
--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -5,6 +5,7 @@
 import {text} from 'node:stream/consumers';
 import {test} from 'node:test';
 import {ManualClock} from '../../common/core/clock.js';
+import {until} from '../entry/testing/harness.js';
 import {TestServer} from '../entry/testing/upstreams.js';
 import {CallError} from './call-error.js';
 import type {Call} from './connection-pool.js';
@@ -31,6 +32,7 @@
 		clock.advance(idleMs);
 		const answer = await pool.call(call());
 		await text(answer.body);
+		await until(() => pool.busy === 0);
 		connections.push(server.connections);
 	}
 
