--- a/src/common/requests/assembler.test.ts
+++ b/src/common/requests/assembler.test.ts
@@ -44,7 +44,7 @@
 			}
 		}
 
-		assert.ok(words.join('').startsWith(text));
+		assert.equal(words.join('').startsWith(text), true);
 		assert.equal(state.isComplete, state.lastN === words.length + 1);
 	}), {seed: 1, numRuns: 300});
 });
--- a/src/common/requests/containment.test.ts
+++ b/src/common/requests/containment.test.ts
@@ -82,19 +82,19 @@
 	ejection.recordSuccess();
 	const results = Array.from({length: failuresToEject}, fail);
 	assert.deepEqual(results, [false, false, true]);
-	assert.ok(!ejection.isProbeDue(minProbeDelayMs - 1));
-	assert.ok(ejection.isProbeDue(minProbeDelayMs));
+	assert.equal(ejection.isProbeDue(minProbeDelayMs - 1), false);
+	assert.equal(ejection.isProbeDue(minProbeDelayMs), true);
 	ejection.recordProbe(false, minProbeDelayMs);
-	assert.ok(!ejection.isProbeDue(2 * minProbeDelayMs));
-	assert.ok(ejection.recordProbe(true, 3 * minProbeDelayMs));
-	assert.ok(!ejection.isEjected);
+	assert.equal(ejection.isProbeDue(2 * minProbeDelayMs), false);
+	assert.equal(ejection.recordProbe(true, 3 * minProbeDelayMs), true);
+	assert.equal(ejection.isEjected, false);
 });
 
 test('one tenant cannot take the memory for bodies from the others', () => {
 	const memory = new BodyMemory(100);
-	assert.ok(memory.take('big', 25));
-	assert.ok(!memory.take('big', 1));
-	assert.ok(memory.take('small', 25));
+	assert.equal(memory.take('big', 25), true);
+	assert.equal(memory.take('big', 1), false);
+	assert.equal(memory.take('small', 25), true);
 	memory.give('big', 25);
 	assert.equal(memory.used, 25);
 });
--- a/src/common/requests/plain-lifecycle.test.ts
+++ b/src/common/requests/plain-lifecycle.test.ts
@@ -73,6 +73,6 @@
 		assert.equal(effects.filter(effect => effect.type === 'plain/settle').length, isClaimed ? 1 : 0);
 		const unsent = steps.filter(step => step.type === 'plain/attempt-failed' && !step.failure.maySent).length;
 		const sends = effects.filter(effect => effect.type === 'plain/send').length;
-		assert.ok(isIdempotent || sends - unsent <= 1);
+		assert.equal(isIdempotent || sends - unsent <= 1, true);
 	}), {seed: 3, numRuns: 2000});
 });
--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -102,7 +102,7 @@
 	const client = await RawClient.connect(address);
 	client.send('GET /s/desk/lookup/1 HTTP/1.1', host, key, '', 'GET /s/desk/lookup/2 HTTP/1.1', host, key, '', '');
 	await until(() => client.received.includes('</lookup/2>'));
-	assert.ok(client.received.indexOf('</lookup/1>') < client.received.indexOf('</lookup/2>'));
+	assert.equal(client.received.indexOf('</lookup/1>') < client.received.indexOf('</lookup/2>'), true);
 	assert.deepEqual(client.statuses, ['200', '200']);
 });
 
--- a/src/node/entry/model-path.test.ts
+++ b/src/node/entry/model-path.test.ts
@@ -351,8 +351,8 @@
 		const own = pieces[0]!.split('/')[0]!;
 		assert.deepEqual(pieces.slice(0, 20), Array.from({length: pieces.length}, (_, i) => `${own}/${i}`));
 		// A stream that brought nothing new three times in a row is given up, and says so.
-		assert.ok(eventsOf(body).at(-1) === '[DONE]' ? pieces.length === 20 : eventsOf(body).at(-1)!.includes('engine-failed'));
+		assert.equal(eventsOf(body).at(-1) === '[DONE]' ? pieces.length === 20 : eventsOf(body).at(-1)!.includes('engine-failed'), true);
 	}));
-	assert.ok(services.metrics.counts.get('stream_resumptions_total')! > 20);
+	assert.equal(services.metrics.counts.get('stream_resumptions_total')! > 20, true);
 	await until(() => prefill.held.size === 0);
 });
--- a/src/node/entry/model-path.ts
+++ b/src/node/entry/model-path.ts
@@ -213,17 +213,13 @@
 		}, signal));
 		if (signal.aborted && reply.kind === 'placed') {
 			// The caller left while the placement was on its way.
-			this._services.scheduler.progress({
-				phase: 'ended', reservation: reply.placement.reservation, outputTokens: 0, reason: 'cancelled',
-			});
+			this._giveBack(reply.placement.reservation);
 			return;
 		}
 
 		// The view may have become too old while the request waited for its placement.
 		if (reply.kind === 'placed' && !this._services.access.isFresh()) {
-			this._services.scheduler.progress({
-				phase: 'ended', reservation: reply.placement.reservation, outputTokens: 0, reason: 'cancelled',
-			});
+			this._giveBack(reply.placement.reservation);
 			exchange.stop('stale-view');
 			return;
 		}
@@ -273,9 +269,20 @@
 		const signal = this._startCall();
 		this._count('transfer_retries_total');
 		const reply = await this._askScheduler(async () => this._services.scheduler.replaceDecode(reservation, failedUpstream));
+		if (signal.aborted && reply.kind === 'placed' && reply.placement.reservation !== reservation) {
+			this._giveBack(reply.placement.reservation);
+		}
+
 		this._report(signal, {type: 'request/replaced', reply});
 	}
 
+	/** Ends a reservation that the lifecycle never got to know. */
+	private _giveBack(reservation: string): void {
+		this._services.scheduler.progress({
+			phase: 'ended', reservation, outputTokens: 0, reason: 'cancelled',
+		});
+	}
+
 	private async _decode(effect: Extract<ModelEffect, {type: 'request/decode'}>): Promise<void> {
 		const signal = this._startCall();
 		if (effect.isResume) {
--- a/src/node/entry/plain-path.test.ts
+++ b/src/node/entry/plain-path.test.ts
@@ -61,9 +61,9 @@
 	assert.deepEqual(kept, {
 		accept: 'text/x', 'x-request-id': 'req-1', traceparent, 'x-tenant': 'tenant-a',
 	});
-	assert.ok(!JSON.stringify(headers).includes('key-a'));
+	assert.equal(JSON.stringify(headers).includes('key-a'), false);
 	assert.match(client.received, /x-end: kept[^]*set-cookie: a=1\r\nset-cookie: b=2\r\n/);
-	assert.ok(!client.received.includes('x-hop'));
+	assert.equal(client.received.includes('x-hop'), false);
 });
 
 test('a request with an idempotency key runs once; resends get the recorded answer or a conflict', async t => {
@@ -103,7 +103,7 @@
 		isDrained = true;
 	})();
 	await untilRefused(address);
-	assert.ok(!isDrained);
+	assert.equal(isDrained, false);
 	release();
 	await drained;
 	assert.equal(services.claims.settled.length, 1);
@@ -184,7 +184,7 @@
 
 	for (let i = 0; i < 4; i++) {
 		const res = await answer(await fetch(`${url}/s/desk/lookup`, {headers: bearer}));
-		assert.ok(res.body === 'ran ' || res.code === 'timeout');
+		assert.equal(res.body === 'ran ' || res.code === 'timeout', true);
 	}
 });
 
@@ -208,7 +208,7 @@
 	assert.equal(other.status, 200);
 	const results = await Promise.all(stuck);
 	assert.deepEqual(count(results.map(({code}) => code!)), {overloaded: 3, timeout: 2});
-	assert.ok(results.every(({code, run}) => run === (code === 'overloaded' ? 'not-run' : 'unknown')));
+	assert.equal(results.every(({code, run}) => run === (code === 'overloaded' ? 'not-run' : 'unknown')), true);
 });
 
 test('drained and leaving servers get no new requests', async t => {
