--- a/src/common/requests/concurrency.ts
+++ b/src/common/requests/concurrency.ts
@@ -1,7 +1,8 @@
 /** Gives up a place; giving it up twice is harmless. */
 export type Release = () => void;
 
-type Waiter = (release: Release) => void;
+/** Gets a place, or undefined when it has to make room in the queue. */
+type Waiter = (release: Release | undefined) => void;
 
 /** Bounds the requests that run at once under one name. Waiting requests of different tenants take turns. */
 export class ConcurrencyLimit {
@@ -36,11 +37,12 @@
 	}
 
 	/**
-	Waits for a place; `waiter` gets it at most once. Returns a function that ends the waiting, or undefined when
-	as many requests wait as may run at once: a longer queue would only delay refusals.
+	Waits for a place; `waiter` is called at most once. Returns a function that ends the waiting, or undefined when the
+	queue is full. As many requests may wait as may run at once, since a longer queue would only delay refusals; a tenant
+	with fewer of them displaces the latest of the tenant with most.
 	*/
 	enqueue(tenant: string, waiter: Waiter): (() => void) | undefined {
-		if (this._waiting >= this._limit) {
+		if (this._waiting >= this._limit && !this._displace(this._queues.get(tenant)?.length ?? 0)) {
 			return undefined;
 		}
 
@@ -65,6 +67,25 @@
 		};
 	}
 
+	/** Refuses the latest waiter of the longest queue, if that stays longer than `ownLength`. */
+	private _displace(ownLength: number): boolean {
+		let longest: {tenant: string; queue: Waiter[]} | undefined;
+		for (const [tenant, queue] of this._queues) {
+			if (queue.length > (longest?.queue.length ?? ownLength + 1)) {
+				longest = {tenant, queue};
+			}
+		}
+
+		const waiter = longest?.queue.at(-1);
+		if (!longest || !waiter) {
+			return false;
+		}
+
+		this._remove(longest.tenant, waiter);
+		waiter(undefined);
+		return true;
+	}
+
 	private _admit(): void {
 		while (this._waiting > 0 && this._inFlight < this._limit) {
 			const [tenant, queue] = this._queues.entries().next().value!;
--- a/src/common/requests/containment.test.ts
+++ b/src/common/requests/containment.test.ts
@@ -40,7 +40,7 @@
 	for (const tenant of ['big', 'big', 'big', 'small']) {
 		limit.enqueue(tenant, release => {
 			order.push(tenant);
-			release();
+			release!();
 		});
 	}
 
@@ -50,6 +50,25 @@
 	assert.equal(limit.inFlight, 5, 'giving a place up twice frees it once');
 });
 
+test('a tenant with few waiting requests displaces one of the tenant with most', () => {
+	const limit = new ConcurrencyLimit(3);
+	const held = [1, 2, 3].map(() => limit.acquire()!);
+	const outcomes: string[] = [];
+	const wait = (name: string, tenant: string) => limit.enqueue(tenant, release => outcomes.push(`${name} ${release ? 'runs' : 'displaced'}`));
+	for (const name of ['big1', 'big2', 'big3']) {
+		wait(name, 'big');
+	}
+
+	assert.equal(wait('big4', 'big'), undefined);
+	wait('small1', 'small');
+	assert.equal(wait('small2', 'small'), undefined, 'equal shares stay as they are');
+	for (const release of held) {
+		release();
+	}
+
+	assert.deepEqual(outcomes, ['big3 displaced', 'big1 runs', 'small1 runs', 'big2 runs']);
+});
+
 test('the queue for places is bounded, and a waiter that left gets none', () => {
 	const limit = new ConcurrencyLimit(1);
 	const release = limit.acquire()!;
--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -46,9 +46,10 @@
 	});
 	const slowHeaders = await RawClient.connect(address);
 	slowHeaders.send(post, host, 'X-A: ');
+	const silent = await RawClient.connect(address);
 	const slowBody = await RawClient.connect(address);
 	slowBody.send(post, host, key, 'Content-Length: 5', '', 'hel');
-	await until(() => slowHeaders.isClosed && slowBody.isClosed);
+	await until(() => slowHeaders.isClosed && slowBody.isClosed && silent.isClosed);
 	assert.match(slowHeaders.received, /408[^]*"code":"headers-timeout"/);
 	assert.match(slowBody.received, /408[^]*"code":"body-timeout"/);
 	assert.equal(entry.running, 0);
