--- a/src/common/requests/containment.test.ts
+++ b/src/common/requests/containment.test.ts
@@ -40,7 +40,7 @@
 	for (const tenant of ['big', 'big', 'big', 'small']) {
 		limit.enqueue(tenant, release => {
 			order.push(tenant);
-			release();
+			release!();
 		});
 	}
 
@@ -50,6 +50,25 @@
 	assert.equal(limit.inFlight, 5, 'giving a place up twice frees it once');
 });
 
+test('a tenant with few waiting requests displaces one of the tenant with most', () => {
+	const limit = new ConcurrencyLimit(3);
+	const held = [1, 2, 3].map(() => limit.acquire()!);
+	const outcomes: string[] = [];
+	const wait = (name: string, tenant: string) => limit.enqueue(tenant, release => outcomes.push(`${name} ${release ? 'runs' : 'displaced'}`));
+	for (const name of ['big1', 'big2', 'big3']) {
+		wait(name, 'big');
+	}
+
+	assert.equal(wait('big4', 'big'), undefined);
+	wait('small1', 'small');
+	assert.equal(wait('small2', 'small'), undefined, 'equal shares stay as they are');
+	for (const release of held) {
+		release();
+	}
+
+	assert.deepEqual(outcomes, ['big3 displaced', 'big1 runs', 'small1 runs', 'big2 runs']);
+});
+
 test('the queue for places is bounded, and a waiter that left gets none', () => {
 	const limit = new ConcurrencyLimit(1);
 	const release = limit.acquire()!;
@@ -82,19 +101,19 @@
 	ejection.recordSuccess();
 	const results = Array.from({length: failuresToEject}, fail);
 	assert.deepEqual(results, [false, false, true]);
-	assert.ok(!ejection.isProbeDue(minProbeDelayMs - 1));
-	assert.ok(ejection.isProbeDue(minProbeDelayMs));
+	assert.equal(ejection.isProbeDue(minProbeDelayMs - 1), false);
+	assert.equal(ejection.isProbeDue(minProbeDelayMs), true);
 	ejection.recordProbe(false, minProbeDelayMs);
-	assert.ok(!ejection.isProbeDue(2 * minProbeDelayMs));
-	assert.ok(ejection.recordProbe(true, 3 * minProbeDelayMs));
-	assert.ok(!ejection.isEjected);
+	assert.equal(ejection.isProbeDue(2 * minProbeDelayMs), false);
+	assert.equal(ejection.recordProbe(true, 3 * minProbeDelayMs), true);
+	assert.equal(ejection.isEjected, false);
 });
 
 test('one tenant cannot take the memory for bodies from the others', () => {
 	const memory = new BodyMemory(100);
-	assert.ok(memory.take('big', 25));
-	assert.ok(!memory.take('big', 1));
-	assert.ok(memory.take('small', 25));
+	assert.equal(memory.take('big', 25), true);
+	assert.equal(memory.take('big', 1), false);
+	assert.equal(memory.take('small', 25), true);
 	memory.give('big', 25);
 	assert.equal(memory.used, 25);
 });
--- a/src/node/entry/plain-path.test.ts
+++ b/src/node/entry/plain-path.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {bearer, startHarness, until} from './testing/harness.js';
-import {RawClient} from './testing/raw-client.js';
+import {RawClient, untilRefused} from './testing/raw-client.js';
 import type {FakeAccess} from './testing/services.js';
 import type {Handler} from './testing/upstreams.js';
 
@@ -61,9 +61,9 @@
 	assert.deepEqual(kept, {
 		accept: 'text/x', 'x-request-id': 'req-1', traceparent, 'x-tenant': 'tenant-a',
 	});
-	assert.ok(!JSON.stringify(headers).includes('key-a'));
+	assert.equal(JSON.stringify(headers).includes('key-a'), false);
 	assert.match(client.received, /x-end: kept[^]*set-cookie: a=1\r\nset-cookie: b=2\r\n/);
-	assert.ok(!client.received.includes('x-hop'));
+	assert.equal(client.received.includes('x-hop'), false);
 });
 
 test('a request with an idempotency key runs once; resends get the recorded answer or a conflict', async t => {
@@ -81,13 +81,13 @@
 	assert.equal(runs(desks), 2);
 });
 
-test('a claimed request whose caller left runs to its end and its answer waits for the resend', async t => {
+test('a claimed request whose caller left runs to its end before a drain is over, and its answer waits for the resend', async t => {
 	let release!: () => void;
 	const held = new Promise<void>(resolve => {
 		release = resolve;
 	});
-	const {url, desks, services} = await startHarness(t, {
-		desks: [async (req, res, body) => {
+	const {url, address, desks, services, entry} = await startHarness(t, {
+		limits: {keepAliveMs: 10, drainSpreadMs: 1}, desks: [async (req, res, body) => {
 			await held;
 			await ok(req, res, body);
 		}],
@@ -97,9 +97,18 @@
 	await until(() => runs(desks) === 1);
 	abort.abort();
 	await assert.rejects(lost);
+	let isDrained = false;
+	const drained = (async () => {
+		await entry.drained();
+		isDrained = true;
+	})();
+	await untilRefused(address);
+	assert.equal(isDrained, false);
 	release();
-	await until(() => services.claims.settled.length === 1);
-	const resent = await answer(await fetch(`${url}/s/desk/entries`, entryInit('k1')));
+	await drained;
+	assert.equal(services.claims.settled.length, 1);
+	const {url: otherUrl} = await startHarness(t, {services});
+	const resent = await answer(await fetch(`${otherUrl}/s/desk/entries`, entryInit('k1')));
 	assert.deepEqual([resent.status, resent.body, runs(desks)], [200, 'ran dog', 1]);
 });
 
@@ -175,7 +184,7 @@
 
 	for (let i = 0; i < 4; i++) {
 		const res = await answer(await fetch(`${url}/s/desk/lookup`, {headers: bearer}));
-		assert.ok(res.body === 'ran ' || res.code === 'timeout');
+		assert.equal(res.body === 'ran ' || res.code === 'timeout', true);
 	}
 });
 
@@ -199,7 +208,7 @@
 	assert.equal(other.status, 200);
 	const results = await Promise.all(stuck);
 	assert.deepEqual(count(results.map(({code}) => code!)), {overloaded: 3, timeout: 2});
-	assert.ok(results.every(({code, run}) => run === (code === 'overloaded' ? 'not-run' : 'unknown')));
+	assert.equal(results.every(({code, run}) => run === (code === 'overloaded' ? 'not-run' : 'unknown')), true);
 });
 
 test('drained and leaving servers get no new requests', async t => {
