Test each safety mechanism of the replicated log

The simulated cluster also checks that votes, promises and acknowledgements leave after their write, and that a quorum of disks holds what is committed.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -1,15 +1,536 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {encode} from 'cbor-x';
+import type {VmId} from '../core/types.js';
+import type {ConsensusMessage, MessageOf} from './messages.js';
+import type {StoredState} from './types.js';
+import {consensusMessageSchema} from './messages.js';
+import {reduceConsensus} from './reducer.js';
+import {createConsensus, defaultLimits, isVoter} from './state.js';
 import {TestCluster} from './test-cluster.js';
 
+/** A cluster with an elected leader and the names of the others. */
+function electedCluster(size = 3, options: Partial<ConstructorParameters<typeof TestCluster>[0]> = {}): {cluster: TestCluster; leader: VmId; others: VmId[]} {
+	const cluster = new TestCluster({size, seed: 7, ...options});
+	const leader = cluster.elect();
+	cluster.run(300);
+	return {cluster, leader, others: cluster.vms.filter(vm => vm !== leader)};
+}
+
+/** Collects the messages of one type sent from now on. */
+function record<Type extends ConsensusMessage['type']>(cluster: TestCluster, type: Type): Array<{from: VmId; to: VmId; message: MessageOf<Type>}> {
+	const found: Array<{from: VmId; to: VmId; message: MessageOf<Type>}> = [];
+	cluster.onSend = (from, to, message) => {
+		if (message.type === type) {
+			found.push({from, to, message: message as MessageOf<Type>});
+		}
+	};
+
+	return found;
+}
+
+/** Commits `count` commands, a few at a time. */
+function commit(cluster: TestCluster, leader: VmId, count: number): void {
+	for (let i = 0; i < count; i++) {
+		cluster.propose(leader);
+		cluster.run(5);
+	}
+
+	cluster.run(300);
+}
+
+function digests(cluster: TestCluster): Set<number> {
+	return new Set(cluster.vms.map(vm => cluster.processes.get(vm)!.machine.digest));
+}
+
 for (const size of [1, 3, 5]) {
 	test(`${size} members form a cluster, elect a leader and commit`, () => {
-		const cluster = new TestCluster({size, seed: 1});
-		const leader = cluster.elect();
+		const {cluster, leader} = electedCluster(size);
 		const tokens = Array.from({length: 100}, () => cluster.propose(leader));
 		cluster.run(500);
-		assert.ok(tokens.every(token => cluster.acknowledged.has(token)));
-		const digests = cluster.vms.map(vm => cluster.processes.get(vm)!.machine.digest);
-		assert.equal(new Set(digests).size, 1);
+		assert.equal(tokens.every(token => cluster.acknowledged.has(token)), true);
+		assert.equal(digests(cluster).size, 1);
+	});
+}
+
+test('a member that lost contact does not depose the leader when it returns (pre-vote)', () => {
+	const {cluster, leader, others: [follower]} = electedCluster();
+	const {term} = cluster.state(leader).hard;
+	cluster.isolate(follower!);
+	cluster.run(5000);
+	cluster.blocked.clear();
+	cluster.run(2000);
+	assert.equal(cluster.leader(), leader);
+	assert.equal(cluster.state(follower!).hard.term, term);
+});
+
+test('a vote request does not disturb members that hear a leader', () => {
+	const {cluster, leader, others: [follower, other]} = electedCluster();
+	const {hard, log, diskId} = cluster.state(other!);
+	const vote = {
+		type: 'consensus/vote', cluster: hard.cluster, disk: diskId, term: hard.term + 1, lastIndex: log.lastIndex, lastTerm: log.lastTerm,
+	};
+	cluster.dispatch(follower!, {type: 'consensus/message', from: other!, message: vote});
+	cluster.dispatch(leader, {type: 'consensus/message', from: other!, message: vote});
+	cluster.run(1000);
+	assert.equal(cluster.leader(), leader);
+	assert.equal(cluster.state(follower!).hard.term, hard.term);
+});
+
+for (const {name, change} of [
+	{name: 'of the same term a second candidate', change: {disk: 'other-disk', from: 'vm9'}},
+	{name: 'of the same term the next disk of the same VM', change: {disk: 'other-disk', from: undefined}},
+	{name: 'a candidate with a shorter log', change: {lastIndex: 1, from: undefined}},
+]) {
+	test(`a member does not elect ${name}`, () => {
+		const {cluster, leader, others: [follower, other]} = electedCluster();
+		commit(cluster, leader, 3);
+		cluster.crash(leader);
+		cluster.crash(other!);
+		const {hard, log} = cluster.state(follower!);
+		cluster.run(600);
+		const replies = record(cluster, 'consensus/vote-reply');
+		const term = cluster.state(follower!).hard.term + 5;
+		const vote = {
+			type: 'consensus/vote', cluster: hard.cluster, disk: cluster.state(other!).diskId, term, lastIndex: log.lastIndex, lastTerm: log.lastTerm,
+		};
+		const isFirstGranted = !('lastIndex' in change);
+		if (isFirstGranted) {
+			cluster.dispatch(follower!, {type: 'consensus/message', from: other!, message: vote});
+		}
+
+		const {from, ...fields} = change;
+		cluster.dispatch(follower!, {type: 'consensus/message', from: from ?? other!, message: {...vote, ...fields}});
+		cluster.run(50);
+		assert.deepEqual(replies.map(({message}) => message.granted), isFirstGranted ? [true, false] : [false]);
 	});
 }
+
+test('a leader without contact to a quorum steps down and answers its proposers', () => {
+	const {cluster, leader, others} = electedCluster();
+	cluster.isolate(leader, 'in');
+	const token = cluster.propose(leader);
+	const read = cluster.read(leader);
+	cluster.run(700);
+	assert.notEqual(cluster.state(leader).role, 'leader');
+	assert.deepEqual(cluster.answers(token), ['consensus/dropped']);
+	assert.deepEqual(cluster.answers(read), ['consensus/read-failed']);
+	cluster.run(1500);
+	assert.equal(others.includes(cluster.leader()!), true);
+});
+
+test('a deposed leader behind a one-way partition answers no read, although it still sends heartbeats', () => {
+	const {cluster, leader, others} = electedCluster();
+	cluster.isolate(leader);
+	// The others elect and commit while the old leader's clock has not yet told it to step down.
+	for (const progress of cluster.state(leader).progress.values()) {
+		progress.contactMs = Number.POSITIVE_INFINITY;
+	}
+
+	cluster.runUntil(() => others.includes(cluster.leader()!));
+	commit(cluster, cluster.leader()!, 3);
+	assert.equal(cluster.state(leader).role, 'leader');
+	const read = cluster.read(leader);
+	cluster.run(1000);
+	assert.deepEqual(cluster.answers(read), []);
+});
+
+test('a read waits for a heartbeat round that begins after its arrival', () => {
+	const {cluster, leader} = electedCluster();
+	// Answers to the round that is under way when the second read arrives confirm only the first read.
+	const first = cluster.read(leader);
+	const second = cluster.read(leader);
+	cluster.run(3);
+	assert.deepEqual(cluster.answers(first), ['consensus/read-ready']);
+	assert.deepEqual(cluster.answers(second), []);
+	cluster.run(3);
+	assert.deepEqual(cluster.answers(second), ['consensus/read-ready']);
+});
+
+test('a new leader answers no read before an entry of its own term is committed', () => {
+	const {cluster, leader, others} = electedCluster();
+	commit(cluster, leader, 3);
+	cluster.crash(leader);
+	// Heartbeats are confirmed at once, but writes take long: nothing of the new term commits for a while.
+	cluster.onSend = (_, __, message) => {
+		if (message.type === 'consensus/vote') {
+			for (const disk of cluster.disks.values()) {
+				disk.latencyMs = 300;
+			}
+		}
+	};
+
+	cluster.runUntil(() => others.includes(cluster.leader()!));
+	const read = cluster.read(cluster.leader()!);
+	cluster.run(200);
+	assert.deepEqual(cluster.answers(read), []);
+	cluster.run(600);
+	assert.deepEqual(cluster.answers(read), ['consensus/read-ready']);
+});
+
+test('entries of earlier terms commit only with one of the own term', () => {
+	const {cluster, leader, others: [first, second]} = electedCluster();
+	cluster.isolate(leader, 'out');
+	cluster.propose(leader);
+	cluster.run(20);
+	const lost = cluster.state(leader).log.lastIndex;
+	cluster.crash(leader);
+	cluster.crash(first!);
+	cluster.crash(second!);
+	cluster.blocked.clear();
+	// The old leader returns with its uncommitted entry, leads again and copies that entry, but its own term's entry gets lost.
+	cluster.restart(leader);
+	cluster.restart(first!);
+	cluster.runUntil(() => cluster.leader() === leader);
+	const {diskId, hard} = cluster.state(leader);
+	const {diskId: followerDisk} = cluster.state(first!);
+	assert.equal(cluster.state(leader).termStart > lost, true);
+	cluster.blocked.add(`${first!}>${leader}`);
+	const reply = {
+		type: 'consensus/append-reply', cluster: hard.cluster, disk: followerDisk, toDisk: diskId, term: hard.term, ok: true, match: lost, hint: 0, round: 0,
+	};
+	cluster.run(10);
+	cluster.dispatch(leader, {type: 'consensus/message', from: first!, message: reply});
+	assert.equal(cluster.state(leader).hard.commit < lost, true);
+});
+
+test('a leader whose own disk is slow commits through the others, and accepts proposals meanwhile', () => {
+	const {cluster, leader} = electedCluster();
+	cluster.disks.get(leader)!.latencyMs = 800;
+	const tokens = [cluster.propose(leader), cluster.propose(leader), cluster.propose(leader)];
+	cluster.run(100);
+	assert.equal(tokens.every(token => cluster.acknowledged.has(token)), true);
+});
+
+test('writes that arrive during an fsync share the next one (group commit)', () => {
+	const {cluster, leader} = electedCluster(1);
+	cluster.disks.get(leader)!.latencyMs = 50;
+	const before = cluster.effects.length;
+	for (let i = 0; i < 100; i++) {
+		cluster.propose(leader);
+	}
+
+	cluster.run(200);
+	const persists = cluster.effects.slice(before).filter(({effect}) => effect.type === 'consensus/persist');
+	assert.equal(persists.length, 2);
+});
+
+test('a member whose disk hangs steps aside until the write ends', () => {
+	const {cluster, leader} = electedCluster();
+	cluster.disks.get(leader)!.latencyMs = 6000;
+	cluster.propose(leader);
+	cluster.run(4000);
+	assert.notEqual(cluster.leader(), leader);
+	assert.equal(cluster.state(leader).role, 'follower');
+	const replies = record(cluster, 'consensus/append-reply');
+	cluster.run(500);
+	assert.equal(replies.every(({from}) => from !== leader), true);
+	cluster.disks.get(leader)!.latencyMs = 1;
+	cluster.run(5000);
+	assert.equal(digests(cluster).size, 1);
+});
+
+test('a member whose disk hangs neither votes nor campaigns', () => {
+	const {cluster, leader, others: [follower]} = electedCluster();
+	cluster.disks.get(follower!)!.latencyMs = 20_000;
+	cluster.propose(leader);
+	cluster.run(2000);
+	cluster.crash(leader);
+	const replies = record(cluster, 'consensus/pre-vote-reply');
+	cluster.run(3000);
+	assert.equal(cluster.state(follower!).role, 'follower');
+	assert.equal(replies.length > 0, true);
+	assert.equal(replies.every(({from, message}) => from === follower && !message.granted), true);
+});
+
+test('a member whose storage fails halts: it neither votes, acknowledges nor leads', () => {
+	const {cluster, leader, others} = electedCluster();
+	cluster.mayHalt = true;
+	const token = cluster.propose(leader);
+	cluster.dispatch(leader, {type: 'consensus/storage-failed', reason: 'ENOSPC'});
+	assert.equal(cluster.state(leader).role, 'halted');
+	assert.deepEqual(cluster.answers(token), ['consensus/dropped']);
+	const refused = cluster.propose(leader);
+	assert.deepEqual(cluster.answers(refused), ['consensus/dropped']);
+	const silent: VmId[] = [];
+	cluster.onSend = from => {
+		silent.push(from);
+	};
+
+	cluster.run(3000);
+	assert.equal(others.includes(cluster.leader()!), true);
+	assert.equal(!silent.includes(leader), true);
+});
+
+test('the queue of proposals is bounded in number and bytes, and a command too large for a frame is refused', () => {
+	const {cluster, leader} = electedCluster(3, {limits: {maxProposals: 10, maxProposalBytes: 50_000, maxCommandBytes: 20_000}});
+	const reasonOf = (token: number) => cluster.effects.flatMap(({effect}) => effect.type === 'consensus/dropped' && effect.token === token ? [effect.reason] : []);
+	cluster.blocked.add(`${leader}>none`);
+	assert.deepEqual(reasonOf(cluster.propose(leader, 'x'.repeat(10_000))), ['too-large']);
+	const large = Array.from({length: 5}, () => cluster.propose(leader, 'x'.repeat(5000)));
+	assert.deepEqual(large.map(token => reasonOf(token)), [[], [], [], ['overloaded'], ['overloaded']]);
+	const small = Array.from({length: 9}, () => cluster.propose(leader, 1));
+	assert.deepEqual(small.flatMap(token => reasonOf(token)), ['overloaded', 'overloaded']);
+	cluster.run(200);
+	assert.deepEqual(reasonOf(cluster.propose(leader, 1)), []);
+});
+
+test('batches, chunks and the messages under way to an unresponsive follower are bounded', () => {
+	const {cluster, leader, others: [follower]} = electedCluster(3, {limits: {...defaultLimits, snapshotEvery: 1_000_000}});
+	let largest = 0;
+	let appended = 0;
+	cluster.onSend = (_, to, message) => {
+		largest = Math.max(largest, encode(message).length);
+		appended += to === follower && message.type === 'consensus/append' && message.entries.length > 0 ? 1 : 0;
+	};
+
+	cluster.blocked.add(`${follower!}>${leader}`);
+	for (let i = 0; i < 40; i++) {
+		cluster.propose(leader, 'x'.repeat(100_000));
+		cluster.run(5);
+	}
+
+	assert.ok(appended <= defaultLimits.maxInFlight, `${appended} messages`);
+	cluster.blocked.clear();
+	cluster.run(3000);
+	assert.equal(digests(cluster).size, 1);
+	assert.ok(largest < 600_000, `${largest} bytes`);
+});
+
+test('a follower far behind is caught up by a snapshot in chunks, across a restart in the middle', () => {
+	const {cluster, leader, others: [follower]} = electedCluster();
+	cluster.crash(follower!);
+	commit(cluster, leader, 100);
+	const chunks = record(cluster, 'consensus/snapshot');
+	cluster.restart(follower!);
+	cluster.runUntil(() => chunks.some(({message}) => message.offset > 0));
+	cluster.restart(follower!);
+	cluster.run(1000);
+	assert.equal(chunks.every(({message}) => message.data.length <= 512), true);
+	assert.equal(chunks.filter(({message}) => message.offset === 0).length >= 2, true);
+	assert.equal(digests(cluster).size, 1);
+	assert.equal(cluster.state(follower!).snapshot?.index, cluster.state(leader).snapshot?.index);
+});
+
+test('an installed snapshot discards a conflicting log', () => {
+	const {cluster, leader, others} = electedCluster();
+	cluster.isolate(leader);
+	for (let i = 0; i < 60; i++) {
+		cluster.propose(leader);
+	}
+
+	cluster.runUntil(() => others.includes(cluster.leader()!));
+	commit(cluster, cluster.leader()!, 40);
+	cluster.blocked.clear();
+	cluster.run(2000);
+	cluster.crash(leader);
+	cluster.restart(leader);
+	cluster.run(2000);
+	assert.equal(digests(cluster).size, 1);
+});
+
+test('an emptied disk is readmitted as a learner, becomes a voter once caught up, and a second loss is survived', () => {
+	const {cluster, leader, others: [first, second]} = electedCluster();
+	commit(cluster, leader, 50);
+	cluster.wipe(first!);
+	const roles: string[] = [];
+	cluster.runUntil(() => {
+		const role = cluster.members().find(({vm, diskId}) => vm === first && diskId === cluster.disks.get(first)!.diskId)?.role;
+		roles.push(...(role && roles.at(-1) !== role ? [role] : []));
+		return role === 'voter';
+	});
+	assert.equal(roles.includes('voter'), true);
+	cluster.run(200);
+	cluster.crash(second!);
+	const token = cluster.propose(leader);
+	cluster.run(300);
+	assert.equal(cluster.acknowledged.has(token), true);
+	assert.equal(cluster.processes.get(first!)!.machine.digest, cluster.processes.get(leader)!.machine.digest);
+});
+
+test('a member with an emptied disk neither votes nor acknowledges as its former self', () => {
+	const {cluster, leader, others: [first, second]} = electedCluster();
+	cluster.crash(second!);
+	cluster.wipe(first!);
+	const token = cluster.propose(leader);
+	cluster.run(5000);
+	assert.equal(cluster.leader(), undefined);
+	assert.equal(!cluster.acknowledged.has(token), true);
+	assert.equal(cluster.state(first!).role, 'learner');
+	assert.equal(isVoter(cluster.state(leader), first!, cluster.state(first!).diskId), false);
+});
+
+test('votes and acknowledgements from a disk that is not the admitted one do not count', () => {
+	const {cluster, leader, others: [first, second]} = electedCluster();
+	cluster.isolate(leader, 'in');
+	cluster.propose(leader);
+	cluster.run(10);
+	const {hard, diskId, log} = cluster.state(leader);
+	const answer = {
+		cluster: hard.cluster, disk: 'other-disk', toDisk: diskId, term: hard.term,
+	};
+	cluster.dispatch(leader, {
+		type: 'consensus/message', from: first!, message: {
+			...answer, type: 'consensus/append-reply', ok: true, match: log.lastIndex, hint: 0, round: 0,
+		},
+	});
+	assert.equal(cluster.state(leader).hard.commit < log.lastIndex, true);
+	cluster.crash(second!);
+	cluster.crash(first!);
+	cluster.runUntil(() => cluster.state(leader).role === 'candidate');
+	cluster.dispatch(leader, {
+		type: 'consensus/message', from: first!, message: {
+			...answer, type: 'consensus/pre-vote-reply', term: hard.term + 1, granted: true,
+		},
+	});
+	cluster.run(50);
+	assert.equal(cluster.state(leader).hard.term, hard.term);
+});
+
+test('a process that claims the VM of a live member is not admitted', () => {
+	const {cluster, leader, others: [follower]} = electedCluster();
+	const {hard} = cluster.state(leader);
+	const join = {
+		type: 'consensus/join', cluster: undefined, disk: 'other-disk', term: 0,
+	};
+	cluster.dispatch(leader, {type: 'consensus/message', from: follower!, message: join});
+	cluster.run(300);
+	assert.equal(!cluster.members().some(({diskId}) => diskId === 'other-disk'), true);
+	assert.equal(cluster.state(leader).hard.term, hard.term);
+	assert.equal(cluster.state(leader).joinRequests.get(follower!), 'other-disk');
+});
+
+test('a disk that was rolled back is found out by the leader before the member may vote', () => {
+	const {cluster, leader, others: [follower, other]} = electedCluster();
+	commit(cluster, leader, 5);
+	const disk = cluster.disks.get(follower!)!;
+	const copy = {...disk};
+	commit(cluster, leader, 5);
+	cluster.crash(follower!);
+	Object.assign(disk, copy);
+	cluster.mayHalt = true;
+	const votes = record(cluster, 'consensus/pre-vote-reply');
+	cluster.restart(follower!);
+	// A candidate asks before the leader's next heartbeat arrives.
+	const {hard, diskId} = cluster.state(other!);
+	const preVote = {
+		type: 'consensus/pre-vote', cluster: hard.cluster, disk: diskId, term: hard.term + 1, lastIndex: 1000, lastTerm: hard.term,
+	};
+	cluster.dispatch(follower!, {type: 'consensus/message', from: other!, message: preVote});
+	cluster.run(300);
+	assert.deepEqual(votes.map(({message}) => message.granted), [false]);
+	assert.equal(cluster.state(follower!).role, 'halted');
+});
+
+test('members are changed one at a time, and only after the leader committed in its term', () => {
+	const {cluster, leader} = electedCluster();
+	for (const vm of ['vm4', 'vm5']) {
+		cluster.restart(vm);
+	}
+
+	const add = (vm: VmId) => cluster.changeMembers(leader, {kind: 'add', vm, diskId: cluster.disks.get(vm)!.diskId});
+	const first = add('vm4');
+	const second = add('vm5');
+	assert.deepEqual(cluster.answers(second), ['consensus/dropped']);
+	cluster.run(50);
+	assert.equal(cluster.answers(first)[0], 'consensus/members-committed');
+	cluster.run(2000);
+	add('vm5');
+	cluster.run(2000);
+	assert.deepEqual(cluster.members().map(({role}) => role), Array.from({length: 5}, () => 'voter'));
+	cluster.crash(leader);
+	cluster.runUntil(() => cluster.leader() !== undefined);
+	const successor = cluster.leader()!;
+	assert.equal(cluster.state(successor).hard.commit < cluster.state(successor).termStart, true);
+	const early = cluster.changeMembers(successor, {kind: 'remove', vm: leader});
+	assert.deepEqual(cluster.answers(early), ['consensus/dropped']);
+	cluster.run(500);
+	const late = cluster.changeMembers(successor, {kind: 'remove', vm: leader});
+	cluster.run(500);
+	assert.equal(cluster.answers(late)[0], 'consensus/members-committed');
+	assert.equal(cluster.members().length, 4);
+});
+
+test('a learner does not count in quorums and is promoted only when it has caught up', () => {
+	const {cluster, leader} = electedCluster();
+	commit(cluster, leader, 100);
+	cluster.restart('vm4');
+	cluster.blocked.add(`vm4>${leader}`);
+	const token = cluster.changeMembers(leader, {kind: 'add', vm: 'vm4', diskId: cluster.disks.get('vm4')!.diskId});
+	cluster.run(3000);
+	assert.equal(cluster.answers(token)[0], 'consensus/members-committed');
+	assert.equal(cluster.members().find(({vm}) => vm === 'vm4')?.role, 'learner');
+	const promoted: boolean[] = [];
+	cluster.blocked.clear();
+	cluster.onSend = (_, to, message) => {
+		const isPromoting = message.type === 'consensus/append' && message.entries.some(({payload}) => payload.kind === 'members' && payload.members.every(({role}) => role === 'voter'));
+		if (isPromoting && to === 'vm4') {
+			promoted.push(cluster.state('vm4').log.lastIndex + 64 >= cluster.state(leader).hard.commit);
+		}
+	};
+
+	cluster.run(2000);
+	assert.equal(promoted[0], true);
+	assert.equal(cluster.members().find(({vm}) => vm === 'vm4')?.role, 'voter');
+});
+
+test('a leader that is removed commits its removal, then leaves', () => {
+	const {cluster, leader, others} = electedCluster();
+	const token = cluster.changeMembers(leader, {kind: 'remove', vm: leader});
+	cluster.run(100);
+	assert.equal(cluster.answers(token)[0], 'consensus/members-committed');
+	assert.equal(cluster.state(leader).role, 'learner');
+	cluster.run(3000);
+	assert.equal(others.includes(cluster.leader()!), true);
+	assert.equal(cluster.members().length, 2);
+});
+
+test('the cluster forms only once every initial VM has promised itself, and a VM promises once', () => {
+	const cluster = new TestCluster({size: 3, seed: 3});
+	cluster.crash('vm3');
+	cluster.run(5000);
+	assert.deepEqual(cluster.members(), []);
+	// The founder loses its disk: what promised itself to it never joins the founder's next cluster.
+	cluster.wipe('vm1');
+	cluster.restart('vm3');
+	cluster.run(5000);
+	assert.deepEqual(cluster.members(), []);
+	assert.equal(cluster.state('vm2').hard.cluster, 'disk-1');
+});
+
+test('messages of another cluster, for another disk or that violate the schema change nothing', () => {
+	const {cluster, leader, others: [follower]} = electedCluster();
+	const {diskId, hard} = cluster.state(leader);
+	const append = {
+		type: 'consensus/append', cluster: hard.cluster, disk: diskId, term: hard.term + 10, prevIndex: 0, prevTerm: 0, entries: [], commit: 0, round: 0, acknowledged: 0,
+	};
+	for (const fields of [{cluster: 'other'}, {toDisk: 'other'}, {commit: -1}, {type: 'consensus/unknown'}]) {
+		cluster.dispatch(follower!, {type: 'consensus/message', from: leader, message: {...append, ...fields}});
+	}
+
+	assert.equal(cluster.state(follower!).hard.term, hard.term);
+	assert.equal(consensusMessageSchema.safeParse(append).success, true);
+});
+
+test('a restart restores the snapshot, then the entries known to be committed', () => {
+	const stored: StoredState = {
+		diskId: 'disk-1',
+		hardState: {
+			term: 2, votedFor: undefined, votedForDisk: undefined, cluster: 'disk-1', commit: 6,
+		},
+		snapshot: {
+			index: 5, term: 2, members: [{vm: 'vm1', diskId: 'disk-1', role: 'voter'}], data: 'state',
+		},
+		entries: [6, 7].map(index => ({index, term: 2, payload: {kind: 'command', command: index}})),
+	};
+	const state = createConsensus({
+		vm: 'vm1', stored, initialVms: ['vm1'], seed: 1,
+	});
+	const effects = reduceConsensus(state, {type: 'consensus/tick', nowMs: 0});
+	assert.deepEqual(effects.filter(({type}) => type !== 'consensus/role'), [
+		{type: 'consensus/install', index: 5, data: 'state'},
+		{
+			type: 'consensus/committed', index: 6, command: 6, token: undefined,
+		},
+	]);
+});
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -1,5 +1,6 @@
 import type {VmId} from '../core/types.js';
 import {SeededRandom} from '../core/random.js';
+import type {ConsensusMessage} from './messages.js';
 import type {ConsensusState} from './state.js';
 import type {
 	ConsensusEffect, ConsensusEvent, ConsensusLimits, HardState, LogEntry, Member, PersistBatch, Snapshot, StoredState,
@@ -63,6 +64,8 @@
 	faults: NetworkFaults;
 	readonly vms: VmId[];
 	readonly disks = new Map<VmId, Disk>();
+	/** Called for every message sent. */
+	onSend: ((from: VmId, to: VmId, message: ConsensusMessage) => void) | undefined;
 	readonly processes = new Map<VmId, Process>();
 	/** Directed links that lose every message, as `from>to`. */
 	readonly blocked = new Set<string>();
@@ -77,6 +80,8 @@
 	private _order = 0;
 	private _nextToken = 1;
 	private _nextDisk = 1;
+	/** Every disk there ever was, by its id. */
+	private readonly _allDisks = new Map<string, Disk>();
 	private readonly _leaders = new Map<number, string>();
 	/** Entry and digest that the first member applied at each index. */
 	private readonly _committed = new Map<number, {readonly command: string; readonly digest: number}>();
@@ -116,7 +121,7 @@
 				throw new Error(`condition not reached within ${limitMs} ms`);
 			}
 
-			this.run(tickMs);
+			this.run(1);
 		}
 	}
 
@@ -173,6 +178,7 @@
 	restart(vm: VmId): void {
 		this.crash(vm);
 		const disk = this.disks.get(vm) ?? this._newDisk();
+		this._allDisks.set(disk.diskId, disk);
 		this.disks.set(vm, disk);
 		if (!this.vms.includes(vm)) {
 			this.vms.push(vm);
@@ -291,7 +297,7 @@
 	private _execute(process: Process, effect: ConsensusEffect): void {
 		switch (effect.type) {
 			case 'send': {
-				this._send(process.vm, effect.to, effect.message);
+				this._send(process.vm, effect.to, effect.message as unknown as ConsensusMessage);
 				break;
 			}
 
@@ -356,7 +362,9 @@
 		}
 	}
 
-	private _send(from: VmId, to: VmId, message: unknown): void {
+	private _send(from: VmId, to: VmId, message: ConsensusMessage): void {
+		this._checkDurable(from, to, message);
+		this.onSend?.(from, to, message);
 		const {drop, duplicate, delay, maxDelayMs} = this.faults;
 		const copies = this._random.next() < duplicate ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
@@ -411,6 +419,7 @@
 		const {term, payload} = process.state.log.at(index)!;
 		this._entries.set(index, JSON.stringify([term, payload]));
 		if (token !== undefined) {
+			this._checkQuorum(process, index, term);
 			this.acknowledged.add(token);
 			this._highestAcknowledged = Math.max(this._highestAcknowledged, index);
 		}
@@ -425,8 +434,42 @@
 		check(machine.index >= this._readFloors.get(token)!, `${vm} answered a read from ${machine.index}, but ${this._readFloors.get(token)} was acknowledged before`);
 	}
 
-	/** One leader per term, and it has every committed entry. */
+	/** What a message promises is on the sender's disk. */
+	private _checkDurable(from: VmId, to: VmId, message: ConsensusMessage): void {
+		const disk = this.disks.get(from)!;
+		const {term, votedFor, cluster} = disk.hardState;
+		const hasVoted = (vm: VmId) => term > message.term || (term === message.term && votedFor === vm);
+		if (message.type === 'consensus/vote') {
+			check(hasVoted(from), `${from} asks for votes in term ${message.term} before its own vote is on disk`);
+		}
+
+		if (message.type === 'consensus/vote-reply' && message.granted) {
+			check(hasVoted(to), `${from} votes for ${to} in term ${message.term} before the vote is on disk`);
+		}
+
+		if (message.type === 'consensus/append-reply' && message.ok) {
+			check(message.match <= lastIndexOf(disk) && term >= message.term, `${from} acknowledges ${message.match} of term ${message.term} before it is on disk`);
+		}
+
+		if (message.type === 'consensus/introduce-reply') {
+			check(cluster === message.cluster, `${from} promises itself before that is on disk`);
+		}
+	}
+
+	/** A quorum of admitted disks holds an acknowledged entry; they may have been lost since. */
+	private _checkQuorum({vm, state}: Process, index: number, term: number): void {
+		const admitted = currentMembers(state).filter(({role}) => role === 'voter');
+		const holders = admitted.filter(({diskId}) => {
+			const {snapshot, entries} = this._allDisks.get(diskId)!;
+			return (snapshot?.index ?? 0) >= index || entries.some(entry => entry.index === index && entry.term === term);
+		});
+		check(holders.length > admitted.length / 2, `${vm} acknowledged ${index}, which ${holders.length} of ${admitted.length} disks hold`);
+	}
+
+	/** One leader per term, whose vote is on disk and which has every committed entry. */
 	private _checkLeader({vm, state}: Process, term: number): void {
+		const {hardState} = this.disks.get(vm)!;
+		check(hardState.term === term && hardState.votedFor === vm, `${vm} leads term ${term} before its vote is on disk`);
 		const identity = `${vm}/${state.diskId}`;
 		check((this._leaders.get(term) ?? identity) === identity, `${this._leaders.get(term)} and ${identity} lead term ${term}`);
 		this._leaders.set(term, identity);
@@ -438,6 +481,10 @@
 	}
 }
 
+function lastIndexOf({snapshot, entries}: Disk): number {
+	return entries.at(-1)?.index ?? snapshot?.index ?? 0;
+}
+
 function writeBatch(disk: Disk, {hardState, truncateFrom, entries}: PersistBatch): void {
 	disk.hardState = hardState ?? disk.hardState;
 	const end = Math.min(truncateFrom ?? Number.POSITIVE_INFINITY, entries[0]?.index ?? Number.POSITIVE_INFINITY);
