--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -143,7 +143,7 @@
 		this._pool = new BlockPool(options.cacheBlocks ?? 2000, (kind, hash) => {
 			this._events.add(kind, hash, performance.now());
 		});
-		const prefillTokenMs = options.prefillTokenMs ?? 0.1;
+		const prefillTokenMs = options.prefillTokenMs ?? 0.07;
 		this._queue = new PrefillQueue(tokens => tokens * prefillTokenMs * this.slowness);
 		const stepMs = options.decodeStepMs ?? 20;
 		const perRequestMs = options.decodeStepPerRequestMs ?? 0.5;
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -20,8 +20,9 @@
 	readonly nowMs: () => number;
 };
 
-/** Bound on one attempt, in milliseconds. */
-const attemptTimeoutMs = 40_000;
+/** A caller's patience for the first byte of an answer, and for each further part, in milliseconds. */
+const headersTimeoutMs = 15_000;
+const bodyTimeoutMs = 10_000;
 const entryPointTimeoutMs = 2000;
 const maxAttempts = 4;
 
@@ -109,7 +110,6 @@
 		if (!this._answer || this._answer.untilMs <= this._options.nowMs()) {
 			this._asking ??= this._ask();
 			await this._asking;
-			this._asking = undefined;
 		}
 
 		const known = this._answer?.value.entryPoints.map(({address}) => address) ?? this._options.bootstrap;
@@ -119,6 +119,14 @@
 
 	/** Asks the known addresses in a random order until one answers. */
 	private async _ask(): Promise<void> {
+		try {
+			await this._askEach();
+		} finally {
+			this._asking = undefined;
+		}
+	}
+
+	private async _askEach(): Promise<void> {
 		const candidates = [...this._options.bootstrap].sort(() => this._random.next() - 0.5);
 		for (const address of candidates) {
 			try {
@@ -176,8 +184,8 @@
 			headers: this._headers(req),
 			...(req.method === 'POST' && {body: JSON.stringify({ref: req.ref, item: req.path})}),
 			signal,
-			headersTimeout: attemptTimeoutMs,
-			bodyTimeout: attemptTimeoutMs,
+			headersTimeout: headersTimeoutMs,
+			bodyTimeout: bodyTimeoutMs,
 		});
 		const firstMs = this._options.nowMs();
 		if (res.statusCode >= 300) {
@@ -206,8 +214,8 @@
 				model: req.service, messages: [{role: 'user', content: buildPrompt(req)}], max_tokens: req.maxTokens, stream: true, // eslint-disable-line @typescript-eslint/naming-convention -- field of the chat API
 			}),
 			signal,
-			headersTimeout: attemptTimeoutMs,
-			bodyTimeout: attemptTimeoutMs,
+			headersTimeout: headersTimeoutMs,
+			bodyTimeout: bodyTimeoutMs,
 		});
 		if (res.statusCode !== 200) {
 			return this._refusal(res);
@@ -250,7 +258,11 @@
 		return 'complete';
 	}
 
-	const expectedTokens = new Set(expected.split(' '));
-	const isForeign = text.split(' ').some(token => !expectedTokens.has(token));
-	return isForeign ? 'crossed' : 'incomplete';
+	const expectedTokens = expected.split(' ');
+	const tokens = text.split(' ');
+	const last = tokens.pop()!;
+	const known = new Set(expectedTokens);
+	// The last token may be cut off.
+	const isOwn = tokens.every(token => known.has(token)) && expectedTokens.some(token => token.startsWith(last));
+	return isOwn ? 'incomplete' : 'crossed';
 }
--- a/src/load/cluster.ts
+++ b/src/load/cluster.ts
@@ -167,6 +167,11 @@
 		return this._process(vm).logTail(lines);
 	}
 
+	/** Ids of all processes started so far. */
+	get pids(): number[] {
+		return this._processes.flatMap(({pid}) => pid === undefined ? [] : [pid]);
+	}
+
 	plan(vm: string): VmPlan {
 		const plan = this.plans.find(other => other.vm === vm);
 		if (!plan) {
--- a/src/load/replay.ts
+++ b/src/load/replay.ts
@@ -19,6 +19,7 @@
 import {writePlot} from './plot.js';
 import {score} from './scoring.js';
 import type {Measures, ReplayResult} from './scoring.js';
+import {writeTrace} from './trace.js';
 import type {Trace} from './trace.js';
 import {generateTrace} from './workload.js';
 import type {WorkloadName} from './workload.js';
@@ -34,6 +35,8 @@
 	readonly faults?: boolean;
 	/** Path of an HTML file with the plots. */
 	readonly plot?: string;
+	/** Path where the trace is written as JSON Lines. */
+	readonly saveTrace?: string;
 	/** Routers to measure; both by default. */
 	readonly routers?: ReadonlyArray<'system' | 'baseline'>;
 };
@@ -231,7 +234,7 @@
 	const callers = new Map(Object.entries(target.keys).map(([tenant, key], index) => [tenant, new Caller({
 		tenant, key, bootstrap, seed: trace.header.seed + index, nowMs,
 	})]));
-	const faults = options.faults ? injectFaults(target.cluster, trace.header.durationMs, nowMs) : undefined;
+	const faults = options.faults ? injectFaults(target.cluster, trace.header.durationMs, nowMs) : Promise.resolve();
 	const pending: Array<Promise<Outcome>> = [];
 	for (const req of trace.requests) {
 		const delayMs = req.atMs - nowMs();
@@ -242,8 +245,7 @@
 		pending.push(callers.get(req.tenant)!.send(req));
 	}
 
-	const outcomes = await Promise.all(pending);
-	await faults;
+	const [outcomes] = await Promise.all([Promise.all(pending), faults]);
 	await Promise.all([...callers.values()].map(async caller => caller.dispose()));
 	return outcomes;
 }
@@ -264,6 +266,10 @@
 	const trace = generateTrace({
 		workload, seed, configuration: loadExample(workload).value, durationMs, load,
 	});
+	if (options.saveTrace !== undefined) {
+		writeFileSync(options.saveTrace, writeTrace(trace));
+	}
+
 	const results: Partial<Record<'system' | 'baseline', ReplayResult>> = {};
 	for (const router of routers) {
 		results[router] = await measure(router === 'system' ? startSystem : startBaseline, trace, faults);
--- /dev/null
+++ b/src/load/scoring.test.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {EngineRecord, PrefillRecord} from '../../fakes/engine.js';
+import type {PlainCall, PlainRecord} from '../../fakes/plain-service.js';
+import type {Outcome} from './outcome.js';
+import {writePlot} from './plot.js';
+import {score} from './scoring.js';
+import type {ReplayResult} from './scoring.js';
+import type {ModelTraceRequest, PlainTraceRequest, TraceRequest} from './trace.js';
+
+function modelRequest(id: string, fields: Partial<ModelTraceRequest> = {}): ModelTraceRequest {
+	return {
+		kind: 'model', id, atMs: 0, tenant: 'a', service: 'm',
+		firstTokenTargetMs: 800, betweenTokensTargetMs: 69, maxTokens: 10, shared: [], ownTokens: 80, ...fields,
+	};
+}
+
+function postRequest(id: string): PlainTraceRequest {
+	return {
+		kind: 'plain', id, atMs: 0, tenant: 'a', service: 'p', method: 'POST', path: '/orders', isIdempotent: false, isOpen: false, ref: id, cost: 10, firstTokenTargetMs: 500,
+	};
+}
+
+function makeOutcome(request: TraceRequest, fields: Partial<Outcome> = {}): Outcome {
+	return {
+		request, kind: 'complete', sentMs: request.atMs, firstMs: request.atMs + 100, endMs: request.atMs + 200,
+		gapsMs: request.kind === 'model' ? [20, 20] : [], outputTokens: 3, attempts: 1, ...fields,
+	};
+}
+
+function makeEngine(prefills: readonly PrefillRecord[], fields: Partial<EngineRecord> = {}): EngineRecord {
+	return {
+		kind: 'engine', keysSeen: 0, prefills, decodes: [], outputTokens: 0, refusals: 0, cancels: 0, orders: [], requests: [], ...fields,
+	};
+}
+
+function makePrefill(answerId: string, outcome: PrefillRecord['outcome'] = 'transferred', cachedTokens = 0): PrefillRecord {
+	return {
+		requestId: answerId, answerId, promptTokens: 100, cachedTokens, outcome,
+	};
+}
+
+function makePlain(references: readonly string[]): PlainRecord {
+	const calls = references.map((ref): PlainCall => ({
+		method: 'POST', path: '/orders', idempotencyKey: undefined, bodyDigest: '', ref,
+	}));
+	return {kind: 'plain', keysSeen: 0, calls};
+}
+
+function makeResult(outcomes: readonly Outcome[], fields: Partial<ReplayResult> = {}): ReplayResult {
+	const tenants = {a: {rate: 100, burst: 200}, b: {rate: 100, burst: 200}};
+	return {
+		trace: {
+			header: {
+				kind: 'header', format: 1, workload: 'bereket', seed: 1, durationMs: 1000, tenants,
+			},
+			requests: outcomes.map(({request}) => request),
+		},
+		outcomes,
+		engines: [],
+		plain: [],
+		...fields,
+	};
+}
+
+test('goodput counts complete answers within both targets, and leaves out cancelled requests', () => {
+	const req = modelRequest('1', {ownTokens: 1});
+	const late = makeOutcome(req, {firstMs: 900});
+	const slow = makeOutcome(req, {gapsMs: [80, 80]});
+	const partial = makeOutcome(req, {kind: 'incomplete'});
+	assert.equal(score(makeResult([makeOutcome(req)])).goodput, 1);
+	for (const bad of [late, slow, partial]) {
+		assert.equal(score(makeResult([makeOutcome(req), bad])).goodput, 0.5);
+	}
+
+	assert.equal(score(makeResult([makeOutcome(req), makeOutcome(req, {kind: 'cancelled'})])).goodput, 1);
+	assert.equal(score(makeResult([partial])).incompleteAnswers, 1);
+	assert.equal(score(makeResult([makeOutcome(req, {kind: 'crossed'})])).crossedAnswers, 1);
+});
+
+test('prefill is wasted when it expires, is repeated or its answer stays incomplete, and cached tokens cost nothing', () => {
+	const outcomes = [makeOutcome(modelRequest('1')), makeOutcome(modelRequest('2'), {kind: 'unknown'})];
+	const wasted = (prefills: readonly PrefillRecord[]): number => score(makeResult(outcomes, {engines: [makeEngine(prefills)]})).wastedPrefillRatio;
+	assert.equal(wasted([makePrefill('1')]), 0);
+	assert.equal(wasted([makePrefill('1', 'expired'), makePrefill('1')]), 0.5);
+	assert.equal(wasted([makePrefill('1'), makePrefill('1')]), 0.5);
+	assert.equal(wasted([makePrefill('1'), makePrefill('2')]), 0.5);
+	assert.equal(wasted([makePrefill('1'), makePrefill('2', 'transferred', 100)]), 0);
+});
+
+test('the worst tenant is compared with the mean of all tenants', () => {
+	const good = (tenant: string): Outcome => makeOutcome(modelRequest(tenant, {tenant}));
+	const bad = makeOutcome(modelRequest('x', {tenant: 'b', ownTokens: 1}), {kind: 'unknown'});
+	assert.equal(score(makeResult([good('a'), good('b')])).worstTenantGoodput, 1);
+	assert.equal(score(makeResult([good('a'), good('b'), bad])).worstTenantGoodput, 0.5 / 0.75);
+});
+
+test('a refusal is wrongful only while the tenant was within rate and burst', () => {
+	const at = (id: string, atMs: number): ModelTraceRequest => modelRequest(id, {atMs});
+	const refused = (req: TraceRequest): Outcome => makeOutcome(req, {kind: 'refused', firstMs: undefined});
+	const wrongful = (outcomes: readonly Outcome[]): number => score(makeResult(outcomes)).wrongfulRefusals;
+	assert.equal(wrongful([refused(at('1', 0))]), 1);
+	assert.equal(wrongful([makeOutcome(at('1', 0)), makeOutcome(at('2', 0)), refused(at('3', 0))]), 0, 'two requests of 93 tokens use up the burst of 200');
+	assert.equal(wrongful([makeOutcome(at('1', 0)), makeOutcome(at('2', 0)), refused(at('3', 1000))]), 1, 'the bucket has refilled');
+});
+
+test('tokens admitted beyond burst and rate are found in the worst window', () => {
+	const admitted = (count: number, everyMs: number): Outcome[] => Array.from({length: count}, (_, index) => makeOutcome(modelRequest(String(index), {atMs: index * everyMs})));
+	assert.equal(score(makeResult(admitted(2, 0))).overAdmitted, 0);
+	assert.equal(score(makeResult(admitted(9, 1000))).overAdmitted, 0, 'one request a second is within the rate');
+	assert.ok(score(makeResult(admitted(4, 0))).overAdmitted > 100);
+});
+
+test('duplicate runs, leaked engine requests and keys at upstreams are counted', () => {
+	const outcomes = [makeOutcome(postRequest('1')), makeOutcome(postRequest('2'))];
+	const duplicates = (references: readonly string[]): number => score(makeResult(outcomes, {plain: [makePlain(references), makePlain(references.slice(0, 1))]})).duplicateRuns;
+	assert.equal(duplicates(['1', '2']), 1, 'the same call ran on two upstreams');
+	assert.equal(duplicates([]), 0);
+	assert.equal(duplicates(['lookup', 'lookup']), 0, 'other calls may run twice');
+	const leaked = makeEngine([], {
+		keysSeen: 2, requests: [{
+			requestId: 'r', owner: {vm: 'entry-1', incarnation: 1}, phase: 'imported', kvBlocks: 1, ageMs: 5,
+		}],
+	});
+	const measures = score(makeResult(outcomes, {engines: [leaked]}));
+	assert.equal(measures.leakedEngineRequests, 1);
+	assert.equal(measures.keysSeenByUpstreams, 2);
+});
+
+test('percentiles come in milliseconds, and a plot has a line for each router', () => {
+	const outcomes = Array.from({length: 100}, (_, index) => makeOutcome(modelRequest(String(index)), {firstMs: index + 1}));
+	const {firstTokenMs} = score(makeResult(outcomes));
+	assert.ok(Math.abs(firstTokenMs.p50 - 50) < 1);
+	assert.ok(Math.abs(firstTokenMs.p99 - 99) < 1);
+	const page = writePlot({system: makeResult(outcomes), baseline: makeResult(outcomes)});
+	assert.equal(page.match(/<polyline/g)?.length, 6);
+});
--- /dev/null
+++ b/src/load/workload.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {prefixHashes} from '../common/upstreams/prefix.js';
+import {buildPrompt} from './prompts.js';
+import {loadExample} from './replay.js';
+import {requestCost} from './scoring.js';
+import {readTrace, writeTrace} from './trace.js';
+import type {ModelTraceRequest, PlainTraceRequest} from './trace.js';
+import {generateTrace} from './workload.js';
+import type {WorkloadName} from './workload.js';
+
+function makeTrace(workload: WorkloadName, seed = 3) {
+	return generateTrace({
+		workload, seed, configuration: loadExample(workload).value, durationMs: 20_000,
+	});
+}
+
+test('the same seed gives the same trace, another seed another one, and the file format keeps it whole', () => {
+	for (const workload of ['bereket', 'vanua'] as const) {
+		const trace = makeTrace(workload);
+		assert.equal(writeTrace(trace), writeTrace(makeTrace(workload)));
+		assert.notEqual(writeTrace(trace), writeTrace(makeTrace(workload, 4)));
+		assert.deepEqual(readTrace(writeTrace(trace)), trace);
+		assert.equal(new Set(trace.requests.map(({id}) => id)).size, trace.requests.length);
+	}
+
+	assert.throws(() => readTrace('{"kind":"header","format":2}'));
+});
+
+test('a trace has shared prefixes, tenant skew, a burst, cancellations, repeats and resends', () => {
+	const {requests, header} = makeTrace('bereket');
+	const models = requests.filter((req): req is ModelTraceRequest => req.kind === 'model');
+	const plain = requests.filter((req): req is PlainTraceRequest => req.kind === 'plain');
+	assert.ok(models.some(({cancelAfterMs}) => cancelAfterMs !== undefined));
+	const [first, second] = models as [ModelTraceRequest, ModelTraceRequest];
+	assert.deepEqual(prefixHashes(buildPrompt(first), 8), prefixHashes(buildPrompt(second), 8), 'the standard rules are the same text');
+	assert.equal(Math.ceil(buildPrompt(first).length / 4) + first.maxTokens, requestCost(first), 'the cost counts the whole prompt');
+	const lookups = plain.filter(({path}) => path.startsWith('/lookups')).map(({path}) => path);
+	assert.ok(new Set(lookups).size < lookups.length);
+	const resent = plain.filter(({id}) => id.endsWith('-again'));
+	assert.ok(resent.length > 0);
+	for (const again of resent) {
+		const original = plain.find(({id}) => id === again.ref)!;
+		assert.equal(again.idempotencyKey, original.idempotencyKey);
+		assert.equal(again.path, original.path);
+	}
+
+	const countIn = (tenant: string, from: number, to: number): number =>
+		requests.filter(({tenant: other, atMs}) => other === tenant && atMs >= from * header.durationMs && atMs < to * header.durationMs).length;
+	assert.ok(countIn('sled-league', 0.4, 0.6) > 2 * countIn('sled-league', 0.6, 0.8), 'one tenant bursts');
+	assert.ok(countIn('trials-board', 0, 1) > 3 * countIn('agility-circle', 0, 1), 'large tenants send most');
+});
