--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -153,6 +153,10 @@
 		this._load = this._measureLoad();
 	}
 
+	private get _busySlots(): number {
+		return [...this._decodes.values()].filter(({phase}) => phase !== 'finished').length;
+	}
+
 	override async start(): Promise<void> {
 		await super.start();
 		this._loadTimer = setInterval(() => {
@@ -404,8 +408,13 @@
 			return;
 		}
 
-		const busy = [...this._decodes.values()].filter(({phase}) => phase !== 'finished').length;
-		if (this.isLeaving || busy >= this._slots || this._decodes.has(req.requestId)) {
+		const earlier = this._decodes.get(req.requestId);
+		if (earlier) {
+			// The import is sent again after a lost answer, or the request runs a second time.
+			this._endDecode(earlier);
+		}
+
+		if (this.isLeaving || this._busySlots >= this._slots) {
 			this._refuse(res, 'full');
 			return;
 		}
@@ -586,7 +595,7 @@
 			atMs: performance.now(),
 			figures: {
 				queuedPrefillTokens: this._queue.queuedTokens,
-				activeDecodes: [...this._decodes.values()].filter(({phase}) => phase !== 'finished').length,
+				activeDecodes: this._busySlots,
 				slots: this._slots,
 				freeBlocks: this._pool.free,
 				totalBlocks: this._pool.total,
