--- a/src/common/scheduler/mechanisms.test.ts
+++ b/src/common/scheduler/mechanisms.test.ts
@@ -434,11 +434,11 @@
 test('every overdue request is answered at one tick', () => {
 	const {harness} = makeBusy();
 	const tokens = Array.from({length: 6}, (_, i) => harness.place(`r${i}`, {tenant: `t${i % 2}`, maxWaitMs: 3000}));
-	harness.nowMs += 6000;
+	harness.nowMs += 3000;
 	harness.send({type: 'scheduler/tick'});
 	assert.deepEqual(tokens.map(token => code(harness.reply(token))), tokens.map(() => 'overloaded'));
-	const [ahead, behind] = [9000, 1500].map(maxWaitMs => harness.place(`w${maxWaitMs}`, {maxWaitMs}));
-	harness.advance(1500);
+	const [ahead, behind] = [9000, 2500].map(maxWaitMs => harness.place(`w${maxWaitMs}`, {maxWaitMs}));
+	harness.advance(2500);
 	assert.deepEqual([code(harness.reply(ahead!)), code(harness.reply(behind!))], [undefined, 'overloaded'], 'also behind one that is not overdue');
 });
 
--- /dev/null
+++ b/src/node/membership/membership-host.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {test} from 'node:test';
+import {NullLogger} from '../../common/core/log.js';
+import {makeSelf} from '../../common/membership/fixtures.js';
+import type {MemberRecord, PlatformState} from '../../common/membership/types.js';
+import {MonotonicClock} from '../clock.js';
+import {MemoryNetwork, Switchboard, until} from '../scheduler/fixtures.js';
+import {GossipEntryPointService} from './gossip-entry-point-service.js';
+import {MembershipHost} from './membership-host.js';
+import {PlatformList} from './platform-list.js';
+
+function startMembers(names: readonly string[]) {
+	const switchboard = new Switchboard();
+	return names.map((vm, i) => {
+		const self = makeSelf(vm, {zone: `z${i}`, callerAddress: `10.0.0.${i}:80`});
+		const host = new MembershipHost({
+			self, seeds: names.slice(0, 1), network: new MemoryNetwork(switchboard, self), clock: new MonotonicClock(), logger: new NullLogger(), count() {
+				// Counters are not looked at here.
+			}, randomSeed: i,
+		});
+		host.start();
+		return host;
+	});
+}
+
+test('processes find each other, spread draining, and a process that leaves is dead to the others', async context => {
+	const hosts = startMembers(['a', 'b', 'c']);
+	context.after(() => {
+		for (const host of hosts) {
+			host.dispose();
+		}
+	});
+	await until(() => hosts.every(({entries}) => entries.live.length === 3));
+	const [first, second, third] = hosts as [MembershipHost, MembershipHost, MembershipHost];
+	assert.equal(first.entries, first.entries, 'the same object until something changes');
+	second.setDraining(true);
+	await until(() => first.members.some(({vm, isDraining}) => vm === 'b' && isDraining));
+	third.leave();
+	await until(() => first.entries.dead.some(({vm}) => vm === 'c'));
+	const service = new GossipEntryPointService({members: () => first.members, leaving: () => first.leaving, drained: () => new Set()});
+	assert.deepEqual(service.answer('t', undefined).entryPoints, [{address: '10.0.0.0:80', zone: 'z0'}]);
+});
+
+test('dead, draining, drained, leaving and suspect VMs are left out of entry points', () => {
+	const member = (vm: string, overrides: Partial<MemberRecord> = {}): MemberRecord => ({
+		...makeSelf(vm, {callerAddress: vm}), status: 'alive', revision: 0, load: 0, ...overrides,
+	});
+	const members = [
+		member('ok'),
+		member('dead', {status: 'dead'}),
+		member('suspect', {status: 'suspect'}),
+		member('draining', {isDraining: true}),
+		member('drained'),
+		member('leaving'),
+		member('control', {roles: ['control']}),
+	];
+	const service = new GossipEntryPointService({members: () => members, leaving: () => new Set(['leaving']), drained: () => new Set(['drained'])});
+	assert.deepEqual(service.answer('t', 'z1').entryPoints, [{address: 'ok', zone: 'z1'}]);
+	members.shift();
+	assert.deepEqual(service.answer('t', 'z1').entryPoints, [{address: 'suspect', zone: 'z1'}], 'better a suspect than nobody');
+});
+
+test('the platform\'s list is polled, and a failed poll keeps the last list', async context => {
+	let isUp = true;
+	const server = createServer((_req, res) => {
+		res.writeHead(isUp ? 200 : 503).end(JSON.stringify({vms: [{vm: 'a', state: 'leaving'}, {vm: 'b', state: 'live'}]}));
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const lists: Array<ReadonlyMap<string, PlatformState>> = [];
+	let failures = 0;
+	const list = new PlatformList({
+		onList(vms) {
+			lists.push(vms);
+		},
+		count() {
+			failures++;
+		},
+	});
+	context.after(async () => {
+		await list.dispose();
+		server.closeAllConnections();
+		server.close();
+	});
+	list.configure({address: `127.0.0.1:${(server.address() as AddressInfo).port}`, pollEvery: 60_000});
+	await list.poll();
+	isUp = false;
+	await list.poll();
+	assert.equal(failures, 1);
+	assert.deepEqual(lists.map(vms => [...vms]), [[['a', 'leaving'], ['b', 'live']]]);
+});
--- /dev/null
+++ b/src/node/membership/membership-host.ts
@@ -0,0 +1,120 @@
+import Emittery from 'emittery';
+import type {Clock} from '../../common/core/clock.js';
+import type {Disposable} from '../../common/core/disposable.js';
+import type {Logger} from '../../common/core/log.js';
+import type {CountEffect, VmId} from '../../common/core/types.js';
+import {createMembership, entryProcesses, reduceMembership} from '../../common/membership/membership.js';
+import type {MembershipState} from '../../common/membership/membership.js';
+import {membershipMessageSchema} from '../../common/membership/messages.js';
+import type {
+	MemberRecord, MembershipEffect, MembershipEvent, PlatformState, SelfDescription,
+} from '../../common/membership/types.js';
+import {EntryDirectory} from '../../common/scheduler/entry-directory.js';
+import type {EntryProcesses} from '../../common/scheduler/types.js';
+import type {PeerNetwork} from '../../common/services/peer-network.js';
+import {Runtime} from '../runtime.js';
+
+/** Interval between ticks, in milliseconds. */
+const tickMs = 50;
+
+export type MembershipHostOptions = {
+	readonly self: SelfDescription;
+	/** Processes to contact first; their addresses must be set in the network. */
+	readonly seeds: readonly VmId[];
+	readonly network: PeerNetwork;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly count: (effect: CountEffect) => void;
+	/** Seed of the random choices. */
+	readonly randomSeed: number;
+};
+
+export type MembershipEvents = {
+	/** A member came, changed or went. */
+	onMemberChanged: MemberRecord;
+};
+
+/** Runs gossip membership over the peer network and tells the network the members' addresses. */
+export class MembershipHost extends EntryDirectory implements Disposable {
+	readonly events = new Emittery<MembershipEvents>();
+	private readonly _state: MembershipState;
+	private readonly _runtime: Runtime<MembershipEvent, MembershipEffect>;
+	private _timer: NodeJS.Timeout | undefined;
+	private _entries: EntryProcesses;
+
+	constructor(private readonly _options: MembershipHostOptions) {
+		super();
+		this._state = createMembership({self: _options.self, seed: _options.randomSeed});
+		this._entries = entryProcesses(this._state);
+		this._runtime = new Runtime(event => reduceMembership(this._state, event), _options.clock);
+		this._registerEffects();
+		for (const {shape: {type: {value}}} of membershipMessageSchema.options) {
+			_options.network.handle(value, membershipMessageSchema, (from, message) => {
+				this._runtime.dispatch({type: 'membership/message', from, message});
+			});
+		}
+	}
+
+	/** Starts probing. */
+	start(): void {
+		this._runtime.dispatch({type: 'membership/seeds', vms: this._options.seeds});
+		this._timer = setInterval(() => {
+			this._runtime.dispatch({type: 'membership/tick'});
+		}, tickMs);
+		this._timer.unref();
+	}
+
+	override get entries(): EntryProcesses {
+		return this._entries;
+	}
+
+	/** This process and every other member known, dead ones included. */
+	get members(): MemberRecord[] {
+		return [this._state.self, ...[...this._state.members.values()].map(({record}) => record)];
+	}
+
+	/** VMs that the platform is about to take away. */
+	get leaving(): ReadonlySet<VmId> {
+		return this._state.leaving;
+	}
+
+	setPlatformList(vms: ReadonlyMap<VmId, PlatformState>): void {
+		this._runtime.dispatch({type: 'membership/platform', vms});
+	}
+
+	/** Tells the own load, in percent of capacity. */
+	setLoad(load: number): void {
+		this._runtime.dispatch({type: 'membership/self', load: Math.round(Math.min(100, Math.max(0, load)))});
+	}
+
+	setDraining(isDraining: boolean): void {
+		this._runtime.dispatch({type: 'membership/self', isDraining});
+	}
+
+	/** Tells others that this process ends; call it last, before the network is disposed. */
+	leave(): void {
+		this._runtime.dispatch({type: 'membership/leave'});
+		clearInterval(this._timer);
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+		this.events.clearListeners();
+	}
+
+	private _registerEffects(): void {
+		const {network, count, logger} = this._options;
+		this._runtime.on('send', ({to, message}) => {
+			network.send(to, message);
+		});
+		this._runtime.on('count', count);
+		this._runtime.on('log', ({level, message, fields}) => {
+			logger.log(level, message, fields);
+		});
+		this._runtime.on('membership/changed', ({member}) => {
+			network.setAddress(member.vm, member.peerAddress);
+			this._entries = entryProcesses(this._state);
+			void this.events.emit('onMemberChanged', member);
+		});
+	}
+}
--- /dev/null
+++ b/src/node/membership/platform-list.ts
@@ -0,0 +1,69 @@
+import {Agent, request} from 'undici';
+import type {Disposable} from '../../common/core/disposable.js';
+import type {CountEffect, VmId} from '../../common/core/types.js';
+import {platformListSchema} from '../../common/membership/messages.js';
+import type {PlatformState} from '../../common/membership/types.js';
+
+/** Longest wait for the platform's answer, in milliseconds. */
+const answerTimeoutMs = 1000;
+
+export type PlatformListOptions = {
+	readonly onList: (vms: ReadonlyMap<VmId, PlatformState>) => void;
+	readonly count: (effect: CountEffect) => void;
+};
+
+/** Polls the platform's list of VMs. While it does not answer, the last list stands: a VM that was leaving still is. */
+export class PlatformList implements Disposable {
+	private readonly _agent = new Agent({connections: 1, connect: {timeout: answerTimeoutMs}});
+	private _timer: NodeJS.Timeout | undefined;
+	private _address: string | undefined;
+	private _everyMs = 0;
+	private _isPolling = false;
+
+	constructor(private readonly _options: PlatformListOptions) {}
+
+	/** Starts, changes or stops polling, as the shared configuration says. */
+	configure(platform: {readonly address: string; readonly pollEvery: number} | undefined): void {
+		if (platform?.address === this._address && platform?.pollEvery === this._everyMs) {
+			return;
+		}
+
+		clearInterval(this._timer);
+		this._address = platform?.address;
+		this._everyMs = platform?.pollEvery ?? 0;
+		if (platform) {
+			this._timer = setInterval(() => {
+				void this.poll();
+			}, platform.pollEvery);
+			this._timer.unref();
+		}
+	}
+
+	/** Asks once; failures are counted. */
+	async poll(): Promise<void> {
+		if (this._isPolling || this._address === undefined) {
+			return;
+		}
+
+		this._isPolling = true;
+		try {
+			const {statusCode, body} = await request(`http://${this._address}/v1/vms`, {dispatcher: this._agent, signal: AbortSignal.timeout(answerTimeoutMs)});
+			const text = await body.text();
+			if (statusCode !== 200) {
+				throw new Error(`status ${statusCode}`);
+			}
+
+			const {vms} = platformListSchema.parse(JSON.parse(text));
+			this._options.onList(new Map(vms.map(({vm, state}) => [vm, state])));
+		} catch {
+			this._options.count({type: 'count', metric: 'membership_platform_polls_failed_total'});
+		} finally {
+			this._isPolling = false;
+		}
+	}
+
+	async dispose(): Promise<void> {
+		clearInterval(this._timer);
+		await this._agent.destroy();
+	}
+}
--- a/src/node/scheduler/fixtures.ts
+++ b/src/node/scheduler/fixtures.ts
@@ -32,7 +32,7 @@
 }
 
 /** A peer network over a switchboard. */
-class MemoryNetwork extends PeerNetwork {
+export class MemoryNetwork extends PeerNetwork {
 	override readonly events = new Emittery<PeerNetworkEvents>();
 
 	constructor(private readonly _switchboard: Switchboard, private readonly _self: VmIdentity) {
