Wire gossip membership, entry points and the platform's list

Cause: entry processes did not know each other, so the shard's scheduler was out of reach. Change: membership on every process, entry-point answers from it, leaving VMs from the platform's list.

--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -4,9 +4,10 @@
 import type {VmIdentity} from '../../common/core/types.js';
 import type {ProcessState, Replica} from '../../common/reducer.js';
 import type {EntryServer} from '../entry/entry-server.js';
+import type {MembershipHost} from '../membership/membership-host.js';
 import type {SchedulerHost} from '../scheduler/scheduler-host.js';
 
-type Dumped = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState};
+type Dumped = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState; readonly membership: MembershipHost};
 type DumpedEntry = {readonly scheduler: SchedulerHost; readonly server: EntryServer};
 
 function dumpReplica({consensus, control}: Replica): unknown {
@@ -47,12 +48,16 @@
 }
 
 /** The state of a process for operators. Keys and their digests are counted, never listed. */
-export function dumpProcess({self, clock, state}: Dumped, entry: DumpedEntry | undefined): unknown {
+export function dumpProcess({
+	self, clock, state, membership,
+}: Dumped, entry: DumpedEntry | undefined): unknown {
 	return {
 		self,
+		members: membership.members,
+		leaving: membership.leaving,
 		...(entry && {
 			access: dumpAccess(state, clock.nowMs()),
-			requests: {running: entry.server.running},
+			requests: entry.server.state(),
 			schedulers: entry.scheduler.dump(),
 		}),
 		...(state.replica && {replica: dumpReplica(state.replica)}),
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -7,6 +7,7 @@
 import {createControl} from '../common/control/control.js';
 import {DisposableStore} from '../common/core/disposable.js';
 import type {CountEffect, VmIdentity} from '../common/core/types.js';
+import type {SelfDescription} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
 import type {
 	MemberChangeReply, ProcessEffect, ProcessEvent, ProcessState, Replica,
@@ -21,7 +22,9 @@
 import {ControlOperator} from './control/control-operator.js';
 import {ControlServer} from './control/control-server.js';
 import {EntryServer} from './entry/entry-server.js';
-import {StaticDirectory, StaticEntryPoints} from './membership/static-members.js';
+import {GossipEntryPointService} from './membership/gossip-entry-point-service.js';
+import {MembershipHost} from './membership/membership-host.js';
+import {PlatformList} from './membership/platform-list.js';
 import {JsonLogger} from './observability/json-logger.js';
 import {PromMetrics} from './observability/prom-metrics.js';
 import {dumpProcess} from './observability/state-dump.js';
@@ -52,6 +55,7 @@
 	readonly runtime: Runtime<ProcessEvent, ProcessEffect>;
 	readonly link: ControlLink;
 	readonly operator: ControlOperator;
+	readonly membership: MembershipHost;
 	readonly parts: DisposableStore;
 };
 
@@ -84,13 +88,15 @@
 
 	/** Graceful shutdown: leaves the entry-point answers, serves until they have expired and the last request has ended. */
 	async stop(): Promise<void> {
-		const {logger, parts} = this._platform;
+		const {logger, membership, parts} = this._platform;
 		logger.log('info', 'stopping');
+		membership.setDraining(true);
 		if (this._entry) {
 			await this._entry.scheduler.stop();
 			await this._entry.server.drained();
 		}
 
+		membership.leave();
 		await parts.dispose();
 		logger.log('info', 'stopped');
 	}
@@ -133,8 +139,24 @@
 	}
 
 	const link = new ControlLink({network, clock, controlVms});
+	const membership = parts.add(new MembershipHost({
+		self: describeSelf(settings, self), seeds: controlVms, network, clock, logger, count: countOn(metrics), randomSeed: self.incarnation,
+	}));
+	membership.start();
+	return {
+		settings, self, clock, logger, metrics, network, state, runtime, link, operator: new ControlOperator(link), membership, parts,
+	};
+}
+
+function describeSelf({zone, roles, listen}: Settings, {vm, incarnation}: VmIdentity): SelfDescription {
 	return {
-		settings, self, clock, logger, metrics, network, state, runtime, link, operator: new ControlOperator(link), parts,
+		vm, incarnation, zone, roles, peerAddress: listen.peers, callerAddress: listen.callers, isDraining: false,
+	};
+}
+
+function countOn(metrics: PromMetrics): (effect: CountEffect) => void {
+	return ({metric, labels, by}) => {
+		metrics.count(metric, labels, by);
 	};
 }
 
@@ -153,9 +175,7 @@
 	runtime.on('send', ({to, message}) => {
 		network.send(to, message);
 	});
-	runtime.on('count', ({metric, labels, by}) => {
-		metrics.count(metric, labels, by);
-	});
+	runtime.on('count', countOn(metrics));
 	runtime.on('log', ({level, message, fields}) => {
 		logger.log(level, message, fields);
 	});
@@ -166,7 +186,7 @@
 
 async function startEntry(platform: Platform): Promise<EntryParts> {
 	const {
-		settings, self, clock, logger, metrics, network, state, runtime, link, operator, parts,
+		settings, self, clock, logger, metrics, network, state, runtime, link, operator, membership, parts,
 	} = platform;
 	const client = parts.add(new ControlClient({
 		host: runtime, state: state.access, network, clock, link,
@@ -177,12 +197,8 @@
 	runtime.on('notify', effect => {
 		client.access.notify(effect);
 	});
-	const directory = new StaticDirectory(self);
-	const entryPoints = new StaticEntryPoints(settings.listen.callers!, settings.zone);
 	const schedulerOptions = {
-		self, network, clock, logger, access: client.access, directory, count({metric, labels, by}: CountEffect) {
-			metrics.count(metric, labels, by);
-		},
+		self, network, clock, logger, access: client.access, directory: membership, count: countOn(metrics),
 	};
 	const scheduler = parts.add(new SchedulerHost({...schedulerOptions, leases: new ControlLeaseKeeper(operator, self)}));
 	const {host, port} = splitAddress(settings.listen.callers!);
@@ -190,18 +206,37 @@
 		access: client.access,
 		claims: client.claims,
 		scheduler: parts.add(new PeerSchedulerClient(schedulerOptions)),
-		entryPoints,
+		entryPoints: new GossipEntryPointService({
+			members: () => membership.members,
+			leaving: () => membership.leaving,
+			drained: () => client.access.view?.drainedVms ?? new Set(),
+		}),
 		metrics,
 		logger,
 		clock,
 	}, {
 		host, port, identity: self, zone: settings.zone, seed: self.incarnation,
 	}));
+	followPlatformList(platform, client, server);
 	scheduler.start();
 	await server.start();
 	return {client, scheduler, server};
 }
 
+/** Leaving VMs get no new work: entry VMs through membership, upstreams through their registry. */
+function followPlatformList({membership, metrics, parts}: Platform, client: ControlClient, server: EntryServer): void {
+	const list = parts.add(new PlatformList({
+		count: countOn(metrics),
+		onList(vms) {
+			membership.setPlatformList(vms);
+			server.setLeavingUpstreams(membership.leaving);
+		},
+	}));
+	client.access.events.on('onViewChanged', ({configuration}) => {
+		list.configure(configuration.platform);
+	});
+}
+
 async function startOperators(platform: Platform, entry: EntryParts | undefined): Promise<void> {
 	const {settings, metrics, operator, parts} = platform;
 	parts.add(await OperatorServer.listen({
