--- a/src/load/baseline.ts
+++ b/src/load/baseline.ts
@@ -30,6 +30,17 @@
 	max_tokens: z.int().optional(), // eslint-disable-line @typescript-eslint/naming-convention -- field of the chat API
 });
 
+type ModelRun = {
+	readonly requestId: string;
+	readonly service: string;
+	readonly model: string;
+	readonly prompt: string;
+	readonly maxTokens: number;
+	/** Engines that may hold memory of the request. */
+	readonly engines: Set<string>;
+	readonly abort: AbortController;
+};
+
 /** How long callers keep the list of entry points, in milliseconds. */
 const validForMs = 5000;
 /** Pause before an import is tried on the next engine, and how often, so that it ends with the result's lifetime. */
@@ -289,14 +300,3 @@
 		}));
 	}
 }
-
-type ModelRun = {
-	readonly requestId: string;
-	readonly service: string;
-	readonly model: string;
-	readonly prompt: string;
-	readonly maxTokens: number;
-	/** Engines that may hold memory of the request. */
-	readonly engines: Set<string>;
-	readonly abort: AbortController;
-};
--- a/src/load/child-process.ts
+++ b/src/load/child-process.ts
@@ -1,6 +1,6 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
-import {createWriteStream, readFileSync} from 'node:fs';
+import {createWriteStream, existsSync, readFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
@@ -113,7 +113,7 @@
 
 	/** The last lines of the log. */
 	logTail(lines = 20): string {
-		return readFileSync(this.logFile, 'utf8').split('\n').slice(-lines).join('\n');
+		return existsSync(this.logFile) ? readFileSync(this.logFile, 'utf8').split('\n').slice(-lines).join('\n') : '';
 	}
 
 	/** Sends SIGTERM, and SIGKILL when the process does not end in time. */
--- a/src/load/replay.ts
+++ b/src/load/replay.ts
@@ -56,13 +56,14 @@
 	readonly keys: Readonly<Record<string, string>>;
 };
 
+const clusterName = 'replay';
 const defaultDurationMs = 20_000;
 const controlCount = 3;
 const entryCount = 4;
 /** How long engines may need until they hold nothing of an ended request, in milliseconds. */
 const settleTimeoutMs = 4000;
 const settlePollMs = 100;
-/** Pause after the configuration was applied, in milliseconds; it is in force everywhere within seconds. */
+/** How long entry processes may need until they accept the new keys, in milliseconds. */
 const applyTimeoutMs = 10_000;
 
 const run = promisify(execFile);
@@ -94,8 +95,6 @@
 	throw failure;
 }
 
-const clusterName = 'replay';
-
 /** Starts the system with the doubles of a deployment, applies its configuration and issues a key to each tenant. */
 export async function startSystem(workload: WorkloadName): Promise<Target> {
 	const example = loadExample(workload);
--- a/src/load/workload.ts
+++ b/src/load/workload.ts
@@ -32,11 +32,11 @@
 /* Two prefill engines together cache all sections, one alone does not, so a placement that ignores prefixes wastes prefill. */
 const shapes: Readonly<Record<WorkloadName, Shape>> = {
 	bereket: {
-		modelService: 'dossiers', plainService: 'entry-desk', modelPeak: 34, plainPeak: 40, sections: 64, sectionTokens: 1536, ruleTokens: 512,
+		modelService: 'dossiers', plainService: 'entry-desk', modelPeak: 38, plainPeak: 40, sections: 64, sectionTokens: 1536, ruleTokens: 512,
 		postPaths: ['/entries', '/fees', '/run-order'], postCost: 10, openPath: '/calendar',
 	},
 	vanua: {
-		modelService: 'briefs', plainService: 'order-desk', modelPeak: 34, plainPeak: 30, sections: 80, sectionTokens: 1280, ruleTokens: 256,
+		modelService: 'briefs', plainService: 'order-desk', modelPeak: 38, plainPeak: 30, sections: 80, sectionTokens: 1280, ruleTokens: 256,
 		postPaths: ['/orders'], postCost: 10, openPath: '/patterns',
 	},
 };
