--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -477,7 +477,8 @@
 test('a leader that is removed commits its removal, then leaves', () => {
 	const {cluster, leader, others} = electedCluster();
 	const token = cluster.changeMembers(leader, {kind: 'remove', vm: leader});
-	cluster.run(100);
+	// Followers acknowledge to a leader that is no longer a member without waiting for its next heartbeat.
+	cluster.run(20);
 	assert.equal(cluster.answers(token)[0], 'consensus/members-committed');
 	assert.equal(cluster.state(leader).role, 'learner');
 	cluster.run(3000);
--- a/src/common/consensus/reducer.ts
+++ b/src/common/consensus/reducer.ts
@@ -274,13 +274,14 @@
 	}
 }
 
-function followLeader(context: Context, from: VmId, {cluster, term}: {readonly cluster?: string | undefined; readonly term: number}): void {
+function followLeader(context: Context, from: VmId, {cluster, disk, term}: {readonly cluster?: string | undefined; readonly disk: string; readonly term: number}): void {
 	const {state, nowMs} = context;
 	if (state.hard.cluster !== cluster) {
 		updateHardState(context, {cluster});
 	}
 
 	becomeFollower(context, term, from);
+	state.leaderDisk = disk;
 	state.leaderContactMs = nowMs;
 	resetElectionTimer(context);
 }
--- a/src/common/consensus/replication.ts
+++ b/src/common/consensus/replication.ts
@@ -179,9 +179,8 @@
 /** Acknowledges to the leader what a finished write made durable. */
 export function acknowledgeWrite(context: Context): void {
 	const {state} = context;
-	const leader = state.leader === undefined ? undefined : currentMembers(state).find(({vm}) => vm === state.leader);
-	if (leader && leader.vm !== state.vm) {
-		reply(context, leader.vm, {disk: leader.diskId}, {ok: true, hint: 0, round: 0});
+	if (state.leader !== undefined && state.leader !== state.vm) {
+		reply(context, state.leader, {disk: state.leaderDisk}, {ok: true, hint: 0, round: 0});
 	}
 }
 
--- a/src/common/consensus/state.ts
+++ b/src/common/consensus/state.ts
@@ -100,6 +100,8 @@
 	hard: HardState;
 	role: ConsensusRole;
 	leader: VmId | undefined;
+	/** Disk id of the leader; known even after a membership change removed it. */
+	leaderDisk: string;
 	readonly log: EntryLog;
 	snapshot: Snapshot | undefined;
 	/** Memberships in the log, oldest first; the last one is in force even before it commits. */
@@ -160,6 +162,7 @@
 		hard,
 		role: 'follower',
 		leader: undefined,
+		leaderDisk: '',
 		log,
 		snapshot: stored.snapshot,
 		configurations: [
