--- /dev/null
+++ b/src/load/bench-consensus.test.ts
@@ -0,0 +1,8 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {benchConsensus} from './bench-consensus.js';
+
+test('the benchmark of the replicated log covers commits and restarts with real files', async () => {
+	const results = await benchConsensus({memberCounts: [3], outstanding: [4], changes: 20});
+	assert.deepEqual(results.map(({scenario}) => scenario), ['commit', 'recovery', 'recovery']);
+});
--- /dev/null
+++ b/src/load/bench-consensus.ts
@@ -0,0 +1,328 @@
+import {
+	mkdtemp, readdir, rm, stat,
+} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {ConsensusState} from '../common/consensus/state.js';
+import type {
+	ConsensusEffect, ConsensusEvent, ConsensusLimits, PersistBatch, Snapshot,
+} from '../common/consensus/types.js';
+import type {VmId} from '../common/core/types.js';
+import {reduceConsensus} from '../common/consensus/reducer.js';
+import {createConsensus} from '../common/consensus/state.js';
+import {NodeFileSystem} from '../node/storage/file-system.js';
+import {FileLogStorage} from '../node/storage/file-log-storage.js';
+
+/** Commit throughput and latency of one cluster. */
+export type CommitResult = {
+	readonly scenario: 'commit';
+	readonly members: number;
+	/** Proposals under way at any time. */
+	readonly outstanding: number;
+	readonly changes: number;
+	readonly committedPerSecond: number;
+	readonly medianMs: number;
+	readonly p99Ms: number;
+};
+
+/** Restart of one member from its data folder. */
+export type RecoveryResult = {
+	readonly scenario: 'recovery';
+	readonly members: number;
+	readonly changes: number;
+	readonly hasSnapshot: boolean;
+	/** From opening the folder until the state machine holds everything known to be committed. */
+	readonly recoveryMs: number;
+	readonly bytes: number;
+};
+
+export type ConsensusBenchOptions = {
+	readonly memberCounts?: readonly number[];
+	/** Proposals under way at any time, one scenario each. */
+	readonly outstanding?: readonly number[];
+	readonly changes?: number;
+};
+
+type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
+
+const tickMs = 20;
+/** Size of a configuration change's command, in bytes. */
+const commandBytes = 256;
+/** Keys that the changes overwrite in turn; bounds the state like that of a configuration. */
+const keyCount = 50;
+const snapshotEvery = 250;
+const neverSnapshot = 1_000_000_000;
+const electionLimitMs = 10_000;
+
+/** One member with real files; messages to other members are passed in memory. */
+class BenchMember {
+	private _state!: ConsensusState;
+	private _timer: NodeJS.Timeout | undefined;
+	private readonly _storage: FileLogStorage;
+	private readonly _committed = new Map<number, () => void>();
+	private _nextToken = 1;
+	private _isRunning = false;
+	private _values = new Map<number, unknown>();
+
+	constructor(
+		readonly vm: VmId,
+		readonly folder: string,
+		private readonly _peers: Map<VmId, BenchMember>,
+		private readonly _limits: Partial<ConsensusLimits>,
+	) {
+		this._storage = new FileLogStorage({folder, fileSystem: new NodeFileSystem()});
+	}
+
+	get isReady(): boolean {
+		return this._state.role === 'leader' && this._state.hard.commit >= this._state.termStart;
+	}
+
+	/** Reads the folder and restores the state machine. */
+	async load(): Promise<void> {
+		const stored = await this._storage.load();
+		this._state = createConsensus({
+			vm: this.vm, stored, initialVms: [...this._peers.keys()], seed: Number(this.vm.slice(2)), limits: this._limits,
+		});
+		this.dispatch({type: 'consensus/tick'});
+	}
+
+	start(): void {
+		this._isRunning = true;
+		this._timer = setInterval(() => {
+			this.dispatch({type: 'consensus/tick'});
+		}, tickMs);
+	}
+
+	/** Resolves once the command is applied here. */
+	async propose(command: unknown): Promise<void> {
+		const token = this._nextToken++;
+		return new Promise(resolve => {
+			this._committed.set(token, resolve);
+			this.dispatch({type: 'consensus/propose', token, command});
+		});
+	}
+
+	dispatch(event: WithoutTime<ConsensusEvent>): void {
+		for (const effect of reduceConsensus(this._state, {...event, nowMs: performance.now()})) {
+			this._execute(effect);
+		}
+	}
+
+	/** Drops events that arrive before the start or after the end. */
+	deliver(event: WithoutTime<ConsensusEvent>): void {
+		if (this._isRunning) {
+			this.dispatch(event);
+		}
+	}
+
+	async dispose(): Promise<void> {
+		this._isRunning = false;
+		clearInterval(this._timer);
+		await this._storage.dispose();
+	}
+
+	private _execute(effect: ConsensusEffect): void {
+		switch (effect.type) {
+			case 'send': {
+				this._send(effect.to, effect.message);
+				break;
+			}
+
+			case 'consensus/persist': {
+				void this._persist(effect.batch);
+				break;
+			}
+
+			case 'consensus/save-snapshot': {
+				void this._saveSnapshot(effect.snapshot);
+				break;
+			}
+
+			case 'consensus/take-snapshot': {
+				this._takeSnapshot(effect.index);
+				break;
+			}
+
+			case 'consensus/install': {
+				this._values = new Map(effect.data as Array<[number, unknown]>);
+				break;
+			}
+
+			case 'consensus/committed': {
+				this._apply(effect);
+				break;
+			}
+
+			case 'consensus/dropped': {
+				throw new Error(`proposal dropped: ${effect.reason}`);
+			}
+
+			case 'consensus/members-committed':
+			case 'consensus/read-failed':
+			case 'consensus/read-ready':
+			case 'consensus/role':
+			case 'count':
+			case 'log':
+			case 'notify':
+			case 'reply': {
+				break;
+			}
+		}
+	}
+
+	private _apply({command, token}: Extract<ConsensusEffect, {type: 'consensus/committed'}>): void {
+		const {changeId} = command as {changeId: number};
+		this._values.set(changeId % keyCount, command);
+		if (token !== undefined) {
+			this._committed.get(token)?.();
+			this._committed.delete(token);
+		}
+	}
+
+	private _send(to: VmId, message: unknown): void {
+		setImmediate(() => {
+			this._peers.get(to)!.deliver({type: 'consensus/message', from: this.vm, message});
+		});
+	}
+
+	private _takeSnapshot(index: number): void {
+		const data = [...this._values];
+		setImmediate(() => {
+			this.deliver({type: 'consensus/snapshot-taken', index, data});
+		});
+	}
+
+	private async _persist(batch: PersistBatch): Promise<void> {
+		await this._storage.append(batch);
+		this.deliver({type: 'consensus/persisted', sequence: batch.sequence});
+	}
+
+	private async _saveSnapshot(snapshot: Snapshot): Promise<void> {
+		await this._storage.saveSnapshot(snapshot);
+		this.deliver({type: 'consensus/snapshot-saved', index: snapshot.index});
+	}
+}
+
+/** Runs `use` with the members and the leader of a cluster in a temporary folder that is deleted afterwards. */
+async function withCluster<T>(
+	size: number,
+	limits: Partial<ConsensusLimits>,
+	use: (members: Map<VmId, BenchMember>, leader: BenchMember) => Promise<T>,
+): Promise<T> {
+	const folder = await mkdtemp(path.join(tmpdir(), 'jasminehead-bench-'));
+	const members = new Map<VmId, BenchMember>();
+	try {
+		for (let number = 1; number <= size; number++) {
+			const vm = `vm${number}`;
+			members.set(vm, new BenchMember(vm, path.join(folder, vm), members, limits));
+		}
+
+		await Promise.all([...members.values()].map(async member => member.load()));
+		for (const member of members.values()) {
+			member.start();
+		}
+
+		return await use(members, await waitForLeader(members));
+	} finally {
+		await Promise.all([...members.values()].map(async member => member.dispose()));
+		await rm(folder, {recursive: true});
+	}
+}
+
+async function waitForLeader(members: Map<VmId, BenchMember>): Promise<BenchMember> {
+	for (let waitedMs = 0; waitedMs < electionLimitMs; waitedMs += tickMs) {
+		const leader = [...members.values()].find(({isReady}) => isReady);
+		if (leader) {
+			return leader;
+		}
+
+		await sleep(tickMs);
+	}
+
+	throw new Error(`no leader within ${electionLimitMs} ms`);
+}
+
+/** Proposes `changes` commands with `outstanding` under way; resolves with the time of each, in ms. */
+async function propose(leader: BenchMember, changes: number, outstanding: number): Promise<number[]> {
+	const times: number[] = [];
+	let proposed = 0;
+	const proposer = async () => {
+		while (proposed < changes) {
+			proposed++;
+			const startMs = performance.now();
+			await leader.propose({changeId: proposed, body: 'x'.repeat(commandBytes)});
+			times.push(performance.now() - startMs);
+		}
+	};
+
+	await Promise.all(Array.from({length: outstanding}, async () => proposer()));
+	return times.sort((a, b) => a - b);
+}
+
+async function measureCommits(size: number, outstanding: number, changes: number): Promise<CommitResult> {
+	return withCluster(size, {}, async (_, leader) => {
+		const startMs = performance.now();
+		const times = await propose(leader, changes, outstanding);
+		const elapsedMs = performance.now() - startMs;
+		return {
+			scenario: 'commit',
+			members: size,
+			outstanding,
+			changes,
+			committedPerSecond: changes * 1000 / elapsedMs,
+			medianMs: times[Math.floor(times.length / 2)]!,
+			p99Ms: times[Math.floor(times.length * 0.99)]!,
+		};
+	});
+}
+
+async function measureRecovery(size: number, changes: number, hasSnapshot: boolean): Promise<RecoveryResult> {
+	const limits = {snapshotEvery: hasSnapshot ? snapshotEvery : neverSnapshot};
+	return withCluster(size, limits, async (members, leader) => {
+		await propose(leader, changes, 1);
+		// A heartbeat later the followers know that everything is committed.
+		await sleep(200);
+		for (const member of members.values()) {
+			await member.dispose();
+		}
+
+		const bytes = await folderBytes(leader.folder);
+		const restarted = new BenchMember(leader.vm, leader.folder, members, limits);
+		const startMs = performance.now();
+		await restarted.load();
+		const recoveryMs = performance.now() - startMs;
+		await restarted.dispose();
+		return {
+			scenario: 'recovery', members: size, changes, hasSnapshot, recoveryMs, bytes,
+		};
+	});
+}
+
+async function folderBytes(folder: string): Promise<number> {
+	let total = 0;
+	for (const file of await readdir(folder)) {
+		const {size} = await stat(path.join(folder, file));
+		total += size;
+	}
+
+	return total;
+}
+
+/** Measures commits and restarts of the replicated log with real files, one plain object per scenario. */
+export async function benchConsensus({memberCounts = [3, 5], outstanding = [1, 64], changes = 1000}: ConsensusBenchOptions = {}): Promise<Array<CommitResult | RecoveryResult>> {
+	const results: Array<CommitResult | RecoveryResult> = [];
+	for (const size of memberCounts) {
+		for (const count of outstanding) {
+			results.push(await measureCommits(size, count, changes));
+		}
+	}
+
+	const [size = 3] = memberCounts;
+	for (const hasSnapshot of [false, true]) {
+		results.push(await measureRecovery(size, changes, hasSnapshot));
+	}
+
+	return results;
+}
