--- a/src/load/bench-capacity.ts
+++ b/src/load/bench-capacity.ts
@@ -168,7 +168,13 @@
 	const view = publishView(paged.view);
 	const heap = heapBytes() - before;
 	return {
-		scenario: 'capacity/view', tenants: Object.keys(view?.configuration.tenants ?? {}).length, keys: paged.view.keysByDigest.size, bytes, pages, milliseconds: elapsedMs, heapMegabytes: heap / bytesPerMegabyte,
+		scenario: 'capacity/view',
+		tenants: Object.keys(view?.configuration.tenants ?? {}).length,
+		keys: paged.view.keysByDigest.size,
+		bytes,
+		pages,
+		milliseconds: elapsedMs,
+		heapMegabytes: heap / bytesPerMegabyte,
 	};
 }
 
