--- a/src/common/control/apply.ts
+++ b/src/common/control/apply.ts
@@ -239,7 +239,8 @@
 	const {body, ...head} = settlement.outcome;
 	const fits = body !== undefined && state.recordedBytes + body.length <= limits.recordedBytes;
 	claim.status = 'recorded';
-	claim.outcome = fits ? {...head, body} : head;
+	// The bytes of a decoded command may be part of a much larger buffer, which must not stay in memory with them.
+	claim.outcome = fits ? {...head, body: new Uint8Array(body)} : head;
 	state.recordedBytes += fits ? body.length : 0;
 	return done;
 }
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -140,7 +140,12 @@
 });
 
 /** Tells that the bucket cannot cover what a waiting request needs for `waitMs`. */
-export const shortageSchema = z.strictObject({tenant: idSchema, waitMs: z.number().nonnegative()});
+export const shortageSchema = z.strictObject({
+	tenant: idSchema,
+	waitMs: z.number().nonnegative(),
+	/** The leader is new and waits until its predecessor's grants have expired, whatever the tenant used. */
+	isPause: z.boolean(),
+});
 
 export const wantSchema = z.strictObject({
 	tenant: idSchema,
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -40,6 +40,8 @@
 	readyMs: number;
 	readyTokens: number;
 	answeredMs: number;
+	/** Whether that answer tells of the leader's pause, not of the tenant's use. */
+	isPause: boolean;
 };
 
 /** An answer for a waiting request. */
@@ -120,7 +122,7 @@
 		} else if (allowance.waiters.length === 0) {
 			const readyMs = readyFor(allowance, tokens, limit, nowMs);
 			if (readyMs > nowMs + maxWaitMs) {
-				return {ok: false, code: 'rate-exceeded', retryAfterMs: readyMs - nowMs};
+				return {ok: false, code: shortCode(allowance), retryAfterMs: readyMs - nowMs};
 			}
 		}
 
@@ -183,13 +185,14 @@
 			this._serve(allowance, nowMs, answers);
 		}
 
-		for (const {tenant, waitMs} of answer.shortages) {
+		for (const {tenant, waitMs, isPause} of answer.shortages) {
 			const allowance = this._tenants.get(tenant);
 			const limit = limitOf(tenant);
 			if (allowance && limit && allowance.waiters.length > 0) {
 				allowance.readyMs = nowMs + waitMs;
 				allowance.readyTokens = allowance.waiters[0]!.tokens;
 				allowance.answeredMs = nowMs;
+				allowance.isPause = isPause;
 				refuseHopeless(allowance, limit, nowMs, answers);
 			}
 		}
@@ -213,7 +216,7 @@
 				}
 
 				// Without the owner's answer nobody knows whether the tenant is over its rate.
-				const code = waiter.isAnswered ? 'rate-exceeded' : 'control-unreachable';
+				const code = waiter.isAnswered ? shortCode(allowance) : 'control-unreachable';
 				const retryAfterMs = waiter.isAnswered ? Math.max(1, allowance.readyMs - nowMs) : unreachableRetryMs;
 				answers.push({token: waiter.token, result: {ok: false, code, retryAfterMs}});
 			}
@@ -231,7 +234,7 @@
 		let allowance = this._tenants.get(tenant);
 		if (!allowance) {
 			allowance = {
-				grants: [], waiters: [], demand: 0, demandMs: nowMs, lastCost: 0, acquisitions: new Map(), readyMs: nowMs, readyTokens: 0, answeredMs: Number.NEGATIVE_INFINITY,
+				grants: [], waiters: [], demand: 0, demandMs: nowMs, lastCost: 0, acquisitions: new Map(), readyMs: nowMs, readyTokens: 0, answeredMs: Number.NEGATIVE_INFINITY, isPause: false,
 			};
 			this._tenants.set(tenant, allowance);
 		}
@@ -355,6 +358,11 @@
 	return Math.max(nowMs, readyMs + ((tokens - readyTokens) / rate * 1000));
 }
 
+/** A tenant within its rate must not be told that it exceeds it because the leader is new. */
+function shortCode({isPause}: Allowance): 'rate-exceeded' | 'control-unreachable' {
+	return isPause ? 'control-unreachable' : 'rate-exceeded';
+}
+
 /** Refuses the requests that the bucket cannot cover in time. */
 function refuseHopeless(allowance: Allowance, limit: TenantLimit, nowMs: number, answers: AllowanceAnswer[]): void {
 	const kept: Waiter[] = [];
@@ -363,7 +371,7 @@
 		const readyMs = readyFor(allowance, ahead + waiter.tokens, limit, nowMs);
 		waiter.isAnswered = true;
 		if (readyMs > waiter.deadlineMs) {
-			answers.push({token: waiter.token, result: {ok: false, code: 'rate-exceeded', retryAfterMs: readyMs - nowMs}});
+			answers.push({token: waiter.token, result: {ok: false, code: shortCode(allowance), retryAfterMs: readyMs - nowMs}});
 		} else {
 			kept.push(waiter);
 			ahead += waiter.tokens;
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -34,6 +34,8 @@
 	const owner = makeOwner(1000, 1000);
 	const answeredMs = 5000;
 	assert.equal(totalOf(ask(owner, 'a', answeredMs, {wanted: want(1000)})), 1000);
+	// The clock of a holder may run slower than the owner's.
+	assert.equal(totalOf(ask(owner, 'b', answeredMs + (1.05 * grantValidityMs), {wanted: want(1000)})), 0);
 	assert.equal(totalOf(ask(owner, 'b', answeredMs + ownerValidityMs - 1, {wanted: want(1000)})), 0);
 	ask(owner, 'b', answeredMs + ownerValidityMs, {});
 	assert.equal(totalOf(ask(owner, 'b', answeredMs + ownerValidityMs + 100, {wanted: want(1000)})), 100);
@@ -56,6 +58,20 @@
 	assert.equal(totalOf(ask(owner, 'a', 2000, {refunds, wanted: want(1000)})), 200);
 });
 
+test('guards against a refund on top of refill that the full bucket would have turned away', () => {
+	const owner = makeOwner(100, 1000);
+	for (const nowMs of [20_000, 40_000]) {
+		const [taken] = ask(owner, 'a', nowMs, {wanted: want(1000)});
+		assert.equal(taken?.tokens, 1000);
+		ask(owner, 'a', nowMs + 10, {spent: [{grant: taken.id, tokens: 1000}]});
+	}
+
+	// The bucket was full between the two: the first 1,000 tokens would have made no difference to the second.
+	const refund = (atMs: number) => [{tenant: 'acme', stamp: stamp(atMs), tokens: 500}];
+	assert.equal(totalOf(ask(owner, 'a', 40_110, {refunds: refund(20_000), wanted: want(1000)})), 10);
+	assert.equal(totalOf(ask(owner, 'a', 40_210, {refunds: refund(40_050), wanted: want(1000)})), 510);
+});
+
 test('guards against a refund that counts as acquired later than it was when sizes are equal', () => {
 	const holder = new AllowanceHolder();
 	for (const atMs of [100, 200]) {
@@ -81,13 +97,25 @@
 	acquireFrom(holder, 2, 30, 0);
 	const limit = {rate: 100, burst: 1000};
 	const answers = holder.receive({
-		sentMs: 0, grants: [], shortages: [{tenant: 'acme', waitMs: 400}], stamp: stamp(0),
+		sentMs: 0, grants: [], shortages: [{tenant: 'acme', waitMs: 400, isPause: false}], stamp: stamp(0),
 	}, () => limit, 10);
 	assert.deepEqual(answers, [{token: 2, result: {ok: false, code: 'rate-exceeded', retryAfterMs: 700}}]);
 	assert.deepEqual(acquireFrom(holder, 3, 2000, 20), {ok: false, code: 'exceeds-burst'});
 	assert.deepEqual(holder.expire(500), [{token: 1, result: {ok: false, code: 'rate-exceeded', retryAfterMs: 1}}]);
 });
 
+test('guards against a tenant that is told that it exceeds its rate while a new leader grants nothing', () => {
+	const owner = makeOwner(100, 1000);
+	const holder = new AllowanceHolder();
+	acquireFrom(holder, 1, 10, 0);
+	const {grants, shortages} = owner.allot({vm: 'a', incarnation: 1}, holder.report(0), 0);
+	assert.deepEqual([grants, shortages], [[], [{tenant: 'acme', waitMs: ownerValidityMs, isPause: true}]]);
+	const answers = holder.receive({
+		sentMs: 0, grants, shortages, stamp: stamp(0),
+	}, () => ({rate: 100, burst: 1000}), 10);
+	assert.deepEqual(answers, [{token: 1, result: {ok: false, code: 'control-unreachable', retryAfterMs: ownerValidityMs}}]);
+});
+
 test('guards against one holder that gets in advance what another wants as well', () => {
 	const owner = makeOwner(1, 1000);
 	owner.allot({vm: 'a', incarnation: 1}, emptyReport, 0);
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -119,7 +119,7 @@
 			}
 
 			if (want.atLeast > 0 && tokens < want.atLeast) {
-				shortages.push({tenant: want.tenant, waitMs: Math.max(startsInMs, this._timeToCover(bucket, holder.vm, want.atLeast))});
+				shortages.push({tenant: want.tenant, waitMs: Math.max(startsInMs, this._timeToCover(bucket, holder.vm, want.atLeast)), isPause: startsInMs > 0});
 			}
 		}
 
