Credit each refund only room that no other refund has used

Credited tokens now lower the recorded headroom. Refunds count from when the owner took the report of the spent tokens, so that less of them is lost. Holders that all fit into the bucket get all they ask for.

--- a/src/common/access/access.test.ts
+++ b/src/common/access/access.test.ts
@@ -39,7 +39,7 @@
 	const answer = ({revision, page}: SyncRequest): SyncReply => {
 		const changes = page ? undefined : changesSince(server, revision);
 		return {
-			kind: 'synced', revision: server.revision, ...(changes ? {changes} : {snapshot: readViewPage(server, page)}), grants: [], shortages: [], stamp: {term: 1, atMs: 0},
+			kind: 'synced', revision: server.revision, ...(changes ? {changes} : {snapshot: readViewPage(server, page)}), grants: [], shortages: [], stamp: {term: 1, atMs: 0}, takenMs: 0,
 		};
 	};
 
--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -272,8 +272,8 @@
 	];
 }
 
-function takeAllowances(state: AccessState, {grants, shortages, stamp}: SyncedReply, sentMs: number, nowMs: number): AccessEffect[] {
+function takeAllowances(state: AccessState, {grants, shortages, stamp, takenMs}: SyncedReply, sentMs: number, nowMs: number): AccessEffect[] {
 	return answerAll(state.holder.receive({
-		sentMs, grants, shortages, stamp,
+		sentMs, grants, shortages, stamp, takenMs,
 	}, tenant => limitOf(state.published, tenant), nowMs));
 }
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -430,6 +430,7 @@
 		grants: [...grants],
 		shortages: [...shortages],
 		stamp: {term: state.owner.term, atMs: nowMs},
+		takenMs: pending.sinceMs,
 	})];
 }
 
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -157,7 +157,7 @@
 /** An owner's time; readings of different terms are not compared. */
 export const ownerStampSchema = z.strictObject({term: z.int(), atMs: z.number()});
 
-/** Spent tokens that were not used after all; they were acquired after `stamp`. */
+/** Spent tokens that were not used after all; the owner counted them as spent at `stamp` or later. */
 export const refundSchema = z.strictObject({tenant: idSchema, stamp: ownerStampSchema, tokens: tokensSchema});
 
 export const chargeSchema = z.strictObject({tenant: idSchema, tokens: tokensSchema});
@@ -200,6 +200,8 @@
 		shortages: z.array(shortageSchema),
 		/** Owner's time of this answer. */
 		stamp: ownerStampSchema,
+		/** Owner's time at which it took the report. */
+		takenMs: z.number(),
 	}),
 	notLeaderSchema,
 ]);
--- a/src/common/limits/headroom.ts
+++ b/src/common/limits/headroom.ts
@@ -26,10 +26,26 @@
 		}
 	}
 
-	/** Lowest headroom noted at or after `sinceMs`; 0 if none was. */
-	lowestSince(sinceMs: number): number {
-		const i = this._times.findIndex(atMs => atMs >= sinceMs);
-		return this._headrooms[i] ?? 0;
+	/**
+	Takes up to `tokens` of the lowest headroom noted after `sinceMs`, none if none was, and returns how many.
+	The history is lowered by as many, or a second refund would use the same headroom again.
+	*/
+	take(sinceMs: number, tokens: number): number {
+		const first = this._times.findIndex(atMs => atMs > sinceMs);
+		const taken = Math.max(0, Math.min(tokens, this._headrooms[first] ?? 0));
+		if (taken === 0) {
+			return 0;
+		}
+
+		for (let i = first; i < this._headrooms.length; i++) {
+			this._headrooms[i]! -= taken;
+		}
+
+		const lowest = this._headrooms[first]!;
+		const kept = this._headrooms.findIndex(headroom => headroom >= lowest);
+		this._times.splice(kept, first - kept);
+		this._headrooms.splice(kept, first - kept);
+		return taken;
 	}
 
 	/** Joins the two neighbours that are closest relative to their age; the joint step may be too low, never too high. */
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -5,7 +5,7 @@
 import {syncListLimit} from '../control/messages.js';
 import type {ReplyToken} from '../core/types.js';
 import type {AllowanceResult} from '../services/access-service.js';
-import {grantValidityMs} from './types.js';
+import {grantValidityMs, ownerValidityMs} from './types.js';
 import type {TenantLimit} from './types.js';
 
 /** A grant with less validity left is given back at a sync, since it would expire before the next one. */
@@ -23,9 +23,23 @@
 /** Advice to callers while the leader cannot be asked. */
 const unreachableRetryMs = 1000;
 
-type HeldGrant = {readonly id: number; left: number; spent: number; readonly expiresMs: number};
+type HeldGrant = {
+	readonly id: number;
+	left: number;
+	spent: number;
+	readonly expiresMs: number;
+	/** Owner's time at which it counts what is left as spent. */
+	readonly ownerExpiresMs: number;
+};
 type Waiter = {readonly token: ReplyToken; readonly tokens: number; readonly deadlineMs: number; isAnswered: boolean};
-type Acquisition = {readonly tokens: number; readonly stamp: OwnerStamp; readonly atMs: number};
+type Acquisition = {
+	readonly tokens: number;
+	/** The owner counted the tokens as spent at this time or later. */
+	stamp: OwnerStamp;
+	/** Owner's time at which the first of its grants expires. */
+	readonly ownerExpiresMs: number;
+	readonly atMs: number;
+};
 
 type Allowance = {
 	grants: HeldGrant[];
@@ -73,6 +87,8 @@
 	readonly grants: readonly Grant[];
 	readonly shortages: readonly Shortage[];
 	readonly stamp: OwnerStamp;
+	/** Owner's time at which it took the report. */
+	readonly takenMs: number;
 };
 
 /** Grants and waiting requests of one entry process. */
@@ -81,6 +97,9 @@
 	private _refunds: Refund[] = [];
 	private _charges = new Map<string, number>();
 	private _acquisitionCount = 0;
+	/** Acquisitions since the last report, and those that it told of. */
+	private _unreported: Acquisition[] = [];
+	private _reported: Acquisition[] = [];
 	private _stamp: OwnerStamp = {term: 0, atMs: 0};
 
 	get tenantCount(): number {
@@ -156,6 +175,8 @@
 			wanted: [] as Want[],
 		};
 		this._refunds = [];
+		this._reported = this._unreported;
+		this._unreported = [];
 		this._charges = new Map([...this._charges].slice(syncListLimit));
 		for (const [tenant, allowance] of this._tenants) {
 			this._reportGrants(allowance, report, nowMs);
@@ -177,10 +198,11 @@
 		const expiresMs = answer.sentMs + grantValidityMs;
 		const answers: AllowanceAnswer[] = [];
 		this._stamp = answer.stamp;
+		this._stampReported(answer);
 		for (const {id, tenant, tokens} of expiresMs > nowMs ? answer.grants : []) {
 			const allowance = this._allowance(tenant, nowMs);
 			allowance.grants.push({
-				id, left: tokens, spent: 0, expiresMs,
+				id, left: tokens, spent: 0, expiresMs, ownerExpiresMs: answer.stamp.atMs + ownerValidityMs,
 			});
 			this._serve(allowance, nowMs, answers);
 		}
@@ -249,8 +271,10 @@
 		}
 
 		let missing = tokens;
+		let ownerExpiresMs = Number.POSITIVE_INFINITY;
 		for (const grant of usable) {
 			const taken = Math.min(grant.left, missing);
+			ownerExpiresMs = taken > 0 ? Math.min(ownerExpiresMs, grant.ownerExpiresMs) : ownerExpiresMs;
 			grant.left -= taken;
 			grant.spent += taken;
 			missing -= taken;
@@ -261,12 +285,27 @@
 		allowance.lastCost = tokens;
 		if (this._acquisitionCount < acquisitionLimit) {
 			this._acquisitionCount++;
-			allowance.acquisitions.set(token, {tokens, stamp: this._stamp, atMs: nowMs});
+			const acquisition = {
+				tokens, stamp: this._stamp, ownerExpiresMs, atMs: nowMs,
+			};
+			allowance.acquisitions.set(token, acquisition);
+			this._unreported.push(acquisition);
 		}
 
 		return true;
 	}
 
+	/** The owner counted what the report told of as spent when it took the report, unless a grant had expired before. */
+	private _stampReported({stamp: {term}, takenMs}: OwnerAnswer): void {
+		for (const acquisition of this._reported) {
+			if (acquisition.stamp.term === term && takenMs < acquisition.ownerExpiresMs) {
+				acquisition.stamp = {term, atMs: takenMs};
+			}
+		}
+
+		this._reported = [];
+	}
+
 	private _serve(allowance: Allowance, nowMs: number, answers: AllowanceAnswer[]): void {
 		while (allowance.waiters.length > 0 && this._take(allowance, allowance.waiters[0]!, nowMs)) {
 			answers.push({token: allowance.waiters.shift()!.token, result: {ok: true}});
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -45,7 +45,7 @@
 	const holder = new AllowanceHolder();
 	assert.equal(acquireFrom(holder, 1, 10, 0), undefined);
 	const answers = holder.receive({
-		sentMs: 0, grants: [grant(1, 30)], shortages: [], stamp: stamp(0),
+		sentMs: 0, grants: [grant(1, 30)], shortages: [], stamp: stamp(0), takenMs: 0,
 	}, () => undefined, 300);
 	assert.deepEqual(answers, [{token: 1, result: {ok: true}}]);
 	assert.deepEqual(acquireFrom(holder, 2, 10, grantValidityMs - 1), {ok: true});
@@ -72,11 +72,27 @@
 	assert.equal(totalOf(ask(owner, 'a', 40_210, {refunds: refund(40_050), wanted: want(1000)})), 510);
 });
 
+test('guards against two refunds that use the same room in the bucket', () => {
+	const owner = makeOwner(100, 1000);
+	const spend = (nowMs: number, tokens: number) => {
+		const [taken] = ask(owner, 'a', nowMs, {wanted: want(tokens)});
+		assert.equal(taken?.tokens, tokens);
+		ask(owner, 'a', nowMs, {spent: [{grant: taken.id, tokens}]});
+	};
+
+	spend(20_000, 800);
+	spend(27_500, 900);
+	// Room for 50 tokens was left at 27,500 ms; whatever was taken before may fill it once.
+	const refund = {tenant: 'acme', stamp: stamp(20_000), tokens: 100};
+	ask(owner, 'a', 27_500, {refunds: [refund]});
+	assert.equal(totalOf(ask(owner, 'a', 27_500, {refunds: [refund], wanted: want(1000)})), 100);
+});
+
 test('guards against a refund that counts as acquired later than it was when sizes are equal', () => {
 	const holder = new AllowanceHolder();
 	for (const atMs of [100, 200]) {
 		holder.receive({
-			sentMs: atMs, grants: [grant(atMs, 10)], shortages: [], stamp: stamp(atMs),
+			sentMs: atMs, grants: [grant(atMs, 10)], shortages: [], stamp: stamp(atMs), takenMs: atMs,
 		}, () => undefined, atMs);
 		acquireFrom(holder, atMs, 10, atMs);
 	}
@@ -97,7 +113,7 @@
 	acquireFrom(holder, 2, 30, 0);
 	const limit = {rate: 100, burst: 1000};
 	const answers = holder.receive({
-		sentMs: 0, grants: [], shortages: [{tenant: 'acme', waitMs: 400, isPause: false}], stamp: stamp(0),
+		sentMs: 0, grants: [], shortages: [{tenant: 'acme', waitMs: 400, isPause: false}], stamp: stamp(0), takenMs: 0,
 	}, () => limit, 10);
 	assert.deepEqual(answers, [{token: 2, result: {ok: false, code: 'rate-exceeded', retryAfterMs: 700}}]);
 	assert.deepEqual(acquireFrom(holder, 3, 2000, 20), {ok: false, code: 'exceeds-burst'});
@@ -111,7 +127,7 @@
 	const {grants, shortages} = owner.allot({vm: 'a', incarnation: 1}, holder.report(0), 0);
 	assert.deepEqual([grants, shortages], [[], [{tenant: 'acme', waitMs: ownerValidityMs, isPause: true}]]);
 	const answers = holder.receive({
-		sentMs: 0, grants, shortages, stamp: stamp(0),
+		sentMs: 0, grants, shortages, stamp: stamp(0), takenMs: 0,
 	}, () => ({rate: 100, burst: 1000}), 10);
 	assert.deepEqual(answers, [{token: 1, result: {ok: false, code: 'control-unreachable', retryAfterMs: ownerValidityMs}}]);
 });
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -223,7 +223,7 @@
 		for (const {tenant, stamp, tokens} of refunds) {
 			const bucket = stamp.term === this.term ? this._bucket(tenant, nowMs) : undefined;
 			if (bucket) {
-				bucket.level += Math.max(0, Math.min(tokens, bucket.headroom.lowestSince(stamp.atMs)));
+				bucket.level += bucket.headroom.take(stamp.atMs, tokens);
 				noteHeadroom(bucket, nowMs);
 			}
 		}
@@ -386,7 +386,7 @@
 	return total;
 }
 
-/** Largest amount that each may have of `spare` tokens, where those that ask for less leave the rest to the others. */
+/** Largest amount that each may have of `spare` tokens, where those that ask for less leave the rest to the others; infinite if all get what they ask for. */
 function fairPart(claimants: ReadonlyMap<VmId, Claimant>, spare: number): number {
 	const amounts = [...claimants.values()].map(({wanted}) => wanted).filter(wanted => wanted > 0).sort((a, b) => a - b);
 	let left = spare;
@@ -399,5 +399,5 @@
 		left -= wanted;
 	}
 
-	return left;
+	return Number.POSITIVE_INFINITY;
 }
