--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -52,6 +52,17 @@
 	assert.equal(acquireFrom(holder, 3, 10, grantValidityMs), undefined);
 });
 
+test('guards against unspent tokens that expire although another sync could give them back, or are spent after that', () => {
+	const holder = new AllowanceHolder();
+	holder.receive({
+		sentMs: 0, grants: [grant(1, 30)], shortages: [], stamp: stamp(0), takenMs: 0,
+	}, () => undefined, 5);
+	assert.deepEqual(acquireFrom(holder, 1, 10, 5), {ok: true});
+	assert.deepEqual(holder.report(200).spent, [{grant: 1, tokens: 10}]);
+	assert.deepEqual(holder.report(500).returned, [{grant: 1, tokens: 20}]);
+	assert.equal(acquireFrom(holder, 2, 10, 510), undefined);
+});
+
 test('guards against refunds of tokens that an earlier leader granted', () => {
 	const owner = makeOwner(100, 1000, 2);
 	const refunds = [{tenant: 'acme', stamp: stamp(0), tokens: 500}];
--- a/src/node/control/test-helper.ts
+++ b/src/node/control/test-helper.ts
@@ -242,9 +242,16 @@
 	}
 }
 
-/** Resolves once the condition holds; the test's own timeout ends a wait that never does. */
+/** Polls of `until` before it fails, so that a test whose condition never holds ends. */
+const pollLimit = 6000;
+
+/** Resolves once the condition holds. */
 export async function until(condition: () => boolean): Promise<void> {
-	while (!condition()) {
+	for (let i = 0; !condition(); i++) {
+		if (i >= pollLimit) {
+			throw new Error('the condition never held');
+		}
+
 		await delay(5);
 	}
 }
