--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -140,7 +140,12 @@
 });
 
 /** Tells that the bucket cannot cover what a waiting request needs for `waitMs`. */
-export const shortageSchema = z.strictObject({tenant: idSchema, waitMs: z.number().nonnegative()});
+export const shortageSchema = z.strictObject({
+	tenant: idSchema,
+	waitMs: z.number().nonnegative(),
+	/** The leader is new and waits until its predecessor's grants have expired, whatever the tenant used. */
+	isPause: z.boolean(),
+});
 
 export const wantSchema = z.strictObject({
 	tenant: idSchema,
@@ -152,7 +157,7 @@
 /** An owner's time; readings of different terms are not compared. */
 export const ownerStampSchema = z.strictObject({term: z.int(), atMs: z.number()});
 
-/** Spent tokens that were not used after all; they were acquired after `stamp`. */
+/** Spent tokens that were not used after all; the owner counted them as spent at `stamp` or later. */
 export const refundSchema = z.strictObject({tenant: idSchema, stamp: ownerStampSchema, tokens: tokensSchema});
 
 export const chargeSchema = z.strictObject({tenant: idSchema, tokens: tokensSchema});
@@ -195,6 +200,8 @@
 		shortages: z.array(shortageSchema),
 		/** Owner's time of this answer. */
 		stamp: ownerStampSchema,
+		/** Owner's time at which it took the report. */
+		takenMs: z.number(),
 	}),
 	notLeaderSchema,
 ]);
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -34,6 +34,8 @@
 	const owner = makeOwner(1000, 1000);
 	const answeredMs = 5000;
 	assert.equal(totalOf(ask(owner, 'a', answeredMs, {wanted: want(1000)})), 1000);
+	// The clock of a holder may run slower than the owner's.
+	assert.equal(totalOf(ask(owner, 'b', answeredMs + (1.05 * grantValidityMs), {wanted: want(1000)})), 0);
 	assert.equal(totalOf(ask(owner, 'b', answeredMs + ownerValidityMs - 1, {wanted: want(1000)})), 0);
 	ask(owner, 'b', answeredMs + ownerValidityMs, {});
 	assert.equal(totalOf(ask(owner, 'b', answeredMs + ownerValidityMs + 100, {wanted: want(1000)})), 100);
@@ -43,24 +45,65 @@
 	const holder = new AllowanceHolder();
 	assert.equal(acquireFrom(holder, 1, 10, 0), undefined);
 	const answers = holder.receive({
-		sentMs: 0, grants: [grant(1, 30)], shortages: [], stamp: stamp(0),
+		sentMs: 0, grants: [grant(1, 30)], shortages: [], stamp: stamp(0), takenMs: 0,
 	}, () => undefined, 300);
 	assert.deepEqual(answers, [{token: 1, result: {ok: true}}]);
 	assert.deepEqual(acquireFrom(holder, 2, 10, grantValidityMs - 1), {ok: true});
 	assert.equal(acquireFrom(holder, 3, 10, grantValidityMs), undefined);
 });
 
+test('guards against unspent tokens that expire although another sync could give them back, or are spent after that', () => {
+	const holder = new AllowanceHolder();
+	holder.receive({
+		sentMs: 0, grants: [grant(1, 30)], shortages: [], stamp: stamp(0), takenMs: 0,
+	}, () => undefined, 5);
+	assert.deepEqual(acquireFrom(holder, 1, 10, 5), {ok: true});
+	assert.deepEqual(holder.report(200).spent, [{grant: 1, tokens: 10}]);
+	assert.deepEqual(holder.report(500).returned, [{grant: 1, tokens: 20}]);
+	assert.equal(acquireFrom(holder, 2, 10, 510), undefined);
+});
+
 test('guards against refunds of tokens that an earlier leader granted', () => {
 	const owner = makeOwner(100, 1000, 2);
 	const refunds = [{tenant: 'acme', stamp: stamp(0), tokens: 500}];
 	assert.equal(totalOf(ask(owner, 'a', 2000, {refunds, wanted: want(1000)})), 200);
 });
 
+test('guards against a refund on top of refill that the full bucket would have turned away', () => {
+	const owner = makeOwner(100, 1000);
+	for (const nowMs of [20_000, 40_000]) {
+		const [taken] = ask(owner, 'a', nowMs, {wanted: want(1000)});
+		assert.equal(taken?.tokens, 1000);
+		ask(owner, 'a', nowMs + 10, {spent: [{grant: taken.id, tokens: 1000}]});
+	}
+
+	// The bucket was full between the two: the first 1,000 tokens would have made no difference to the second.
+	const refund = (atMs: number) => [{tenant: 'acme', stamp: stamp(atMs), tokens: 500}];
+	assert.equal(totalOf(ask(owner, 'a', 40_110, {refunds: refund(20_000), wanted: want(1000)})), 10);
+	assert.equal(totalOf(ask(owner, 'a', 40_210, {refunds: refund(40_050), wanted: want(1000)})), 510);
+});
+
+test('guards against two refunds that use the same room in the bucket', () => {
+	const owner = makeOwner(100, 1000);
+	const spend = (nowMs: number, tokens: number) => {
+		const [taken] = ask(owner, 'a', nowMs, {wanted: want(tokens)});
+		assert.equal(taken?.tokens, tokens);
+		ask(owner, 'a', nowMs, {spent: [{grant: taken.id, tokens}]});
+	};
+
+	spend(20_000, 800);
+	spend(27_500, 900);
+	// Room for 50 tokens was left at 27,500 ms; whatever was taken before may fill it once.
+	const refund = {tenant: 'acme', stamp: stamp(20_000), tokens: 100};
+	ask(owner, 'a', 27_500, {refunds: [refund]});
+	assert.equal(totalOf(ask(owner, 'a', 27_500, {refunds: [refund], wanted: want(1000)})), 100);
+});
+
 test('guards against a refund that counts as acquired later than it was when sizes are equal', () => {
 	const holder = new AllowanceHolder();
 	for (const atMs of [100, 200]) {
 		holder.receive({
-			sentMs: atMs, grants: [grant(atMs, 10)], shortages: [], stamp: stamp(atMs),
+			sentMs: atMs, grants: [grant(atMs, 10)], shortages: [], stamp: stamp(atMs), takenMs: atMs,
 		}, () => undefined, atMs);
 		acquireFrom(holder, atMs, 10, atMs);
 	}
@@ -81,13 +124,25 @@
 	acquireFrom(holder, 2, 30, 0);
 	const limit = {rate: 100, burst: 1000};
 	const answers = holder.receive({
-		sentMs: 0, grants: [], shortages: [{tenant: 'acme', waitMs: 400}], stamp: stamp(0),
+		sentMs: 0, grants: [], shortages: [{tenant: 'acme', waitMs: 400, isPause: false}], stamp: stamp(0), takenMs: 0,
 	}, () => limit, 10);
 	assert.deepEqual(answers, [{token: 2, result: {ok: false, code: 'rate-exceeded', retryAfterMs: 700}}]);
 	assert.deepEqual(acquireFrom(holder, 3, 2000, 20), {ok: false, code: 'exceeds-burst'});
 	assert.deepEqual(holder.expire(500), [{token: 1, result: {ok: false, code: 'rate-exceeded', retryAfterMs: 1}}]);
 });
 
+test('guards against a tenant that is told that it exceeds its rate while a new leader grants nothing', () => {
+	const owner = makeOwner(100, 1000);
+	const holder = new AllowanceHolder();
+	acquireFrom(holder, 1, 10, 0);
+	const {grants, shortages} = owner.allot({vm: 'a', incarnation: 1}, holder.report(0), 0);
+	assert.deepEqual([grants, shortages], [[], [{tenant: 'acme', waitMs: ownerValidityMs, isPause: true}]]);
+	const answers = holder.receive({
+		sentMs: 0, grants, shortages, stamp: stamp(0), takenMs: 0,
+	}, () => ({rate: 100, burst: 1000}), 10);
+	assert.deepEqual(answers, [{token: 1, result: {ok: false, code: 'control-unreachable', retryAfterMs: ownerValidityMs}}]);
+});
+
 test('guards against one holder that gets in advance what another wants as well', () => {
 	const owner = makeOwner(1, 1000);
 	owner.allot({vm: 'a', incarnation: 1}, emptyReport, 0);
