--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -70,6 +70,7 @@
 				abort.abort();
 			}, req.cancelAfterMs);
 		let attempts = 0;
+		let brokenAttempts = 0;
 		let result: Result = {kind: 'unknown'};
 		while (attempts < maxAttempts) {
 			attempts++;
@@ -85,6 +86,7 @@
 
 				const broken = toBroken(err);
 				result = {kind: broken.wasSent ? 'unknown' : 'refused', code: broken.code};
+				brokenAttempts += broken.wasSent ? 1 : 0;
 				this._forget(address);
 				if (broken.wasSent && !this._mayResend(req)) {
 					break;
@@ -94,7 +96,7 @@
 
 		clearTimeout(timer);
 		return {
-			request: req, sentMs, endMs: this._options.nowMs(), gapsMs: [], outputTokens: 0, attempts, ...result,
+			request: req, sentMs, endMs: this._options.nowMs(), gapsMs: [], outputTokens: 0, attempts, brokenAttempts, ...result,
 		};
 	}
 
