Let a member campaign until its removal is committed

It may alone hold the latest entries; the simulation found a cluster that never elected a leader again. Changes that leave no reachable quorum are refused.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -456,6 +456,39 @@
 	assert.equal(cluster.members().length, 4);
 });
 
+test('a change that leaves no quorum of reachable voters is refused', () => {
+	const {cluster, leader, others: [first, second]} = electedCluster();
+	cluster.run(500);
+	cluster.crash(first!);
+	cluster.run(600);
+	const token = cluster.changeMembers(leader, {kind: 'remove', vm: second!});
+	assert.deepEqual(cluster.answers(token), ['consensus/dropped']);
+});
+
+test('a member whose removal is not committed still campaigns: it may alone have the latest entries', () => {
+	const {cluster, leader, others} = electedCluster(5);
+	const [keeper, ...rest] = others as [VmId, ...VmId[]];
+	for (const vm of rest.slice(0, 2)) {
+		cluster.crash(vm);
+	}
+
+	cluster.propose(leader);
+	cluster.run(20);
+	cluster.crash(rest[2]!);
+	const token = cluster.changeMembers(leader, {kind: 'remove', vm: keeper});
+	cluster.run(20);
+	assert.deepEqual(cluster.answers(token), []);
+	cluster.crash(leader);
+	for (const vm of rest) {
+		cluster.restart(vm);
+	}
+
+	// Three of the four remaining voters are up, but all of them lack the removal that the removed member stored.
+	cluster.runUntil(() => cluster.leader() !== undefined);
+	assert.equal(cluster.leader(), keeper);
+	cluster.runUntil(() => cluster.members().length === 4 && cluster.state(keeper).role === 'learner');
+});
+
 test('a learner does not count in quorums and is promoted only when it has caught up', () => {
 	const {cluster, leader} = electedCluster();
 	commit(cluster, leader, 100);
--- a/src/common/consensus/election.ts
+++ b/src/common/consensus/election.ts
@@ -1,6 +1,6 @@
 import type {VmId} from '../core/types.js';
 import type {MessageOf} from './messages.js';
-import type {Context} from './state.js';
+import type {Context, ConsensusState} from './state.js';
 import {appendEntry, sendWhenDurable, updateHardState} from './durability.js';
 import {failReads} from './read-index.js';
 import {broadcastAppend, startProgress, stopProgress} from './replication.js';
@@ -80,12 +80,22 @@
 		return;
 	}
 
-	const mayCampaign = isVoter(state, state.vm, state.diskId) && !isStorageSlow(context) && nowMs >= state.voteNotBeforeMs;
+	const mayCampaign = mayLead(state) && !isStorageSlow(context) && nowMs >= state.voteNotBeforeMs;
 	if (nowMs >= state.electionDeadlineMs && mayCampaign) {
 		startPreVote(context);
 	}
 }
 
+/**
+Whether this member is a voter of a membership that may be in force. Until its removal is committed it may be
+the only one with the latest entries, so it campaigns although it counts in no quorum.
+*/
+function mayLead(state: ConsensusState): boolean {
+	const {configurations, hard, vm, diskId} = state;
+	const committed = configurations.findLastIndex(({index}) => index <= hard.commit);
+	return configurations.slice(Math.max(0, committed)).some(({members}) => members.some(member => member.vm === vm && member.diskId === diskId && member.role === 'voter'));
+}
+
 /** A leader that a partition cut off must stop answering, and one whose disk hangs must let another lead. */
 function checkQuorumContact(context: Context): void {
 	const {state, nowMs} = context;
@@ -101,7 +111,7 @@
 function startPreVote(context: Context): void {
 	const {state} = context;
 	resetElectionTimer(context);
-	state.campaign = {kind: 'pre-vote', votes: new Set([state.vm])};
+	state.campaign = {kind: 'pre-vote', votes: new Set(isVoter(state, state.vm, state.diskId) ? [state.vm] : [])};
 	setRole(context, 'candidate', undefined);
 	if (hasQuorum(context)) {
 		startVote(context);
@@ -129,7 +139,8 @@
 export function countOwnVote(context: Context): void {
 	const {state} = context;
 	const {durable} = state.persist;
-	if (state.campaign?.kind === 'vote' && durable.term === state.hard.term && durable.votedFor === state.vm) {
+	const isDurable = durable.term === state.hard.term && durable.votedFor === state.vm;
+	if (state.campaign?.kind === 'vote' && isDurable && isVoter(state, state.vm, state.diskId)) {
 		state.campaign.votes.add(state.vm);
 		winIfElected(context);
 	}
--- a/src/common/consensus/membership.ts
+++ b/src/common/consensus/membership.ts
@@ -26,7 +26,7 @@
 
 	const current = state.configurations.at(-1)!;
 	const members = changedMembers(state, change);
-	if (!members || isChangeOpen(state)) {
+	if (!members || isChangeOpen(state) || !isQuorumReached(context, members)) {
 		effects.push({
 			type: 'consensus/dropped', token, reason: 'change-refused', leader,
 		});
@@ -69,6 +69,13 @@
 	return hard.commit < termStart || configurations.at(-1)!.index > hard.commit;
 }
 
+/** Whether the leader hears a quorum of the voters; a change that cannot commit would only stop the cluster. */
+function isQuorumReached({state, nowMs}: Context, members: readonly Member[]): boolean {
+	const admitted = members.filter(({role}) => role === 'voter');
+	const reached = admitted.filter(({vm}) => vm === state.vm || nowMs - (state.progress.get(vm)?.contactMs ?? Number.NEGATIVE_INFINITY) <= state.timings.electionMinMs);
+	return reached.length > admitted.length / 2;
+}
+
 function proposeMembers(context: Context, members: readonly Member[], token: ReplyToken | undefined): void {
 	appendOwn(context, {kind: 'members', members}, token);
 	startProgress(context);
@@ -111,7 +118,7 @@
 	const contactMs = state.progress.get(from)?.contactMs ?? nowMs;
 	const isSilent = nowMs - contactMs > state.timings.electionMaxMs;
 	const members = known && isSilent && !isChangeOpen(state) ? changedMembers(state, {kind: 'add', vm: from, diskId: disk}) : undefined;
-	if (members) {
+	if (members && isQuorumReached(context, members)) {
 		state.joinRequests.delete(from);
 		proposeMembers(context, members, undefined);
 	}
