--- a/src/common/membership/membership.test.ts
+++ b/src/common/membership/membership.test.ts
@@ -97,7 +97,13 @@
 test('a process that leaves is known as dead without suspicion, sooner than a crash can be found', () => {
 	const fleet = makeFleet(20);
 	fleet.send('vm-7', {type: 'membership/leave'});
-	fleet.until(() => fleet.agree('vm-7', record => record?.status === 'dead'), 3000);
+	fleet.advance(50);
+	fleet.down.add('vm-7');
+	fleet.until(() => fleet.agree('vm-7', record => record?.status === 'dead'), 2000);
+	const slow = makeFleet(5);
+	slow.send('vm-2', {type: 'membership/leave'});
+	slow.advance(10_000);
+	assert.ok(slow.agree('vm-2', record => record?.status === 'dead'), 'not even while the process still answers');
 });
 
 test('draining and load reach every member; small changes of load are not spread', () => {
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -55,10 +55,6 @@
 }
 
 function tick(state: MembershipState, nowMs: number): MembershipEffect[] {
-	if (state.self.status === 'dead') {
-		return [];
-	}
-
 	const effects = [...expire(state, nowMs), ...watchProbe(state, nowMs)];
 	if (nowMs >= state.nextProbeMs) {
 		state.nextProbeMs = nowMs + state.options.probeEveryMs;
--- a/src/common/scheduler/admission.ts
+++ b/src/common/scheduler/admission.ts
@@ -43,6 +43,11 @@
 	return lateMs > 0 ? refusal('deadline', lateMs) : undefined;
 }
 
+/** Whether the request has waited longer than its bound; at the bound it may still start. */
+export function isPastBound({req, arrivedMs}: QueuedRequest, nowMs: number): boolean {
+	return nowMs - arrivedMs > req.maxWaitMs;
+}
+
 /** Refuses a queued request whose bound on waiting is over or which can no longer meet its target. */
 export function overdueRefusal(state: SchedulerState, {req, arrivedMs, serviceMs}: QueuedRequest, nowMs: number): Refusal | undefined {
 	const waitedMs = nowMs - arrivedMs;
--- a/src/common/scheduler/mechanisms.test.ts
+++ b/src/common/scheduler/mechanisms.test.ts
@@ -139,6 +139,15 @@
 	assert.ok(harness.replies.get(targeted)!.atMs <= 500 + 3000);
 });
 
+test('a request that must not wait starts at once or is refused at once', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots: 1})]).lead();
+	assert.equal(code(harness.reply(harness.place('r1', {maxWaitMs: 0}))), 'placed');
+	assert.equal(code(harness.reply(harness.place('r2', {maxWaitMs: 0}))), 'overloaded');
+	const rebuilding = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]);
+	rebuilding.send({type: 'scheduler/lease', epoch: 2});
+	assert.equal(code(rebuilding.reply(rebuilding.place('r1', {maxWaitMs: 0}))), 'overloaded');
+});
+
 test('a valuable request sheds those with a higher shed order, and only where that lets it in', () => {
 	const {harness} = makeBusy({maxQueued: 2});
 	const cheap = harness.place('cheap', {shedOrder: 9});
--- a/src/common/scheduler/scheduler.ts
+++ b/src/common/scheduler/scheduler.ts
@@ -1,6 +1,6 @@
 import type {PlaceReply} from '../services/scheduler-client.js';
 import {
-	admissionRefusal, estimateStart, overdueRefusal, refusal,
+	admissionRefusal, estimateStart, isPastBound, overdueRefusal, refusal,
 } from './admission.js';
 import type {Refusal} from './admission.js';
 import {FairQueue} from './fair-queue.js';
@@ -161,7 +161,13 @@
 
 	const effects = cancel(state, {...event, type: 'scheduler/cancel', requestId: req.requestId});
 	const refused = admit(state, event, effects);
-	return refused ? [...effects, refuse(token, refused)] : [...effects, ...dispatch(state, nowMs)];
+	if (refused) {
+		return [...effects, refuse(token, refused)];
+	}
+
+	effects.push(...dispatch(state, nowMs));
+	// A request that must not wait is answered in the same event.
+	return req.maxWaitMs > 0 ? effects : [...effects, ...refuseOverdue(state, nowMs)];
 }
 
 /** Queues the request unless it is refused; sheds less valuable requests where that lets it in. */
@@ -294,7 +300,7 @@
 function dispatch(state: SchedulerState, nowMs: number): SchedulerEffect[] {
 	const effects: SchedulerEffect[] = [];
 	for (let item = state.queue.peek(nowMs); item; item = state.queue.peek(nowMs)) {
-		const refused = overdueRefusal(state, item, nowMs);
+		const refused = isPastBound(item, nowMs) ? overdueRefusal(state, item, nowMs) : undefined;
 		if (refused) {
 			state.queue.remove(item);
 			effects.push(refuse(item.token, refused));
@@ -330,7 +336,14 @@
 		return [];
 	}
 
-	const effects = [...endRebuild(state, nowMs), ...watchOwners(state, nowMs)];
+	const effects = [...endRebuild(state, nowMs), ...watchOwners(state, nowMs), ...dispatch(state, nowMs), ...refuseOverdue(state, nowMs)];
+	state.queue.compact();
+	return effects;
+}
+
+/** Answers every waiting request whose bound is over or whose target is out of reach. */
+function refuseOverdue(state: SchedulerState, nowMs: number): SchedulerEffect[] {
+	const effects: SchedulerEffect[] = [];
 	for (const item of state.queue.waiting()) {
 		const refused = overdueRefusal(state, item, nowMs);
 		if (refused) {
@@ -339,6 +352,5 @@
 		}
 	}
 
-	state.queue.compact();
-	return [...effects, ...dispatch(state, nowMs)];
+	return effects;
 }
