--- a/src/node/membership/membership-host.test.ts
+++ b/src/node/membership/membership-host.test.ts
@@ -13,7 +13,7 @@
 
 function startMembers(names: readonly string[]) {
 	const switchboard = new Switchboard();
-	return names.map((vm, i) => {
+	const hosts = names.map((vm, i) => {
 		const self = makeSelf(vm, {zone: `z${i}`, callerAddress: `10.0.0.${i}:80`});
 		const host = new MembershipHost({
 			self, seeds: names.slice(0, 1), network: new MemoryNetwork(switchboard, self), clock: new MonotonicClock(), logger: new NullLogger(), count() {
@@ -23,10 +23,11 @@
 		host.start();
 		return host;
 	});
+	return {hosts, switchboard};
 }
 
 test('processes find each other, spread draining, and a process that leaves is dead to the others', async context => {
-	const hosts = startMembers(['a', 'b', 'c']);
+	const {hosts, switchboard} = startMembers(['a', 'b', 'c']);
 	context.after(() => {
 		for (const host of hosts) {
 			host.dispose();
@@ -35,6 +36,10 @@
 	await until(() => hosts.every(({entries}) => entries.live.length === 3));
 	const [first, second, third] = hosts as [MembershipHost, MembershipHost, MembershipHost];
 	assert.equal(first.entries, first.entries, 'the same object until something changes');
+	assert.deepEqual([...switchboard.addresses.keys()].sort(), ['a', 'b', 'c'], 'the network learns where members listen');
+	first.setPlatformList(new Map([['a', 'live'], ['b', 'leaving']]));
+	assert.deepEqual([...first.leaving], ['b']);
+	first.setPlatformList(new Map());
 	second.setDraining(true);
 	await until(() => first.members.some(({vm, isDraining}) => vm === 'b' && isDraining));
 	third.leave();
--- a/src/node/scheduler/fixtures.ts
+++ b/src/node/scheduler/fixtures.ts
@@ -28,6 +28,8 @@
 /** Connects the networks of a test; a process in `down` neither answers nor receives. */
 export class Switchboard {
 	readonly down = new Set<VmId>();
+	/** Addresses that processes were told, by process. */
+	readonly addresses = new Map<VmId, string>();
 	readonly handlers = new Map<VmId, Map<string, Registered>>();
 }
 
@@ -40,8 +42,8 @@
 		_switchboard.handlers.set(_self.vm, new Map());
 	}
 
-	override setAddress(): void {
-		// Processes are found by name.
+	override setAddress(vm: VmId, address: string): void {
+		this._switchboard.addresses.set(vm, address);
 	}
 
 	override handle<S extends z.ZodType>(type: string, schema: S, handler: MessageHandler<z.output<S>>): void {
--- a/src/node/scheduler/scheduler-host.test.ts
+++ b/src/node/scheduler/scheduler-host.test.ts
@@ -107,3 +107,61 @@
 	const reply = await client.place(makeRequest('r1'), never);
 	assert.equal(reply.kind === 'placed' && reply.placement.epoch, 0);
 });
+
+test('a holder that does not answer is replaced by the local share at once, and not asked again for a while', async context => {
+	const fleet = await setUp(context);
+	const holder = await elect(fleet);
+	const {client} = fleet.processes.find(process => process !== holder)!;
+	fleet.switchboard.down.add(holder.self.vm);
+	for (const id of ['r1', 'r2']) {
+		const reply = await client.place(makeRequest(id, {promptTokens: 10}), new AbortController().signal);
+		assert.equal(reply.kind === 'placed' && reply.placement.epoch, 0);
+	}
+
+	assert.equal(fleet.counts.get('scheduler_holder_unanswered_total'), 1);
+});
+
+test('a reservation moves to another decode engine, through the holder or locally', async context => {
+	const fleet = await setUp(context);
+	const [{client}] = fleet.processes as [typeof fleet.processes[0]];
+	const move = async (id: string) => {
+		const placed = await client.place(makeRequest(id, {promptTokens: 10}), new AbortController().signal);
+		assert.equal(placed.kind, 'placed');
+		const {placement} = placed;
+		const moved = await client.replaceDecode(placement.reservation, placement.decode);
+		assert.ok(moved.kind === 'placed' && moved.placement.decode !== placement.decode && moved.placement.epoch === placement.epoch);
+		const running = client.report({service: 'dossiers', shard: 0}).reservations.find(({requestId}) => requestId === id);
+		assert.deepEqual([running?.decode, running?.phase], [moved.placement.decode, 'transfer']);
+		return placement.epoch;
+	};
+
+	assert.equal(await move('local'), 0);
+	await elect(fleet);
+	assert.ok(await move('shared') > 0);
+	const unknown = await client.replaceDecode('nonsense', 'd1');
+	assert.equal(unknown.kind, 'refused');
+});
+
+test('progress frees the slot at the holder and the entry in the report', async context => {
+	const fleet = await setUp(context);
+	const holder = await elect(fleet);
+	const {client} = fleet.processes.find(process => process !== holder)!;
+	const reply = await client.place(makeRequest('r1'), never);
+	assert.ok(reply.kind === 'placed');
+	client.progress({
+		phase: 'ended', reservation: reply.placement.reservation, outputTokens: 1, reason: 'complete',
+	});
+	await until(() => holder.host.dump()[0]?.reservations === 0);
+	assert.deepEqual(client.report({service: 'dossiers', shard: 0}).reservations, []);
+});
+
+test('a VM that is drained gives its leases to another', async context => {
+	const fleet = await setUp(context);
+	const holder = await elect(fleet);
+	for (const access of fleet.accesses) {
+		await access.change({drainedVms: new Set([holder.self.vm])});
+	}
+
+	await until(() => fleet.processes.some(process => process !== holder && process.host.held.includes(lease)));
+	assert.deepEqual(holder.host.held, []);
+});
