--- a/src/common/membership/membership.test.ts
+++ b/src/common/membership/membership.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {Fleet} from './fixtures.js';
 import {entryProcesses} from './membership.js';
-import {maxUpdates} from './messages.js';
+import {maxPageRecords, maxUpdates} from './messages.js';
 
 /** Bound on the time until all members know all others, from a start with two seeds. */
 const joinBoundMs = 15_000;
@@ -97,7 +97,14 @@
 test('a process that leaves is known as dead without suspicion, sooner than a crash can be found', () => {
 	const fleet = makeFleet(20);
 	fleet.send('vm-7', {type: 'membership/leave'});
-	fleet.until(() => fleet.agree('vm-7', record => record?.status === 'dead'), 3000);
+	fleet.advance(50);
+	fleet.down.add('vm-7');
+	fleet.until(() => fleet.agree('vm-7', record => record?.status === 'dead'), 2000);
+	const slow = makeFleet(5);
+	slow.send('vm-2', {type: 'membership/leave'});
+	slow.advance(10_000);
+	assert.ok(slow.agree('vm-2', record => record?.status === 'dead'), 'not even while the process still answers');
+	assert.equal(slow.members.get('vm-2')!.self.revision, 1, 'it does not contradict what it said itself');
 });
 
 test('draining and load reach every member; small changes of load are not spread', () => {
@@ -118,7 +125,7 @@
 		let messages = 0;
 		fleet.watch(message => {
 			messages++;
-			assert.ok(message.type === 'membership.members' || message.updates.length <= maxUpdates);
+			assert.ok(message.updates.length <= (message.type === 'membership.members' ? maxPageRecords : maxUpdates));
 		});
 
 		fleet.advance(20_000);
@@ -128,6 +135,56 @@
 	assert.ok(perMember[1]! <= 6);
 });
 
+test('each pass probes every member once, so that no death is overlooked by chance', () => {
+	const fleet = makeFleet(10);
+	const probes = new Map<string, number>();
+	fleet.watch((message, from, to) => {
+		if (message.type === 'membership.ping' && message.onBehalfOf === '') {
+			probes.set(`${from} ${to}`, (probes.get(`${from} ${to}`) ?? 0) + 1);
+		}
+	});
+	fleet.advance(9 * 500 * 3);
+	assert.equal(probes.size, 90);
+	assert.ok([...probes.values()].every(count => count >= 2 && count <= 4));
+});
+
+test('a member is told that it counts as dead long after that was spread, so that it can refute', () => {
+	const fleet = makeFleet(4);
+	fleet.down.add('vm-3');
+	fleet.advance(30_000);
+	assert.equal(fleet.members.get('vm-0')!.updates.size, 0);
+	const told: string[] = [];
+	fleet.watch(message => {
+		told.push(...message.updates.map(({vm, status}) => `${message.type} ${vm} ${status}`));
+	});
+	const message = {
+		type: 'membership.ping' as const, sequence: 1, onBehalfOf: '', updates: [],
+	};
+	fleet.send('vm-0', {type: 'membership/message', from: {vm: 'vm-3', incarnation: 1}, message});
+	assert.ok(told.includes('membership.ack vm-3 dead'));
+});
+
+test('a member that was cut off declares nobody dead on its return', () => {
+	const fleet = makeFleet(8);
+	fleet.lose((from, to) => from === 'vm-4' || to === 'vm-4');
+	fleet.advance(6000);
+	fleet.lose(() => false);
+	fleet.until(() => fleet.hasConverged(), 30_000);
+	assert.deepEqual([...new Set(fleet.deaths.map(({vm}) => vm))], ['vm-4']);
+});
+
+test('a member alone with one other does declare it dead', () => {
+	const fleet = makeFleet(2);
+	fleet.down.add('vm-1');
+	fleet.until(() => fleet.recordOf('vm-0', 'vm-1')?.status === 'dead', 15_000);
+});
+
+test('updates are sent a limited number of times', () => {
+	const fleet = makeFleet(10);
+	fleet.advance(20_000);
+	assert.ok([...fleet.members.values()].every(({updates}) => updates.size === 0));
+});
+
 test('long-dead members are forgotten', () => {
 	const fleet = makeFleet(4);
 	fleet.down.add('vm-3');
