--- /dev/null
+++ b/src/common/orders/outcome.ts
@@ -0,0 +1,38 @@
+/** What an engine's state after an accepted order means for the order. */
+import type {Order, OrderState} from '../upstreams/engine-api.js';
+import type {OrderOutcome} from './types.js';
+
+/** Whether the state shows the effect of the order. Engines list models without their versions. */
+function shows(order: Order, state: OrderState): boolean {
+	switch (order.kind) {
+		case 'load-model': {
+			return state.models.includes(order.model);
+		}
+
+		case 'load-adapter': {
+			return state.adapters.includes(order.adapter);
+		}
+
+		case 'set-role': {
+			return state.role === order.role;
+		}
+	}
+}
+
+/** The outcome of an accepted order, or undefined while the engine still carries it out. */
+export function outcomeOf(orderId: string, order: Order, state: OrderState): OrderOutcome | undefined {
+	if (state.loading) {
+		return undefined;
+	}
+
+	if (state.lastOrderId !== orderId) {
+		return {status: 'failed', detail: `the engine accepted the order but now reports ${state.lastOrderId ?? 'none'} as its last one; it may have restarted`};
+	}
+
+	return shows(order, state) ? {status: 'done'} : {status: 'failed', detail: 'the engine accepted the order but does not show its effect; see the engine\'s log'};
+}
+
+/** Bytes that the order takes from the weight store. */
+export function loadBytes(order: Order): number {
+	return order.kind === 'set-role' ? 0 : order.bytes;
+}
