--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -575,7 +575,7 @@
 });
 
 /** A follower with entries 1 to `last` of term 1 on its disk, and a way to send it messages of its leader vm2. */
-function loneFollower(last: number) {
+function loneFollower(last: number, uncommitted: readonly LogEntry[] = []) {
 	const members = ['vm1', 'vm2', 'vm3'].map(vm => ({vm, diskId: vm, role: 'voter' as const}));
 	const state = createConsensus({
 		vm: 'vm1',
@@ -585,16 +585,16 @@
 				term: 1, votedFor: undefined, votedForDisk: undefined, cluster: 'vm1', commit: last,
 			},
 			snapshot: undefined,
-			entries: [{index: 1, term: 1, payload: {kind: 'members', members}}, ...entries(2, last, 1)],
+			entries: [{index: 1, term: 1, payload: {kind: 'members', members}}, ...entries(2, last, 1), ...uncommitted],
 		},
 		initialVms: ['vm1', 'vm2', 'vm3'],
 		seed: 1,
 		limits: {snapshotEvery: 30},
 	});
-	const dispatch = (event: WithoutTime<ConsensusEvent>) => reduceConsensus(state, {...event, nowMs: 1});
-	const receive = (term: number, fields: Record<string, unknown>) => dispatch({
-		type: 'consensus/message', from: 'vm2', message: {
-			cluster: 'vm1', disk: 'vm2', toDisk: 'vm1', term, round: 0, ...fields,
+	const dispatch = (event: WithoutTime<ConsensusEvent>, nowMs = 1) => reduceConsensus(state, {...event, nowMs});
+	const receive = (term: number, fields: Record<string, unknown>, from = 'vm2') => dispatch({
+		type: 'consensus/message', from, message: {
+			cluster: 'vm1', disk: from, toDisk: 'vm1', term, round: 0, ...fields,
 		},
 	});
 	const append = (term: number, previousIndex: number, fields: Record<string, unknown>) => receive(term, {
@@ -645,6 +645,22 @@
 	assert.equal(typesOf(taken).includes('consensus/save-snapshot'), false);
 });
 
+test('a candidate whose removal is not committed does not count its own vote', () => {
+	const remaining = ['vm2', 'vm3'].map(vm => ({vm, diskId: vm, role: 'voter' as const}));
+	const {state, dispatch, receive} = loneFollower(4, [{index: 5, term: 1, payload: {kind: 'members', members: remaining}}]);
+	dispatch({type: 'consensus/tick'});
+	dispatch({type: 'consensus/tick'}, 2000);
+	receive(2, {type: 'consensus/pre-vote-reply', granted: true});
+	assert.equal(state.hard.term, 1);
+	receive(2, {type: 'consensus/pre-vote-reply', granted: true}, 'vm3');
+	assert.equal(state.hard.term, 2);
+	dispatch({type: 'consensus/persisted', sequence: 1});
+	receive(2, {type: 'consensus/vote-reply', granted: true});
+	assert.equal(state.role, 'candidate');
+	receive(2, {type: 'consensus/vote-reply', granted: true}, 'vm3');
+	assert.equal(state.role, 'leader');
+});
+
 test('a single member leads only once its own vote is on disk', () => {
 	const cluster = new TestCluster({size: 1, seed: 1});
 	cluster.disks.get('vm1')!.latencyMs = 100;
