--- a/src/common/consensus/membership.ts
+++ b/src/common/consensus/membership.ts
@@ -39,7 +39,7 @@
 	}
 }
 
-/** The membership after the change; undefined if no voter would remain or the leader would replace itself. */
+/** The membership after the change; undefined if the leader would replace itself. */
 function changedMembers(state: ConsensusState, change: Change): readonly Member[] | undefined {
 	const members = currentMembers(state);
 	const known = findMember(state, change.vm);
@@ -49,10 +49,6 @@
 	}
 
 	const others = members.filter(({vm}) => vm !== change.vm);
-	if (!others.some(({role}) => role === 'voter')) {
-		return undefined;
-	}
-
 	if (change.kind === 'remove') {
 		return others;
 	}
