--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -166,14 +166,14 @@
 }
 
 /** What the receiver must hear to refute that it is suspect or dead; this is also how a partition heals. */
-function accusation(state: MembershipState, to: VmId): MemberRecord[] {
+function failureReport(state: MembershipState, to: VmId): MemberRecord[] {
 	const record = state.members.get(to)?.record;
 	return record && record.status !== 'alive' ? [record] : [];
 }
 
-/** Own record, what is said against the receiver, and the least sent updates, within the bound. */
+/** Own record, the receiver's record if it is suspect or dead, and the least sent updates, within the bound. */
 function piggyback(state: MembershipState, to: VmId): MemberRecord[] {
-	const records = [state.self, ...accusation(state, to)];
+	const records = [state.self, ...failureReport(state, to)];
 	const vms = new Set(records.map(({vm}) => vm));
 	const updates = state.updates.take(maxUpdates - records.length, state.members.size).filter(({vm}) => !vms.has(vm));
 	return [...records, ...updates];
@@ -243,7 +243,7 @@
 		.sort((a, b) => a.vm < b.vm ? -1 : 1);
 	const page = records.slice(0, maxPageRecords - 1);
 	const next = records.length > page.length ? page.at(-1)?.vm : undefined;
-	return send(to, {type: 'membership.members', ...(next !== undefined && {next}), updates: [...accusation(state, to), ...page]});
+	return send(to, {type: 'membership.members', ...(next !== undefined && {next}), updates: [...failureReport(state, to), ...page]});
 }
 
 /** After a page that brought news, as after joining or the loss of a zone, goes through the whole list at a faster pace. */
--- a/src/common/membership/state.ts
+++ b/src/common/membership/state.ts
@@ -98,7 +98,7 @@
 	};
 }
 
-/** Whether a record is news: a later run of the process, a later word of the process itself, or a graver status. */
+/** Whether a record is news: a later incarnation, a later revision, or a status nearer to dead. */
 export function supersedes(a: MemberRecord, b: MemberRecord): boolean {
 	if (a.incarnation !== b.incarnation) {
 		return a.incarnation > b.incarnation;
@@ -137,7 +137,7 @@
 	};
 }
 
-/** Answers a suspicion of this process, or an old word of it that others still believe, with a later word. */
+/** Answers a record that calls this process suspect or dead, or has a higher revision than its own, with a higher revision. */
 function refute(state: MembershipState, record: MemberRecord): MembershipEffect[] {
 	const {self} = state;
 	const isOutdated = record.revision > self.revision || (record.revision === self.revision && record.status !== 'alive');
--- a/src/common/scheduler/engine.ts
+++ b/src/common/scheduler/engine.ts
@@ -138,7 +138,7 @@
 		this._peakPrefillTokens.raise(this._queuedTokens);
 	}
 
-	/** Takes a prefill off the books; returns when the engine started it, if it did run. */
+	/** Removes a prefill; returns when the engine started it, if it did run. */
 	removePrefill(reservation: string, nowMs: number): number | undefined {
 		const work = this._prefills.get(reservation);
 		if (!work) {
--- a/src/common/scheduler/owners.ts
+++ b/src/common/scheduler/owners.ts
@@ -2,7 +2,7 @@
 import type {RequestList} from '../upstreams/engine-api.js';
 import {refusal} from './admission.js';
 import {
-	addToBooks, freeLink, isSameOwner, release, requestKey,
+	register, freeLink, isSameOwner, release, requestKey,
 } from './state.js';
 import type {Reservation, SchedulerState} from './state.js';
 import type {
@@ -57,7 +57,7 @@
 	}
 
 	if (effects.length > 0) {
-		// The engines may also run requests of the dead process that never were on these books.
+		// The engines may also run requests of the dead process that this scheduler never knew.
 		effects.push(...[...state.pool.engines.keys()].map(engine => ({type: 'scheduler/list-requests', engine}) as const));
 	}
 
@@ -190,7 +190,7 @@
 		prefill.addPrefill(reservation.id, {tokens: running.promptTokens, estimateMs}, nowMs);
 	}
 
-	addToBooks(state, reservation, nowMs);
+	register(state, reservation, nowMs);
 }
 
 /** Asks owners of reservations for reports, and releases what a silent owner holds. */
--- a/src/common/scheduler/shards.ts
+++ b/src/common/scheduler/shards.ts
@@ -17,7 +17,7 @@
 		.sort((a, b) => sortKey(a) < sortKey(b) ? -1 : 1);
 }
 
-/** Engines of one zone and role follow each other, so that dealing them out gives each shard some of every kind. */
+/** Engines of one zone and role follow each other, so that assigning them round robin gives each shard some of every kind. */
 function sortKey({name, upstream}: {name: string; upstream: SharedConfiguration['upstreams'][string]}): string {
 	return `${upstream.role}/${upstream.zone}/${name}`;
 }
@@ -39,7 +39,7 @@
 	return {service, shard: hashText(requestId) % shardCount(cfg, service)};
 }
 
-/** Engines of a shard, dealt out in turn. */
+/** Engines of a shard, assigned round robin. */
 export function shardEngines(cfg: SharedConfiguration, {service, shard}: Shard, drained: ReadonlySet<string>): EngineSpec[] {
 	const count = shardCount(cfg, service);
 	const specs: EngineSpec[] = [];
--- a/src/common/scheduler/state.ts
+++ b/src/common/scheduler/state.ts
@@ -141,12 +141,12 @@
 	};
 	const tokens = Math.ceil(req.promptTokens - estimate.cachedTokens);
 	prefill.addPrefill(reservation.id, {tokens, estimateMs: estimate.prefillMs}, nowMs);
-	addToBooks(state, reservation, nowMs);
+	register(state, reservation, nowMs);
 	return reservation;
 }
 
 /** Enters a reservation with its decode slot and link time. */
-export function addToBooks(state: SchedulerState, reservation: Reservation, nowMs: number): void {
+export function register(state: SchedulerState, reservation: Reservation, nowMs: number): void {
 	const {id, owner, requestId, linkMs} = reservation;
 	state.reservations.set(id, reservation);
 	state.byRequest.set(requestKey(owner, requestId), id);
@@ -189,7 +189,7 @@
 	reservation.decode = decode.spec.name;
 	reservation.phase = 'transfer';
 	reservation.linkMs = prefill ? state.pool.transferMs(prefill, decode, reservation.promptTokens) : 0;
-	addToBooks(state, reservation, nowMs);
+	register(state, reservation, nowMs);
 }
 
 /** Forgets every reservation, after the lease went to another process. */
--- a/src/load/compare-placement.ts
+++ b/src/load/compare-placement.ts
@@ -193,12 +193,12 @@
 		}) ?? tenants[0]!;
 		const promptTokens = Math.round(200 + (this._random.next() * 2 * (meanPrompt - 200)));
 		const outputTokens = Math.round(50 + (this._random.next() * 2 * (meanOutput - 50)));
-		// Each tenant has a few standard beginnings of its prompts.
-		const beginning = this._random.integer(0, 4);
+		// Each tenant's prompts share a few prefixes.
+		const prefixNumber = this._random.integer(0, 4);
 		const blocks = Math.min(prefixBlocks, Math.floor(promptTokens / 64));
 		const req: PlaceRequest = {
 			requestId, service: 'model', tenant: tenant.name, priority: 5, shedOrder: 5, promptTokens, maxTokens: 256,
-			prefix: Array.from({length: blocks}, (_, i) => `${tenant.name}/${beginning}/${i}`),
+			prefix: Array.from({length: blocks}, (_, i) => `${tenant.name}/${prefixNumber}/${i}`),
 			maxWaitMs: 1000, budgetMs: firstTokenMs, zone: this._random.pick(zones),
 		};
 		return {
--- a/src/node/scheduler/peer-scheduler-client.ts
+++ b/src/node/scheduler/peer-scheduler-client.ts
@@ -239,7 +239,7 @@
 		}
 	}
 
-	/** The local scheduler of a shard, with all that this process runs on its books. */
+	/** The local scheduler of a shard, which knows all that this process runs. */
 	private _localShard(pool: Shard): LocalShard {
 		const name = leaseName(pool);
 		let local = this._local.get(name);
@@ -281,7 +281,7 @@
 		this._runner.runtime.dispatch({type: 'scheduler/configure', engines, weights: tenantWeights(configuration)});
 	}
 
-	/** Brings the share and the books up to date before use. */
+	/** Updates the share and the known reservations before use. */
 	refresh(): void {
 		const {directory: {entries}, self} = this._options;
 		const vms: VmId[] = [...new Set([...entries.live.map(({vm}) => vm), self.vm])].sort();
