Run the orders reducer on entry VMs

OrderHost applies for the lease "orders", reads and settles the records, and talks to the engines; its state is in the state dump. An order is sent on a connection of its own, which is reset when the answer is late, because bytes in a send buffer outlive an ordinary close.

Removing each of these on a scratch copy made a test fail: the host's check of the lease before it sends, the reset, counting the lease from before the renewal, the pause between attempts to settle, the stop after a stale settlement, the release by a drained VM (seen as a test that does not end), and the limits on silence, on earlier loads and on a load that does not end.

--- a/src/common/orders/orders.test.ts
+++ b/src/common/orders/orders.test.ts
@@ -185,6 +185,37 @@
 	}
 });
 
+test('guards against outcomes proposed without pause, or again after the lease has passed on', () => {
+	const holder = setUp([{order: {kind: 'dance'}}]);
+	const settled = (result: string) => {
+		holder.dispatch({
+			type: 'orders/settled', orderId: 'o0', epoch: 1, result,
+		});
+	};
+
+	settled('unknown');
+	assert.equal(outcomes(holder).length, 1);
+	holder.advance(1000);
+	assert.equal(outcomes(holder).length, 2);
+	settled('stale');
+	holder.effects.length = 0;
+	holder.advance(10_000);
+	assert.deepEqual(holder.effects, []);
+});
+
+test('guards against an engine whose load never ends, of this order or of an earlier one', () => {
+	const holder = setUp([{}]);
+	holder.advance(700_000, () => {
+		holder.answer({loading: true});
+	});
+	assert.match(outcomes(holder)[0]!, /still carries out an earlier order/);
+	const own = setUp([{}]);
+	own.advance(100_000, () => {
+		own.answer({lastOrderId: 'o0', loading: true});
+	});
+	assert.match(outcomes(own)[0]!, /still loads; it may yet finish/);
+});
+
 test('guards against orders that together take all engines of a pool out of service', () => {
 	const engines = ['e1', 'e2', 'e3'].map(name => makeEngine(name));
 	const holder = setUp(engines.map(({name}) => ({upstream: name, order: {kind: 'load-adapter', adapter: 'a', bytes: 0}})), engines);
--- a/src/common/orders/orders.ts
+++ b/src/common/orders/orders.ts
@@ -15,6 +15,8 @@
 const askSpacingMs = 20;
 /** A load report counts for this many ask intervals. */
 const freshIntervals = 3;
+/** Shortest interval between attempts to record an outcome, in milliseconds. */
+const settleEveryMs = 1000;
 /** Longest detail of an outcome that the replicated state takes, in characters. */
 const maxDetail = 1000;
 
@@ -190,6 +192,7 @@
 		waitsFor: undefined,
 		outcome: undefined,
 		isProposed: false,
+		proposedMs: -Infinity,
 	};
 }
 
@@ -373,8 +376,9 @@
 			}, effects);
 		}
 
-		if (order.phase === 'settling' && !order.isProposed) {
+		if (order.phase === 'settling' && !order.isProposed && nowMs - order.proposedMs >= settleEveryMs) {
 			order.isProposed = true;
+			order.proposedMs = nowMs;
 			effects.push({
 				type: 'orders/settle', orderId: order.orderId, epoch, outcome: order.outcome!,
 			});
--- a/src/common/orders/types.ts
+++ b/src/common/orders/types.ts
@@ -73,8 +73,9 @@
 	/** Why a `ready` order waits. */
 	waitsFor: string | undefined;
 	outcome: OrderOutcome | undefined;
-	/** Whether the outcome was proposed and not yet answered. */
+	/** Whether the outcome was proposed and not yet answered, and when it was proposed last. */
 	isProposed: boolean;
+	proposedMs: number;
 };
 
 export type OrderOutcome = {readonly status: 'done' | 'failed'; readonly detail?: string};
--- a/src/common/upstreams/engine-api.ts
+++ b/src/common/upstreams/engine-api.ts
@@ -70,6 +70,9 @@
 /** `POST /v1/orders`; an engine that checks fencing answers 409 `{code: 'stale-fencing', highest}` to an old number. */
 export const orderRequestSchema = z.strictObject({orderId: z.string(), fencing: z.int(), order: orderSchema});
 
+/** Body of a refusal of `POST /v1/orders`; `highest` comes with `stale-fencing`. */
+export const orderRefusalSchema = z.looseObject({code: z.string(), highest: z.int().optional()});
+
 /** `GET /v1/orders`: state after the last accepted order. */
 export const orderStateSchema = z.strictObject({
 	highestFencing: z.int(), lastOrderId: z.string().optional(), models: z.array(z.string()), adapters: z.array(z.string()), role: z.enum(['prefill', 'decode', 'both']), loading: z.boolean(),
--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -4,10 +4,11 @@
 import type {VmIdentity} from '../../common/core/types.js';
 import type {ProcessState, Replica} from '../../common/reducer.js';
 import type {EntryServer} from '../entry/entry-server.js';
+import type {OrderHost} from '../orders/order-host.js';
 import type {SchedulerHost} from '../scheduler/scheduler-host.js';
 
 type Dumped = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState};
-type DumpedEntry = {readonly scheduler: SchedulerHost; readonly server: EntryServer};
+type DumpedEntry = {readonly scheduler: SchedulerHost; readonly orders: OrderHost; readonly server: EntryServer};
 
 function dumpReplica({consensus, control}: Replica): unknown {
 	return {
@@ -54,6 +55,7 @@
 			access: dumpAccess(state, clock.nowMs()),
 			requests: {running: entry.server.running},
 			schedulers: entry.scheduler.dump(),
+			orders: entry.orders.dump(),
 		}),
 		...(state.replica && {replica: dumpReplica(state.replica)}),
 	};
--- /dev/null
+++ b/src/node/orders/order-host.test.ts
@@ -0,0 +1,245 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {createServer as createTcpServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {text} from 'node:stream/consumers';
+import {test} from 'node:test';
+import type {TestContext} from 'node:test';
+import {request} from 'undici';
+import {FakeEngine} from '../../../fakes/engine.js';
+import type {FakeEngineOptions} from '../../../fakes/engine.js';
+import {FakeWeightStore} from '../../../fakes/weight-store.js';
+import {sharedConfigurationSchema} from '../../common/configuration/shared.js';
+import type {OrderRecord} from '../../common/control/messages.js';
+import {Clock, ManualClock} from '../../common/core/clock.js';
+import type {Disposable} from '../../common/core/disposable.js';
+import {NullLogger} from '../../common/core/log.js';
+import {LeaseKeeper} from '../../common/scheduler/lease-keeper.js';
+import type {Order} from '../../common/upstreams/engine-api.js';
+import {MonotonicClock} from '../clock.js';
+import type {ChangeResult} from '../control/control-operator.js';
+import {EngineControlClient} from '../scheduler/engine-control-client.js';
+import {
+	FixedAccess, FixedDirectory, MemoryLeases, until,
+} from '../scheduler/fixtures.js';
+import {LeaseHolder} from '../scheduler/lease-holder.js';
+import {OrderHost} from './order-host.js';
+
+const vms = ['entry-1', 'entry-2'].map(vm => ({vm, incarnation: 1}));
+const lease = 'orders';
+
+/** The records of orders, as the replicated state machine keeps them. */
+class MemoryRecords {
+	readonly records: OrderRecord[] = [];
+
+	constructor(private readonly _leases: MemoryLeases) {}
+
+	submit(upstream: string, order: Order): void {
+		this.records.push({
+			orderId: `o${this.records.length}`, upstream, order, status: 'submitted', submittedMs: 0,
+		});
+	}
+
+	get statuses(): string[] {
+		return this.records.map(({status, detail}) => detail ? `${status}: ${detail}` : status);
+	}
+
+	async listOrders(): Promise<OrderRecord[]> {
+		return structuredClone(this.records);
+	}
+
+	async settleOrder(orderId: string, epoch: number, status: 'done' | 'failed', detail?: string): Promise<ChangeResult> {
+		if (this._leases.leases.get(lease)?.epoch !== epoch) {
+			return {kind: 'refused', code: 'stale'};
+		}
+
+		const i = this.records.findIndex(record => record.orderId === orderId);
+		this.records[i] = {...this.records[i]!, status, ...(detail !== undefined && {detail})};
+		return {kind: 'done', revision: 1};
+	}
+}
+
+/** A clock that a test can move ahead of the real one, as after a suspension of the process. */
+class SkewedClock extends Clock {
+	skewMs = 0;
+	private readonly _clock = new MonotonicClock();
+
+	override nowMs(): number {
+		return this._clock.nowMs() + this.skewMs;
+	}
+}
+
+async function started<T extends Disposable & {start(): Promise<void>}>(context: TestContext, part: T): Promise<T> {
+	await part.start();
+	context.after(async () => part.dispose());
+	return part;
+}
+
+/** Forwards to an engine, and loses the answer to the first order. */
+async function startLossyProxy(context: TestContext, engine: FakeEngine) {
+	const orderIds: string[] = [];
+	const server = createServer(async (req, res) => {
+		const body = await text(req);
+		const reply = await request(`http://${engine.address}${req.url}`, {method: req.method as 'GET' | 'POST', ...(body !== '' && {body})});
+		const answer = await reply.body.text();
+		if (req.method === 'POST' && orderIds.push((JSON.parse(body) as {orderId: string}).orderId) === 1) {
+			req.socket.destroy();
+		} else {
+			res.writeHead(reply.statusCode).end(answer);
+		}
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	context.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	return {orderIds, address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
+}
+
+async function setUp(context: TestContext) {
+	const store = await started(context, new FakeWeightStore({name: 'store', rate: 1e6}));
+	const engineOf = async (name: string, options: Partial<FakeEngineOptions>) => started(context, new FakeEngine({name, weightStore: store.address, ...options}));
+	const checks = await engineOf('checks', {checksFencing: true});
+	const ignores = await engineOf('ignores', {checksFencing: false});
+	const proxy = await startLossyProxy(context, checks);
+	const upstream = {service: 'dossiers', zone: 'z1', role: 'both'};
+	const cfg = sharedConfigurationSchema.parse({
+		profiles: {batch: {}},
+		tenants: {},
+		services: {dossiers: {kind: 'model', profile: 'batch', model: 'm'}},
+		upstreams: {
+			checks: {...upstream, address: proxy.address},
+			ignores: {...upstream, address: ignores.address, checksFencing: false},
+		},
+		weightStore: {address: store.address, rate: '1MB/s'},
+	});
+	const accesses = vms.map(() => new FixedAccess(cfg));
+	const leases = new MemoryLeases(accesses);
+	const records = new MemoryRecords(leases);
+	const clock = new SkewedClock();
+	const counts: string[] = [];
+	const onCount = {run() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+	const hosts = vms.map((self, i) => new OrderHost({
+		self,
+		clock,
+		logger: new NullLogger(),
+		access: accesses[i]!,
+		directory: new FixedDirectory({live: vms, dead: []}),
+		leases: leases.keeperOf(self),
+		operator: records,
+		limits: {
+			leaseMs: 100, orderTimeoutMs: 1200, listEveryMs: 100, askEveryMs: 50,
+		},
+		count({metric}) {
+			counts.push(metric);
+			onCount.run();
+		},
+	}));
+	for (const host of hosts) {
+		host.start();
+		context.after(async () => host.dispose());
+	}
+
+	return {
+		hosts, accesses, records, checks, ignores, proxy, counts, clock, onCount, store,
+	};
+}
+
+function loadOf(model: string): Order {
+	return {
+		kind: 'load-model', model, version: '1', bytes: 100_000,
+	};
+}
+
+test('guards against a second run after a lost answer or a change of holder, on engines with and without the fencing check', {timeout: 60_000}, async context => {
+	const {hosts, records, checks, ignores, proxy, store} = await setUp(context);
+	records.submit('checks', loadOf('a'));
+	records.submit('ignores', loadOf('b'));
+	records.submit('ignores', {kind: 'set-role', role: 'both'});
+	records.submit('gone', {kind: 'set-role', role: 'both'});
+	await until(() => records.records.slice(0, 3).every(({status}) => status !== 'submitted'));
+	assert.deepEqual(records.statuses, ['done', 'done', 'done', 'submitted']);
+	assert.deepEqual(proxy.orderIds, ['o0']);
+	assert.deepEqual(store.record(), {loads: [{bytes: 100_000, isComplete: true}, {bytes: 100_000, isComplete: true}]});
+	const holder = hosts.find(host => host.dump().epoch !== undefined)!;
+	assert.deepEqual(holder.dump().orders.map(({orderId, phase}) => [orderId, phase]), [['o3', 'queued']]);
+	await holder.dispose();
+	records.submit('checks', {kind: 'set-role', role: 'both'});
+	records.submit('ignores', loadOf('c'));
+	await until(() => records.records.slice(4).every(({status}) => status !== 'submitted'));
+	assert.deepEqual(records.statuses.slice(4), ['done', 'done']);
+	assert.deepEqual(ignores.record().orders.map(({orderId, fencing}) => [orderId, fencing]), [['o1', 1], ['o2', 1], ['o5', 2]]);
+	assert.deepEqual(checks.record().orders.map(({orderId, fencing}) => [orderId, fencing]), [['o0', 1], ['o4', 2]]);
+});
+
+test('guards against an order that leaves after a suspension outlasted the lease', {timeout: 60_000}, async context => {
+	const {records, ignores, counts, clock, onCount} = await setUp(context);
+	onCount.run = () => {
+		// The reducer counts an order just before the host sends it.
+		clock.skewMs += counts.filter(metric => metric === 'orders_sent_total').length === 1 ? 10_000 : 0;
+		onCount.run = () => undefined;
+	};
+
+	records.submit('ignores', {kind: 'set-role', role: 'both'});
+	await until(() => records.records[0]!.status !== 'submitted');
+	assert.equal(counts.filter(metric => metric === 'orders_sent_total').length, 2);
+	assert.equal(ignores.record().orders.length, 1);
+});
+
+test('guards against a lease that stays on a drained VM', {timeout: 60_000}, async context => {
+	const {hosts, accesses} = await setUp(context);
+	const holderOf = () => hosts.findIndex(host => host.dump().epoch !== undefined);
+	await until(() => holderOf() >= 0);
+	const first = holderOf();
+	for (const access of accesses) {
+		await access.change({drainedVms: new Set([vms[first]!.vm])});
+	}
+
+	await until(() => holderOf() === 1 - first);
+});
+
+test('guards against bytes of an abandoned order that stay in the send buffer', {timeout: 60_000}, async context => {
+	const server = createTcpServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	context.after(() => {
+		server.close();
+	});
+	const engines = new EngineControlClient();
+	context.after(async () => engines.dispose());
+	const accepted = once(server, 'connection');
+	const sending = engines.sendOrder(`127.0.0.1:${(server.address() as AddressInfo).port}`, {orderId: 'o1', fencing: 1, order: loadOf('a')});
+	const [socket] = await accepted as [Socket];
+	socket.resume();
+	const [err] = await once(socket, 'error') as [NodeJS.ErrnoException];
+	assert.equal(err.code, 'ECONNRESET');
+	assert.deepEqual(await sending, {kind: 'unknown'});
+});
+
+test('guards against a lease that counts from when the answer to its renewal came', async () => {
+	const clock = new ManualClock();
+	class SlowKeeper extends LeaseKeeper {
+		override async acquire(): Promise<number> {
+			clock.advance(700);
+			return 1;
+		}
+
+		override async renew(): Promise<boolean> {
+			clock.advance(700);
+			return true;
+		}
+
+		override async release(): Promise<void> {
+			// Nothing is kept.
+		}
+	}
+
+	const holder = new LeaseHolder(lease, new SlowKeeper(), clock);
+	assert.equal(holder.heldUntilMs, -Infinity);
+	await holder.step(true);
+	assert.equal(holder.heldUntilMs, 1800);
+	await holder.step(false);
+	assert.equal(holder.heldUntilMs, 2500);
+});
--- a/src/node/scheduler/engine-control-client.ts
+++ b/src/node/scheduler/engine-control-client.ts
@@ -1,14 +1,20 @@
-import {Agent, request} from 'undici';
+import type {Socket} from 'node:net';
+import {Agent, buildConnector, request} from 'undici';
 import type {z} from 'zod';
 import type {Disposable} from '../../common/core/disposable.js';
 import {at, UpstreamError} from '../../common/core/errors.js';
-import {cacheEventsReplySchema, loadReplySchema, requestListSchema} from '../../common/upstreams/engine-api.js';
-import type {CacheEventsReply, LoadReply, RequestList} from '../../common/upstreams/engine-api.js';
+import type {SendResult} from '../../common/orders/types.js';
+import {
+	cacheEventsReplySchema, loadReplySchema, orderRefusalSchema, orderStateSchema, requestListSchema,
+} from '../../common/upstreams/engine-api.js';
+import type {
+	CacheEventsReply, LoadReply, OrderRequest, OrderState, RequestList,
+} from '../../common/upstreams/engine-api.js';
 
 /** Longest wait for an engine's answer, in milliseconds; a load figure older than this is of no use. */
 const answerTimeoutMs = 1000;
 
-/** The engine API as the scheduler uses it: load, cache events, and requests to list and cancel. */
+/** The engine API as schedulers and the holder of the lease `orders` use it. */
 export class EngineControlClient implements Disposable {
 	/** Separate from the connections that carry requests, so that neither waits for the other. */
 	private readonly _agent = new Agent({connections: 2, connect: {timeout: answerTimeoutMs}, keepAliveTimeout: 4000});
@@ -31,6 +37,44 @@
 		await this._call('DELETE', address, `/v1/requests/${encodeURIComponent(requestId)}`);
 	}
 
+	async orderState(address: string): Promise<OrderState> {
+		return this._get(address, '/v1/orders', orderStateSchema);
+	}
+
+	/**
+	Sends an order on a connection of its own. When no answer comes in time, the connection is reset: a mere close would leave
+	bytes in the kernel's send buffer, from where they could still reach the engine long after.
+	*/
+	async sendOrder(address: string, order: OrderRequest): Promise<SendResult> {
+		const connect = buildConnector({timeout: answerTimeoutMs});
+		const abort = new AbortController();
+		let socket: Socket | undefined;
+		const agent = new Agent({
+			connect(options, callback) {
+				connect(options, (...args) => {
+					socket = args[1] ?? undefined;
+					callback(...args);
+				});
+			},
+		});
+		const timer = setTimeout(() => {
+			// Before the abort, which would close the connection in the ordinary way.
+			socket?.resetAndDestroy();
+			abort.abort();
+		}, answerTimeoutMs);
+		try {
+			const {statusCode, body} = await request(`http://${address}/v1/orders`, {
+				method: 'POST', body: JSON.stringify(order), dispatcher: agent, signal: abort.signal,
+			});
+			return sendResultOf(statusCode, await body.text());
+		} catch {
+			return {kind: 'unknown'};
+		} finally {
+			clearTimeout(timer);
+			await agent.destroy();
+		}
+	}
+
 	async dispose(): Promise<void> {
 		await this._agent.destroy();
 	}
@@ -59,3 +103,17 @@
 		}
 	}
 }
+
+/** Throws if the answer does not fit the protocol, so that its meaning is not known. */
+function sendResultOf(status: number, text: string): SendResult {
+	if (status < 300) {
+		return {kind: 'accepted', state: orderStateSchema.parse(JSON.parse(text))};
+	}
+
+	if (status >= 500) {
+		return {kind: 'unknown'};
+	}
+
+	const {code, highest} = orderRefusalSchema.parse(JSON.parse(text));
+	return code === 'stale-fencing' && highest !== undefined ? {kind: 'stale', highest} : {kind: 'refused', detail: `status ${status}, ${code}`};
+}
--- a/src/node/scheduler/lease-holder.ts
+++ b/src/node/scheduler/lease-holder.ts
@@ -19,6 +19,11 @@
 		return this._clock.nowMs() - this._confirmedMs < holdMs ? this._epoch : undefined;
 	}
 
+	/** From then on the lease is no longer surely held, unless a renewal succeeds. */
+	get heldUntilMs(): number {
+		return this._epoch === undefined ? -Infinity : this._confirmedMs + holdMs;
+	}
+
 	/** Renews a held lease, or tries to acquire it if `mayAcquire`. One attempt runs at a time. */
 	async step(mayAcquire: boolean): Promise<void> {
 		if (this._isBusy || (this._epoch === undefined && !mayAcquire)) {
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -28,6 +28,7 @@
 import {ControlOperatorService} from './operators/control-operator-service.js';
 import type {ReplicaMembers} from './operators/control-operator-service.js';
 import {OperatorServer} from './operators/operator-server.js';
+import {OrderHost} from './orders/order-host.js';
 import {Runtime} from './runtime.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
 import {PeerSchedulerClient} from './scheduler/peer-scheduler-client.js';
@@ -59,6 +60,7 @@
 type EntryParts = {
 	readonly client: ControlClient;
 	readonly scheduler: SchedulerHost;
+	readonly orders: OrderHost;
 	readonly server: EntryServer;
 };
 
@@ -184,7 +186,9 @@
 			metrics.count(metric, labels, by);
 		},
 	};
-	const scheduler = parts.add(new SchedulerHost({...schedulerOptions, leases: new ControlLeaseKeeper(operator, self)}));
+	const leases = new ControlLeaseKeeper(operator, self);
+	const scheduler = parts.add(new SchedulerHost({...schedulerOptions, leases}));
+	const orders = parts.add(new OrderHost({...schedulerOptions, leases, operator}));
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = parts.add(new EntryServer({
 		access: client.access,
@@ -198,8 +202,11 @@
 		host, port, identity: self, zone: settings.zone, seed: self.incarnation,
 	}));
 	scheduler.start();
+	orders.start();
 	await server.start();
-	return {client, scheduler, server};
+	return {
+		client, scheduler, orders, server,
+	};
 }
 
 async function startOperators(platform: Platform, entry: EntryParts | undefined): Promise<void> {
