--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -5,10 +5,11 @@
 import type {ProcessState, Replica} from '../../common/reducer.js';
 import type {EntryServer} from '../entry/entry-server.js';
 import type {MembershipHost} from '../membership/membership-host.js';
+import type {OrderHost} from '../orders/order-host.js';
 import type {SchedulerHost} from '../scheduler/scheduler-host.js';
 
 type Dumped = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState; readonly membership: MembershipHost};
-type DumpedEntry = {readonly scheduler: SchedulerHost; readonly server: EntryServer};
+type DumpedEntry = {readonly scheduler: SchedulerHost; readonly orders: OrderHost; readonly server: EntryServer};
 
 function dumpReplica({consensus, control}: Replica): unknown {
 	return {
@@ -59,6 +60,7 @@
 			access: dumpAccess(state, clock.nowMs()),
 			requests: entry.server.state(),
 			schedulers: entry.scheduler.dump(),
+			orders: entry.orders.dump(),
 		}),
 		...(state.replica && {replica: dumpReplica(state.replica)}),
 	};
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -31,6 +31,7 @@
 import {ControlOperatorService} from './operators/control-operator-service.js';
 import type {ReplicaMembers} from './operators/control-operator-service.js';
 import {OperatorServer} from './operators/operator-server.js';
+import {OrderHost} from './orders/order-host.js';
 import {Runtime} from './runtime.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
 import {PeerSchedulerClient} from './scheduler/peer-scheduler-client.js';
@@ -63,6 +64,7 @@
 type EntryParts = {
 	readonly client: ControlClient;
 	readonly scheduler: SchedulerHost;
+	readonly orders: OrderHost;
 	readonly server: EntryServer;
 };
 
@@ -200,7 +202,9 @@
 	const schedulerOptions = {
 		self, network, clock, logger, access: client.access, directory: membership, count: countOn(metrics),
 	};
-	const scheduler = parts.add(new SchedulerHost({...schedulerOptions, leases: new ControlLeaseKeeper(operator, self)}));
+	const leases = new ControlLeaseKeeper(operator, self);
+	const scheduler = parts.add(new SchedulerHost({...schedulerOptions, leases}));
+	const orders = parts.add(new OrderHost({...schedulerOptions, leases, operator}));
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = parts.add(new EntryServer({
 		access: client.access,
@@ -219,8 +223,11 @@
 	}));
 	followPlatformList(platform, client, server);
 	scheduler.start();
+	orders.start();
 	await server.start();
-	return {client, scheduler, server};
+	return {
+		client, scheduler, orders, server,
+	};
 }
 
 /** Leaving VMs get no new work: entry VMs through membership, upstreams through their registry. */
