Adapt the prefill lookahead to the measured turnaround of messages

Cause: with a fixed lookahead of 40 ms prefill engines ran out of work while messages between scheduler, entry process and engine were under way on a busy machine. Change: twice the mean turnaround, between 40 and 200 ms.

--- a/src/common/scheduler/policy.ts
+++ b/src/common/scheduler/policy.ts
@@ -4,9 +4,6 @@
 import {blocksOf} from './pool.js';
 import type {PlacementEstimate, Pool} from './pool.js';
 
-/** A prefill engine gets its next prefill this long before it runs out of work, in milliseconds; more would undo the fair queue's order. */
-const prefillLookaheadMs = 40;
-
 /** How much room a request takes. */
 export type RequestSize = Pick<PlaceRequest, 'promptTokens' | 'maxTokens'>;
 
@@ -39,7 +36,7 @@
 	abstract choose(pool: Pool, req: PlaceRequest, nowMs: number): PlacementChoice | undefined;
 
 	protected prefillEngines(pool: Pool, nowMs: number): Engine[] {
-		return pool.prefillEngines.filter(engine => engine.isUsable(nowMs) && (!engine.hasPrefills || engine.prefillBacklogMs(nowMs) <= prefillLookaheadMs));
+		return pool.prefillEngines.filter(engine => engine.isUsable(nowMs) && (!engine.hasPrefills || engine.prefillBacklogMs(nowMs) <= pool.prefillLookaheadMs));
 	}
 
 	protected decodeEngines(pool: Pool, req: PlaceRequest, nowMs: number): Engine[] {
--- a/src/common/scheduler/pool.ts
+++ b/src/common/scheduler/pool.ts
@@ -20,6 +20,13 @@
 /** Cost of leaving a zone: two messages across zones and the use of a scarcer link, in milliseconds. */
 const crossZoneMs = 2;
 
+/** Bounds of the prefill lookahead, in milliseconds: below, engines idle even on quiet machines; above, the fair queue's order would be undone. */
+const minLookaheadMs = 40;
+const maxLookaheadMs = 200;
+const initialTurnaroundMs = 10;
+/** The lookahead covers this many mean turnarounds, since they vary. */
+const lookaheadTurnarounds = 2;
+
 /** Where the time to the first token of a placement goes, in milliseconds. */
 export type PlacementEstimate = {
 	readonly backlogMs: number;
@@ -51,6 +58,8 @@
 	readonly output = new LearnedRatio({value: initialOutputMs}, priorTokens);
 	/** Milliseconds that a request holds its decode slot. */
 	readonly hold = new LearnedRatio({value: initialHoldMs}, priorRequests);
+	/** Milliseconds between the scheduler and the start of a prefill, and from its end back to the scheduler. */
+	readonly turnaround = new LearnedRatio({value: initialTurnaroundMs}, priorRequests);
 	/** While true, slots are free only when the engine says so. */
 	isRebuilding = false;
 
@@ -71,6 +80,11 @@
 		return this._decodeEngines;
 	}
 
+	/** A prefill engine gets its next prefill this long before it runs out of work, in milliseconds, so that it does not wait for messages. */
+	get prefillLookaheadMs(): number {
+		return Math.min(maxLookaheadMs, Math.max(minLookaheadMs, lookaheadTurnarounds * this.turnaround.value));
+	}
+
 	/** Returns the names of engines that were removed. */
 	configure(specs: readonly EngineSpec[]): string[] {
 		const names = new Set(specs.map(({name}) => name));
--- a/src/common/scheduler/progress.ts
+++ b/src/common/scheduler/progress.ts
@@ -46,6 +46,7 @@
 		return [];
 	}
 
+	pool.turnaround.observe(nowMs - reservation.placedMs - progress.durationMs, 1);
 	const startedMs = engine.removePrefill(reservation.id, nowMs);
 	if (startedMs !== undefined) {
 		learnPrefill(state, engine, progress, nowMs - startedMs);
