Bound lease operations, list open orders only, keep log context intact

Cause: stopping an entry VM without a quorum waited 10 s per lease; the order holder read up to 1,000 settled records every 5 s; a log field could replace the name of the logging VM; a change whose answer was lost could not be resent because its generated id was never printed. Change: 2 s bound on lease operations, query for open orders, context last in log lines, id printed on failure, expected version checked by the command.

--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -1,5 +1,6 @@
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
+import {InvalidArgumentError} from 'commander';
 import type {Command} from 'commander';
 import {checkDocument} from '../common/configuration/document.js';
 import {sharedConfigurationSchema} from '../common/configuration/shared.js';
@@ -10,6 +11,14 @@
 
 type ApplyOptions = OperatorOptions & {readonly expectedVersion: number};
 
+function parseVersion(text: string): number {
+	if (!/^\d+$/.test(text)) {
+		throw new InvalidArgumentError('write a whole number');
+	}
+
+	return Number(text);
+}
+
 /** Checks locally first, so that a faulty file is reported with its lines even when no process answers. */
 async function apply(file: string, options: ApplyOptions): Promise<void> {
 	const source = readFileSync(file, 'utf8');
@@ -42,7 +51,7 @@
 		});
 	withChangeId(withOperatorOptions(config.command('apply').description('replace the shared configuration if its version is still the expected one')))
 		.argument('<file>', 'YAML file')
-		.requiredOption('--expected-version <n>', 'version that this change was made from; 0 for the first', Number)
+		.requiredOption('--expected-version <n>', 'version that this change was made from; 0 for the first', parseVersion)
 		.addHelpText('after', '\nExample:\n  $ jasminehead config apply --operators 127.0.0.1:9100 --token "$TOKEN" --expected-version 3 configuration.yaml')
 		.addHelpText('after', '\nExit codes: 0 accepted, 1 conflict or no quorum, 2 faulty file, 3 no answer')
 		.action(apply);
--- a/src/cli/operator-client.ts
+++ b/src/cli/operator-client.ts
@@ -44,10 +44,18 @@
 		const text = await res.body.text();
 		return {status: res.statusCode, body: text === '' ? undefined : JSON.parse(text) as unknown};
 	} catch (err) {
+		printChangeId(options);
 		throw new JasmineheadError(`${options.operators} did not answer`, at({step: `operators ${method} ${path}`, peer: options.operators, cause: err}));
 	}
 }
 
+/** A change whose answer was lost can be sent again under its id. */
+function printChangeId({changeId}: OperatorOptions): void {
+	if (changeId !== undefined) {
+		console.error(`to send this change again: --change-id ${changeId}`);
+	}
+}
+
 /** One line for a person about a refused request. */
 export function describeProblem(reply: OperatorReply): string {
 	const problem = problemSchema.safeParse(reply.body);
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -223,7 +223,8 @@
 	z.strictObject({what: z.literal('history')}),
 	z.strictObject({what: z.literal('keys'), after: revisionSchema}),
 	z.strictObject({what: z.literal('drains')}),
-	z.strictObject({what: z.literal('orders')}),
+	/** `open` leaves out orders that are done or failed. */
+	z.strictObject({what: z.literal('orders'), open: z.boolean().optional()}),
 	z.strictObject({what: z.literal('leases')}),
 	z.strictObject({what: z.literal('claim'), ...claimIdentity, requestDigest: z.string().max(128)}),
 ]);
--- a/src/common/control/read.ts
+++ b/src/common/control/read.ts
@@ -110,7 +110,8 @@
 		}
 
 		case 'orders': {
-			return {what: 'orders', orders: [...state.orders.values()]};
+			const orders = [...state.orders.values()];
+			return {what: 'orders', orders: query.open ? orders.filter(({status}) => status === 'submitted') : orders};
 		}
 
 		case 'leases': {
--- a/src/common/membership/state.ts
+++ b/src/common/membership/state.ts
@@ -133,7 +133,7 @@
 
 function logChange({vm, incarnation, status}: MemberRecord): MembershipEffect {
 	return {
-		type: 'log', level: status === 'alive' ? 'info' : 'warn', message: `member ${status}`, fields: {vm, incarnation},
+		type: 'log', level: status === 'alive' ? 'info' : 'warn', message: `member ${status}`, fields: {member: vm, incarnation},
 	};
 }
 
--- a/src/node/control/control-operator.ts
+++ b/src/node/control/control-operator.ts
@@ -13,6 +13,8 @@
 
 /** Bound on one operation; covers a failover. */
 const operationTimeoutMs = 10_000;
+/** Bound on lease operations: an answer that comes later than the lease lasts is of no use, and a shutdown must not wait for it. */
+const leaseTimeoutMs = 2000;
 
 type ResultOf<W extends ReadResult['what']> = Extract<ReadResult, {what: W}>;
 type Refusal = Extract<Outcome, {kind: 'refused'}>;
@@ -145,9 +147,9 @@
 		}));
 	}
 
-	/** Oldest first. */
-	async listOrders(): Promise<OrderRecord[]> {
-		const result = await this._read({what: 'orders'}) as ResultOf<'orders'>;
+	/** Oldest first; `open` leaves out orders that are done or failed. */
+	async listOrders({open = false} = {}): Promise<OrderRecord[]> {
+		const result = await this._read({what: 'orders', open}) as ResultOf<'orders'>;
 		return result.orders;
 	}
 
@@ -155,20 +157,20 @@
 	async acquireLease(name: string, {vm, incarnation}: VmIdentity, ttlMs: number): Promise<LeaseResult> {
 		return leaseOf(await this._propose({
 			type: 'lease.acquire', name, holder: vm, incarnation, ttlMs,
-		}));
+		}, leaseTimeoutMs));
 	}
 
 	/** Keeps a lease of this epoch; unlike `acquireLease`, never begins a new one. */
 	async renewLease(name: string, {vm, incarnation}: VmIdentity, epoch: number, ttlMs: number): Promise<LeaseResult> {
 		return leaseOf(await this._propose({
 			type: 'lease.renew', name, holder: vm, incarnation, epoch, ttlMs,
-		}));
+		}, leaseTimeoutMs));
 	}
 
 	async releaseLease(name: string, {vm, incarnation}: VmIdentity, epoch: number): Promise<ChangeResult | LeaseResult> {
 		const outcome = await this._propose({
 			type: 'lease.release', name, holder: vm, incarnation, epoch,
-		});
+		}, leaseTimeoutMs);
 		return outcome.kind === 'done' ? outcome : leaseOf(outcome);
 	}
 
@@ -177,8 +179,8 @@
 		return result.leases;
 	}
 
-	private async _propose(command: Command): Promise<Outcome> {
-		return this._link.propose(command, operationTimeoutMs);
+	private async _propose(command: Command, timeoutMs = operationTimeoutMs): Promise<Outcome> {
+		return this._link.propose(command, timeoutMs);
 	}
 
 	private async _read(query: ReadQuery): Promise<ReadResult> {
--- a/src/node/observability/json-logger.ts
+++ b/src/node/observability/json-logger.ts
@@ -10,7 +10,7 @@
 export class JsonLogger extends Logger {
 	private readonly _logger: TsLogger<Line>;
 
-	/** `context` goes into every line. */
+	/** `context` goes into every line and cannot be overwritten by a line's fields. */
 	constructor(context: Readonly<Record<string, unknown>>) {
 		super();
 		this._logger = new TsLogger<Line>({
@@ -19,7 +19,7 @@
 			attachedTransports: [entry => {
 				const {message, fields, _meta: metadata} = entry as Line & LineMetadata;
 				const line = {
-					time: metadata?.date.toISOString(), level: metadata?.logLevelName.toLowerCase(), message, ...context, ...fields,
+					time: metadata?.date.toISOString(), level: metadata?.logLevelName.toLowerCase(), message, ...fields, ...context,
 				};
 				process.stdout.write(JSON.stringify(line) + '\n');
 			}],
--- a/src/node/orders/order-host.ts
+++ b/src/node/orders/order-host.ts
@@ -155,7 +155,7 @@
 	}
 
 	private async _list({epoch}: EffectOf<'orders/list'>): Promise<void> {
-		const records = await this._options.operator.listOrders().catch(() => undefined); // eslint-disable-line promise/prefer-await-to-then -- a failed read is repeated
+		const records = await this._options.operator.listOrders({open: true}).catch(() => undefined); // eslint-disable-line promise/prefer-await-to-then -- a failed read is repeated
 		this._runtime.dispatch({type: 'orders/listed', epoch, records});
 	}
 
