Count only the computed part of prompts in the queue's estimate

Cause: admission multiplied all prompt tokens ahead by the time per computed token, although three quarters were cached, and refused 387 requests as too late while the 95th percentile of the first token was 1.4 s of 2 s. Change: learned share of computed tokens.

--- a/src/common/scheduler/admission.ts
+++ b/src/common/scheduler/admission.ts
@@ -79,7 +79,9 @@
 	}
 
 	const backlogsMs = prefills.map(engine => engine.prefillBacklogMs(nowMs));
-	const prefillWaitMs = (sumOf(backlogsMs) + (ahead.promptTokens * pool.prefill.value)) / prefills.length;
+	// Prompts of one service share prefixes; counting all their tokens refused requests that would have met their target.
+	const aheadMs = ahead.promptTokens * pool.computedShare.value * pool.prefill.value;
+	const prefillWaitMs = (sumOf(backlogsMs) + aheadMs) / prefills.length;
 	return Math.max(slotWaitMs, ahead.requests > 0 ? prefillWaitMs : Math.min(...backlogsMs));
 }
 
--- a/src/common/scheduler/pool.ts
+++ b/src/common/scheduler/pool.ts
@@ -58,6 +58,8 @@
 	readonly output = new LearnedRatio({value: initialOutputMs}, priorTokens);
 	/** Milliseconds that a request holds its decode slot. */
 	readonly hold = new LearnedRatio({value: initialHoldMs}, priorRequests);
+	/** Share of prompt tokens that engines had to compute, since the rest was cached. */
+	readonly computedShare = new LearnedRatio({value: 1}, priorTokens);
 	/** Milliseconds between the scheduler and the start of a prefill, and from its end back to the scheduler. */
 	readonly turnaround = new LearnedRatio({value: initialTurnaroundMs}, priorRequests);
 	/** While true, slots are free only when the engine says so. */
--- a/src/common/scheduler/progress.ts
+++ b/src/common/scheduler/progress.ts
@@ -66,6 +66,7 @@
 	const tokens = progress.promptTokens - progress.cachedTokens;
 	engine.prefillSpeed.observe(serviceMs, tokens);
 	pool.prefill.observe(serviceMs, tokens);
+	pool.computedShare.observe(tokens, progress.promptTokens);
 }
 
 function transferred(state: SchedulerState, reservation: Reservation, {durationMs}: ProgressOf<'transferred'>): void {
