--- a/src/load/cluster.ts
+++ b/src/load/cluster.ts
@@ -172,6 +172,16 @@
 		return this._processes.flatMap(({pid}) => pid === undefined ? [] : [pid]);
 	}
 
+	/** Id of a VM's process. */
+	pid(vm: string): number {
+		const {pid} = this._process(vm);
+		if (pid === undefined) {
+			throw new Error(`VM "${vm}" has no process`);
+		}
+
+		return pid;
+	}
+
 	plan(vm: string): VmPlan {
 		const plan = this.plans.find(other => other.vm === vm);
 		if (!plan) {
@@ -203,9 +213,9 @@
 	}
 
 	/** Starts a double for each upstream, the platform list and the weight store; returns the configuration's text with their addresses. */
-	async startDoubles(text: string): Promise<string> {
+	async startDoubles(text: string, extraArguments: (upstream: string) => readonly string[] = () => []): Promise<string> {
 		try {
-			return await this._startDoubles(text);
+			return await this._startDoubles(text, extraArguments);
 		} catch (err) {
 			await this.dispose();
 			throw err;
@@ -220,12 +230,13 @@
 		}
 	}
 
-	private async _startDoubles(text: string): Promise<string> {
+	private async _startDoubles(text: string, extraArguments: (upstream: string) => readonly string[]): Promise<string> {
 		const cfg = parseDocumentStrictly(text, sharedConfigurationSchema, 'configuration');
 		const document = parseDocument(text);
 		const starts = Object.entries(cfg.upstreams).map(async ([name, upstream]) => {
 			const service = cfg.services[upstream.service]!;
-			const double = await this.startDouble(name, service.kind === 'model' ? 'engine' : 'plain', service.kind === 'model' ? engineArguments(upstream, service.model) : []);
+			const args = service.kind === 'model' ? engineArguments(upstream, service.model) : [];
+			const double = await this.startDouble(name, service.kind === 'model' ? 'engine' : 'plain', [...args, ...extraArguments(name)]);
 			document.setIn(['upstreams', name, 'address'], double.address);
 		});
 		await Promise.all(starts);
--- a/src/load/system.ts
+++ b/src/load/system.ts
@@ -9,6 +9,8 @@
 
 const run = promisify(execFile);
 const pollMs = 50;
+/** How long a direct operator request may take until it is tried elsewhere, in milliseconds. */
+const operatorTimeoutMs = 1000;
 
 export type SystemOptions = {
 	readonly name: string;
@@ -17,8 +19,13 @@
 	readonly zones: readonly string[];
 	/** Shared configuration; the addresses of its upstreams are replaced by those of test doubles. */
 	readonly configuration: string;
+	/** Further arguments of the test double of an upstream; they override those from the configuration. */
+	readonly doubleArguments?: (upstream: string) => readonly string[];
 };
 
+/** Answer of the operator listener. */
+export type OperatorAnswer = {readonly status: number; readonly body: Readonly<Record<string, unknown>>};
+
 export type Call = {
 	readonly vm: string;
 	readonly key?: string;
@@ -37,7 +44,7 @@
 		});
 		try {
 			await cluster.start();
-			const text = await cluster.startDoubles(options.configuration);
+			const text = await cluster.startDoubles(options.configuration, options.doubleArguments);
 			await cluster.waitReady(cluster.plans.filter(({role}) => role === 'control').map(({vm}) => vm));
 			const system = new System(cluster, options.name, text);
 			await system.applyConfiguration(text, 0);
@@ -69,6 +76,17 @@
 		throw failure;
 	}
 
+	/** Sends one request to a VM's operator listener, without the time that a start of the command-line program takes; rejects if the connection breaks. */
+	async callOperator(vm: string, method: 'GET' | 'POST' | 'PUT' | 'DELETE', target: string, sent?: unknown): Promise<OperatorAnswer> {
+		const {statusCode, body} = await request(`http://${this.cluster.plan(vm).listen.operators}${target}`, {
+			method,
+			headers: {authorization: `Bearer ${operatorToken(this._name)}`, ...(sent !== undefined && {'content-type': 'application/json'})},
+			...(sent !== undefined && {body: JSON.stringify(sent)}),
+			headersTimeout: operatorTimeoutMs,
+		});
+		return {status: statusCode, body: await body.json() as Record<string, unknown>};
+	}
+
 	async applyConfiguration(text: string, expectedVersion: number, {changeId, vm}: {changeId?: string; vm?: string} = {}): Promise<{version: number}> {
 		const file = path.join(this.cluster.folder, `configuration-${this._files++}.yaml`);
 		writeFileSync(file, text);
