--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,4 +1,5 @@
 /** Prints one JSON line per benchmark scenario; arguments select groups of scenarios by name, by default all. */
+import {loadavg} from 'node:os';
 import process from 'node:process';
 import {benchCapacity} from '../src/load/bench-capacity.js';
 import {benchConsensus} from '../src/load/bench-consensus.js';
@@ -23,7 +24,7 @@
 for (const [name, run] of Object.entries(groups)) {
 	if (selected.length === 0 || selected.includes(name)) {
 		for await (const result of await run()) {
-			console.log(JSON.stringify(result));
+			console.log(JSON.stringify({loadAverage: loadavg()[0], ...result}));
 		}
 	}
 }
--- a/src/load/bench-load.ts
+++ b/src/load/bench-load.ts
@@ -7,7 +7,7 @@
 /** Sends one request; resolves with its latency in milliseconds, or with a code when it was not answered as wanted. */
 export type SendOnce = () => Promise<number | string>;
 
-export type LoadResult = {readonly answered: number; readonly failures: Readonly<Record<string, number>>; readonly perSecond: number; readonly latency: Histogram};
+export type LoadResult = {readonly answered: number; readonly failures: Readonly<Record<string, number>>; readonly perSecond: number; readonly latency: Histogram; readonly startLatency: Histogram};
 
 /** What a process used since its start. */
 export type Usage = {
@@ -24,6 +24,8 @@
 const maxLatencyUs = 60_000_000;
 /** Requests of the paced load that may be under way at once; a stalled system would otherwise fill the memory. */
 const maxOutstanding = 2000;
+/** Connections open, and idle ones are replaced, at the start of a paced load. */
+const pacedStartMs = 400;
 
 function newHistogram(): Histogram {
 	return build({lowestDiscernibleValue: 1, highestTrackableValue: maxLatencyUs, numberOfSignificantValueDigits: 3});
@@ -48,10 +50,11 @@
 
 class Recorder {
 	readonly latency = newHistogram();
+	readonly startLatency = newHistogram();
 	answered = 0;
 	readonly failures: Record<string, number> = {};
 
-	async record(send: SendOnce): Promise<void> {
+	async record(send: SendOnce, latency = this.latency): Promise<void> {
 		const latencyMs = await send();
 		if (typeof latencyMs === 'string') {
 			this.failures[latencyMs] = (this.failures[latencyMs] ?? 0) + 1;
@@ -59,13 +62,13 @@
 		}
 
 		this.answered++;
-		this.latency.recordValue(Math.max(1, Math.min(maxLatencyUs, Math.round(latencyMs * 1000))));
+		latency.recordValue(Math.max(1, Math.min(maxLatencyUs, Math.round(latencyMs * 1000))));
 	}
 
 	result(startMs: number): LoadResult {
 		const seconds = (performance.now() - startMs) / 1000;
 		return {
-			answered: this.answered, failures: this.failures, perSecond: this.answered / seconds, latency: this.latency,
+			answered: this.answered, failures: this.failures, perSecond: this.answered / seconds, latency: this.latency, startLatency: this.startLatency,
 		};
 	}
 }
@@ -93,7 +96,7 @@
 	for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs = performance.now() - startMs) {
 		while (sent < elapsedMs * perSecond / 1000 && outstanding.size < maxOutstanding) {
 			sent++;
-			const one = recorder.record(send);
+			const one = recorder.record(send, elapsedMs < pacedStartMs ? recorder.startLatency : recorder.latency);
 			outstanding.add(one);
 			void one.finally(() => outstanding.delete(one)); // eslint-disable-line promise/prefer-await-to-then -- the loop goes on meanwhile
 		}
--- a/src/load/system.ts
+++ b/src/load/system.ts
@@ -131,6 +131,12 @@
 		return await body.json() as Record<string, unknown>;
 	}
 
+	/** Metrics of a process as text. */
+	async metrics(vm: string): Promise<string> {
+		const {body} = await request(`http://${this.cluster.plan(vm).listen.operators}/metrics`, {headers: {authorization: `Bearer ${operatorToken(this._name)}`}});
+		return body.text();
+	}
+
 	/** What a test double recorded. */
 	async record(double: string): Promise<Record<string, unknown>> {
 		const {body} = await request(`http://${this.cluster.doubles.get(double)!.control}/control/record`);
