Do not eject engines for being full; let small requests pass waiting large ones

Cause: with 64 model requests under way one prefill engine answered 44 to 97 of 941 requests/s, since each refusal for being full counted as an engine failure and three of them ejected the engine; lookups of one token waited behind prompts of thousands of the same tenant. Change: full and expired are no failures, also when a reservation moves to another decode engine; a request passes waiting ones that need 50 times its tokens. Result: three new tests, each fails without its mechanism.

--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -16,6 +16,8 @@
 const waiterLimit = 1000;
 /** Requests whose settlement is awaited, over all tenants; later ones get no refund. */
 const acquisitionLimit = 20_000;
+/** A request passes waiting ones that need this many times its tokens: a lookup of one token must not wait behind a prompt of thousands. */
+const passingFactor = 50;
 /** A request without a settlement for this long is taken for lost. */
 const acquisitionTtlMs = 600_000;
 /** Time for which the owner's answer that a bucket is short serves for later requests too. */
@@ -128,7 +130,9 @@
 		}
 
 		const allowance = this._allowance(tenant, nowMs);
-		if (allowance.waiters.length === 0 && this._take(allowance, req, nowMs)) {
+		const position = allowance.waiters.findIndex(waiter => tokens * passingFactor <= waiter.tokens);
+		const isFirst = position === 0 || allowance.waiters.length === 0;
+		if (isFirst && this._take(allowance, req, nowMs)) {
 			return {ok: true};
 		}
 
@@ -145,7 +149,7 @@
 			}
 		}
 
-		allowance.waiters.push({
+		allowance.waiters.splice(position === -1 ? allowance.waiters.length : position, 0, {
 			token, tokens, deadlineMs: nowMs + maxWaitMs, isAnswered: false,
 		});
 		return undefined;
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -131,6 +131,19 @@
 	assert.deepEqual(holder.expire(500), [{token: 1, result: {ok: false, code: 'rate-exceeded', retryAfterMs: 1}}]);
 });
 
+test('guards against a lookup of one token that waits behind a prompt of thousands', () => {
+	const holder = new AllowanceHolder();
+	assert.equal(acquireFrom(holder, 1, 1000, 0), undefined);
+	acquireFrom(holder, 2, 1, 0);
+	acquireFrom(holder, 3, 1, 0);
+	const answers = holder.receive({
+		sentMs: 0, takenMs: 0, grants: [grant(1, 100)], shortages: [], stamp: stamp(0),
+	}, () => ({rate: 100, burst: 1000}), 10);
+	assert.deepEqual(answers.map(({token}) => token), [2, 3]);
+	assert.deepEqual(acquireFrom(holder, 4, 1, 20), {ok: true});
+	assert.equal(acquireFrom(holder, 5, 150, 20), undefined);
+});
+
 test('guards against a tenant that is told that it exceeds its rate while a new leader grants nothing', () => {
 	const owner = makeOwner(100, 1000);
 	const holder = new AllowanceHolder();
--- a/src/common/requests/model-lifecycle.test.ts
+++ b/src/common/requests/model-lifecycle.test.ts
@@ -56,6 +56,15 @@
 	assert.ok(!types(late).includes('replace'), 'an expired result is not transferred');
 });
 
+test('an engine that is full is not reported as failed, since the scheduler would eject it for being busy', () => {
+	const full = {kind: 'full', maySent: true} as const;
+	const atPrefill = run([...toPrefill, {type: 'request/prefill-failed', failure: full}]);
+	const ended = atPrefill.flatMap(effect => effect.type === 'request/progress' && effect.progress.phase === 'ended' ? [effect.progress] : []);
+	assert.deepEqual(ended.map(({failedUpstream}) => failedUpstream), [undefined]);
+	const atImport = run([...toImport, {type: 'request/import-failed', failure: full}]);
+	assert.deepEqual(atImport.flatMap(effect => effect.type === 'request/replace' ? [effect.failure.cause] : []), ['full']);
+});
+
 test('each attempt has its own id, so that a late cancel of one cannot end the next', () => {
 	const effects = run([...toPrefill, {type: 'request/prefill-failed', failure: broken}, ...toPrefill]);
 	const ids = effects.filter(effect => effect.type === 'request/prefill').map(effect => effect.attemptId);
--- a/src/common/requests/model-lifecycle.ts
+++ b/src/common/requests/model-lifecycle.ts
@@ -1,5 +1,7 @@
 import type {BaseEvent} from '../core/types.js';
-import type {Placement, PlaceReply, Progress} from '../services/scheduler-client.js';
+import type {
+	DecodeFailure, Placement, PlaceReply, Progress,
+} from '../services/scheduler-client.js';
 import type {DecodeEvent, PrefillReply, Usage} from '../upstreams/engine-api.js';
 import {assemble, createAssembler} from './assembler.js';
 import type {
@@ -59,7 +61,7 @@
 	| {readonly type: 'request/place'; readonly attemptId: string}
 	| {readonly type: 'request/prefill'; readonly attemptId: string; readonly upstream: string}
 	| {readonly type: 'request/import'; readonly attemptId: string; readonly upstream: string; readonly source: string; readonly handle: string}
-	| {readonly type: 'request/replace'; readonly reservation: string; readonly failedUpstream: string}
+	| {readonly type: 'request/replace'; readonly reservation: string; readonly failure: DecodeFailure}
 	/** Opens a decode stream behind event `after`; a resumption uses a new connection. */
 	| {
 		readonly type: 'request/decode'; readonly attemptId: string; readonly upstream: string; readonly after: number;
@@ -173,8 +175,13 @@
 	];
 }
 
+/** The upstream to report as failed. A full engine and a prefill result that expired are no failures; ejecting engines for them emptied the pool under load. */
+function blamed(upstream: string, {kind}: CallFailure): string | undefined {
+	return kind === 'full' || kind === 'gone' ? undefined : upstream;
+}
+
 /** Starts over with a new placement if the caller has seen nothing and it was not done before; refuses otherwise. */
-function startOver(state: ModelState, code: ModelRefusalCode, failedUpstream: string, nowMs: number): ModelEffect[] {
+function startOver(state: ModelState, code: ModelRefusalCode, failedUpstream: string | undefined, nowMs: number): ModelEffect[] {
 	const isVisible = state.isStreaming && outputTokens(state) > 0;
 	const ending = endAttempt(state, 'failed', failedUpstream);
 	if (isVisible || state.attempt >= maxPlacements) {
@@ -208,7 +215,7 @@
 		return [...endAttempt(state, 'failed'), ...refuse(state, 'overloaded', retryAfterFailureMs)];
 	}
 
-	return startOver(state, failure.kind === 'full' ? 'overloaded' : 'engine-failed', placement.prefill, nowMs);
+	return startOver(state, failure.kind === 'full' ? 'overloaded' : 'engine-failed', blamed(placement.prefill, failure), nowMs);
 }
 
 function startImport(state: ModelState, placement: Placement, prefill: PrefillReply, nowMs: number): ModelEffect[] {
@@ -239,7 +246,7 @@
 	const failed = placement.decode;
 	const isHeld = nowMs < state.prefillExpiresAtMs && failure.kind !== 'gone';
 	if (!isHeld || state.decodeEngines >= maxDecodeEngines || (failure.kind === 'full' && placement.epoch === 0)) {
-		return startOver(state, failure.kind === 'full' ? 'overloaded' : 'engine-failed', failed, nowMs);
+		return startOver(state, failure.kind === 'full' ? 'overloaded' : 'engine-failed', blamed(failed, failure), nowMs);
 	}
 
 	const effects: ModelEffect[] = [];
@@ -252,7 +259,7 @@
 	}
 
 	enter(state, 'replacing', nowMs);
-	return [...effects, {type: 'request/replace', reservation: placement.reservation, failedUpstream: failed}];
+	return [...effects, {type: 'request/replace', reservation: placement.reservation, failure: {upstream: failed, cause: failure.kind === 'full' ? 'full' : 'failed'}}];
 }
 
 function onReplaced(state: ModelState, old: Placement, reply: PlaceReply, nowMs: number): ModelEffect[] {
--- a/src/common/scheduler/mechanisms.test.ts
+++ b/src/common/scheduler/mechanisms.test.ts
@@ -259,7 +259,7 @@
 	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode'), makeEngine('d2', 'decode', {linkRate: 1e7})]).lead();
 	const {reservation, decode} = harness.placement(harness.place('r1'));
 	harness.send({
-		type: 'scheduler/replace', token: 99, owner: entry1, reservation, failedUpstream: decode,
+		type: 'scheduler/replace', token: 99, owner: entry1, reservation, failure: {upstream: decode, cause: 'failed'},
 	});
 	const moved = harness.placement(99);
 	assert.notEqual(moved.decode, decode);
@@ -267,6 +267,18 @@
 	assert.equal(harness.state.pool.engines.get(decode)?.decodes.size, 0);
 });
 
+test('decode engines that are full are left without being ejected', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode'), makeEngine('d2', 'decode')]).lead();
+	for (let i = 0; i < 8; i++) {
+		const {reservation, decode} = harness.placement(harness.place(`r${i}`));
+		harness.send({
+			type: 'scheduler/replace', token: 900 + i, owner: entry1, reservation, failure: {upstream: decode, cause: 'full'},
+		});
+		assert.notEqual(harness.placement(900 + i).decode, decode);
+		harness.startDecode(reservation);
+	}
+});
+
 const running = (reservation: string, phase: RunningReservation['phase'] = 'prefill'): RunningReservation => ({
 	reservation, requestId: reservation, tenant: 'a', prefill: 'p1', decode: 'd1', promptTokens: 1000, maxTokens: 200, phase,
 });
--- a/src/common/scheduler/messages.ts
+++ b/src/common/scheduler/messages.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {placeRequestSchema, progressSchema} from '../services/scheduler-client.js';
+import {decodeFailureSchema, placeRequestSchema, progressSchema} from '../services/scheduler-client.js';
 
 /** Most reservations in one report; a shard has fewer slots. */
 const maxReported = 4096;
@@ -27,7 +27,7 @@
 
 /** Moves a reservation to another decode engine; the reply is a `SchedulerReply`. */
 export const replaceMessageSchema = z.strictObject({
-	type: z.literal('scheduler.replace'), pool: shardSchema, reservation: z.string(), failedUpstream: z.string(),
+	type: z.literal('scheduler.replace'), pool: shardSchema, reservation: z.string(), failure: decodeFailureSchema,
 });
 
 /** Progress of a reservation; one-way. */
--- a/src/common/scheduler/scheduler.property.test.ts
+++ b/src/common/scheduler/scheduler.property.test.ts
@@ -128,7 +128,7 @@
 			case 'replace': {
 				this.tokens.add(token);
 				harness.send({
-					type: 'scheduler/replace', token, owner, reservation, failedUpstream: harness.state.reservations.get(reservation)?.decode ?? 'd1',
+					type: 'scheduler/replace', token, owner, reservation, failure: {upstream: harness.state.reservations.get(reservation)?.decode ?? 'd1', cause: 'failed'},
 				});
 				break;
 			}
--- a/src/common/scheduler/scheduler.ts
+++ b/src/common/scheduler/scheduler.ts
@@ -226,7 +226,7 @@
 	return [];
 }
 
-function replace(state: SchedulerState, {token, owner, reservation: id, failedUpstream, nowMs}: EventOf<'scheduler/replace'>): SchedulerEffect[] {
+function replace(state: SchedulerState, {token, owner, reservation: id, failure, nowMs}: EventOf<'scheduler/replace'>): SchedulerEffect[] {
 	const reservation = state.reservations.get(id);
 	if (state.epoch === undefined || !reservation || !isSameOwner(reservation.owner, owner)) {
 		return [{type: 'reply', token, body: notHolder}];
@@ -234,8 +234,8 @@
 
 	reservation.heardMs = nowMs;
 	const effects: SchedulerEffect[] = [];
-	if (reservation.decode === failedUpstream) {
-		const failed = state.pool.engines.get(failedUpstream);
+	if (reservation.decode === failure.upstream) {
+		const failed = failure.cause === 'failed' ? state.pool.engines.get(failure.upstream) : undefined;
 		effects.push(...(failed ? engineFailed(failed, nowMs) : []));
 		const choice = chooseOtherDecode(state, reservation, nowMs);
 		if (!choice) {
--- a/src/common/scheduler/types.ts
+++ b/src/common/scheduler/types.ts
@@ -1,7 +1,9 @@
 import type {
 	BaseEvent, CoreEffect, ReplyToken, VmIdentity,
 } from '../core/types.js';
-import type {PlaceReply, PlaceRequest, Progress} from '../services/scheduler-client.js';
+import type {
+	DecodeFailure, PlaceReply, PlaceRequest, Progress,
+} from '../services/scheduler-client.js';
 import type {CacheEventsReply, LoadReply, RequestList} from '../upstreams/engine-api.js';
 import type {RunningReservation} from './messages.js';
 
@@ -46,7 +48,7 @@
 	/** The caller of a queued request is gone. */
 	| (BaseEvent<'scheduler/cancel'> & {readonly owner: VmIdentity; readonly requestId: string})
 	| (BaseEvent<'scheduler/replace'> & {
-		readonly token: ReplyToken; readonly owner: VmIdentity; readonly reservation: string; readonly failedUpstream: string;
+		readonly token: ReplyToken; readonly owner: VmIdentity; readonly reservation: string; readonly failure: DecodeFailure;
 	})
 	| (BaseEvent<'scheduler/progress'> & {readonly owner: VmIdentity; readonly progress: Progress})
 	/** Everything the entry process runs in this shard; `askedMs` is when it was asked. */
--- a/src/common/services/scheduler-client.ts
+++ b/src/common/services/scheduler-client.ts
@@ -51,6 +51,10 @@
 	}),
 ]);
 
+/** Why a decode engine did not take a request; a full engine works and must not be ejected. */
+export const decodeFailureSchema = z.strictObject({upstream: z.string(), cause: z.enum(['failed', 'full'])});
+
+export type DecodeFailure = z.infer<typeof decodeFailureSchema>;
 export type PlaceRequest = z.infer<typeof placeRequestSchema>;
 export type Placement = z.infer<typeof placementSchema>;
 export type PlaceReply = z.infer<typeof placeReplySchema>;
@@ -61,6 +65,6 @@
 	/** Resolves when the request may start its prefill or is refused; abort the signal when the caller is gone. */
 	abstract place(req: PlaceRequest, signal: AbortSignal): Promise<PlaceReply>;
 	/** Moves a reservation to another decode engine after a failed transfer. */
-	abstract replaceDecode(reservation: string, failedUpstream: string): Promise<PlaceReply>;
+	abstract replaceDecode(reservation: string, failure: DecodeFailure): Promise<PlaceReply>;
 	abstract progress(progress: Progress): void;
 }
--- a/src/load/compare-placement.ts
+++ b/src/load/compare-placement.ts
@@ -93,7 +93,7 @@
 		const token = this._nextToken++;
 		this._waiting.set(token, done);
 		this.send({
-			type: 'scheduler/replace', token, owner, reservation, failedUpstream: decode, nowMs: this._timeline.nowMs,
+			type: 'scheduler/replace', token, owner, reservation, failure: {upstream: decode, cause: 'full'}, nowMs: this._timeline.nowMs,
 		});
 	}
 
--- a/src/node/entry/model-path.ts
+++ b/src/node/entry/model-path.ts
@@ -3,7 +3,7 @@
 import type {ModelEffect, ModelEvent, ModelState} from '../../common/requests/types.js';
 import {createModelRequest, reduceModelRequest} from '../../common/requests/model-lifecycle.js';
 import type {Acquisition} from '../../common/services/access-service.js';
-import type {PlaceReply} from '../../common/services/scheduler-client.js';
+import type {DecodeFailure, PlaceReply} from '../../common/services/scheduler-client.js';
 import type {Usage} from '../../common/upstreams/engine-api.js';
 import {estimateTokens, prefixHashes} from '../../common/upstreams/prefix.js';
 import {failureOf} from '../upstreams/call-error.js';
@@ -122,7 +122,7 @@
 			}
 
 			case 'request/replace': {
-				void this._replace(effect.reservation, effect.failedUpstream);
+				void this._replace(effect.reservation, effect.failure);
 				break;
 			}
 
@@ -269,10 +269,10 @@
 		}
 	}
 
-	private async _replace(reservation: string, failedUpstream: string): Promise<void> {
+	private async _replace(reservation: string, failure: DecodeFailure): Promise<void> {
 		const signal = this._startCall();
 		this._count('transfer_retries_total');
-		const reply = await this._askScheduler(async () => this._services.scheduler.replaceDecode(reservation, failedUpstream));
+		const reply = await this._askScheduler(async () => this._services.scheduler.replaceDecode(reservation, failure));
 		if (signal.aborted && reply.kind === 'placed' && reply.placement.reservation !== reservation) {
 			this._giveBack(reply.placement.reservation);
 		}
--- a/src/node/entry/testing/services.ts
+++ b/src/node/entry/testing/services.ts
@@ -12,7 +12,9 @@
 import {EntryPointService} from '../../../common/services/entry-point-service.js';
 import type {MetricLabels} from '../../../common/services/metrics.js';
 import {Metrics} from '../../../common/services/metrics.js';
-import type {PlaceReply, PlaceRequest, Progress} from '../../../common/services/scheduler-client.js';
+import type {
+	DecodeFailure, PlaceReply, PlaceRequest, Progress,
+} from '../../../common/services/scheduler-client.js';
 import {SchedulerClient} from '../../../common/services/scheduler-client.js';
 import {MonotonicClock} from '../../clock.js';
 import type {EntryServices} from '../types.js';
@@ -112,7 +114,7 @@
 		return this.refusal ?? this._placed(this.decodes[0]!);
 	}
 
-	override async replaceDecode(_reservation: string, failedUpstream: string): Promise<PlaceReply> {
+	override async replaceDecode(_reservation: string, {upstream: failedUpstream}: DecodeFailure): Promise<PlaceReply> {
 		const other = this.decodes.find(name => name !== failedUpstream);
 		return other === undefined ? {kind: 'refused', code: 'no-upstream', retryAfterMs: 100} : this._placed(other);
 	}
--- a/src/node/scheduler/peer-scheduler-client.ts
+++ b/src/node/scheduler/peer-scheduler-client.ts
@@ -14,7 +14,7 @@
 import type {PeerNetwork} from '../../common/services/peer-network.js';
 import {placeReplySchema, SchedulerClient} from '../../common/services/scheduler-client.js';
 import type {
-	Placement, PlaceReply, PlaceRequest, Progress,
+	DecodeFailure, Placement, PlaceReply, PlaceRequest, Progress,
 } from '../../common/services/scheduler-client.js';
 import {ShardRunner} from './shard-runner.js';
 import type {RunnerPlatform} from './shard-runner.js';
@@ -92,13 +92,13 @@
 		}
 	}
 
-	override async replaceDecode(id: string, failedUpstream: string): Promise<PlaceReply> {
+	override async replaceDecode(id: string, failure: DecodeFailure): Promise<PlaceReply> {
 		const running = this._running.get(id);
 		if (!running) {
 			return {kind: 'refused', code: 'no-upstream', retryAfterMs: unknownRetryMs};
 		}
 
-		const reply = await this._replaceAnywhere(running, failedUpstream);
+		const reply = await this._replaceAnywhere(running, failure);
 		if (reply.kind === 'not-holder') {
 			return {kind: 'refused', code: 'no-upstream', retryAfterMs: unknownRetryMs};
 		}
@@ -152,13 +152,13 @@
 	}
 
 	/** A local placement is known here, any other to the holder. */
-	private async _replaceAnywhere({pool, epoch, reservation: {reservation}}: Running, failedUpstream: string): Promise<SchedulerReply> {
+	private async _replaceAnywhere({pool, epoch, reservation: {reservation}}: Running, failure: DecodeFailure): Promise<SchedulerReply> {
 		const reply = epoch === 0
 			? notHolder
 			: await this._askHolder(pool, {
-				type: 'scheduler.replace', pool, reservation, failedUpstream,
+				type: 'scheduler.replace', pool, reservation, failure,
 			}, replaceTimeoutMs);
-		return reply.kind === 'not-holder' ? this._localShard(pool).replace(reservation, failedUpstream) : reply;
+		return reply.kind === 'not-holder' ? this._localShard(pool).replace(reservation, failure) : reply;
 	}
 
 	/** Resolves with `not-holder` when there is no holder, or it does not answer. */
@@ -295,8 +295,8 @@
 		return reply.kind === 'not-holder' ? {kind: 'refused', code: 'no-upstream', retryAfterMs: unknownRetryMs} : reply;
 	}
 
-	async replace(reservation: string, failedUpstream: string): Promise<SchedulerReply> {
-		return this._runner.replace(this._options.self, reservation, failedUpstream);
+	async replace(reservation: string, failure: DecodeFailure): Promise<SchedulerReply> {
+		return this._runner.replace(this._options.self, reservation, failure);
 	}
 
 	has(reservation: string): boolean {
--- a/src/node/scheduler/scheduler-host.test.ts
+++ b/src/node/scheduler/scheduler-host.test.ts
@@ -137,7 +137,7 @@
 		const placed = await client.place(makeRequest(id, {promptTokens: 10}), new AbortController().signal);
 		assert.equal(placed.kind, 'placed');
 		const {placement} = placed;
-		const moved = await client.replaceDecode(placement.reservation, placement.decode);
+		const moved = await client.replaceDecode(placement.reservation, {upstream: placement.decode, cause: 'failed'});
 		assert.ok(moved.kind === 'placed' && moved.placement.decode !== placement.decode && moved.placement.epoch === placement.epoch);
 		const running = client.report({service: 'dossiers', shard: 0}).reservations.find(({requestId}) => requestId === id);
 		assert.deepEqual([running?.decode, running?.phase], [moved.placement.decode, 'transfer']);
@@ -147,7 +147,7 @@
 	assert.equal(await move('local'), 0);
 	await elect(fleet);
 	assert.ok(await move('shared') > 0);
-	const unknown = await client.replaceDecode('nonsense', 'd1');
+	const unknown = await client.replaceDecode('nonsense', {upstream: 'd1', cause: 'failed'});
 	assert.equal(unknown.kind, 'refused');
 });
 
--- a/src/node/scheduler/scheduler-host.ts
+++ b/src/node/scheduler/scheduler-host.ts
@@ -106,8 +106,8 @@
 	private _registerHandlers(): void {
 		const {network} = this._options;
 		network.handle('scheduler.place', placeMessageSchema, async (from, {pool, req}) => this._host(pool)?.runner.place(from, req) ?? notHolder);
-		network.handle('scheduler.replace', replaceMessageSchema, async (from, {pool, reservation, failedUpstream}) =>
-			this._host(pool)?.runner.replace(from, reservation, failedUpstream) ?? notHolder);
+		network.handle('scheduler.replace', replaceMessageSchema, async (from, {pool, reservation, failure}) =>
+			this._host(pool)?.runner.replace(from, reservation, failure) ?? notHolder);
 		network.handle('scheduler.cancel', cancelMessageSchema, (from, {pool, requestId}) => {
 			this._host(pool)?.runner.runtime.dispatch({type: 'scheduler/cancel', owner: from, requestId});
 		});
--- a/src/node/scheduler/shard-runner.ts
+++ b/src/node/scheduler/shard-runner.ts
@@ -5,7 +5,7 @@
 import {createScheduler, reduceScheduler} from '../../common/scheduler/scheduler.js';
 import type {SchedulerOptions, SchedulerState} from '../../common/scheduler/scheduler.js';
 import type {SchedulerEffect, SchedulerEvent, SchedulerReply} from '../../common/scheduler/types.js';
-import type {PlaceRequest} from '../../common/services/scheduler-client.js';
+import type {DecodeFailure, PlaceRequest} from '../../common/services/scheduler-client.js';
 import {Runtime} from '../runtime.js';
 
 /** Interval between ticks, in milliseconds; bounds how late a request past its deadline is refused. */
@@ -46,9 +46,9 @@
 		}), req.maxWaitMs + answerMarginMs);
 	}
 
-	async replace(owner: VmIdentity, reservation: string, failedUpstream: string): Promise<SchedulerReply> {
+	async replace(owner: VmIdentity, reservation: string, failure: DecodeFailure): Promise<SchedulerReply> {
 		return this.runtime.ask(token => ({
-			type: 'scheduler/replace', token, owner, reservation, failedUpstream,
+			type: 'scheduler/replace', token, owner, reservation, failure,
 		}), answerMarginMs);
 	}
 
