Lint every file with the project's own type information

Cause: on a fresh clone XO generated a type project for the two JavaScript files, and its first run sometimes did not find them in it, so the same commit failed and passed. Change: the build script and the linter's configuration are TypeScript files of the project. Result: XO generates no project any more.

--- a/scripts/build.mjs
+++ b/scripts/build.ts
@@ -1,4 +1,4 @@
-// Builds dist/jasminehead: an esbuild bundle inside a single executable application.
+/** Builds dist/jasminehead: an esbuild bundle inside a single executable application. */
 import {execFileSync} from 'node:child_process';
 import {
 	chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync,
@@ -8,7 +8,7 @@
 import {build} from 'esbuild';
 import {inject} from 'postject';
 
-const {version} = JSON.parse(readFileSync('package.json', 'utf8'));
+const {version} = JSON.parse(readFileSync('package.json', 'utf8')) as {version: string};
 if (!readFileSync('src/cli/version.ts', 'utf8').includes(`'${version}'`)) {
 	throw new Error(`src/cli/version.ts does not name version ${version} of package.json`);
 }
@@ -25,7 +25,11 @@
 	alias: {'cbor-x': path.resolve('node_modules/cbor-x/index.js')},
 	logLevel: 'warning',
 });
-writeFileSync('dist/sea.json', JSON.stringify({main: 'dist/jasminehead.cjs', output: 'dist/sea.blob', disableExperimentalSEAWarning: true}));
+writeFileSync('dist/sea.json', JSON.stringify({
+	main: 'dist/jasminehead.cjs',
+	output: 'dist/sea.blob',
+	disableExperimentalSEAWarning: true, // eslint-disable-line @typescript-eslint/naming-convention -- field of Node.js
+}));
 execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], {stdio: ['ignore', 'ignore', 'inherit']});
 copyFileSync(process.execPath, 'dist/jasminehead');
 chmodSync('dist/jasminehead', 0o755);
--- a/xo.config.js
+++ b/xo.config.ts
@@ -1,5 +1,6 @@
-/** @type {import('xo').FlatXoConfig} */
-const config = [
+import type {FlatXoConfig} from 'xo';
+
+const config: FlatXoConfig = [
 	{
 		ignores: ['dist/**', 'examples/**'],
 	},
@@ -9,7 +10,6 @@
 			'unicorn/prevent-abbreviations': ['error', {
 				allowList: {
 					req: true, res: true, cfg: true, err: true, args: true, fn: true, params: true, ref: true, i: true, j: true,
-					Req: true, Res: true, Cfg: true, Err: true,
 				},
 				checkFilenames: false,
 			}],
