--- a/src/common/scheduler/mechanisms.test.ts
+++ b/src/common/scheduler/mechanisms.test.ts
@@ -552,3 +552,39 @@
 
 	assert.ok(Math.abs(harness.state.pool.prefill.value - 0.1) < 0.005);
 });
+
+/** Runs requests one after the other whose prompts are mostly cached and whose messages take `turnaroundMs`. */
+function trainCached(harness: SchedulerHarness, turnaroundMs: number): void {
+	for (let i = 0; i < 20; i++) {
+		const {reservation} = harness.placement(harness.place(`train-${i}`));
+		harness.advance(10 + turnaroundMs);
+		harness.send({
+			type: 'scheduler/progress', owner: entry1, progress: {
+				phase: 'prefilled', reservation, promptTokens: 1000, cachedTokens: 900, durationMs: 10,
+			},
+		});
+		harness.end(reservation);
+	}
+}
+
+test('prompt tokens that engines find cached do not count in the estimated wait, which would refuse requests that are in time', () => {
+	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	trainCached(harness, 0);
+	harness.place('running');
+	for (let i = 0; i < 10; i++) {
+		assert.equal(harness.reply(harness.place(`queued-${i}`)), undefined);
+	}
+
+	assert.equal(harness.reply(harness.place('in-time', {budgetMs: 700})), undefined);
+});
+
+test('a prefill engine gets its next prefill earlier where messages take long, so that it does not run idle', () => {
+	const quick = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	const slow = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode')]).lead();
+	trainCached(quick, 0);
+	trainCached(slow, 150);
+	quick.place('first');
+	slow.place('first');
+	assert.equal(quick.reply(quick.place('second')), undefined);
+	assert.equal(slow.reply(slow.place('second'))?.kind, 'placed');
+});
