--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {encode} from 'cbor-x';
-import type {VmId} from '../core/types.js';
+import type {VmId, WithoutTime} from '../core/types.js';
 import type {ConsensusMessage, MessageOf} from './messages.js';
 import type {
 	ConsensusEffect, ConsensusEvent, LogEntry, StoredState,
@@ -605,8 +605,6 @@
 	};
 }
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
-
 function entries(from: number, to: number, term: number): LogEntry[] {
 	return Array.from({length: to - from + 1}, (_, i) => ({index: from + i, term, payload: {kind: 'command', command: from + i}}));
 }
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -1,4 +1,4 @@
-import type {VmId} from '../core/types.js';
+import type {VmId, WithoutTime} from '../core/types.js';
 import {SeededRandom} from '../core/random.js';
 import type {ConsensusMessage} from './messages.js';
 import type {ConsensusState} from './state.js';
@@ -43,7 +43,6 @@
 	readonly limits?: Partial<ConsensusLimits>;
 };
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 type Task = {readonly atMs: number; readonly order: number; readonly run: () => void};
 
 const tickMs = 25;
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -10,7 +10,7 @@
 import type {SharedConfiguration} from '../configuration/types.js';
 import type {ConsensusEffect, ConsensusEvent, ConsensusRole} from '../consensus/types.js';
 import type {
-	BaseEvent, CoreEffect, ReplyToken, VmId, VmIdentity,
+	BaseEvent, CoreEffect, ReplyToken, VmId, VmIdentity, WithoutTime,
 } from '../core/types.js';
 import {AllowanceOwner} from '../limits/owner.js';
 import type {Allotment} from '../limits/owner.js';
@@ -38,7 +38,6 @@
 const trimIntervalMs = 5000;
 const clockToken: ReplyToken = 0;
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 type ConsensusInput = WithoutTime<Extract<ConsensusEvent, {type: 'consensus/propose' | 'consensus/read' | 'consensus/snapshot-taken'}>>;
 
 export type ControlOptions = {
--- a/src/common/core/types.ts
+++ b/src/common/core/types.ts
@@ -22,6 +22,9 @@
 	readonly nowMs: number;
 };
 
+/** An event before the receiver's time is added. */
+export type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
+
 /** A message between processes; each subsystem validates its own types by schema. */
 export type PeerMessage = {
 	readonly [field: string]: unknown;
--- a/src/common/limits/simulation.ts
+++ b/src/common/limits/simulation.ts
@@ -7,12 +7,10 @@
 import type {ControlEffect, ControlEvent, ControlSlice} from '../control/control.js';
 import type {SyncRequest} from '../control/messages.js';
 import {SeededRandom} from '../core/random.js';
-import type {ReplyToken} from '../core/types.js';
+import type {ReplyToken, WithoutTime} from '../core/types.js';
 import type {AllowanceResult} from '../services/access-service.js';
 import type {TenantLimit} from './types.js';
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
-
 /** Faults per message or per second; 0 means none. */
 export type SimulationFaults = {
 	/** Share of messages that never arrive. */
--- a/src/common/membership/fixtures.ts
+++ b/src/common/membership/fixtures.ts
@@ -1,5 +1,5 @@
 import {SeededRandom} from '../core/random.js';
-import type {VmId} from '../core/types.js';
+import type {VmId, WithoutTime} from '../core/types.js';
 import {createMembership, reduceMembership} from './membership.js';
 import type {MembershipState} from './membership.js';
 import type {
@@ -15,7 +15,6 @@
 }
 
 type Envelope = {readonly atMs: number; readonly from: VmId; readonly to: VmId; readonly message: MembershipMessage};
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 
 type Decision = (from: VmId, to: VmId) => boolean;
 type Observer = (message: MembershipMessage, from: VmId, to: VmId) => void;
--- a/src/common/orders/simulation.ts
+++ b/src/common/orders/simulation.ts
@@ -1,4 +1,5 @@
 /** Simulation for tests: holders that compete for the lease, engines and the replicated records, on a virtual clock. */
+import type {WithoutTime} from '../core/types.js';
 import type {OrderRecord} from '../control/messages.js';
 import type {SeededRandom} from '../core/random.js';
 import type {LoadReply, Order, OrderState} from '../upstreams/engine-api.js';
@@ -7,7 +8,6 @@
 	OrderEngine, OrdersEffect, OrdersEvent, OrdersState, SendResult,
 } from './types.js';
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 type Event = WithoutTime<OrdersEvent>;
 type SendEffect = Extract<OrdersEffect, {type: 'orders/send'}>;
 
--- a/src/common/scheduler/fixtures.ts
+++ b/src/common/scheduler/fixtures.ts
@@ -1,4 +1,4 @@
-import type {ReplyToken, VmIdentity} from '../core/types.js';
+import type {ReplyToken, VmIdentity, WithoutTime} from '../core/types.js';
 import type {Placement, PlaceRequest} from '../services/scheduler-client.js';
 import type {LoadReply} from '../upstreams/engine-api.js';
 import {createScheduler, reduceScheduler} from './scheduler.js';
@@ -29,8 +29,6 @@
 	};
 }
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
-
 /** Drives a scheduler with a virtual clock and keeps the replies by request. */
 export class SchedulerHarness {
 	nowMs = 0;
--- a/src/load/bench-consensus.ts
+++ b/src/load/bench-consensus.ts
@@ -9,7 +9,7 @@
 import type {
 	ConsensusEffect, ConsensusEvent, ConsensusLimits, PersistBatch, Snapshot,
 } from '../common/consensus/types.js';
-import type {VmId} from '../common/core/types.js';
+import type {VmId, WithoutTime} from '../common/core/types.js';
 import {reduceConsensus} from '../common/consensus/reducer.js';
 import {createConsensus} from '../common/consensus/state.js';
 import {NodeFileSystem} from '../node/storage/file-system.js';
@@ -45,8 +45,6 @@
 	readonly changes?: number;
 };
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
-
 const tickMs = 20;
 /** Size of a configuration change's command, in bytes. */
 const commandBytes = 256;
--- a/src/load/replay.ts
+++ b/src/load/replay.ts
@@ -1,8 +1,6 @@
-import {execFile} from 'node:child_process';
 import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {promisify} from 'node:util';
 import {request} from 'undici';
 import {stringify} from 'yaml';
 import type {EngineRecord} from '../../fakes/engine.js';
@@ -12,14 +10,13 @@
 import {sharedConfigurationSchema} from '../common/configuration/shared.js';
 import type {SharedConfiguration} from '../common/configuration/types.js';
 import {Caller} from './caller.js';
-import {
-	Cluster, defaultSettings, operatorToken, scriptCommand,
-} from './cluster.js';
+import {Cluster, scriptCommand} from './cluster.js';
 import type {Outcome} from './outcome.js';
 import {writePlot} from './plot.js';
 import {score} from './scoring.js';
 import type {Measures, ReplayResult} from './scoring.js';
 import {writeTrace} from './trace.js';
+import {System} from './system.js';
 import type {Trace} from './trace.js';
 import {generateTrace} from './workload.js';
 import type {WorkloadName} from './workload.js';
@@ -56,7 +53,6 @@
 	readonly keys: Readonly<Record<string, string>>;
 };
 
-const clusterName = 'replay';
 const defaultDurationMs = 20_000;
 const controlCount = 3;
 const entryCount = 4;
@@ -66,8 +62,6 @@
 /** How long entry processes may need until they accept the new keys, in milliseconds. */
 const applyTimeoutMs = 10_000;
 
-const run = promisify(execFile);
-
 /** Text and value of a deployment's example configuration. */
 export function loadExample(workload: WorkloadName): {readonly text: string; readonly value: SharedConfiguration} {
 	const file = `examples/${workload}/configuration.yaml`;
@@ -79,67 +73,26 @@
 	return [...new Set(Object.values(upstreams).map(({zone}) => zone))];
 }
 
-/** Runs an operator command of the built program against the control VMs and returns its JSON answer. */
-async function operate(cluster: Cluster, args: readonly string[]): Promise<unknown> {
-	const addresses = cluster.addresses('control', 'operators');
-	let failure: unknown;
-	for (const operators of addresses) {
-		try {
-			const {stdout} = await run('dist/jasminehead', [...args, '--operators', operators, '--token', operatorToken(clusterName), '--json']);
-			return JSON.parse(stdout);
-		} catch (err) {
-			failure = err;
-		}
-	}
-
-	throw failure;
-}
-
 /** Starts the system with the doubles of a deployment, applies its configuration and issues a key to each tenant. */
 export async function startSystem(workload: WorkloadName): Promise<Target> {
-	const example = loadExample(workload);
-	const cluster = new Cluster({
-		controls: controlCount, entries: entryCount, zones: zonesOf(example.value), buildSettings: defaultSettings(clusterName, workload),
+	const {text, value} = loadExample(workload);
+	const system = await System.start({
+		name: 'replay', controls: controlCount, entries: entryCount, zones: zonesOf(value), configuration: text,
 	});
 	try {
-		await cluster.start();
-		const text = await cluster.startDoubles(example.text);
-		await cluster.waitReady(cluster.plans.filter(({role}) => role === 'control').map(({vm}) => vm));
-		const file = path.join(cluster.folder, 'configuration.yaml');
-		writeFileSync(file, text);
-		await operate(cluster, ['config', 'apply', '--expected-version', '0', file]);
 		const keys: Record<string, string> = {};
-		for (const tenant of Object.keys(example.value.tenants)) {
-			const {key} = await operate(cluster, ['keys', 'issue', '--tenant', tenant]) as {key: string};
+		for (const tenant of Object.keys(value.tenants)) {
+			const {key} = await system.issueKey(tenant);
 			keys[tenant] = key;
 		}
 
-		await cluster.waitReady();
-		await waitServing(cluster, Object.entries(keys)[0]!);
-		return {cluster, keys};
+		return {cluster: system.cluster, keys};
 	} catch (err) {
-		await cluster.dispose();
+		await system.dispose();
 		throw err;
 	}
 }
 
-/** Waits until each entry process accepts a key, that is, knows configuration and keys. */
-async function waitServing(cluster: Cluster, [, key]: readonly [string, string]): Promise<void> {
-	const deadlineMs = performance.now() + applyTimeoutMs;
-	for (const address of cluster.addresses('entry', 'callers')) {
-		for (;;) {
-			// An unknown service is answered 404 once the key is known, and 401 or 503 before.
-			const {statusCode, body} = await request(`http://${address}/s/no-such-service/`, {headers: {authorization: `Bearer ${key}`}});
-			await body.dump();
-			if (statusCode === 404 || performance.now() > deadlineMs) {
-				break;
-			}
-
-			await sleep(settlePollMs);
-		}
-	}
-}
-
 /** Starts the baseline router with the doubles of a deployment. */
 export async function startBaseline(workload: WorkloadName): Promise<Target> {
 	const example = loadExample(workload);
--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -4,7 +4,7 @@
 import {changedSchema} from '../../common/control/messages.js';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
-import type {NotifyEffect, ReplyToken} from '../../common/core/types.js';
+import type {NotifyEffect, ReplyToken, WithoutTime} from '../../common/core/types.js';
 import {AccessService} from '../../common/services/access-service.js';
 import type {
 	AccessEvents, AcquireResult, Acquisition, AllowanceResult, Identity, View,
@@ -16,7 +16,6 @@
 const tickIntervalMs = 20;
 /** Slack for a reply that the slice gives at the request's deadline. */
 const replySlackMs = 1000;
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 type AccessInput = WithoutTime<AccessEvent>;
 
 /** The part of `Runtime` that hosts the access slice. */
--- a/src/node/control/control-server.ts
+++ b/src/node/control/control-server.ts
@@ -3,7 +3,7 @@
 } from '../../common/control/messages.js';
 import type {ControlEvent} from '../../common/control/control.js';
 import type {Disposable} from '../../common/core/disposable.js';
-import type {ReplyToken} from '../../common/core/types.js';
+import type {ReplyToken, WithoutTime} from '../../common/core/types.js';
 import type {PeerNetwork} from '../../common/services/peer-network.js';
 
 /** Callers give up earlier; consensus answers within an election timeout. */
@@ -11,7 +11,6 @@
 /** Time between two ticks of the control slice. */
 const tickIntervalMs = 100;
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 type ControlInput = WithoutTime<ControlEvent>;
 
 /** The part of `Runtime` that hosts the control slice. */
--- a/src/node/entry/model-path.ts
+++ b/src/node/entry/model-path.ts
@@ -1,4 +1,5 @@
 import {setTimeout as sleep} from 'node:timers/promises';
+import type {WithoutTime} from '../../common/core/types.js';
 import type {ModelService, Profile} from '../../common/configuration/types.js';
 import type {ModelEffect, ModelEvent, ModelState} from '../../common/requests/types.js';
 import {createModelRequest, reduceModelRequest} from '../../common/requests/model-lifecycle.js';
@@ -24,8 +25,6 @@
 /** Retry delay where the scheduler cannot be asked, in milliseconds. */
 const schedulerRetryMs = 1000;
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
-
 export type ModelCall = {
 	readonly exchange: Exchange;
 	/** Unique in the system, unlike the request id that callers choose. */
--- a/src/node/entry/plain-path.ts
+++ b/src/node/entry/plain-path.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
+import type {WithoutTime} from '../../common/core/types.js';
 import type {Profile, Route} from '../../common/configuration/types.js';
 import type {PlainEffect, PlainEvent, PlainState} from '../../common/requests/types.js';
 import {createPlainRequest, reducePlainRequest} from '../../common/requests/plain-lifecycle.js';
@@ -19,8 +20,6 @@
 /** Statuses by which a server says that it is not able to serve; several in a row eject it. */
 const unhealthyStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
-
 export type PlainCall = {
 	readonly exchange: Exchange;
 	readonly serviceName: string;
--- a/src/node/runtime.ts
+++ b/src/node/runtime.ts
@@ -1,9 +1,10 @@
 import type {Clock} from '../common/core/clock.js';
-import type {BaseEvent, ReplyEffect, ReplyToken} from '../common/core/types.js';
+import type {
+	BaseEvent, ReplyEffect, ReplyToken, WithoutTime,
+} from '../common/core/types.js';
 import {at, TimeoutError} from '../common/core/errors.js';
 
 type AnyEffect = {readonly type: string};
-type WithoutTime<E> = E extends unknown ? Omit<E, 'nowMs'> : never;
 type Waiter = {resolve: (body: unknown) => void; timer: NodeJS.Timeout};
 
 /** Hosts a reducer: stamps events with the time, runs them one at a time and executes the effects they return. */
