--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -26,6 +26,7 @@
 import {MembershipHost} from './membership/membership-host.js';
 import {PlatformList} from './membership/platform-list.js';
 import {JsonLogger} from './observability/json-logger.js';
+import {LoadReporter} from './observability/load-reporter.js';
 import {PromMetrics} from './observability/prom-metrics.js';
 import {dumpProcess} from './observability/state-dump.js';
 import {ControlOperatorService} from './operators/control-operator-service.js';
@@ -221,6 +222,10 @@
 	}, {
 		host, port, identity: self, zone: settings.zone, seed: self.incarnation,
 	}));
+	parts.add(new LoadReporter(percent => {
+		membership.setLoad(percent);
+		runtime.dispatch({type: 'access/load', load: server.running});
+	}));
 	followPlatformList(platform, client, server);
 	scheduler.start();
 	orders.start();
