--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -9,7 +9,7 @@
 import {pipeline} from 'node:stream';
 import {run} from 'node:test';
 
-const roots = ['src', 'fakes', 'scripts'];
+const roots = ['src', 'platform', 'fakes', 'scripts'];
 /** Test files that run at once; process tests start several Node.js processes each. */
 const concurrency = 5;
 /** Bound on one test file, in milliseconds; a process that does not end must fail the run instead of blocking it. */
--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -177,7 +177,7 @@
 /** Sends the next sync when its time has come, a request waits or the view is incomplete; one sync is under way at a time. */
 function syncIfDue(state: AccessState, nowMs: number): AccessEffect[] {
 	const {target} = state;
-	if (state.pending || target === undefined) {
+	if (state.pending !== undefined || target === undefined) {
 		return [];
 	}
 
--- a/src/common/control/apply.test.ts
+++ b/src/common/control/apply.test.ts
@@ -216,3 +216,32 @@
 		assert.deepEqual(run(list).outcomes, outcomes);
 	}), {seed: 5, numRuns: 300});
 });
+
+function configPublish(version: number, text = `v${version}`): Command {
+	const source = new TextEncoder().encode(text);
+	return {
+		type: 'config.publish', version, source, configuration: source,
+	};
+}
+
+test('the highest published version is in force, and its first content stays', () => {
+	const {state, outcomes} = run([configPublish(3), configPublish(7, 'first'), configPublish(7, 'second'), configPublish(5), configPublish(9)]);
+	assert.deepEqual(outcomes, [
+		{
+			kind: 'published', version: 3, revision: 1, isChanged: true,
+		},
+		{
+			kind: 'published', version: 7, revision: 2, isChanged: true,
+		},
+		{
+			kind: 'published', version: 7, revision: 2, isChanged: false,
+		},
+		{
+			kind: 'published', version: 7, revision: 2, isChanged: false,
+		},
+		{
+			kind: 'published', version: 9, revision: 3, isChanged: true,
+		},
+	]);
+	assert.deepEqual(state.history.map(({version, source}) => [version, new TextDecoder().decode(source)]), [[3, 'v3'], [7, 'first'], [9, 'v9']]);
+});
--- /dev/null
+++ b/src/common/forwarding/model-forward.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {WithoutTime} from '../core/types.js';
+import {createModelForward, reduceModelForward} from './model-forward.js';
+import type {ModelForwardEffect, ModelForwardEvent, ModelForwardOptions} from './model-forward.js';
+
+type Step = WithoutTime<ModelForwardEvent> & {readonly nowMs?: number};
+
+function run(steps: readonly Step[], options: Partial<ModelForwardOptions> = {}): string[] {
+	const state = createModelForward({
+		isResumable: false, maxAttempts: 1, maxWaitMs: 600, takeRetry: () => true, ...options,
+	});
+	return [{type: 'forward/start'} as const, ...steps].flatMap(step => reduceModelForward(state, {nowMs: 0, ...step}).map(effect => summary(effect)));
+}
+
+function summary(effect: ModelForwardEffect): string {
+	switch (effect.type) {
+		case 'forward/hold': {
+			return `hold -${[...effect.exclude].join(',')}`;
+		}
+
+		case 'forward/answer': {
+			return `${effect.answer.status}${effect.answer.retryAfterMs === undefined ? '' : ' later'}`;
+		}
+
+		case 'forward/wait':
+		case 'forward/prefill':
+		case 'forward/send':
+		case 'forward/relay':
+		case 'forward/release':
+		case 'forward/cut': {
+			return effect.type.slice('forward/'.length);
+		}
+	}
+}
+
+function refused(server: string, attempt = 1): Step {
+	return {type: 'forward/hold-refused', attempt, server};
+}
+
+function sent(attempt = 1): Step[] {
+	return [{type: 'forward/held', attempt}, {type: 'forward/prefilled', attempt}];
+}
+
+function answered(attempt: number, status = 200, isNotRun = false): Step {
+	return {
+		type: 'forward/answered', attempt, status, isNotRun, server: 'd1',
+	};
+}
+
+test('no prompt is read before an engine has reserved memory for it', () => {
+	assert.deepEqual(run([refused('d1'), ...sent(), answered(1)]), ['hold -', 'hold -d1', 'prefill', 'send', 'relay']);
+});
+
+test('guards against a burst that is refused at once: a request waits on a full pool while its objective is in reach', () => {
+	const none: Step = {type: 'forward/no-engine', attempt: 1};
+	assert.deepEqual(run([refused('d1'), none, {type: 'forward/wake'}]), ['hold -', 'hold -d1', 'wait', 'hold -']);
+	assert.deepEqual(run([refused('d1'), {...none, nowMs: 590}]), ['hold -', 'hold -d1', 'release', '503 later']);
+});
+
+test('a request that was turned away starts over elsewhere, though it may run only once', () => {
+	assert.deepEqual(run([...sent(), answered(1, 503, true)]).slice(3), ['release', 'hold -d1']);
+	assert.deepEqual(run([...sent(), {
+		type: 'forward/failed', attempt: 1, failure: {mayHaveRun: true, detail: 'reset'}, server: 'd1',
+	}]).slice(3), ['release', '502']);
+});
+
+test('a stream that broke off goes on elsewhere only where it may be resumed', () => {
+	const broken: Step = {type: 'forward/broken', attempt: 1, server: 'd1'};
+	assert.deepEqual(run([...sent(), answered(1), broken]).slice(4), ['release', 'cut']);
+	assert.deepEqual(run([...sent(), answered(1), broken], {isResumable: true, maxAttempts: 2}).slice(4), ['release', 'hold -d1']);
+	assert.deepEqual(run([...sent(), answered(1), broken], {isResumable: true, maxAttempts: 2, takeRetry: () => false}).slice(4), ['release', 'cut']);
+});
+
+test('the time that is over is answered truthfully', () => {
+	const over: Step = {type: 'forward/stopped', cause: 'deadline'};
+	assert.deepEqual(run([over]), ['hold -', 'release', '503 later']);
+	assert.deepEqual(run([...sent(), over]).slice(3), ['release', '504']);
+	assert.deepEqual(run([...sent(), answered(1), over]).slice(4), ['release', 'cut']);
+	assert.deepEqual(run([...sent(), {type: 'forward/stopped', cause: 'caller-gone'}, answered(1)]).slice(3), ['release']);
+});
+
+test('events of an attempt that was given up change nothing', () => {
+	const steps = [...sent(), answered(1, 503, true), {type: 'forward/prefilled', attempt: 1} as const, refused('d9', 1)];
+	assert.deepEqual(run(steps).slice(3), ['release', 'hold -d1']);
+});
+
+test('the decode engine reads the prompt itself when no prefill engine can', () => {
+	const failed: Step = {type: 'forward/prefill-failed', attempt: 1, server: 'p1'};
+	assert.deepEqual(run([{type: 'forward/held', attempt: 1}, failed, {...failed, server: 'p2'}]), ['hold -', 'prefill', 'prefill', 'send']);
+	assert.deepEqual(run([{type: 'forward/held', attempt: 1}, {type: 'forward/prefill-failed', attempt: 1, server: undefined}]), ['hold -', 'prefill', 'send']);
+});
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -143,7 +143,9 @@
 		}
 
 		case 'forward/broken': {
-			return retryOrGiveUp(state, event.server, true, event.nowMs, 'the stream broke off');
+			return retryOrGiveUp(state, {
+				server: event.server, mayHaveRun: true, nowMs: event.nowMs, reason: 'the stream broke off',
+			});
 		}
 
 		case 'forward/completed': {
@@ -167,6 +169,9 @@
 	}
 }
 
+/** How an attempt ended without a complete answer. */
+type AttemptEnd = {readonly server: ServerKey; readonly mayHaveRun: boolean; readonly nowMs: number; readonly reason: string};
+
 function startAttempt(state: ModelForward): ModelForwardEffect[] {
 	state.attempt++;
 	state.phase = 'holding';
@@ -212,16 +217,21 @@
 function takeAnswer(state: ModelForward, {status, isNotRun, server, nowMs}: Of<'forward/answered'>): ModelForwardEffect[] {
 	if (isNotRun) {
 		state.turnedAway++;
-		return retryOrGiveUp(state, server, false, nowMs, 'the engine turned the request away');
+		return retryOrGiveUp(state, {
+			server, mayHaveRun: false, nowMs, reason: 'the engine turned the request away',
+		});
 	}
 
+	const failure: AttemptEnd = {
+		server, mayHaveRun: true, nowMs, reason: `the engine answered with status ${status}`,
+	};
 	const isFailure = status >= 500;
 	if (isFailure && state.isResumable && state.runs + 1 < state.maxAttempts) {
-		return retryOrGiveUp(state, server, true, nowMs, `the engine answered with status ${status}`);
+		return retryOrGiveUp(state, failure);
 	}
 
 	if (state.hasAnswered && status !== 200) {
-		return retryOrGiveUp(state, server, true, nowMs, `the engine answered with status ${status}`);
+		return retryOrGiveUp(state, failure);
 	}
 
 	state.phase = 'relaying';
@@ -231,11 +241,13 @@
 
 function takeFailure(state: ModelForward, {failure, server, nowMs}: Of<'forward/failed'>): ModelForwardEffect[] {
 	state.turnedAway += failure.mayHaveRun ? 0 : 1;
-	return retryOrGiveUp(state, server, failure.mayHaveRun, nowMs, failure.detail);
+	return retryOrGiveUp(state, {
+		server, mayHaveRun: failure.mayHaveRun, nowMs, reason: failure.detail,
+	});
 }
 
 /** Starts over on another engine where the request may run again, or has not run. */
-function retryOrGiveUp(state: ModelForward, server: ServerKey, mayHaveRun: boolean, nowMs: number, reason: string): ModelForwardEffect[] {
+function retryOrGiveUp(state: ModelForward, {server, mayHaveRun, nowMs, reason}: AttemptEnd): ModelForwardEffect[] {
 	state.runs += mayHaveRun ? 1 : 0;
 	const isAllowed = state.runs < state.maxAttempts && (state.runs === 0 || state.isResumable) && state.turnedAway <= state.maxAttempts;
 	if (isAllowed && state.takeRetry(nowMs)) {
--- /dev/null
+++ b/src/common/forwarding/server-directory.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandom} from '../core/random.js';
+import {buildServer} from './fixtures.js';
+import {ServerDirectory} from './server-directory.js';
+import type {ServerQuestion} from './server-directory.js';
+import type {ServerRecord} from './types.js';
+
+function build(records: readonly ServerRecord[]): ServerDirectory {
+	const directory = new ServerDirectory(new SeededRandom(1));
+	directory.update(records, 0);
+	return directory;
+}
+
+function ask(changes: Partial<ServerQuestion> = {}): ServerQuestion {
+	return {
+		service: 'desk', zone: 'z1', exclude: new Set(), maxInFlight: 10, nowMs: 0, ...changes,
+	};
+}
+
+/** Ids of the servers that 60 questions were answered with. */
+function chosenIds(directory: ServerDirectory, question: ServerQuestion, choose: 'choose' | 'chooseDecode' | 'choosePrefill' = 'choose'): string[] {
+	const ids = Array.from({length: 60}, () => directory[choose](question)?.record.id ?? 'none');
+	return [...new Set(ids)].sort();
+}
+
+test('a leaving server and one that the list lacks get no new work', () => {
+	const directory = build([buildServer({id: 'a'}), buildServer({id: 'b', state: 'leaving'}), buildServer({id: 'c'})]);
+	assert.deepEqual(chosenIds(directory, ask()), ['a', 'c']);
+	const {changed, removed} = directory.update([buildServer({id: 'a', state: 'leaving'}), buildServer({id: 'b'})], 1);
+	assert.equal(changed.length, 2);
+	assert.equal(removed.length, 1);
+	assert.deepEqual(chosenIds(directory, ask()), ['b']);
+});
+
+test('a server that starts again under its former id is another server', () => {
+	const directory = build([buildServer({bornMs: 1})]);
+	const before = directory.choose(ask())!;
+	directory.update([buildServer({bornMs: 2})], 1);
+	assert.equal(directory.get(before.key), undefined);
+	assert.notEqual(directory.choose(ask())!.key, before.key);
+});
+
+test('a server that fails several times in a row is passed over, tried once, and used when nothing else is left', () => {
+	const directory = build([buildServer({id: 'a'}), buildServer({id: 'b'})]);
+	const [a] = [...directory.servers];
+	const isEjected = [1, 2, 3].map(() => directory.recordFailure(a!, 0));
+	assert.deepEqual(isEjected, [false, false, true]);
+	assert.deepEqual(chosenIds(directory, ask()), ['b']);
+	assert.deepEqual(chosenIds(directory, ask({exclude: new Set(['desk 127.0.0.1:1 b '])})), ['a']);
+	assert.deepEqual(chosenIds(directory, ask({nowMs: 600})), ['a']);
+	directory.recordAnswer(a!, true, 20);
+	assert.equal(a!.ejection.isEjected, false);
+});
+
+test('guards against a grey server: one that fails part of its requests gets few of them', () => {
+	const directory = build([buildServer({id: 'a'}), buildServer({id: 'b'}), buildServer({id: 'c'})]);
+	const grey = directory.choose(ask())!;
+	for (let i = 0; i < 20; i++) {
+		directory.recordAnswer(grey, i % 2 === 0, 20);
+	}
+
+	assert.ok(!chosenIds(directory, ask()).includes(grey.record.id));
+});
+
+test('prompts go to the decode engine with the most room, to one that refused memory last', () => {
+	const engine = (id: string, stage: 'prefill' | 'decode') => buildServer({id, stage});
+	const directory = build([engine('p', 'prefill'), engine('a', 'decode'), engine('b', 'decode')]);
+	const first = directory.chooseDecode(ask())!;
+	directory.begin(first, 20_000);
+	const second = directory.chooseDecode(ask())!;
+	assert.notEqual(second, first);
+	directory.refusedReservation(second, 0);
+	assert.equal(directory.chooseDecode(ask()), first);
+	assert.equal(directory.isFull('desk', 0), false);
+	directory.refusedReservation(first, 0);
+	assert.equal(directory.isFull('desk', 0), true);
+	assert.equal(directory.isFull('desk', 1000), false);
+	assert.deepEqual(chosenIds(directory, ask(), 'choosePrefill'), ['p']);
+});
+
+test('no server gets more connections than this process may have', () => {
+	const directory = build([buildServer()]);
+	const server = directory.choose(ask({maxInFlight: 1}))!;
+	directory.begin(server);
+	assert.equal(directory.choose(ask({maxInFlight: 1})), undefined);
+	directory.end(server);
+	assert.equal(directory.choose(ask({maxInFlight: 1})), server);
+});
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -175,7 +175,7 @@
 	private _delayMs({record, inFlight, latencyMs, failureShare}: Server, zone: string): number {
 		const queueFactor = 1 + (inFlight / Math.max(1, record.slots));
 		const jitter = 0.9 + (this._random.integer(0, 1000) / 5000);
-		return ((latencyMs + (failureShare * failureFactor * initialLatencyMs)) * queueFactor * jitter) + record.coldLeftMs / 1000 + (record.zone === zone ? 0 : otherZoneMs);
+		return ((latencyMs + (failureShare * failureFactor * initialLatencyMs)) * queueFactor * jitter) + (record.coldLeftMs / 1000) + (record.zone === zone ? 0 : otherZoneMs);
 	}
 }
 
--- a/src/common/forwarding/types.ts
+++ b/src/common/forwarding/types.ts
@@ -54,7 +54,7 @@
 
 /** A final answer of the system's own. */
 export type OwnAnswer = {
-	readonly status: 429 | 503 | 502 | 504;
+	readonly status: number;
 	readonly reason: string;
 	readonly retryAfterMs: number | undefined;
 };
--- a/src/node/forwarding/event-ids.ts
+++ b/src/node/forwarding/event-ids.ts
@@ -30,6 +30,13 @@
 		return whole;
 	}
 
+	/** Forgets a part of an event, when the stream goes on from another server. */
+	restart(): void {
+		this._line = '';
+		this._pendingId = undefined;
+		this._isEmptyEvent = true;
+	}
+
 	/** Returns whether the line ended an event. */
 	private _endLine(): boolean {
 		const line = this._line.endsWith('\r') ? this._line.slice(0, -1) : this._line;
@@ -50,11 +57,4 @@
 
 		return false;
 	}
-
-	/** Forgets a part of an event, when the stream goes on from another server. */
-	restart(): void {
-		this._line = '';
-		this._pendingId = undefined;
-		this._isEmptyEvent = true;
-	}
 }
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -68,6 +68,9 @@
 decides nothing. Readers return undefined for what is absent or malformed.
 */
 export abstract class FleetProtocol {
+	/** Paths of the interfaces that the system serves. */
+	abstract readonly paths: {readonly configuration: string; readonly entryPoints: string; readonly ready: string};
+
 	/** `headers` are names and values in turn. */
 	abstract readCallerRequest(headers: readonly string[]): CallerRequest;
 	/** The caller's end-to-end headers without the key and without what only the system may set, followed by the system's own. */
@@ -89,8 +92,6 @@
 	abstract readList(body: string): ListPage;
 
 	abstract parseConfiguration(text: string): ParsedConfiguration;
-	/** Paths of the interfaces that the system serves. */
-	abstract readonly paths: {readonly configuration: string; readonly entryPoints: string; readonly ready: string};
 	abstract readEntryQuestion(query: URLSearchParams): EntryQuestion;
 	abstract entryAnswer(addresses: readonly string[], validForMs: number): string;
 }
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -295,7 +295,9 @@
 					prefilled.isUsed = false;
 				}
 
-				logger.log('info', 'engine turned the request away', {requestId, attempt, server: server.key, status: answer.status});
+				logger.log('info', 'engine turned the request away', {
+					requestId, attempt, server: server.key, status: answer.status,
+				});
 				this._dispatch({
 					type: 'forward/answered', attempt, status: answer.status, isNotRun: true, server: server.key,
 				});
@@ -374,7 +376,9 @@
 		}
 
 		if (rest.length > 0 && answer.status === 200) {
-			logger.log('warn', 'stream ended within an event', {requestId, attempt, server: server.key, atMs: clock.nowMs()});
+			logger.log('warn', 'stream ended within an event', {
+				requestId, attempt, server: server.key, atMs: clock.nowMs(),
+			});
 			this._dispatch({type: 'forward/broken', attempt, server: server.key});
 			return;
 		}
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -5,6 +5,7 @@
 import {ProblemError} from '../entry/problems.js';
 import {Sessions} from '../entry/sessions.js';
 import {defaultEntryLimits} from '../entry/types.js';
+import {sendOwnAnswer} from './forward-call.js';
 import {ForwardHandler, ForwardRefusal, refusalOf} from './forward-handler.js';
 import type {ForwardHandlerOptions} from './forward-handler.js';
 
@@ -120,10 +121,7 @@
 		logger.log(status >= 500 && status !== 503 ? 'error' : 'info', 'request refused', {
 			requestId: protocol.readCallerRequest(exchange.req.rawHeaders).requestId, status, reason: message, retryAfterMs, version: this.handler.version,
 		});
-		const headers = protocol.ownAnswerHeaders(retryAfterMs);
-		exchange.refuseUpload({
-			status, headers: Object.fromEntries(headers.flatMap((name, i) => i % 2 === 0 ? [[name, headers[i + 1]!]] : [])), body: JSON.stringify({status, detail: message}), code: 'overloaded', run: 'not-run',
-		});
+		sendOwnAnswer({exchange}, protocol, {status, reason: message, retryAfterMs});
 	}
 }
 
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -127,7 +127,9 @@
 	// A VM without a disk cannot count its starts, so the incarnation is the start time by the VM's own clock, in ms.
 	const self: VmIdentity = {vm: settings.vm, incarnation: Date.now()};
 	const {vm, zone, region} = settings;
-	const logger = new JsonLogger({vm, zone, region, ...cluster.logContext});
+	const logger = new JsonLogger({
+		vm, zone, region, ...cluster.logContext,
+	});
 	const metrics = new PromMetrics({vm, zone, region});
 	const clock = new MonotonicClock();
 	const tcp = parts.add(await TcpPeerNetwork.listen({
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -2,7 +2,7 @@
 
 const config: FlatXoConfig = [
 	{
-		ignores: ['dist/**', 'examples/**'],
+		ignores: ['dist/**', 'target/**', 'examples/**'],
 	},
 	{
 		rules: {
@@ -29,13 +29,34 @@
 			'no-restricted-imports': ['error', {
 				patterns: [
 					{group: ['node:*'], message: 'src/common must not import Node.js modules.'},
-					{regex: String.raw`(^|/)(node|cli|load)/`, message: 'src/common must not import platform layers.'},
+					{regex: String.raw`(^|/)(node|cli|load|platform)/`, message: 'src/common must not import platform layers.'},
 				],
 			}],
 			'no-restricted-globals': ['error', 'process', 'Buffer', 'setTimeout', 'setInterval', 'performance'],
 			'no-restricted-properties': ['error', {object: 'Date', property: 'now'}, {object: 'Math', property: 'random'}],
 		},
 	},
+	{
+		files: ['src/node/**/*.ts', 'src/cli/**/*.ts', 'src/load/**/*.ts'],
+		rules: {
+			// The product knows no name of a platform.
+			'no-restricted-imports': ['error', {
+				patterns: [{regex: String.raw`(^|/)platform/`, message: 'The product must not import an adapter.'}],
+			}],
+		},
+	},
+	{
+		files: ['platform/**/*.ts'],
+		rules: {
+			// The adapter holds names, formats and calls; what decides stays in the product.
+			'no-restricted-imports': ['error', {
+				patterns: [{
+					regex: String.raw`common/(access|consensus|control|limits|membership|orders|requests|scheduler)/|forwarding/(forward-|plain-|model-|server-|route-|retry-)`,
+					message: 'The adapter must not import what decides.',
+				}],
+			}],
+		},
+	},
 	{
 		files: ['**/*.test.ts'],
 		rules: {
