--- /dev/null
+++ b/src/common/forwarding/patience.ts
@@ -0,0 +1,36 @@
+/** Share of the latency objective for which a fresh request waits for memory; the rest is for prefill and the first token. */
+const freshWaitShare = 0.67;
+/** Pause of a fresh request between two rounds of asking engines, in milliseconds; several requests end in this time on a full pool. */
+const freshGapMs = 50;
+/** Pause of a returning request, which has missed its objective already and yields to fresh ones, in milliseconds. */
+const returningGapMs = 150;
+/** Longest wait of a returning request, in milliseconds; every request of a full pool ends within it. */
+const returningWaitMs = 4000;
+/** Share of its remaining time for which a returning request waits; the rest is for its answer. */
+const returningWaitShare = 0.4;
+/** A deadline shorter than the route's timeout by this much, in milliseconds, shows that the caller was turned away before. */
+const returnMarginMs = 400;
+/** Time after which a caller that was turned away finds room, in milliseconds: about the time that a request occupies its engine. */
+const roomExpectedMs = 2000;
+/** Spread of the returns, in milliseconds, so that callers turned away together do not return together. */
+const returnSpreadMs = 1500;
+
+export type Patience = {
+	/** How long the request may wait for memory. */
+	readonly maxWaitMs: number;
+	/** Pause between two rounds of asking engines. */
+	readonly gapMs: number;
+};
+
+/** How long a model request waits on a full pool. Durations in milliseconds. */
+export function patienceOf({waitMs, timeoutMs, targetMs}: {readonly waitMs: number; readonly timeoutMs: number; readonly targetMs: number}): Patience {
+	const isReturning = waitMs < timeoutMs - returnMarginMs;
+	return isReturning
+		? {maxWaitMs: Math.min(returningWaitMs, waitMs * returningWaitShare), gapMs: returningGapMs}
+		: {maxWaitMs: targetMs * freshWaitShare, gapMs: freshGapMs};
+}
+
+/** When a caller that a full pool turned away should return; `random` is in [0, 1). */
+export function returnAfterMs(random: number): number {
+	return roomExpectedMs + Math.round(random * returnSpreadMs);
+}
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -149,27 +149,17 @@
 		server.ejection.recordProbe(true, 0);
 	}
 
-	/** Counts a failed exchange; returns whether the server gets no requests for a while now. */
-	recordFailure(server: Server, nowMs: number): boolean {
+	/** Counts a failed exchange; returns whether the server is ejected by it. One that cannot be reached is ejected at once. */
+	recordFailure(server: Server, isUnreachable: boolean, nowMs: number): boolean {
 		server.failureShare += (1 - server.failureShare) * sampleWeight;
-		if (server.ejection.isEjected) {
-			server.ejection.recordProbe(false, nowMs);
-			return false;
-		}
-
-		return server.ejection.recordFailure(nowMs);
+		return isUnreachable ? server.ejection.eject(nowMs) : server.ejection.recordFailure(nowMs);
 	}
 
-	/** Ejected servers are tried by one request once their time has come, and by any request when nothing else is left. */
-	private _candidates({service, stage, exclude, maxInFlight, nowMs}: ServerQuestion): Server[] {
-		const usable = this.ready(service, stage).filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
-		const due = usable.filter(({ejection, inFlight}) => ejection.isProbeDue(nowMs) && inFlight === 0);
-		if (due.length > 0) {
-			return due;
-		}
-
-		const healthy = usable.filter(({ejection}) => !ejection.isEjected);
-		return healthy.length > 0 ? healthy : usable;
+	/** Ejected servers are used only when every server is ejected: then the fault may lie with this process. */
+	private _candidates({service, stage, exclude, maxInFlight}: ServerQuestion): Server[] {
+		const ready = this.ready(service, stage);
+		const healthy = ready.filter(({ejection}) => !ejection.isEjected);
+		return (healthy.length > 0 ? healthy : ready).filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
 	}
 
 	private _delayMs({record, inFlight, latencyMs, failureShare}: Server, zone: string): number {
--- a/src/common/requests/ejection.ts
+++ b/src/common/requests/ejection.ts
@@ -39,6 +39,23 @@
 		return true;
 	}
 
+	/** Ejects an upstream that cannot be reached, without waiting for further failures. */
+	eject(nowMs: number): boolean {
+		if (this.isEjected) {
+			return false;
+		}
+
+		this._failures = failuresToEject;
+		this._delayMs = minProbeDelayMs;
+		this._probeAtMs = nowMs + this._delayMs;
+		return true;
+	}
+
+	/** When the upstream is to be probed; undefined while it is not ejected. */
+	get probeAtMs(): number | undefined {
+		return this._probeAtMs;
+	}
+
 	/** Takes the result of a probe; returns whether the upstream was readmitted. */
 	recordProbe(isHealthy: boolean, nowMs: number): boolean {
 		if (!this.isEjected) {
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -75,6 +75,7 @@
 			await this.call({method: 'GET', path: '/healthz'}, timeoutMs);
 			return true;
 		} catch {
+			// The result is what the caller wants to know; it logs the change that follows from it.
 			return false;
 		}
 	}
--- a/src/node/forwarding/forward-call.ts
+++ b/src/node/forwarding/forward-call.ts
@@ -41,7 +41,7 @@
 
 /** Writes an answer of the system's own, unless an answer has begun. */
 export function sendOwnAnswer({exchange}: Pick<ForwardCall, 'exchange'>, protocol: FleetProtocol, {status, reason, retryAfterMs}: OwnAnswer): void {
-	const body = JSON.stringify({status, detail: reason});
+	const body = new TextEncoder().encode(JSON.stringify({status, detail: reason}));
 	if (!exchange.res.headersSent && !exchange.res.destroyed) {
 		exchange.writeHead(status, [
 			'content-type', 'application/problem+json', 'content-length', String(body.length), ...protocol.ownAnswerHeaders(retryAfterMs),
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -14,8 +14,8 @@
 
 /** Memory that request bodies may occupy together, in bytes. */
 const bodyMemoryBytes = 32 * 1024 * 1024;
-/** Longest wait for a part of the tenant's rate, in milliseconds. */
-const allowanceWaitMs = 250;
+/** Longest wait for a part of the tenant's rate, in milliseconds; half the latency objective of a model request. */
+const allowanceWaitMs = 450;
 /** Advice to callers while no configuration is known, in milliseconds. */
 const unconfiguredRetryMs = 300;
 /** Advice to callers that are refused because the process stops; other processes take them at once, in milliseconds. */
--- a/src/node/forwarding/forward-plain.ts
+++ b/src/node/forwarding/forward-plain.ts
@@ -167,7 +167,7 @@
 		const detail = err instanceof Error ? err.message : String(err);
 		const mayHaveRun = failureOf(err).maySent;
 		if (!isAborted) {
-			fleet.recordFailure(server, detail);
+			fleet.recordFailure(server, {isUnreachable: !mayHaveRun, detail});
 			logger.log('warn', 'server failed', {
 				requestId: this._call.requestId, server: server.key, mayHaveRun, detail, listAgeMs: this._listAgeMs(),
 			});
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -1,3 +1,4 @@
+import {z} from 'zod';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
@@ -9,6 +10,9 @@
 import type {ServerKey, ServerRecord} from '../../common/forwarding/types.js';
 import {ForwardAdapter} from './forward-adapter.js';
 
+/** Tells that a server cannot be reached from the sender. */
+export const unreachableSchema = z.strictObject({type: z.literal('forwarding/unreachable'), server: z.string().max(300)});
+
 export type ServerFleetOptions = {
 	readonly clock: Clock;
 	readonly logger: Logger;
@@ -16,14 +20,22 @@
 	readonly retries: RetryWindowLimits;
 	/** Processes of the system that forward requests. */
 	readonly processes: () => number;
+	/** Tells the other processes that a server cannot be reached from here. */
+	readonly announceUnreachable: (key: ServerKey) => void;
 };
 
+/** Bound on a probe, in milliseconds; servers are a few milliseconds away. */
+const probeTimeoutMs = 250;
+
 /** The servers that requests are forwarded to, with their connections and the budget for resends. */
 export class ServerFleet implements Disposable {
 	readonly directory: ServerDirectory;
 	readonly random: SeededRandom;
 	private readonly _adapters = new Map<ServerKey, ForwardAdapter>();
 	private readonly _windows = new Map<string, RetryWindow>();
+	/** Servers that are being probed because another process cannot reach them. */
+	private readonly _verifying = new Set<ServerKey>();
+	private _isDisposed = false;
 
 	constructor(private readonly _options: ServerFleetOptions) {
 		this.random = new SeededRandom(_options.seed);
@@ -70,19 +82,59 @@
 		return this._window(service).takeRetry(this._options.clock.nowMs(), this._options.processes());
 	}
 
-	/** Counts a failed exchange and logs when the server gets no requests for a while. */
-	recordFailure(server: Server, reason: string): void {
-		if (this.directory.recordFailure(server, this._options.clock.nowMs())) {
-			this._options.logger.log('warn', 'server ejected', {server: server.key, reason});
+	/** Counts a failed exchange. A server that cannot be reached, or fails several times in a row, is ejected until a probe succeeds. */
+	recordFailure(server: Server, failure: {readonly isUnreachable: boolean; readonly detail: string}): void {
+		if (!this.directory.recordFailure(server, failure.isUnreachable, this._options.clock.nowMs())) {
+			return;
+		}
+
+		this._options.logger.log('warn', 'server ejected', {server: server.key, ...failure});
+		this._probeWhenDue(server);
+		if (failure.isUnreachable) {
+			this._options.announceUnreachable(server.key);
+		}
+	}
+
+	/** Another process cannot reach a server: probes it, so that no request has to find out. */
+	async verify(key: ServerKey, announcedBy: string): Promise<void> {
+		const server = this.directory.get(key);
+		if (!server || server.ejection.isEjected || this._verifying.has(key)) {
+			return;
+		}
+
+		this._verifying.add(key);
+		const isReached = await this.adapter(server).probe(probeTimeoutMs);
+		this._verifying.delete(key);
+		if (!isReached && this.directory.recordFailure(server, true, this._options.clock.nowMs())) {
+			this._options.logger.log('warn', 'server ejected', {server: key, detail: 'announced by another process and not reached', announcedBy});
+			this._probeWhenDue(server);
 		}
 	}
 
 	dispose(): void {
+		this._isDisposed = true;
 		for (const adapter of this._adapters.values()) {
 			adapter.dispose();
 		}
 	}
 
+	private _probeWhenDue(server: Server): void {
+		const {clock} = this._options;
+		const timer = setTimeout(async () => {
+			if (this._isDisposed || this.directory.get(server.key) !== server || !server.ejection.isEjected) {
+				return;
+			}
+
+			const isReached = await this.adapter(server).probe(probeTimeoutMs);
+			if (server.ejection.recordProbe(isReached, clock.nowMs())) {
+				this._options.logger.log('info', 'server readmitted', {server: server.key});
+			} else {
+				this._probeWhenDue(server);
+			}
+		}, Math.max(0, (server.ejection.probeAtMs ?? 0) - clock.nowMs()));
+		timer.unref();
+	}
+
 	private _window(service: string): RetryWindow {
 		let window = this._windows.get(service);
 		if (!window) {
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -7,6 +7,7 @@
 import {createControl} from '../common/control/control.js';
 import {DisposableStore} from '../common/core/disposable.js';
 import type {CountEffect, VmId, VmIdentity} from '../common/core/types.js';
+import type {ConsensusTimings} from '../common/consensus/types.js';
 import type {SelfDescription} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
 import type {
@@ -38,7 +39,7 @@
 import type {FleetProtocol} from './forwarding/fleet-protocol.js';
 import type {FleetSettings} from './forwarding/fleet-settings.js';
 import {ForwardServer} from './forwarding/forward-server.js';
-import {ServerFleet} from './forwarding/server-fleet.js';
+import {ServerFleet, unreachableSchema} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {Runtime} from './runtime.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
@@ -117,6 +118,7 @@
 	/** VMs that form the cluster at its first start; empty when they are learned later. */
 	readonly initialVms: readonly VmId[];
 	readonly admitsNewVms?: boolean;
+	readonly timings?: Partial<ConsensusTimings>;
 	/** Interval between exchanges of the member list, in milliseconds. */
 	readonly exchangeEveryMs?: number;
 	/** Further fields of each log line. */
@@ -194,9 +196,9 @@
 	return new FileLogStorage({folder: path.join(settings.dataFolder!, 'log'), fileSystem: new NodeFileSystem()});
 }
 
-async function createReplica(settings: Settings, {initialVms, admitsNewVms = false}: ClusterOptions, storage: LogStorage): Promise<Replica> {
+async function createReplica(settings: Settings, {initialVms, admitsNewVms = false, timings = {}}: ClusterOptions, storage: LogStorage): Promise<Replica> {
 	const consensus = createConsensus({
-		vm: settings.vm, stored: await storage.load(), initialVms, admitsNewVms, seed: Date.now() + process.pid,
+		vm: settings.vm, stored: await storage.load(), initialVms, admitsNewVms, timings, seed: Date.now() + process.pid,
 	});
 	return {consensus, control: createControl({decode: decodeConfiguration}), memberChanges: new Set()};
 }
@@ -312,6 +314,8 @@
 	return undefined;
 }
 
+/** Control VMs of one region answer within a few milliseconds, so a leader that is silent for this long is lost. In milliseconds. */
+const fleetTimings = {heartbeatMs: 75, electionMinMs: 300, electionMaxMs: 600};
 /** Interval between exchanges of the member list while nothing but seeds is known, in milliseconds. */
 const fleetExchangeMs = 1000;
 /** Time for the news of a drain to reach every process that answers entry-point questions, in milliseconds. */
@@ -332,7 +336,7 @@
 		const parts = new DisposableStore();
 		try {
 			const platform = await createPlatform(settings, parts, {
-				initialVms: [], admitsNewVms: true, exchangeEveryMs: fleetExchangeMs, logContext: {node: fleetSettings.node},
+				initialVms: [], admitsNewVms: true, timings: fleetTimings, exchangeEveryMs: fleetExchangeMs, logContext: {node: fleetSettings.node},
 			});
 			const fleet = await startForwarding(platform, fleetSettings, protocol);
 			formCluster(platform, fleetSettings);
@@ -422,8 +426,22 @@
 	});
 	const processes = () => Math.max(1, membership.entries.live.length);
 	const fleet = parts.add(new ServerFleet({
-		clock, logger, seed: self.incarnation, retries: fleetSettings.retries, processes,
+		clock,
+		logger,
+		seed: self.incarnation,
+		retries: fleetSettings.retries,
+		processes,
+		announceUnreachable(key) {
+			for (const {vm} of membership.entries.live) {
+				if (vm !== self.vm) {
+					network.send(vm, {type: 'forwarding/unreachable', server: key});
+				}
+			}
+		},
 	}));
+	network.handle('forwarding/unreachable', unreachableSchema, (from, {server: key}) => {
+		void fleet.verify(key, from.vm);
+	});
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = parts.add(new ForwardServer({
 		protocol,
