--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -58,6 +58,8 @@
 	| (BaseEvent<'forward/failed'> & {readonly attempt: number; readonly failure: SendFailure; readonly server: ServerKey})
 	/** The stream ended before its last event. */
 	| (BaseEvent<'forward/broken'> & {readonly attempt: number; readonly server: ServerKey})
+	/** No event arrived for longer than a working engine needs. */
+	| (BaseEvent<'forward/stalled'> & {readonly attempt: number; readonly server: ServerKey})
 	| (BaseEvent<'forward/completed'> & {readonly attempt: number})
 	| BaseEvent<'forward/wake'>
 	| (BaseEvent<'forward/stopped'> & {readonly cause: StopCause});
@@ -146,6 +148,10 @@
 			});
 		}
 
+		case 'forward/stalled': {
+			return takeStall(state, event);
+		}
+
 		case 'forward/completed': {
 			state.phase = 'ended';
 			return [{type: 'forward/release'}];
@@ -257,6 +263,18 @@
 	return giveUp(state, reason, failedRetryMs);
 }
 
+/** A silent engine may still answer, so a stream that cannot go on elsewhere is waited for. */
+function takeStall(state: ModelForward, {server, nowMs}: Of<'forward/stalled'>): ModelForwardEffect[] {
+	const mayMove = state.isResumable && state.runs + 1 < state.maxAttempts && state.takeRetry(nowMs);
+	if (!mayMove) {
+		return [];
+	}
+
+	state.runs++;
+	state.failedOn.add(server);
+	return [{type: 'forward/release'}, ...startAttempt(state)];
+}
+
 function giveUp(state: ModelForward, reason: string, retryAfterMs: number): ModelForwardEffect[] {
 	state.phase = 'ended';
 	if (state.hasAnswered) {
--- a/src/common/forwarding/patience.ts
+++ b/src/common/forwarding/patience.ts
@@ -4,14 +4,14 @@
 const freshGapMs = 50;
 /** Pause of a returning request, which has missed its objective already and yields to fresh ones, in milliseconds. */
 const returningGapMs = 150;
-/** Longest wait of a returning request, in milliseconds; every request of a full pool ends within it. */
-const returningWaitMs = 4000;
-/** Share of its remaining time for which a returning request waits; the rest is for its answer. */
-const returningWaitShare = 0.4;
+/** Longest wait of a returning request, in milliseconds. A longer one took room from fresh requests on pools that stayed full. */
+const returningWaitMs = 1000;
+/** Requests of its own size for which an engine must have room before it takes a returning one, so that a fresh one still finds some. */
+const returningRoom = 2;
 /** A deadline shorter than the route's timeout by this much, in milliseconds, shows that the caller was turned away before. */
 const returnMarginMs = 400;
 /** Time after which a caller that was turned away finds room, in milliseconds: about the time that a request occupies its engine. */
-const roomExpectedMs = 2000;
+const roomExpectedMs = 3000;
 /** Spread of the returns, in milliseconds, so that callers turned away together do not return together. */
 const returnSpreadMs = 1500;
 
@@ -20,14 +20,16 @@
 	readonly maxWaitMs: number;
 	/** Pause between two rounds of asking engines. */
 	readonly gapMs: number;
+	/** Requests of this size for which an engine must have room. */
+	readonly room: number;
 };
 
 /** How long a model request waits on a full pool. Durations in milliseconds. */
 export function patienceOf({waitMs, timeoutMs, targetMs}: {readonly waitMs: number; readonly timeoutMs: number; readonly targetMs: number}): Patience {
 	const isReturning = waitMs < timeoutMs - returnMarginMs;
 	return isReturning
-		? {maxWaitMs: Math.min(returningWaitMs, waitMs * returningWaitShare), gapMs: returningGapMs}
-		: {maxWaitMs: targetMs * freshWaitShare, gapMs: freshGapMs};
+		? {maxWaitMs: returningWaitMs, gapMs: returningGapMs, room: returningRoom}
+		: {maxWaitMs: targetMs * freshWaitShare, gapMs: freshGapMs, room: 1};
 }
 
 /** When a caller that a full pool turned away should return; `random` is in [0, 1). */
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -24,6 +24,10 @@
 const holdTtlMs = 2000;
 /** Memory is allocated in blocks of this many tokens. */
 const blockTokens = 16;
+/** Time without the first event after which an engine counts as silent, in milliseconds; with memory reserved, one takes a fifth of it. */
+const firstStallMs = 500;
+/** The same between events, in milliseconds; an engine that preempted the request reads it again in less. */
+const nextStallMs = 1500;
 /** Requests whose head arrives late may have been answered by the server in time. */
 const headSlackMs = 100;
 
@@ -43,6 +47,7 @@
 	private _sends = 0;
 	private _firstEventMs: number | undefined;
 	private _timer: NodeJS.Timeout | undefined;
+	private _stallTimer: NodeJS.Timeout | undefined;
 	private _finish!: () => void;
 
 	constructor(private readonly _services: ForwardServices, private readonly _call: ForwardCall) {
@@ -75,6 +80,7 @@
 			this._dispatch({type: 'forward/start'});
 		});
 		clearTimeout(this._timer);
+		clearTimeout(this._stallTimer);
 		return {mayHaveRun: this._sends > 0, sends: this._sends, outcome: this._outcome};
 	}
 
@@ -166,10 +172,18 @@
 		}
 
 		const {signal} = this._abort;
+		const {room} = this._state.patience;
 		const ttlMs = Math.min(holdTtlMs, service.engine?.holdTtlMs ?? holdTtlMs);
 		fleet.directory.begin(server, this._tokens);
 		try {
-			const {status, text} = await fleet.adapter(server).call(protocol.holdCall(this._tokens, ttlMs), holdTimeoutMs, signal);
+			const adapter = fleet.adapter(server);
+			if (room > 1 && !await this._hasRoom(server, this._tokens * room)) {
+				fleet.directory.end(server, this._tokens);
+				this._dispatch({type: 'forward/hold-refused', attempt, server: server.key});
+				return;
+			}
+
+			const {status, text} = await adapter.call(protocol.holdCall(this._tokens, ttlMs), holdTimeoutMs, signal);
 			const hold = status === 200 ? protocol.readHold(text) : undefined;
 			if (hold === undefined) {
 				fleet.directory.end(server, this._tokens);
@@ -203,6 +217,18 @@
 		}
 	}
 
+	/** Whether the engine would reserve that many tokens; nothing stays reserved. */
+	private async _hasRoom(server: Server, tokens: number): Promise<boolean> {
+		const {fleet, protocol} = this._services;
+		const {status, text} = await fleet.adapter(server).call(protocol.holdCall(tokens, holdTimeoutMs), holdTimeoutMs, this._abort.signal);
+		const hold = status === 200 ? protocol.readHold(text) : undefined;
+		if (hold !== undefined) {
+			await fleet.adapter(server).call(protocol.releaseHoldCall(hold), holdTimeoutMs, this._abort.signal);
+		}
+
+		return hold !== undefined;
+	}
+
 	private _isStale(attempt: number): boolean {
 		return this._state.phase === 'ended' || this._state.attempt !== attempt;
 	}
@@ -284,6 +310,7 @@
 		logger.log('info', 'request sent', {
 			requestId, attempt, server: server.key, prefillServer: prefilled?.server.key, after: this._events.lastId, elapsedMs: this._elapsedMs(),
 		});
+		this._watch(attempt, server, firstStallMs);
 		try {
 			const answer = await fleet.adapter(server).send(this._message(server, {
 				hold: held.hold, ...(prefilled && {prefill: {address: prefilled.server.record.address, handle: prefilled.handle}}),
@@ -355,6 +382,7 @@
 				const end = whole > 0 ? rest.length + whole : 0;
 				rest = joined.subarray(end);
 				if (end > 0) {
+					this._watch(attempt, server, nextStallMs);
 					if (this._firstEventMs === undefined) {
 						this._firstEventMs = this._elapsedMs();
 						metrics.observe('forward_first_event_ms', this._firstEventMs, {route: this._call.route.name});
@@ -389,6 +417,21 @@
 		this._dispatch({type: 'forward/completed', attempt});
 	}
 
+	/** Reports the engine as silent unless the watch is renewed in time. */
+	private _watch(attempt: number, server: Server, stallMs: number): void {
+		clearTimeout(this._stallTimer);
+		this._stallTimer = setTimeout(() => {
+			if (this._isStale(attempt)) {
+				return;
+			}
+
+			this._services.logger.log('warn', 'engine silent', {
+				requestId: this._call.requestId, attempt, server: server.key, stallMs, after: this._events.lastId, elapsedMs: this._elapsedMs(),
+			});
+			this._dispatch({type: 'forward/stalled', attempt, server: server.key});
+		}, stallMs);
+	}
+
 	/** Gives up exchanges under way and frees what engines keep. */
 	private _release(): void {
 		this._abort.abort();
@@ -396,6 +439,7 @@
 		this._answer?.body.destroy();
 		this._answer = undefined;
 		clearTimeout(this._timer);
+		clearTimeout(this._stallTimer);
 		if (this._held) {
 			this._freeHold(this._held);
 			this._held = undefined;
