Do not pass on a reset answer without a length as whole; write logs without blocking; serve metrics

The connection now tells whether it was reset; the plain path of the product's own interface had the same fault.

--- a/src/node/entry/plain-path.ts
+++ b/src/node/entry/plain-path.ts
@@ -5,7 +5,7 @@
 import type {PlainEffect, PlainEvent, PlainState} from '../../common/requests/types.js';
 import {createPlainRequest, reducePlainRequest} from '../../common/requests/plain-lifecycle.js';
 import type {ClaimOutcome, RecordedOutcome} from '../../common/services/claim-service.js';
-import {failureOf} from '../upstreams/call-error.js';
+import {CallError, failureOf} from '../upstreams/call-error.js';
 import type {Answer} from '../upstreams/connection-pool.js';
 import type {PlainUpstream, ServiceGuards, UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import type {Exchange} from './exchange.js';
@@ -230,6 +230,10 @@
 				this._record(chunk);
 				await exchange.write(chunk);
 			}
+
+			if (answer.wasReset()) {
+				throw new CallError('broken', true, 'the connection was reset within the answer');
+			}
 		} catch {
 			this._dispatch({type: 'plain/body-broken'});
 			return;
--- a/src/node/forwarding/fleet-interfaces.ts
+++ b/src/node/forwarding/fleet-interfaces.ts
@@ -8,6 +8,8 @@
 import {splitAddress} from '../address.js';
 import type {ControlOperator} from '../control/control-operator.js';
 import {listen} from '../entry/caller-listener.js';
+import type {PromMetrics} from '../observability/prom-metrics.js';
+import {stringifyState} from '../operators/operator-server.js';
 import type {FleetProtocol} from './fleet-protocol.js';
 
 /** How long callers may keep an entry-point answer, in milliseconds. */
@@ -25,7 +27,10 @@
 	readonly logger: Logger;
 	readonly members: () => readonly MemberRecord[];
 	readonly isReady: () => boolean;
-	readonly listen: {readonly operators: string; readonly ready: string; readonly directory: string};
+	readonly listen: {readonly operators: string; readonly ready: string; readonly directory: string; readonly metrics: string};
+	readonly metrics: PromMetrics;
+	/** The state of the process; must hold no secrets. */
+	readonly dump: () => unknown;
 };
 
 type Handler = (req: IncomingMessage, res: ServerResponse) => Promise<void> | void;
@@ -34,7 +39,7 @@
 export class FleetInterfaces implements Disposable {
 	static async start(options: FleetInterfacesOptions): Promise<FleetInterfaces> {
 		const interfaces = new FleetInterfaces(options);
-		const {protocol: {paths}, listen: {operators, ready, directory}} = options;
+		const {protocol: {paths}, listen: {operators, ready, directory, metrics}} = options;
 		await interfaces._serve(operators, service => {
 			service.put(paths.configuration, interfaces._guard(async (req, res) => interfaces._publish(req, res)));
 			service.get(paths.configuration, interfaces._guard(async (_req, res) => interfaces._read(res)));
@@ -50,6 +55,15 @@
 				interfaces._answerEntryPoints(req, res);
 			}));
 		});
+		await interfaces._serve(metrics, service => {
+			service.get('/metrics', interfaces._guard(async (_req, res) => {
+				res.writeHead(200, {'content-type': options.metrics.contentType});
+				res.end(await options.metrics.render());
+			}));
+			service.get('/state', interfaces._guard((_req, res) => {
+				sendJson(res, 200, stringifyState(options.dump()));
+			}));
+		});
 		return interfaces;
 	}
 
--- a/src/node/forwarding/fleet-settings.ts
+++ b/src/node/forwarding/fleet-settings.ts
@@ -4,8 +4,8 @@
 export type FleetSettings = {
 	/** The platform's name of the VM, for logs. */
 	readonly node: string;
-	/** Addresses, IP and port, of the readiness check and of entry-point questions. */
-	readonly listen: {readonly ready: string; readonly directory: string};
+	/** Addresses, IP and port, of the health check, of entry-point questions, and of metrics and the state dump. */
+	readonly listen: {readonly ready: string; readonly directory: string; readonly metrics: string};
 	/** Whether the whole system starts for the first time, with blank disks. */
 	readonly isFirstStart: boolean;
 	/** Where the platform lists servers, and how many calls a second it takes from all processes together. */
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -16,7 +16,7 @@
 };
 
 /** Reads a body to its end. Throws `CallError` if it breaks off or is larger than `limitBytes`. */
-export async function readWhole({status, headers, body}: Answer, limitBytes: number): Promise<WholeAnswer> {
+export async function readWhole({status, headers, body, wasReset}: Answer, limitBytes: number): Promise<WholeAnswer> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	try {
@@ -33,6 +33,10 @@
 		throw CallError.from(err, {maySent: true, isTimeout: false});
 	}
 
+	if (wasReset()) {
+		throw new CallError('broken', true, 'the connection was reset within the answer');
+	}
+
 	return {status, headers, body: Buffer.concat(chunks, length)};
 }
 
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -356,7 +356,7 @@
 	/** Passes the answer on, event by event, so that a stream that breaks off can go on behind its last whole event. */
 	private async _relay(attempt: number): Promise<void> {
 		const {exchange, requestId} = this._call;
-		const {protocol, logger, metrics, clock} = this._services;
+		const {protocol, logger, metrics} = this._services;
 		const answer = this._answer!;
 		const {server} = this._held!;
 		let rest: Uint8Array = new Uint8Array();
@@ -404,9 +404,9 @@
 			return;
 		}
 
-		if (rest.length > 0 && answer.status === 200) {
-			logger.log('warn', 'stream ended within an event', {
-				requestId, attempt, server: server.key, atMs: clock.nowMs(),
+		if (answer.wasReset() || (rest.length > 0 && answer.status === 200)) {
+			logger.log('warn', 'stream broke off', {
+				requestId, attempt, server: server.key, wasReset: answer.wasReset(), after: this._events.lastId,
 			});
 			this._dispatch({type: 'forward/broken', attempt, server: server.key});
 			return;
--- a/src/node/observability/json-logger.ts
+++ b/src/node/observability/json-logger.ts
@@ -1,7 +1,7 @@
-import process from 'node:process';
 import {Logger as TsLogger} from 'tslog';
 import {Logger} from '../../common/core/log.js';
 import type {LogLevel} from '../../common/core/log.js';
+import {LineWriter} from './line-writer.js';
 
 type Line = {readonly message: string; readonly fields: Readonly<Record<string, unknown>>};
 type LineMetadata = {_meta?: {date: Date; logLevelName: string}};
@@ -11,7 +11,7 @@
 	private readonly _logger: TsLogger<Line>;
 
 	/** `context` goes into every line and cannot be overwritten by a line's fields. */
-	constructor(context: Readonly<Record<string, unknown>>) {
+	constructor(context: Readonly<Record<string, unknown>>, writer = new LineWriter()) {
 		super();
 		this._logger = new TsLogger<Line>({
 			type: 'hidden',
@@ -21,7 +21,7 @@
 				const line = {
 					time: metadata?.date.toISOString(), level: metadata?.logLevelName.toLowerCase(), message, ...fields, ...context,
 				};
-				process.stdout.write(JSON.stringify(line) + '\n');
+				writer.writeLine(JSON.stringify(line));
 			}],
 		});
 	}
--- /dev/null
+++ b/src/node/observability/line-writer.ts
@@ -0,0 +1,74 @@
+import {Buffer} from 'node:buffer';
+import {write} from 'node:fs';
+
+/** Bytes of lines that may wait for a reader; further lines are dropped. */
+const maxWaitingBytes = 1024 * 1024;
+
+/** Writes to a file descriptor; `done` is told how many bytes were taken. */
+export type WriteBytes = (bytes: Uint8Array, done: (err: Error | undefined, written: number) => void) => void;
+
+function writeTo(descriptor: number): WriteBytes {
+	return (bytes, done) => {
+		write(descriptor, bytes, (err, written) => {
+			done(err ?? undefined, written);
+		});
+	};
+}
+
+/**
+Writes lines without ever waiting for a reader: Node.js writes synchronously to pipes and files, so a reader that stops
+would stop the process. Lines that find no room are dropped and counted, and the count is written once there is room.
+*/
+export class LineWriter {
+	private _waiting: Uint8Array[] = [];
+	private _waitingBytes = 0;
+	private _dropped = 0;
+	private _isWriting = false;
+
+	constructor(private readonly _write: WriteBytes = writeTo(1)) {}
+
+	/** Takes one line without its line break. */
+	writeLine(line: string): void {
+		const bytes = Buffer.from(line + '\n');
+		if (this._waitingBytes + bytes.length > maxWaitingBytes) {
+			this._dropped++;
+			return;
+		}
+
+		if (this._dropped > 0) {
+			const dropped = this._dropped;
+			this._dropped = 0;
+			this.writeLine(JSON.stringify({level: 'warn', message: 'log lines dropped', dropped}));
+		}
+
+		this._waiting.push(bytes);
+		this._waitingBytes += bytes.length;
+		this._flush();
+	}
+
+	private _flush(): void {
+		if (this._isWriting || this._waiting.length === 0) {
+			return;
+		}
+
+		this._isWriting = true;
+		const bytes = Buffer.concat(this._waiting);
+		this._waiting = [];
+		this._writeRest(bytes);
+	}
+
+	private _writeRest(bytes: Uint8Array): void {
+		this._write(bytes, (err, written) => {
+			// Nobody can be told of a failed write of the log itself, so its lines are given up.
+			const left = err ? bytes.subarray(bytes.length) : bytes.subarray(written);
+			this._waitingBytes -= bytes.length - left.length;
+			if (left.length > 0) {
+				this._writeRest(left);
+				return;
+			}
+
+			this._isWriting = false;
+			this._flush();
+		});
+	}
+}
--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -51,7 +51,7 @@
 /** The state of a process for operators. Keys and their digests are counted, never listed. */
 export function dumpProcess({
 	self, clock, state, membership,
-}: Dumped, entry: DumpedEntry | undefined): unknown {
+}: Dumped, entry: DumpedEntry | undefined): Record<string, unknown> {
 	return {
 		self,
 		members: membership.members,
--- a/src/node/operators/operator-server.ts
+++ b/src/node/operators/operator-server.ts
@@ -38,13 +38,18 @@
 
 function sendJson(res: ServerResponse, status: number, contentType: string, body: unknown): void {
 	res.writeHead(status, {'content-type': contentType});
-	res.end(JSON.stringify(body, (_key, value: unknown) => {
+	res.end(stringifyState(body));
+}
+
+/** JSON of a value that may hold maps and sets. */
+export function stringifyState(body: unknown): string {
+	return JSON.stringify(body, (_key, value: unknown) => {
 		if (value instanceof Map) {
 			return Object.fromEntries(value as Map<string, unknown>);
 		}
 
 		return value instanceof Set ? [...value as Set<unknown>] : value;
-	}));
+	});
 }
 
 function sendProblem(res: ServerResponse, {status, code, detail, ...rest}: OperatorProblem): void {
--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -75,3 +75,33 @@
 	assert.deepEqual(await failure(pools[0]!, {headers: ['bad name', 'x']}), ['error', false]);
 	assert.equal(pools[0]!.busy, 0);
 });
+
+test('an answer without a length that is cut off by a reset does not look whole', async t => {
+	const server = createServer(socket => {
+		socket.once('data', chunk => {
+			socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf', () => {
+				if (String(chunk).startsWith('GET /reset')) {
+					setTimeout(() => {
+						socket.resetAndDestroy();
+					}, 20);
+				} else {
+					socket.end(' and all');
+				}
+			});
+		});
+		socket.on('error', () => undefined);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const pool = new ConnectionPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, new ManualClock());
+	t.after(() => {
+		pool.destroy();
+		server.close();
+	});
+	const whole = await pool.call(call({path: '/whole'}));
+	assert.equal(await text(whole.body), 'half and all');
+	assert.equal(whole.wasReset(), false);
+	const cut = await pool.call(call({path: '/reset'}));
+	assert.equal(await text(cut.body), 'half');
+	assert.equal(cut.wasReset(), true);
+});
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
-import {Client, DecoratorHandler} from 'undici';
+import {buildConnector, Client, DecoratorHandler} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
@@ -36,9 +36,14 @@
 	/** Lower-case names and values in turn; a header of several lines has several names. */
 	readonly headers: readonly string[];
 	readonly body: Readable;
+	/**
+	Whether the connection was reset. An answer without a length ends with its connection, and undici reports a reset there
+	as the end of the body; ask once the body has ended.
+	*/
+	readonly wasReset: () => boolean;
 };
 
-type Connection = {readonly client: Client; lastUsedMs: number};
+type Connection = {readonly client: Client; lastUsedMs: number; wasReset: boolean};
 
 /** Calls `onStart` when undici is about to write the request to its socket; before, nothing can have been sent. */
 function observeStart(handler: Dispatcher.DispatchHandler, onStart: () => void): Dispatcher.DispatchHandler {
@@ -100,7 +105,9 @@
 				call.signal?.removeEventListener('abort', giveUp);
 				this._release(connection, body);
 			});
-			return {status: statusCode, headers: flatten(headers), body};
+			return {
+				status: statusCode, headers: flatten(headers), body, wasReset: () => connection.wasReset,
+			};
 		} catch (err) {
 			call.signal?.removeEventListener('abort', giveUp);
 			giveUp();
@@ -148,6 +155,7 @@
 	}
 
 	private _open(): Connection {
+		const connect = buildConnector({timeout: connectTimeoutMs});
 		const client = new Client(`http://${this._address}`, {
 			// The callers of this class set deadlines; undici's timers have a resolution of about a second.
 			headersTimeout: 0,
@@ -155,9 +163,19 @@
 			keepAliveTimeout: maxIdleMs,
 			keepAliveMaxTimeout: maxIdleMs,
 			pipelining: 1,
-			connect: {timeout: connectTimeoutMs},
+			connect(options, callback) {
+				connect(options, (...result) => {
+					// Before undici's own listener, which may end the body.
+					result[1]?.once('error', (err: NodeJS.ErrnoException) => {
+						// Undici's own errors, such as that of a closed connection, name no system call.
+						connection.wasReset = err.syscall !== undefined;
+					});
+					callback(...result);
+				});
+			},
 		});
-		return {client, lastUsedMs: this._clock.nowMs()};
+		const connection: Connection = {client, lastUsedMs: this._clock.nowMs(), wasReset: false};
+		return connection;
 	}
 
 	private _release(connection: Connection, body: Readable): void {
