--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -23,7 +23,7 @@
 	inFlight: number;
 	/** Tokens that this process has under way: reserved on a decode engine, to be read on a prefill engine. */
 	tokens: number;
-	/** No reservation is expected to succeed before this time. */
+	/** It turned work away, and is not expected to take any before this time. */
 	fullUntilMs: number;
 	latencyMs: number;
 	failureShare: number;
@@ -116,8 +116,8 @@
 	/** The prefill engine with the least to read, in the zone of the decode engine where others are no better. */
 	choosePrefill(question: ServerQuestion): Server | undefined {
 		const candidates = this._candidates({...question, stage: 'prefill'});
-		const rank = ({tokens, record, failureShare}: Server) =>
-			(tokens * (1 + (failureShare * failureFactor))) + (record.zone === question.zone ? 0 : otherZoneTokens) + this._random.integer(0, otherZoneTokens / 10);
+		const rank = ({tokens, record, failureShare, fullUntilMs}: Server) =>
+			(fullUntilMs > question.nowMs ? 1e9 : 0) + (tokens * (1 + (failureShare * failureFactor))) + (record.zone === question.zone ? 0 : otherZoneTokens) + this._random.integer(0, otherZoneTokens / 10);
 		return best(candidates, rank);
 	}
 
@@ -137,6 +137,7 @@
 		server.tokens -= tokens;
 	}
 
+	/** The engine has no room for a reservation or a prompt. */
 	refusedReservation(server: Server, nowMs: number): void {
 		server.fullUntilMs = nowMs + fullMemoryMs;
 	}
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -1,5 +1,5 @@
 import type {Dispatcher} from 'undici';
-import type {PromptFacts, ServerRecord} from '../../common/forwarding/types.js';
+import type {EngineStage, PromptFacts, ServerRecord} from '../../common/forwarding/types.js';
 import type {SharedConfiguration} from '../../common/configuration/types.js';
 
 /** What the headers of a caller's request say. */
@@ -41,6 +41,8 @@
 export type ServerCall = {
 	readonly method: Dispatcher.HttpMethod;
 	readonly path: string;
+	/** Names and values in turn. */
+	readonly headers?: readonly string[];
 	readonly body?: string;
 };
 
@@ -49,6 +51,27 @@
 	readonly tokens: number;
 };
 
+/** What an engine says of itself. */
+export type EngineReport = {
+	readonly stage: EngineStage | undefined;
+	/** Whether an order is being carried out. */
+	readonly isBusy: boolean;
+	/** Orders that this start of the engine accepted. */
+	readonly orders: number;
+};
+
+export type StageOrder = {
+	/** Start of the engine that is meant. */
+	readonly serverId: string;
+	readonly stage: EngineStage;
+	/** The process that gives the order. */
+	readonly holder: string;
+	/** Fencing number: the epoch of the holder's lease. */
+	readonly epoch: number;
+	/** The order is refused unless the engine has accepted this many. */
+	readonly expectedOrders: number;
+};
+
 /** A page of the platform's list; entries that cannot be read are left out and counted. */
 export type ListPage = {
 	readonly servers: readonly ServerRecord[];
@@ -87,6 +110,10 @@
 	abstract readPrefill(body: string): PrefillResult | undefined;
 	abstract releasePrefillCall(handle: string): ServerCall;
 
+	abstract reportCall(serverId: string): ServerCall;
+	abstract readReport(body: string): EngineReport | undefined;
+	abstract stageOrderCall(order: StageOrder): ServerCall;
+
 	abstract listPath(page: string | undefined): string;
 	/** Throws if the page as a whole cannot be read. */
 	abstract readList(body: string): ListPage;
--- a/src/node/forwarding/fleet-settings.ts
+++ b/src/node/forwarding/fleet-settings.ts
@@ -12,6 +12,8 @@
 	readonly serverList?: {readonly address: string; readonly callsPerSecond: number};
 	/** Time from SIGTERM until the process is killed, in milliseconds. */
 	readonly stopWithinMs: number;
+	/** Time for which orders of two processes to engines must lie apart, in milliseconds. */
+	readonly orderTurnMs: number;
 	/** Longest validity of an entry-point answer that callers respect, in milliseconds. */
 	readonly entryAnswerLimitMs: number;
 	readonly retries: RetryWindowLimits;
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -48,7 +48,9 @@
 	}
 
 	/** Makes a call that is not a caller's request and reads its whole answer. Rejects with `CallError`. */
-	async call({method, path, body}: ServerCall, timeoutMs: number, signal?: AbortSignal): Promise<{readonly status: number; readonly text: string}> {
+	async call({
+		method, path, headers = [], body,
+	}: ServerCall, timeoutMs: number, signal?: AbortSignal): Promise<{readonly status: number; readonly text: string}> {
 		const abort = new AbortController();
 		const stop = () => {
 			abort.abort();
@@ -60,7 +62,7 @@
 			const answer = await this._pool.call({
 				method,
 				path,
-				headers: body === undefined ? [] : ['content-type', 'application/json'],
+				headers: [...headers, ...(body === undefined ? [] : ['content-type', 'application/json'])],
 				...(body !== undefined && {body}),
 				headersTimeoutMs: timeoutMs,
 				signal: abort.signal,
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -251,7 +251,9 @@
 			const {status, headers, body} = await readWhole(answer, wholeAnswerLimitBytes);
 			const result = status === 200 ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
 			if (!result) {
-				if (!protocol.readServerAnswer(headers).isNotRun) {
+				if (protocol.readServerAnswer(headers).isNotRun) {
+					fleet.directory.refusedReservation(server, clock.nowMs());
+				} else {
 					fleet.recordFailure(server, {isUnreachable: false, detail: `prefill answered with status ${status}`});
 				}
 
--- /dev/null
+++ b/src/node/forwarding/stage-host.ts
@@ -0,0 +1,167 @@
+import type {Clock} from '../../common/core/clock.js';
+import type {Disposable} from '../../common/core/disposable.js';
+import type {Logger} from '../../common/core/log.js';
+import {chooseSurplusPrefill} from '../../common/forwarding/stage-plan.js';
+import {serverKey} from '../../common/forwarding/types.js';
+import type {ServerKey, ServerRecord} from '../../common/forwarding/types.js';
+import type {Metrics} from '../../common/services/metrics.js';
+import type {LeaseHolder} from '../scheduler/lease-holder.js';
+import type {FleetProtocol} from './fleet-protocol.js';
+import type {ServerFleet} from './server-fleet.js';
+
+/** Time between two looks at the pools, in milliseconds. */
+const tickMs = 300;
+/** A surplus must have lasted this long, in milliseconds; lists grow step by step while servers start. */
+const settleMs = 1500;
+/** The list must be at most this old, in milliseconds. */
+const listValidityMs = 3000;
+/** Slack on the time that a new holder of the lease waits for its predecessor's orders, in milliseconds. */
+const turnSlackMs = 500;
+/** Bound on one call to an engine, in milliseconds. */
+const callTimeoutMs = 1000;
+/** An order may be carried out this long after it was sent, in milliseconds; the engine gets no other one until then. */
+const orderValidityMs = 15_000;
+/** Pause after an order that was not accepted, in milliseconds. */
+const refusedPauseMs = 2000;
+/** Fencing number of the first holder ever, which has no predecessor to wait for. */
+const firstEpoch = 1;
+
+export type StageHostOptions = {
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly protocol: FleetProtocol;
+	readonly fleet: ServerFleet;
+	readonly lease: LeaseHolder;
+	/** Whether this process leads the replicated log; one that does not acquires no lease. */
+	readonly isLeader: () => boolean;
+	/** Names this process in orders. */
+	readonly holder: string;
+	/** Services whose engines are balanced. */
+	readonly services: () => readonly string[];
+	/** Time for which orders of two holders must lie apart, in milliseconds. */
+	readonly turnMs: number;
+};
+
+/** Orders surplus prefill engines to decode, as the only holder of the lease on orders. */
+export class StageHost implements Disposable {
+	private readonly _timer: NodeJS.Timeout;
+	private readonly _orderedUntilMs = new Map<ServerKey, number>();
+	private _surplusSinceMs: number | undefined;
+	private _epoch: number | undefined;
+	private _heldSinceMs = 0;
+	private _pausedUntilMs = 0;
+	private _isBusy = false;
+
+	constructor(private readonly _options: StageHostOptions) {
+		this._timer = setInterval(() => {
+			void this._tick();
+		}, tickMs);
+		this._timer.unref();
+	}
+
+	dispose(): void {
+		clearInterval(this._timer);
+	}
+
+	private async _tick(): Promise<void> {
+		if (this._isBusy) {
+			return;
+		}
+
+		this._isBusy = true;
+		try {
+			await this._balance();
+		} catch (err) {
+			this._options.logger.log('warn', 'stages not balanced', {detail: err instanceof Error ? err.message : String(err)});
+		} finally {
+			this._isBusy = false;
+		}
+	}
+
+	private async _balance(): Promise<void> {
+		const {clock, lease, isLeader, turnMs} = this._options;
+		const nowMs = clock.nowMs();
+		const surplus = this._surplus(nowMs);
+		if (!surplus) {
+			this._surplusSinceMs = undefined;
+			if (this._epoch !== undefined) {
+				this._epoch = undefined;
+				await lease.release();
+			}
+
+			return;
+		}
+
+		this._surplusSinceMs ??= nowMs;
+		if (nowMs - this._surplusSinceMs < settleMs) {
+			return;
+		}
+
+		await lease.step(isLeader());
+		const {epoch} = lease;
+		if (epoch !== this._epoch) {
+			this._epoch = epoch;
+			this._heldSinceMs = clock.nowMs();
+		}
+
+		const waitMs = epoch === firstEpoch ? 0 : turnMs + turnSlackMs;
+		if (epoch !== undefined && clock.nowMs() - this._heldSinceMs >= waitMs && nowMs >= this._pausedUntilMs) {
+			await this._order(surplus, epoch);
+		}
+	}
+
+	private _surplus(nowMs: number): ServerRecord | undefined {
+		const {fleet: {directory}, services} = this._options;
+		if (directory.listedMs === undefined || nowMs - directory.listedMs > listValidityMs) {
+			return undefined;
+		}
+
+		for (const [key, untilMs] of this._orderedUntilMs) {
+			if (nowMs >= untilMs || directory.get(key)?.record.stage !== 'prefill') {
+				this._orderedUntilMs.delete(key);
+			}
+		}
+
+		const ordered = new Set(this._orderedUntilMs.keys());
+		for (const service of services()) {
+			const surplus = chooseSurplusPrefill({servers: directory.ready(service).map(({record}) => record), ordered});
+			if (surplus) {
+				return surplus;
+			}
+		}
+
+		return undefined;
+	}
+
+	private async _order(record: ServerRecord, epoch: number): Promise<void> {
+		const {fleet, protocol, clock, logger, metrics, holder} = this._options;
+		const key = serverKey(record);
+		const server = fleet.directory.get(key);
+		if (!server) {
+			return;
+		}
+
+		const adapter = fleet.adapter(server);
+		const before = await adapter.call(protocol.reportCall(record.id), callTimeoutMs);
+		const report = before.status === 200 ? protocol.readReport(before.text) : undefined;
+		if (!report || report.isBusy || report.stage !== 'prefill' || this._options.lease.epoch !== epoch) {
+			this._pausedUntilMs = clock.nowMs() + refusedPauseMs;
+			return;
+		}
+
+		// Even without an answer the order may be carried out.
+		this._orderedUntilMs.set(key, clock.nowMs() + orderValidityMs);
+		const call = protocol.stageOrderCall({
+			serverId: record.id, stage: 'decode', holder, epoch, expectedOrders: report.orders,
+		});
+		const {status} = await adapter.call(call, callTimeoutMs);
+		metrics.count('stage_orders_total', {status: String(status)});
+		logger.log('info', 'engine ordered to decode', {
+			server: key, epoch, status, listAgeMs: Math.round(clock.nowMs() - (fleet.directory.listedMs ?? 0)),
+		});
+		if (status !== 200 && status !== 202) {
+			this._pausedUntilMs = clock.nowMs() + refusedPauseMs;
+		}
+	}
+}
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -4,6 +4,7 @@
 import {createAccess} from '../common/access/access.js';
 import type {Settings} from '../common/configuration/types.js';
 import {createConsensus, currentMembers} from '../common/consensus/state.js';
+import {ordersLease} from '../common/control/apply.js';
 import {createControl} from '../common/control/control.js';
 import {DisposableStore} from '../common/core/disposable.js';
 import type {CountEffect, VmId, VmIdentity} from '../common/core/types.js';
@@ -41,7 +42,9 @@
 import {ForwardServer} from './forwarding/forward-server.js';
 import {ServerFleet, unreachableSchema} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
+import {StageHost} from './forwarding/stage-host.js';
 import {Runtime} from './runtime.js';
+import {LeaseHolder} from './scheduler/lease-holder.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
 import {PeerSchedulerClient} from './scheduler/peer-scheduler-client.js';
 import {SchedulerHost} from './scheduler/scheduler-host.js';
@@ -456,6 +459,22 @@
 		stopWithinMs: fleetSettings.stopWithinMs,
 		answersExpireMs: (Math.min(entryAnswerValidityMs, fleetSettings.entryAnswerLimitMs) * answerKeepFactor) + drainSpreadMs,
 	}));
+	if (state.replica) {
+		const {consensus} = state.replica;
+		parts.add(new StageHost({
+			clock,
+			logger,
+			metrics,
+			protocol,
+			fleet,
+			lease: new LeaseHolder(ordersLease, new ControlLeaseKeeper(operator, self), clock),
+			isLeader: () => consensus.role === 'leader',
+			holder: fleetSettings.node,
+			services: () => client.access.view?.configuration.forwarding?.services.filter(({engine}) => engine).map(({name}) => name) ?? [],
+			turnMs: fleetSettings.orderTurnMs,
+		}));
+	}
+
 	if (fleetSettings.serverList) {
 		const poller = parts.add(new ServerListPoller({
 			...fleetSettings.serverList,
