--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -65,6 +65,13 @@
 	}]).slice(3), ['release', '502']);
 });
 
+test('short handles: a prefill result that is gone is made anew by another prefill engine, on the same decode engine', () => {
+	const gone: Step = {
+		type: 'forward/answered', attempt: 1, status: 503, isNotRun: true, server: 'd1', prefillServer: 'p1',
+	};
+	assert.deepEqual(run([...sent(), gone]).slice(3), ['release', 'hold -p1']);
+});
+
 test('a stream that broke off goes on elsewhere only where it may be resumed', () => {
 	const broken: Step = {type: 'forward/broken', attempt: 1, server: 'd1'};
 	assert.deepEqual(run([...sent(), answered(1), broken]).slice(4), ['release', 'cut']);
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -54,7 +54,9 @@
 	| (BaseEvent<'forward/prefilled'> & {readonly attempt: number})
 	| (BaseEvent<'forward/prefill-failed'> & {readonly attempt: number; readonly server: ServerKey | undefined})
 	/** The head of an answer arrived. */
-	| (BaseEvent<'forward/answered'> & {readonly attempt: number; readonly status: number; readonly isNotRun: boolean; readonly server: ServerKey})
+	| (BaseEvent<'forward/answered'> & {readonly attempt: number; readonly status: number; readonly isNotRun: boolean; readonly server: ServerKey;
+		/** The engine whose prefill result was sent along. */
+		readonly prefillServer?: ServerKey | undefined;})
 	| (BaseEvent<'forward/failed'> & {readonly attempt: number; readonly failure: SendFailure; readonly server: ServerKey})
 	/** The stream ended before its last event. */
 	| (BaseEvent<'forward/broken'> & {readonly attempt: number; readonly server: ServerKey})
@@ -219,11 +221,12 @@
 	return [{type: 'forward/send', attempt: state.attempt}];
 }
 
-function takeAnswer(state: ModelForward, {status, isNotRun, server, nowMs}: Of<'forward/answered'>): ModelForwardEffect[] {
+function takeAnswer(state: ModelForward, {status, isNotRun, server, prefillServer, nowMs}: Of<'forward/answered'>): ModelForwardEffect[] {
 	if (isNotRun) {
 		state.turnedAway++;
+		// With memory reserved, the engine lacks only the prefill result, which its source no longer had.
 		return retryOrGiveUp(state, {
-			server, mayHaveRun: false, nowMs, reason: 'the engine turned the request away',
+			server: prefillServer ?? server, mayHaveRun: false, nowMs, reason: 'the engine turned the request away',
 		});
 	}
 
