--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -326,10 +326,14 @@
 				}
 
 				logger.log('info', 'engine turned the request away', {
-					requestId, attempt, server: server.key, status: answer.status,
+					requestId, attempt, server: server.key, prefillServer: prefilled?.server.key, status: answer.status,
 				});
+				if (prefilled) {
+					fleet.recordFailure(prefilled.server, {isUnreachable: false, detail: 'the prefill result was gone'});
+				}
+
 				this._dispatch({
-					type: 'forward/answered', attempt, status: answer.status, isNotRun: true, server: server.key,
+					type: 'forward/answered', attempt, status: answer.status, isNotRun: true, server: server.key, prefillServer: prefilled?.server.key,
 				});
 				return;
 			}
