--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -162,6 +162,7 @@
 		};
 	}
 
+	/** The call goes on when the request is given up, so that a reservation that was granted is freed at once. */
 	private async _hold(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
 		const {fleet, protocol, clock, logger, zone} = this._services;
 		const {service, requestId} = this._call;
@@ -171,7 +172,6 @@
 			return;
 		}
 
-		const {signal} = this._abort;
 		const {room} = this._state.patience;
 		const ttlMs = Math.min(holdTtlMs, service.engine?.holdTtlMs ?? holdTtlMs);
 		fleet.directory.begin(server, this._tokens);
@@ -183,7 +183,7 @@
 				return;
 			}
 
-			const {status, text} = await adapter.call(protocol.holdCall(this._tokens, ttlMs), holdTimeoutMs, signal);
+			const {status, text} = await adapter.call(protocol.holdCall(this._tokens, ttlMs), holdTimeoutMs);
 			const hold = status === 200 ? protocol.readHold(text) : undefined;
 			if (hold === undefined) {
 				fleet.directory.end(server, this._tokens);
@@ -212,7 +212,7 @@
 		} catch (err) {
 			fleet.directory.end(server, this._tokens);
 			// A reservation is no work: an engine that does not answer cannot be reached.
-			this._noteFailure(server, err, {isAborted: signal.aborted, isUnreachable: true});
+			this._noteFailure(server, err, {isAborted: this._isStale(attempt), isUnreachable: true});
 			this._dispatch({type: 'forward/hold-failed', attempt, server: server.key});
 		}
 	}
@@ -220,10 +220,10 @@
 	/** Whether the engine would reserve that many tokens; nothing stays reserved. */
 	private async _hasRoom(server: Server, tokens: number): Promise<boolean> {
 		const {fleet, protocol} = this._services;
-		const {status, text} = await fleet.adapter(server).call(protocol.holdCall(tokens, holdTimeoutMs), holdTimeoutMs, this._abort.signal);
+		const {status, text} = await fleet.adapter(server).call(protocol.holdCall(tokens, holdTimeoutMs), holdTimeoutMs);
 		const hold = status === 200 ? protocol.readHold(text) : undefined;
 		if (hold !== undefined) {
-			await fleet.adapter(server).call(protocol.releaseHoldCall(hold), holdTimeoutMs, this._abort.signal);
+			await fleet.adapter(server).call(protocol.releaseHoldCall(hold), holdTimeoutMs);
 		}
 
 		return hold !== undefined;
--- a/src/node/observability/line-writer.test.ts
+++ b/src/node/observability/line-writer.test.ts
@@ -5,16 +5,19 @@
 
 function build() {
 	const pending: Array<{readonly bytes: Uint8Array; readonly done: Parameters<WriteBytes>[1]}> = [];
+	const clock = {nowMs: 0};
 	const writer = new LineWriter((bytes, done) => {
 		pending.push({bytes, done});
-	});
+	}, () => clock.nowMs);
 	const take = (written?: number) => {
 		const {bytes, done} = pending.shift()!;
 		done(undefined, written ?? bytes.length);
 		return new TextDecoder().decode(bytes);
 	};
 
-	return {writer, pending, take};
+	return {
+		writer, pending, take, clock,
+	};
 }
 
 test('a reader that stops does not stop the process: lines wait up to a bound, later ones are dropped and counted', () => {
@@ -48,3 +51,16 @@
 	writer.writeLine('kept');
 	assert.equal(take(), 'kept\n');
 });
+
+test('guards against a flood of lines: the rate is bounded, and the lines beyond it are counted', () => {
+	const {writer, take, clock} = build();
+	for (let i = 0; i < 700; i++) {
+		writer.writeLine('x');
+	}
+
+	assert.equal(take(), 'x\n');
+	assert.equal(take().length, 2 * 499);
+	clock.nowMs = 1000;
+	writer.writeLine('after');
+	assert.match(take(), /"dropped":200/);
+});
--- a/src/node/observability/line-writer.ts
+++ b/src/node/observability/line-writer.ts
@@ -3,6 +3,8 @@
 
 /** Bytes of lines that may wait for a reader; further lines are dropped. */
 const maxWaitingBytes = 1024 * 1024;
+/** Lines written in one second; a process of today's deployments writes about 20, and each costs processor time. */
+const maxLinesPerSecond = 500;
 
 /** Writes to a file descriptor; `done` is told how many bytes were taken. */
 export type WriteBytes = (bytes: Uint8Array, done: (err: Error | undefined, written: number) => void) => void;
@@ -17,7 +19,7 @@
 
 /**
 Writes lines without ever waiting for a reader: Node.js writes synchronously to pipes and files, so a reader that stops
-would stop the process. Lines that find no room are dropped and counted, and the count is written once there is room.
+would stop the process. Lines that find no room or exceed the rate are dropped and counted, and the count is written once there is room.
 */
 export class LineWriter {
 	private _waiting: Uint8Array[] = [];
@@ -25,12 +27,15 @@
 	private _dropped = 0;
 	private _isWriting = false;
 
-	constructor(private readonly _write: WriteBytes = writeTo(1)) {}
+	private _secondStartMs = 0;
+	private _linesInSecond = 0;
+
+	constructor(private readonly _write: WriteBytes = writeTo(1), private readonly _nowMs: () => number = () => performance.now()) {}
 
 	/** Takes one line without its line break. */
 	writeLine(line: string): void {
 		const bytes = Buffer.from(line + '\n');
-		if (this._waitingBytes + bytes.length > maxWaitingBytes) {
+		if (this._waitingBytes + bytes.length > maxWaitingBytes || !this._isWithinRate()) {
 			this._dropped++;
 			return;
 		}
@@ -46,6 +51,17 @@
 		this._flush();
 	}
 
+	private _isWithinRate(): boolean {
+		const nowMs = this._nowMs();
+		if (nowMs - this._secondStartMs >= 1000) {
+			this._secondStartMs = nowMs;
+			this._linesInSecond = 0;
+		}
+
+		this._linesInSecond++;
+		return this._linesInSecond <= maxLinesPerSecond;
+	}
+
 	private _flush(): void {
 		if (this._isWriting || this._waiting.length === 0) {
 			return;
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -359,6 +359,11 @@
 		this._platform.logger.log('info', 'settings read again');
 	}
 
+	/** Ends at once; requests that run are interrupted. */
+	async kill(): Promise<void> {
+		await this._platform.parts.dispose();
+	}
+
 	/** Graceful shutdown: leaves the entry-point answers and serves until the last request has ended or the time is over. */
 	async stop(): Promise<void> {
 		const {logger, membership, parts} = this._platform;
