--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -95,6 +95,15 @@
 	assert.deepEqual(run([...sent(), stalled, answered(1)], {isResumable: true, maxAttempts: 2, takeRetry: () => false}).slice(3), ['relay']);
 });
 
+test('crash on a full pool: a stream that broke off waits for memory as long as a new request', () => {
+	const broken: Step = {
+		type: 'forward/broken', attempt: 1, server: 'd1', nowMs: 3000,
+	};
+	const none: Step = {type: 'forward/no-engine', attempt: 2, nowMs: 3010};
+	assert.deepEqual(run([...sent(), answered(1), broken, none], {isResumable: true, maxAttempts: 2}).slice(4), ['release', 'hold -d1', 'wait']);
+	assert.deepEqual(run([...sent(), answered(1), broken, {...none, nowMs: 3600}], {isResumable: true, maxAttempts: 2}).slice(6), ['release', 'cut']);
+});
+
 test('events of an attempt that was given up change nothing', () => {
 	const steps = [...sent(), answered(1, 503, true), {type: 'forward/prefilled', attempt: 1} as const, refused('d9', 1)];
 	assert.deepEqual(run(steps).slice(3), ['release', 'hold -d1']);
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -140,10 +140,11 @@
 			return result.acquisition;
 		}
 
-		logger.log('info', 'request over its tenant\'s rate', {
+		logger.log('info', 'request not within its tenant\'s rate', {
 			requestId, tenant: tenant.name, cost, rate: limit.rate, burst: limit.burst, code: result.code, method: req.method,
 		});
-		throw new ForwardRefusal(429, `the tenant has used up its rate: ${result.code}`, result.retryAfterMs ?? unconfiguredRetryMs);
+		const isUnreachable = result.code === 'control-unreachable';
+		throw new ForwardRefusal(isUnreachable ? 503 : 429, isUnreachable ? 'the tenant\'s rate cannot be confirmed' : 'the tenant has used up its rate', result.retryAfterMs ?? unconfiguredRetryMs);
 	}
 
 	private _settle(acquisition: Acquisition | undefined, mayHaveRun: boolean): void {
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -26,6 +26,8 @@
 const blockTokens = 16;
 /** Time without the first event after which an engine counts as silent, in milliseconds; with memory reserved, one takes a fifth of it. */
 const firstStallMs = 500;
+/** Time that a decode engine gets to read a prompt token by itself, in milliseconds; several times what an idle one needs. */
+const ownReadMsPerToken = 0.2;
 /** The same between events, in milliseconds; an engine that preempted the request reads it again in less. */
 const nextStallMs = 1500;
 /** Requests whose head arrives late may have been answered by the server in time. */
@@ -312,7 +314,7 @@
 		logger.log('info', 'request sent', {
 			requestId, attempt, server: server.key, prefillServer: prefilled?.server.key, after: this._events.lastId, elapsedMs: this._elapsedMs(),
 		});
-		this._watch(attempt, server, firstStallMs);
+		this._watch(attempt, server, firstStallMs + (prefilled ? 0 : (this._call.caller.prompt?.promptTokens ?? 0) * ownReadMsPerToken));
 		try {
 			const answer = await fleet.adapter(server).send(this._message(server, {
 				hold: held.hold, ...(prefilled && {prefill: {address: prefilled.server.record.address, handle: prefilled.handle}}),
