--- a/src/cli/exit-code.ts
+++ b/src/cli/exit-code.ts
@@ -1,4 +1,4 @@
-/** Exit codes of the command line, documented in docs/operations.md. */
+/** Exit codes of the command line, documented in docs/OPERATIONS.md. */
 export const exitCode = {
 	ok: 0,
 	/** The command was understood but failed, such as a conflict or a refusal. */
