--- a/src/node/forwarding/stage-host.ts
+++ b/src/node/forwarding/stage-host.ts
@@ -55,7 +55,7 @@
 
 	constructor(private readonly _options: StageHostOptions) {
 		this._timer = setInterval(() => {
-			void this._tick();
+			void this.tick();
 		}, tickMs);
 		this._timer.unref();
 	}
@@ -64,7 +64,8 @@
 		clearInterval(this._timer);
 	}
 
-	private async _tick(): Promise<void> {
+	/** Looks at the pools once; the host does so by itself again and again. */
+	async tick(): Promise<void> {
 		if (this._isBusy) {
 			return;
 		}
