--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -704,3 +704,27 @@
 	assert.equal(digests(cluster).size, 1);
 	assert.equal(cluster.members().filter(({role}) => role === 'voter').length, 5);
 });
+
+test('a new VM becomes a voter by itself where the cluster admits new VMs, and waits for an operator elsewhere', () => {
+	for (const admitsNewVms of [true, false]) {
+		const {cluster, leader} = electedCluster(3, {admitsNewVms});
+		commit(cluster, leader, 3);
+		cluster.restart('vm4');
+		cluster.run(5000);
+		const added = cluster.members().find(({vm}) => vm === 'vm4');
+		assert.equal(added?.role, admitsNewVms ? 'voter' : undefined);
+	}
+});
+
+test('VMs that learn the founders after their start form one cluster', () => {
+	const cluster = new TestCluster({size: 3, seed: 11, startsWithoutList: true});
+	cluster.run(2000);
+	assert.equal(cluster.members().length, 0);
+	for (const vm of cluster.vms) {
+		cluster.dispatch(vm, {type: 'consensus/peers', initialVms: cluster.vms, knownVms: cluster.vms});
+	}
+
+	const leader = cluster.elect();
+	commit(cluster, leader, 3);
+	assert.equal(cluster.members().filter(({role}) => role === 'voter').length, 3);
+});
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -41,6 +41,9 @@
 	readonly seed: number;
 	readonly faults?: NetworkFaults;
 	readonly limits?: Partial<ConsensusLimits>;
+	readonly admitsNewVms?: boolean;
+	/** Whether the VMs do not know each other at first. */
+	readonly startsWithoutList?: boolean;
 };
 
 type Task = {readonly atMs: number; readonly order: number; readonly run: () => void};
@@ -75,6 +78,7 @@
 	private readonly _random: SeededRandom;
 	private readonly _limits: Partial<ConsensusLimits>;
 	private readonly _initialVms: readonly VmId[];
+	private readonly _admitsNewVms: boolean;
 	private readonly _tasks: Task[] = [];
 	private _order = 0;
 	private _nextToken = 1;
@@ -89,12 +93,15 @@
 	private _highestAcknowledged = 0;
 	private readonly _readFloors = new Map<number, number>();
 
-	constructor({size, seed, faults, limits}: ClusterOptions) {
+	constructor({
+		size, seed, faults, limits, admitsNewVms = false, startsWithoutList = false,
+	}: ClusterOptions) {
 		this._random = new SeededRandom(seed);
 		this._limits = {...testLimits, ...limits};
 		this.faults = faults ?? perfectNetwork;
 		this.vms = Array.from({length: size}, (_, i) => `vm${i + 1}`);
-		this._initialVms = [...this.vms];
+		this._initialVms = startsWithoutList ? [] : [...this.vms];
+		this._admitsNewVms = admitsNewVms;
 		for (const vm of this.vms) {
 			this.restart(vm);
 		}
@@ -189,7 +196,7 @@
 			isRunning: true,
 			machine: blankMachine,
 			state: createConsensus({
-				vm, stored, initialVms: this._initialVms, seed: this._random.integer(0, 1_000_000_000), limits: this._limits,
+				vm, stored, initialVms: this._initialVms, admitsNewVms: this._admitsNewVms, seed: this._random.integer(0, 1_000_000_000), limits: this._limits,
 			}),
 		};
 		this.processes.set(vm, process);
