--- a/src/node/forwarding/forward-plain.ts
+++ b/src/node/forwarding/forward-plain.ts
@@ -185,9 +185,17 @@
 		}
 
 		const passed = this._services.protocol.callerHeaders(headers);
-		const hasLength = passed.some((name, i) => i % 2 === 0 && name === 'content-length');
-		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
-		exchange.writeHead(status, hasLength || isBodiless ? passed : [...passed, 'content-length', String(body.length)]);
+		if (isFramed(headers)) {
+			const hasLength = passed.some((name, i) => i % 2 === 0 && name === 'content-length');
+			const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
+			exchange.writeHead(status, hasLength || isBodiless ? passed : [...passed, 'content-length', String(body.length)]);
+		} else {
+			// Its end cannot be told from that of a server that died, so it is passed on as it came: up to the end of the connection.
+			exchange.res.useChunkedEncodingByDefault = false;
+			exchange.closeAfterAnswer();
+			exchange.writeHead(status, passed);
+		}
+
 		exchange.res.end(body);
 	}
 
@@ -196,3 +204,8 @@
 		return listedMs === undefined ? undefined : Math.round(this._services.clock.nowMs() - listedMs);
 	}
 }
+
+/** Whether an answer tells where its body ends; otherwise it ends with its connection. */
+function isFramed(headers: readonly string[]): boolean {
+	return headers.some((name, i) => i % 2 === 0 && (name === 'content-length' || name === 'transfer-encoding'));
+}
