--- a/src/node/forwarding/forward-call.ts
+++ b/src/node/forwarding/forward-call.ts
@@ -1,7 +1,7 @@
 import type {ForwardRoute, ForwardService} from '../../common/configuration/forwarding.js';
 import type {Clock} from '../../common/core/clock.js';
 import type {Logger} from '../../common/core/log.js';
-import type {OwnAnswer} from '../../common/forwarding/types.js';
+import type {OwnAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
@@ -39,6 +39,19 @@
 	readonly outcome: string;
 };
 
+/** Tells when a request must stop: because its time is over or because its caller is gone. */
+export function watchStops({exchange, deadlineMs}: ForwardCall, clock: Clock, onStop: (cause: StopCause) => void): void {
+	const timer = setTimeout(() => {
+		onStop('deadline');
+	}, Math.max(0, deadlineMs - clock.nowMs()));
+	exchange.res.once('close', () => {
+		clearTimeout(timer);
+	});
+	exchange.onStop(() => {
+		onStop('caller-gone');
+	});
+}
+
 /** Writes an answer of the system's own, unless an answer has begun. */
 export function sendOwnAnswer({exchange}: Pick<ForwardCall, 'exchange'>, protocol: FleetProtocol, {status, reason, retryAfterMs}: OwnAnswer): void {
 	const body = new TextEncoder().encode(JSON.stringify({status, detail: reason}));
--- a/src/node/forwarding/forward-plain.ts
+++ b/src/node/forwarding/forward-plain.ts
@@ -6,7 +6,7 @@
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import {readWhole} from './forward-adapter.js';
 import type {ForwardMethod, WholeAnswer} from './forward-adapter.js';
-import {sendOwnAnswer} from './forward-call.js';
+import {sendOwnAnswer, watchStops} from './forward-call.js';
 import type {ForwardCall, ForwardResult, ForwardServices} from './forward-call.js';
 
 /** Largest answer that is read to its end before it is passed on, in bytes. */
@@ -32,17 +32,10 @@
 
 	/** Resolves when the request has ended. */
 	async run(): Promise<ForwardResult> {
-		const {exchange, deadlineMs} = this._call;
 		await new Promise<void>(resolve => {
 			this._finish = resolve;
-			const timer = setTimeout(() => {
-				this._stop('deadline');
-			}, Math.max(0, deadlineMs - this._services.clock.nowMs()));
-			exchange.res.once('close', () => {
-				clearTimeout(timer);
-			});
-			exchange.onStop(() => {
-				this._stop('caller-gone');
+			watchStops(this._call, this._services.clock, cause => {
+				this._stop(cause);
 			});
 			this._dispatch({type: 'forward/start'});
 		});
@@ -115,7 +108,7 @@
 			fleet.countSend(service.name);
 		} else {
 			logger.log('info', 'request sent again', {
-				requestId, server: server.key, send: this._state.sends, failureShare: server.failureShare, listAgeMs: this._listAgeMs(),
+				requestId, server: server.key, send: this._state.sends, failureShare: server.failureShare, listAgeMs: fleet.listAgeMs(),
 			});
 		}
 
@@ -169,7 +162,7 @@
 		if (!isAborted) {
 			fleet.recordFailure(server, {isUnreachable: !mayHaveRun, detail});
 			logger.log('warn', 'server failed', {
-				requestId: this._call.requestId, server: server.key, mayHaveRun, detail, listAgeMs: this._listAgeMs(),
+				requestId: this._call.requestId, server: server.key, mayHaveRun, detail, listAgeMs: fleet.listAgeMs(),
 			});
 		}
 
@@ -198,11 +191,6 @@
 
 		exchange.res.end(body);
 	}
-
-	private _listAgeMs(): number | undefined {
-		const {listedMs} = this._services.fleet.directory;
-		return listedMs === undefined ? undefined : Math.round(this._services.clock.nowMs() - listedMs);
-	}
 }
 
 /** Whether an answer tells where its body ends; otherwise it ends with its connection. */
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -59,6 +59,12 @@
 		}
 	}
 
+	/** Age of the list in use, in milliseconds; undefined before the first one. */
+	listAgeMs(): number | undefined {
+		const {listedMs} = this.directory;
+		return listedMs === undefined ? undefined : Math.round(this._options.clock.nowMs() - listedMs);
+	}
+
 	adapter({key, record}: Server): ForwardAdapter {
 		let adapter = this._adapters.get(key);
 		if (!adapter) {
--- a/src/node/forwarding/stage-host.ts
+++ b/src/node/forwarding/stage-host.ts
@@ -159,7 +159,7 @@
 		const {status} = await adapter.call(call, callTimeoutMs);
 		metrics.count('stage_orders_total', {status: String(status)});
 		logger.log('info', 'engine ordered to decode', {
-			server: key, epoch, status, listAgeMs: Math.round(clock.nowMs() - (fleet.directory.listedMs ?? 0)),
+			server: key, epoch, status, listAgeMs: fleet.listAgeMs(),
 		});
 		if (status !== 200 && status !== 202) {
 			this._pausedUntilMs = clock.nowMs() + refusedPauseMs;
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -219,10 +219,10 @@
 	});
 }
 
-async function startEntry(platform: Platform): Promise<EntryParts> {
-	const {
-		settings, self, clock, logger, metrics, network, state, runtime, link, operator, membership, parts,
-	} = platform;
+/** The part of a process that follows the control VMs: view, allowances and claims. */
+function createControlClient({
+	runtime, state, network, clock, link, parts,
+}: Platform): ControlClient {
 	const client = parts.add(new ControlClient({
 		host: runtime, state: state.access, network, clock, link,
 	}));
@@ -232,6 +232,14 @@
 	runtime.on('notify', effect => {
 		client.access.notify(effect);
 	});
+	return client;
+}
+
+async function startEntry(platform: Platform): Promise<EntryParts> {
+	const {
+		settings, self, clock, logger, metrics, network, state, runtime, link, operator, membership, parts,
+	} = platform;
+	const client = createControlClient(platform);
 	const schedulerOptions = {
 		self, network, clock, logger, access: client.access, directory: membership, count: countOn(metrics),
 	};
@@ -423,15 +431,7 @@
 	const {
 		settings, self, clock, logger, metrics, network, state, runtime, link, operator, membership, parts,
 	} = platform;
-	const client = parts.add(new ControlClient({
-		host: runtime, state: state.access, network, clock, link,
-	}));
-	runtime.on('access/request', effect => {
-		client.access.request(effect);
-	});
-	runtime.on('notify', effect => {
-		client.access.notify(effect);
-	});
+	const client = createControlClient(platform);
 	const processes = () => Math.max(1, membership.entries.live.length);
 	const fleet = parts.add(new ServerFleet({
 		clock,
