--- a/src/common/forwarding/server-directory.test.ts
+++ b/src/common/forwarding/server-directory.test.ts
@@ -75,10 +75,6 @@
 	assert.notEqual(second, first);
 	directory.refusedReservation(second, 0);
 	assert.equal(directory.chooseDecode(ask()), first);
-	assert.equal(directory.isFull('desk', 0), false);
-	directory.refusedReservation(first, 0);
-	assert.equal(directory.isFull('desk', 0), true);
-	assert.equal(directory.isFull('desk', 1000), false);
 	assert.deepEqual(chosenIds(directory, ask(), 'choosePrefill'), ['p']);
 });
 
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -13,7 +13,7 @@
 const otherZoneMs = 1;
 /** Time for which an engine that refused a reservation is asked last, in milliseconds. */
 const fullMemoryMs = 100;
-/** Tokens of KV cache that weigh like one prefill in the order of decode engines. */
+/** Tokens by which an engine in another zone seems fuller; moves of KV cache between zones are slower and dearer. */
 const otherZoneTokens = 2000;
 
 export type Server = {
@@ -121,12 +121,6 @@
 		return best(candidates, rank);
 	}
 
-	/** Whether every ready decode engine refused a reservation a moment ago. */
-	isFull(service: string, nowMs: number): boolean {
-		const engines = this.ready(service, 'decode');
-		return engines.length > 0 && engines.every(({fullUntilMs}) => fullUntilMs > nowMs);
-	}
-
 	begin(server: Server, tokens = 0): void {
 		server.inFlight++;
 		server.tokens += tokens;
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -16,8 +16,8 @@
 const bodyMemoryBytes = 32 * 1024 * 1024;
 /** Longest wait for a part of the tenant's rate, in milliseconds; half the latency objective of a model request. */
 const allowanceWaitMs = 450;
-/** Advice to callers while no configuration is known, in milliseconds. */
-const unconfiguredRetryMs = 300;
+/** Advice to callers while the shared state is not known or cannot be confirmed, in milliseconds; an election takes about this long. */
+const unconfirmedRetryMs = 300;
 /** Advice to callers that are refused because the process stops; other processes take them at once, in milliseconds. */
 const stoppingRetryMs = 50;
 
@@ -102,7 +102,7 @@
 	private _admit(req: IncomingMessage, caller: CallerRequest) {
 		const table = this._table;
 		if (!table) {
-			throw new ForwardRefusal(503, 'no configuration is known', unconfiguredRetryMs);
+			throw new ForwardRefusal(503, 'no configuration is known', unconfirmedRetryMs);
 		}
 
 		const route = table.match(req.headers.host ?? '', req.url!);
@@ -144,7 +144,7 @@
 			requestId, tenant: tenant.name, cost, rate: limit.rate, burst: limit.burst, code: result.code, method: req.method,
 		});
 		const isUnreachable = result.code === 'control-unreachable';
-		throw new ForwardRefusal(isUnreachable ? 503 : 429, isUnreachable ? 'the tenant\'s rate cannot be confirmed' : 'the tenant has used up its rate', result.retryAfterMs ?? unconfiguredRetryMs);
+		throw new ForwardRefusal(isUnreachable ? 503 : 429, isUnreachable ? 'the tenant\'s rate cannot be confirmed' : 'the tenant has used up its rate', result.retryAfterMs ?? unconfirmedRetryMs);
 	}
 
 	private _settle(acquisition: Acquisition | undefined, mayHaveRun: boolean): void {
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -362,9 +362,9 @@
 		_platform.logger.log('info', 'started', {roles: _platform.settings.roles, incarnation: _platform.self.incarnation});
 	}
 
-	/** The settings were sent again; what may change while the process runs comes with the configuration. */
-	reload(): void {
-		this._platform.logger.log('info', 'settings read again');
+	/** Notes that the settings file changed. Nothing in it is used after the start: what changes while the process runs comes with the configuration. */
+	noteSettingsChange(): void {
+		this._platform.logger.log('info', 'settings changed, in use from the next start');
 	}
 
 	/** Ends at once; requests that run are interrupted. */
