--- a/src/node/forwarding/forward-call.ts
+++ b/src/node/forwarding/forward-call.ts
@@ -37,6 +37,10 @@
 	readonly mayHaveRun: boolean;
 	readonly sends: number;
 	readonly outcome: string;
+	/** Of a stream: from the request's arrival to the first event, in milliseconds. */
+	readonly firstEventMs?: number | undefined;
+	/** Of a stream: longest time between two of its events, in milliseconds. */
+	readonly longestGapMs?: number | undefined;
 };
 
 /** Tells when a request must stop: because its time is over or because its caller is gone. */
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -153,14 +153,14 @@
 		}
 	}
 
-	private _logEnd({exchange, requestId, route, tenant, service}: ForwardCall, {sends, outcome}: ForwardResult, version: number): void {
+	private _logEnd({exchange, requestId, route, tenant, service}: ForwardCall, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
 		const {logger, metrics, clock} = this._options;
 		const elapsedMs = Math.round(clock.nowMs() - exchange.startedAtMs);
 		const status = exchange.outcome?.status;
 		metrics.count('forward_requests_total', {route: route.name, status: String(status ?? 0)});
 		metrics.observe('forward_request_ms', elapsedMs, {route: route.name});
 		logger.log('info', 'request ended', {
-			requestId, route: route.name, service: service.name, tenant, version, status, outcome, sends, elapsedMs,
+			requestId, route: route.name, service: service.name, tenant, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
 		});
 	}
 }
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -48,6 +48,8 @@
 	private _outcome = 'unfinished';
 	private _sends = 0;
 	private _firstEventMs: number | undefined;
+	private _lastEventMs = 0;
+	private _longestGapMs: number | undefined;
 	private _timer: NodeJS.Timeout | undefined;
 	private _stallTimer: NodeJS.Timeout | undefined;
 	private _finish!: () => void;
@@ -76,7 +78,9 @@
 		});
 		clearTimeout(this._timer);
 		clearTimeout(this._stallTimer);
-		return {mayHaveRun: this._sends > 0, sends: this._sends, outcome: this._outcome};
+		return {
+			mayHaveRun: this._sends > 0, sends: this._sends, outcome: this._outcome, firstEventMs: this._firstEventMs, longestGapMs: this._longestGapMs,
+		};
 	}
 
 	private _stop(cause: StopCause): void {
@@ -357,7 +361,7 @@
 	/** Passes the answer on, event by event, so that a stream that breaks off can go on behind its last whole event. */
 	private async _relay(attempt: number): Promise<void> {
 		const {exchange, requestId} = this._call;
-		const {protocol, logger, metrics} = this._services;
+		const {protocol, logger} = this._services;
 		const answer = this._answer!;
 		const {server} = this._held!;
 		let rest: Uint8Array = new Uint8Array();
@@ -384,11 +388,7 @@
 				rest = joined.subarray(end);
 				if (end > 0) {
 					this._watch(attempt, server, nextStallMs);
-					if (this._firstEventMs === undefined) {
-						this._firstEventMs = this._elapsedMs();
-						metrics.observe('forward_first_event_ms', this._firstEventMs, {route: this._call.route.name});
-					}
-
+					this._noteEvent();
 					await exchange.write(joined.subarray(0, end));
 				}
 			}
@@ -418,6 +418,18 @@
 		this._dispatch({type: 'forward/completed', attempt});
 	}
 
+	private _noteEvent(): void {
+		const nowMs = this._elapsedMs();
+		if (this._firstEventMs === undefined) {
+			this._firstEventMs = nowMs;
+			this._services.metrics.observe('forward_first_event_ms', nowMs, {route: this._call.route.name});
+		} else {
+			this._longestGapMs = Math.max(this._longestGapMs ?? 0, nowMs - this._lastEventMs);
+		}
+
+		this._lastEventMs = nowMs;
+	}
+
 	/** Reports the engine as silent unless the watch is renewed in time. */
 	private _watch(attempt: number, server: Server, stallMs: number): void {
 		clearTimeout(this._stallTimer);
