--- a/src/node/transport/tcp-peer-network.test.ts
+++ b/src/node/transport/tcp-peer-network.test.ts
@@ -91,6 +91,34 @@
 	assert.equal(ups, 0);
 });
 
+test('guards against messages that wait a second behind a connection attempt that gets no answer', async t => {
+	const {network: target} = await startNetwork(t, 'a');
+	const {network: source} = await startNetwork(t, 'b');
+	const sockets: Socket[] = [];
+	const attemptsMs: number[] = [];
+	// Keeps the first connection open without a word, as a machine that is starting does with a lost SYN.
+	const forwarder = createServer(inbound => {
+		attemptsMs.push(performance.now());
+		sockets.push(inbound);
+		if (attemptsMs.length > 1) {
+			const outbound = connect(Number(target.address.split(':')[1]), '127.0.0.1');
+			inbound.pipe(outbound).pipe(inbound);
+			sockets.push(outbound);
+		}
+	});
+	forwarder.listen(0, '127.0.0.1');
+	await once(forwarder, 'listening');
+	t.after(() => {
+		forwarder.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	source.setAddress('a', `127.0.0.1:${(forwarder.address() as AddressInfo).port}`);
+	assert.deepEqual(await requestUntilAnswered(source), {from: 'b', text: 'after'});
+	assert.ok(attemptsMs[1]! - attemptsMs[0]! < 700, `the second attempt came ${attemptsMs[1]! - attemptsMs[0]!} ms after the first`);
+});
+
 test('a peer that goes silent is replaced on a new connection, and the request that was lost is rejected', async t => {
 	const {network: target} = await startNetwork(t, 'a');
 	const {network: source} = await startNetwork(t, 'b');
--- a/src/node/transport/tcp-peer-network.ts
+++ b/src/node/transport/tcp-peer-network.ts
@@ -13,8 +13,11 @@
 
 /** Messages that wait for one connection to open. */
 const maxPendingEnvelopes = 256;
-/** Bound on connecting and the handshake, in milliseconds. */
-const connectTimeoutMs = 1000;
+/**
+Bound on connecting and the handshake, in milliseconds; three round trips between regions. A SYN that a starting machine
+lost is repeated by the system's TCP only after a second.
+*/
+const connectTimeoutMs = 300;
 /** Pause after a failed connection attempt, in milliseconds. */
 const redialPauseMs = 100;
 
