Shorten a new leader's pause by the election's silence; let small requests pass prompts in a tenant's rate

Cause 1: after a lost leader no tenant's rate is confirmed for election plus 1.1 s, the validity of the former leader's grants. A grant needs a quorum that hears the leader, and a voter elects another one only after 0.3 s without it, so that those 0.3 s (0.27 s for clocks) need not be waited again. A leader that steps down now counts as having heard a leader until then. Tests: owner.test.ts (two), consensus.test.ts; the last fails without its line, the others need the new parameters.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -232,6 +232,18 @@
 	assert.equal(digests(cluster).size, 1);
 });
 
+test('guards against a deposed leader that elects another at once: what it confirmed last may still be in use', () => {
+	const {cluster, leader} = electedCluster();
+	cluster.disks.get(leader)!.latencyMs = 6000;
+	cluster.propose(leader);
+	const state = cluster.state(leader);
+	while (state.role === 'leader') {
+		cluster.run(10);
+	}
+
+	assert.equal(cluster.nowMs - state.leaderContactMs < state.timings.electionMinMs, true);
+});
+
 test('a member whose disk hangs neither acknowledges, votes nor campaigns', () => {
 	const {cluster, leader, others: [follower]} = electedCluster();
 	cluster.disks.get(follower!)!.latencyMs = 20_000;
--- a/src/common/consensus/election.ts
+++ b/src/common/consensus/election.ts
@@ -50,6 +50,8 @@
 	state.proposalBytes = 0;
 	stopProgress(state);
 	failReads(context, leader);
+	// Its reads may have been confirmed until now, so it counts as having heard a leader until now.
+	state.leaderContactMs = context.nowMs;
 	resetElectionTimer(context);
 }
 
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -36,6 +36,8 @@
 const pendingTtlMs = 10_000;
 /** Time between two clean-ups of buckets and sessions. */
 const trimIntervalMs = 5000;
+/** Part of a time measured by another VM that certainly passed here; clocks differ in rate by far less. */
+const clockTolerance = 0.9;
 const clockToken: ReplyToken = 0;
 
 type ConsensusInput = WithoutTime<Extract<ConsensusEvent, {type: 'consensus/propose' | 'consensus/read' | 'consensus/snapshot-taken'}>>;
@@ -45,6 +47,8 @@
 	readonly decode: (bytes: Uint8Array) => SharedConfiguration;
 	/** The same on every control VM. */
 	readonly limits?: ControlLimits;
+	/** Least time for which voters have not heard a leader when they elect another one, in milliseconds; 0 if absent. */
+	readonly electionSilenceMs?: number;
 };
 
 type Session = {
@@ -392,7 +396,8 @@
 	if (role === 'leader') {
 		if (!wasLeading) {
 			// What the predecessor granted is unknown, so its buckets and sessions are not taken over.
-			state.owner = new AllowanceOwner(term, nowMs);
+			// A grant needs a quorum that hears the leader, and one of it took part in the election.
+			state.owner = new AllowanceOwner(term, nowMs, (state.options.electionSilenceMs ?? 0) * clockTolerance);
 			state.sessions.clear();
 			state.clockMs = nowMs;
 			setLimits(state, nowMs);
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -5,7 +5,7 @@
 import {syncListLimit} from '../control/messages.js';
 import type {ReplyToken} from '../core/types.js';
 import type {AllowanceResult} from '../services/access-service.js';
-import {grantValidityMs, ownerValidityMs} from './types.js';
+import {grantValidityMs, ownerValidityMs, passingFactor} from './types.js';
 import type {TenantLimit} from './types.js';
 
 /** A grant with less validity left is given back at a sync, since it would expire before the next one. */
@@ -16,8 +16,6 @@
 const waiterLimit = 1000;
 /** Requests whose settlement is awaited, over all tenants; later ones get no refund. */
 const acquisitionLimit = 20_000;
-/** A request passes waiting ones that need this many times its tokens: a lookup of one token must not wait behind a prompt of thousands. */
-const passingFactor = 50;
 /** A request without a settlement for this long is taken for lost. */
 const acquisitionTtlMs = 600_000;
 /** Time for which the owner's answer that a bucket is short serves for later requests too. */
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -156,6 +156,24 @@
 	assert.deepEqual(answers, [{token: 1, result: {ok: false, code: 'control-unreachable', retryAfterMs: ownerValidityMs}}]);
 });
 
+test('guards against a leader that grants while a grant of its predecessor may be spent, or pauses longer than that', () => {
+	const silenceMs = 300;
+	const owner = new AllowanceOwner(2, 0, silenceMs);
+	owner.setLimits([['acme', {rate: 1000, burst: 1000}]], 0);
+	const pauseMs = ownerValidityMs - silenceMs;
+	assert.equal(totalOf(ask(owner, 'a', pauseMs - 1, {wanted: want(100)})), 0);
+	assert.equal(totalOf(ask(owner, 'a', pauseMs, {wanted: want(100)})), 100);
+});
+
+test('guards against a lookup that waits for tokens kept aside for a prompt of thousands elsewhere', () => {
+	const owner = makeOwner(1000, 6000);
+	const waiting = (tokens: number) => ({wanted: [{tenant: 'acme', tokens, atLeast: tokens}]});
+	assert.equal(totalOf(ask(owner, 'a', ownerValidityMs, waiting(5000))), 0);
+	assert.equal(totalOf(ask(owner, 'b', ownerValidityMs, waiting(400))), 400);
+	// A request of more than a tenth has its turn after the one that waits.
+	assert.equal(totalOf(ask(owner, 'b', ownerValidityMs, waiting(600))), 0);
+});
+
 test('guards against one holder that gets in advance what another wants as well', () => {
 	const owner = makeOwner(1, 1000);
 	owner.allot({vm: 'a', incarnation: 1}, emptyReport, 0);
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -8,7 +8,7 @@
 } from '../control/messages.js';
 import type {VmId, VmIdentity} from '../core/types.js';
 import {HeadroomHistory} from './headroom.js';
-import {ownerValidityMs, waitingValidityMs} from './types.js';
+import {ownerValidityMs, passingFactor, waitingValidityMs} from './types.js';
 import type {OwnedGrant, TenantLimit} from './types.js';
 
 /** Grant ids of one term; ids of later terms are higher, so a report never meets another leader's grant. */
@@ -64,8 +64,11 @@
 	private _expiring: OwnedGrant[] = [];
 	private _nextGrant = 1;
 
-	/** @param startMs - when this term's leadership began */
-	constructor(readonly term: number, private readonly _startMs: number) {}
+	/**
+	@param startMs - when this term's leadership began
+	@param silenceMs - for how long before that the former leader cannot have granted anything
+	*/
+	constructor(readonly term: number, private readonly _startMs: number, private readonly _silenceMs = 0) {}
 
 	get bucketCount(): number {
 		return this._buckets.size;
@@ -105,7 +108,7 @@
 		this._takeReport(holder, report, nowMs);
 		const grants: Grant[] = [];
 		const shortages: Shortage[] = [];
-		const startsInMs = this._startMs + ownerValidityMs - nowMs;
+		const startsInMs = this._startMs + ownerValidityMs - this._silenceMs - nowMs;
 		for (const want of report.wanted) {
 			const bucket = this._bucket(want.tenant, nowMs);
 			if (!bucket) {
@@ -296,14 +299,14 @@
 		claimant.tag = claimant.waiting > 0 ? claimant.tag : Math.max(bucket.virtualTokens, claimant.finish);
 		claimant.wanted = tokens;
 		claimant.untilMs = nowMs + waitingValidityMs;
-		if (bucket.level - keptAside(bucket, vm, claimant.tag) < atLeast) {
+		if (bucket.level - keptAside(bucket, {vm, tag: claimant.tag, atLeast}) < atLeast) {
 			// Tokens are kept aside for it, or small requests elsewhere would always overtake a large one.
 			claimant.waiting = atLeast;
 			return 0;
 		}
 
 		claimant.waiting = 0;
-		const spare = Math.max(0, bucket.level - atLeast - keptAside(bucket, vm, Number.POSITIVE_INFINITY));
+		const spare = Math.max(0, bucket.level - atLeast - keptAside(bucket, {vm, tag: Number.POSITIVE_INFINITY, atLeast: Number.POSITIVE_INFINITY}));
 		const portion = Math.floor(Math.max(atLeast, Math.min(tokens, atLeast + fairPart(bucket.claimants, spare))));
 		bucket.virtualTokens = Math.max(bucket.virtualTokens, claimant.tag);
 		claimant.finish = claimant.tag + portion;
@@ -312,7 +315,7 @@
 
 	private _timeToCover(bucket: Bucket, vm: VmId, tokens: number): number {
 		const tag = bucket.claimants.get(vm)?.tag ?? bucket.virtualTokens;
-		const missing = keptAside(bucket, vm, tag) + tokens - bucket.level;
+		const missing = keptAside(bucket, {vm, tag, atLeast: tokens}) + tokens - bucket.level;
 		const refillMs = Math.max(0, missing / bucket.limit.rate * 1000);
 		// Other holders may give back what they hold in advance, so the request need not be refused yet.
 		return missing <= bucket.returnable ? Math.min(refillMs, returnPollMs) : refillMs;
@@ -374,11 +377,14 @@
 	}
 }
 
-/** What holders wait for that have had less than this one. */
-function keptAside(bucket: Bucket, vm: VmId, tag: number): number {
+type Claim = {readonly vm: VmId; readonly tag: number; readonly atLeast: number};
+
+/** What holders wait for that have had less than this one, but for requests so large that this one's may pass them. */
+function keptAside(bucket: Bucket, {vm, tag, atLeast}: Claim): number {
+	const passedTokens = atLeast > 0 ? atLeast * passingFactor : Number.POSITIVE_INFINITY;
 	let total = 0;
 	for (const [other, claimant] of bucket.claimants) {
-		if (other !== vm && claimant.tag < tag) {
+		if (other !== vm && claimant.tag < tag && claimant.waiting < passedTokens) {
 			total += claimant.waiting;
 		}
 	}
--- a/src/common/limits/simulation.ts
+++ b/src/common/limits/simulation.ts
@@ -45,6 +45,8 @@
 
 const controlCount = 3;
 const tickMs = 20;
+/** Least time between the loss of a leader and the election of the next one, in milliseconds. */
+const shortestElectionMs = 200;
 
 /** No faults. */
 export const noFaults: SimulationFaults = {
@@ -71,7 +73,7 @@
 		this._random = new SeededRandom(_options.seed);
 		const configuration = {tenants: {acme: {..._options.limit, weight: 1}}} as unknown as SharedConfiguration;
 		for (let i = 0; i < controlCount; i++) {
-			this._controls.push(createControl({decode: () => configuration}));
+			this._controls.push(createControl({decode: () => configuration, electionSilenceMs: shortestElectionMs}));
 			this._deliver(i, {
 				type: 'consensus/committed', index: 1, token: undefined, command: {
 					type: 'config.apply', changeId: 'c', expectedVersion: 0, sourceDigest: '', source: new Uint8Array(), configuration: new Uint8Array(),
@@ -190,7 +192,7 @@
 		}
 
 		this._leader = -1;
-		this.after(200 + (this._random.next() * 1500), () => {
+		this.after(shortestElectionMs + (this._random.next() * 1500), () => {
 			this._elect((former + 1 + this._random.integer(0, 2)) % controlCount);
 		});
 	}
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -15,6 +15,9 @@
 /** Longest time for which tokens are kept aside for a holder that did not come back for them. */
 export const waitingValidityMs = 1000;
 
+/** A request passes waiting ones that need this many times its tokens: a lookup of 200 tokens must not wait behind a prompt of thousands. */
+export const passingFactor = 10;
+
 /** A grant as its owner knows it. */
 export type OwnedGrant = {
 	readonly id: number;
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -203,7 +203,7 @@
 	const consensus = createConsensus({
 		vm: settings.vm, stored: await storage.load(), initialVms, admitsNewVms, timings, seed: Date.now() + process.pid,
 	});
-	return {consensus, control: createControl({decode: decodeConfiguration}), memberChanges: new Set()};
+	return {consensus, control: createControl({decode: decodeConfiguration, electionSilenceMs: consensus.timings.electionMinMs}), memberChanges: new Set()};
 }
 
 function registerCoreEffects(runtime: Runtime<ProcessEvent, ProcessEffect>, network: LoopbackNetwork, logger: JsonLogger, metrics: PromMetrics): void {
