Order decode engines back to prefill where a pool has lost its prefill engines; announce engines that change

An engine that carries out an order for 11 s still grants reservations, looks empty and turns 61 requests away after their prompts were read. Now the order is announced to all processes before it is sent, and the engine gets no work until the list shows its new stage.

--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -25,6 +25,8 @@
 	tokens: number;
 	/** It turned work away, and is not expected to take any before this time. */
 	fullUntilMs: number;
+	/** An order to change its stage makes it turn work away until then, or until the list shows another stage. */
+	suspendedUntilMs: number;
 	latencyMs: number;
 	failureShare: number;
 	readonly ejection: OutlierEjection;
@@ -75,6 +77,7 @@
 			}
 
 			if (known) {
+				known.suspendedUntilMs = known.record.stage === record.stage ? known.suspendedUntilMs : 0;
 				known.record = record;
 			}
 		}
@@ -136,6 +139,11 @@
 		server.fullUntilMs = nowMs + fullMemoryMs;
 	}
 
+	/** The engine carries out an order until then; a time that has passed takes it back. */
+	suspend(server: Server, untilMs: number): void {
+		server.suspendedUntilMs = untilMs;
+	}
+
 	/** Counts an answer. */
 	recordAnswer(server: Server, isSuccess: boolean, latencyMs: number): void {
 		server.ejection.recordSuccess();
@@ -151,8 +159,8 @@
 	}
 
 	/** Ejected servers are used only when every server is ejected: then the fault may lie with this process. */
-	private _candidates({service, stage, exclude, maxInFlight}: ServerQuestion): Server[] {
-		const ready = this.ready(service, stage);
+	private _candidates({service, stage, exclude, maxInFlight, nowMs}: ServerQuestion): Server[] {
+		const ready = this.ready(service, stage).filter(({suspendedUntilMs}) => suspendedUntilMs <= nowMs);
 		const healthy = ready.filter(({ejection}) => !ejection.isEjected);
 		return (healthy.length > 0 ? healthy : ready).filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
 	}
@@ -166,7 +174,7 @@
 
 function createServer(key: ServerKey, record: ServerRecord): Server {
 	return {
-		key, record, inFlight: 0, tokens: 0, fullUntilMs: 0, latencyMs: initialLatencyMs, failureShare: 0, ejection: new OutlierEjection(),
+		key, record, inFlight: 0, tokens: 0, fullUntilMs: 0, suspendedUntilMs: 0, latencyMs: initialLatencyMs, failureShare: 0, ejection: new OutlierEjection(),
 	};
 }
 
--- a/src/common/forwarding/stage-plan.ts
+++ b/src/common/forwarding/stage-plan.ts
@@ -1,4 +1,4 @@
-import type {ServerKey, ServerRecord} from './types.js';
+import type {EngineStage, ServerKey, ServerRecord} from './types.js';
 import {serverKey} from './types.js';
 
 /**
@@ -6,26 +6,44 @@
 decode engine that holds about 12 of them for about 3.5 s, a third of a second each; more decode engines take longer bursts.
 */
 const prefillShare = 0.25;
-/** Prefill engines that a pool keeps, so that the loss of one leaves another. */
+/** Prefill engines above which a pool has a surplus, so that the loss of one leaves another. */
 const minPrefillEngines = 2;
 
 export type StageQuestion = {
 	/** All servers of the service. */
 	readonly servers: readonly ServerRecord[];
-	/** Engines that were ordered to change and have not shown it yet. */
-	readonly ordered: ReadonlySet<ServerKey>;
+	/** Engines that were ordered to change and have not shown it yet, with the stage that they are to have. */
+	readonly ordered: ReadonlyMap<ServerKey, EngineStage>;
 };
 
-/** A prefill engine that serves its pool better as a decode engine; undefined when the pool is balanced. */
-export function chooseSurplusPrefill({servers, ordered}: StageQuestion): ServerRecord | undefined {
+export type StageChange = {readonly record: ServerRecord; readonly stage: EngineStage};
+
+/** The engine that serves its pool better in the other stage; undefined when the pool is balanced. */
+export function chooseStageChange({servers, ordered}: StageQuestion): StageChange | undefined {
 	const engines = servers.filter(({state, stage}) => state === 'ready' && stage !== undefined);
-	const prefill = engines.filter(record => record.stage === 'prefill' && !ordered.has(serverKey(record)));
-	const wanted = Math.max(minPrefillEngines, Math.ceil(engines.length * prefillShare));
-	if (prefill.length <= wanted) {
-		return undefined;
+	const inStage = (stage: EngineStage) => engines.filter(record => (ordered.get(serverKey(record)) ?? record.stage) === stage);
+	const prefill = inStage('prefill');
+	const decode = inStage('decode');
+	if (prefill.length > Math.max(minPrefillEngines, Math.ceil(engines.length * prefillShare))) {
+		// The zone that keeps the most gives one, so that each zone keeps one near its decode engines.
+		return change(prefill, ordered, 'decode', zone => -countIn(prefill, zone));
+	}
+
+	// Servers that leave or are lost may take the prefill engines with them.
+	if (decode.length > 1 && prefill.length < Math.max(1, Math.round(engines.length * prefillShare))) {
+		return change(decode, ordered, 'prefill', zone => (countIn(prefill, zone) * engines.length) - countIn(decode, zone));
 	}
 
-	// The prefill engine is taken from the zone that keeps the most, so that each zone keeps one near its decode engines.
-	const inZone = (zone: string) => prefill.filter(record => record.zone === zone).length;
-	return [...prefill].sort((a, b) => inZone(b.zone) - inZone(a.zone) || (serverKey(a) < serverKey(b) ? -1 : 1))[0];
+	return undefined;
+}
+
+function countIn(engines: readonly ServerRecord[], zone: string): number {
+	return engines.filter(record => record.zone === zone).length;
+}
+
+/** The engine of the zone with the lowest rank that is not carrying out an order. */
+function change(engines: readonly ServerRecord[], ordered: StageQuestion['ordered'], stage: EngineStage, rank: (zone: string) => number): StageChange | undefined {
+	const [record] = engines.filter(engine => !ordered.has(serverKey(engine)))
+		.sort((a, b) => rank(a.zone) - rank(b.zone) || (serverKey(a) < serverKey(b) ? -1 : 1));
+	return record && {record, stage};
 }
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -13,6 +13,9 @@
 /** Tells that a server cannot be reached from the sender. */
 export const unreachableSchema = z.strictObject({type: z.literal('forwarding/unreachable'), server: z.string().max(300)});
 
+/** Tells that an engine carries out an order and turns work away for so long, in milliseconds; 0 takes that back. */
+export const engineOrderedSchema = z.strictObject({type: z.literal('forwarding/engine-ordered'), server: z.string().max(300), forMs: z.number().min(0).max(60_000)});
+
 export type ServerFleetOptions = {
 	readonly clock: Clock;
 	readonly logger: Logger;
@@ -117,6 +120,15 @@
 		}
 	}
 
+	/** Another process ordered an engine to change its stage. */
+	noteOrder(key: ServerKey, forMs: number, announcedBy: string): void {
+		const server = this.directory.get(key);
+		if (server) {
+			this.directory.suspend(server, this._options.clock.nowMs() + forMs);
+			this._options.logger.log('info', 'engine carries out an order', {server: key, forMs, announcedBy});
+		}
+	}
+
 	dispose(): void {
 		this._isDisposed = true;
 		for (const adapter of this._adapters.values()) {
--- a/src/node/forwarding/stage-host.test.ts
+++ b/src/node/forwarding/stage-host.test.ts
@@ -35,24 +35,26 @@
 	}
 }
 
-/** A host whose ticks the test takes, before a pool with one prefill engine too many. */
-async function build(t: TestContext, {epoch, isLeader = true}: {epoch: number; isLeader?: boolean}) {
+/** A host whose ticks the test takes, before a pool with one prefill engine too many unless the test names others. */
+async function build(t: TestContext, {epoch, isLeader = true, ids = ['p1', 'p2', 'p3', 'd1', 'd2', 'd3']}: {epoch: number; isLeader?: boolean; ids?: readonly string[]}) {
 	const orders: Array<{readonly body: unknown; readonly expectedServer: unknown}> = [];
 	const server = await TestServer.start((req, res, body) => {
 		if (req.url === '/v1/report') {
-			res.end(JSON.stringify({stage: 'prefill', busy: false, seq: 4}));
+			const isPrefill = (req.headers['expect-instance'] as string).startsWith('p');
+			res.end(JSON.stringify({stage: isPrefill ? 'prefill' : 'decode', busy: false, seq: 4}));
 			return;
 		}
 
 		orders.push({body: JSON.parse(body), expectedServer: req.headers['expect-instance']});
 		res.writeHead(202).end();
 	});
+	const announced: Array<readonly [id: string, isOrdered: boolean, ordersBefore: number]> = [];
 	const clock = new ManualClock();
 	const logger = new NullLogger();
 	const fleet = new ServerFleet({
 		clock, logger, seed: 1, retries: {ratio: 0.2, windowMs: 10_000, slack: 10}, processes: () => 1, announceUnreachable: () => undefined,
 	});
-	const records: ServerRecord[] = ['p1', 'p2', 'p3', 'd1', 'd2', 'd3'].map(id => buildServer({
+	const records: ServerRecord[] = ids.map(id => buildServer({
 		id, address: server.address, stage: id.startsWith('p') ? 'prefill' : 'decode',
 	}));
 	const host = new StageHost({
@@ -65,6 +67,9 @@
 		isLeader: () => isLeader,
 		holder: 'vm-1',
 		services: () => ['desk'],
+		announceOrder(key, forMs) {
+			announced.push([key.split(' ')[2]!, forMs > 0, orders.length]);
+		},
 		turnMs,
 	});
 	t.after(() => {
@@ -78,7 +83,12 @@
 		await host.tick();
 	};
 
-	return {step, orders};
+	const chooseDecode = () => fleet.directory.chooseDecode({
+		service: 'desk', zone: 'z1', exclude: new Set(), maxInFlight: 10, nowMs: clock.nowMs(),
+	})?.record.id;
+	return {
+		step, orders, announced, chooseDecode,
+	};
 }
 
 test('a surplus prefill engine is ordered to decode once, under the fencing number and for the state that was read', async t => {
@@ -96,6 +106,22 @@
 	assert.equal(orders.length, 1);
 });
 
+test('a decode engine is ordered to prefill when the pool has lost the engines that did', async t => {
+	const {step, orders} = await build(t, {epoch: 1, ids: ['p1', 'd1', 'd2', 'd3', 'd4', 'd5']});
+	await step(0);
+	await step(settledMs);
+	await step(settledMs);
+	assert.deepEqual(orders.map(({body, expectedServer}) => [(body as {stage: string}).stage, expectedServer]), [['prefill', 'd1']]);
+});
+
+test('guards against work for an engine that will turn it away: an order is announced before it is sent, and keeps the engine out', async t => {
+	const {step, announced, chooseDecode} = await build(t, {epoch: 1, ids: ['d1', 'd2']});
+	await step(0);
+	await step(settledMs);
+	assert.deepEqual(announced, [['d1', true, 0]]);
+	assert.deepEqual([...new Set(Array.from({length: 30}, () => chooseDecode()))], ['d2']);
+});
+
 test('guards against two holders whose orders lie too close together: a later holder waits before its first one', async t => {
 	const {step, orders} = await build(t, {epoch: 2});
 	await step(0);
--- a/src/node/forwarding/stage-host.ts
+++ b/src/node/forwarding/stage-host.ts
@@ -1,9 +1,11 @@
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
-import {chooseSurplusPrefill} from '../../common/forwarding/stage-plan.js';
+import {chooseStageChange} from '../../common/forwarding/stage-plan.js';
+import type {StageChange} from '../../common/forwarding/stage-plan.js';
 import {serverKey} from '../../common/forwarding/types.js';
-import type {ServerKey, ServerRecord} from '../../common/forwarding/types.js';
+import type {Server} from '../../common/forwarding/server-directory.js';
+import type {EngineStage, ServerKey} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {LeaseHolder} from '../scheduler/lease-holder.js';
 import type {FleetProtocol} from './fleet-protocol.js';
@@ -11,7 +13,7 @@
 
 /** Time between two looks at the pools, in milliseconds. */
 const tickMs = 300;
-/** A surplus must have lasted this long, in milliseconds; lists grow step by step while servers start. */
+/** A pool must have been out of balance this long, in milliseconds; lists grow step by step while servers start. */
 const settleMs = 1500;
 /** The list must be at most this old, in milliseconds. */
 const listValidityMs = 3000;
@@ -39,15 +41,17 @@
 	readonly holder: string;
 	/** Services whose engines are balanced. */
 	readonly services: () => readonly string[];
+	/** Tells the other processes that an engine turns work away for so long, or takes that back with 0. */
+	readonly announceOrder: (key: ServerKey, forMs: number) => void;
 	/** Time for which orders of two holders must lie apart, in milliseconds. */
 	readonly turnMs: number;
 };
 
-/** Orders surplus prefill engines to decode, as the only holder of the lease on orders. */
+/** Keeps the stages of engine pools in balance, as the only holder of the lease on orders. */
 export class StageHost implements Disposable {
 	private readonly _timer: NodeJS.Timeout;
-	private readonly _orderedUntilMs = new Map<ServerKey, number>();
-	private _surplusSinceMs: number | undefined;
+	private readonly _ordered = new Map<ServerKey, {readonly stage: EngineStage; readonly untilMs: number}>();
+	private _unbalancedSinceMs: number | undefined;
 	private _epoch: number | undefined;
 	private _heldSinceMs = 0;
 	private _pausedUntilMs = 0;
@@ -83,9 +87,9 @@
 	private async _balance(): Promise<void> {
 		const {clock, lease, isLeader, turnMs} = this._options;
 		const nowMs = clock.nowMs();
-		const surplus = this._surplus(nowMs);
-		if (!surplus) {
-			this._surplusSinceMs = undefined;
+		const change = this._change(nowMs);
+		if (!change) {
+			this._unbalancedSinceMs = undefined;
 			if (this._epoch !== undefined) {
 				this._epoch = undefined;
 				await lease.release();
@@ -94,8 +98,8 @@
 			return;
 		}
 
-		this._surplusSinceMs ??= nowMs;
-		if (nowMs - this._surplusSinceMs < settleMs) {
+		this._unbalancedSinceMs ??= nowMs;
+		if (nowMs - this._unbalancedSinceMs < settleMs) {
 			return;
 		}
 
@@ -108,34 +112,34 @@
 
 		const waitMs = epoch === firstEpoch ? 0 : turnMs + turnSlackMs;
 		if (epoch !== undefined && clock.nowMs() - this._heldSinceMs >= waitMs && nowMs >= this._pausedUntilMs) {
-			await this._order(surplus, epoch);
+			await this._order(change, epoch);
 		}
 	}
 
-	private _surplus(nowMs: number): ServerRecord | undefined {
+	private _change(nowMs: number): StageChange | undefined {
 		const {fleet: {directory}, services} = this._options;
 		if (directory.listedMs === undefined || nowMs - directory.listedMs > listValidityMs) {
 			return undefined;
 		}
 
-		for (const [key, untilMs] of this._orderedUntilMs) {
-			if (nowMs >= untilMs || directory.get(key)?.record.stage !== 'prefill') {
-				this._orderedUntilMs.delete(key);
+		for (const [key, {stage, untilMs}] of this._ordered) {
+			if (nowMs >= untilMs || [undefined, stage].includes(directory.get(key)?.record.stage)) {
+				this._ordered.delete(key);
 			}
 		}
 
-		const ordered = new Set(this._orderedUntilMs.keys());
+		const ordered = new Map([...this._ordered].map(([key, {stage}]) => [key, stage]));
 		for (const service of services()) {
-			const surplus = chooseSurplusPrefill({servers: directory.ready(service).map(({record}) => record), ordered});
-			if (surplus) {
-				return surplus;
+			const change = chooseStageChange({servers: directory.ready(service).map(({record}) => record), ordered});
+			if (change) {
+				return change;
 			}
 		}
 
 		return undefined;
 	}
 
-	private async _order(record: ServerRecord, epoch: number): Promise<void> {
+	private async _order({record, stage}: StageChange, epoch: number): Promise<void> {
 		const {fleet, protocol, clock, logger, metrics, holder} = this._options;
 		const key = serverKey(record);
 		const server = fleet.directory.get(key);
@@ -146,23 +150,32 @@
 		const adapter = fleet.adapter(server);
 		const before = await adapter.call(protocol.reportCall(record.id), callTimeoutMs);
 		const report = before.status === 200 ? protocol.readReport(before.text) : undefined;
-		if (!report || report.isBusy || report.stage !== 'prefill' || this._options.lease.epoch !== epoch) {
+		if (!report || report.isBusy || report.stage === stage || this._options.lease.epoch !== epoch) {
 			this._pausedUntilMs = clock.nowMs() + refusedPauseMs;
 			return;
 		}
 
 		// Even without an answer the order may be carried out.
-		this._orderedUntilMs.set(key, clock.nowMs() + orderValidityMs);
+		this._ordered.set(key, {stage, untilMs: clock.nowMs() + orderValidityMs});
+		this._suspend(server, orderValidityMs);
 		const call = protocol.stageOrderCall({
-			serverId: record.id, stage: 'decode', holder, epoch, expectedOrders: report.orders,
+			serverId: record.id, stage, holder, epoch, expectedOrders: report.orders,
 		});
 		const {status} = await adapter.call(call, callTimeoutMs);
 		metrics.count('stage_orders_total', {status: String(status)});
-		logger.log('info', 'engine ordered to decode', {
-			server: key, epoch, status, listAgeMs: fleet.listAgeMs(),
+		logger.log('info', 'engine ordered to change its stage', {
+			server: key, stage, epoch, status, listAgeMs: fleet.listAgeMs(),
 		});
 		if (status !== 200 && status !== 202) {
 			this._pausedUntilMs = clock.nowMs() + refusedPauseMs;
+			this._suspend(server, 0);
 		}
 	}
+
+	/** Reservations that the engine still grants would end in requests that it turns away. */
+	private _suspend(server: Server, forMs: number): void {
+		const {fleet, clock, announceOrder} = this._options;
+		fleet.directory.suspend(server, clock.nowMs() + forMs);
+		announceOrder(server.key, forMs);
+	}
 }
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -7,7 +7,9 @@
 import {ordersLease} from '../common/control/apply.js';
 import {createControl} from '../common/control/control.js';
 import {DisposableStore} from '../common/core/disposable.js';
-import type {CountEffect, VmId, VmIdentity} from '../common/core/types.js';
+import type {
+	CountEffect, VmId, VmIdentity, PeerMessage,
+} from '../common/core/types.js';
 import type {ConsensusTimings} from '../common/consensus/types.js';
 import type {SelfDescription} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
@@ -40,7 +42,7 @@
 import type {FleetProtocol} from './forwarding/fleet-protocol.js';
 import type {FleetSettings} from './forwarding/fleet-settings.js';
 import {ForwardServer} from './forwarding/forward-server.js';
-import {ServerFleet, unreachableSchema} from './forwarding/server-fleet.js';
+import {engineOrderedSchema, ServerFleet, unreachableSchema} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {StageHost} from './forwarding/stage-host.js';
 import {Runtime} from './runtime.js';
@@ -433,6 +435,14 @@
 	} = platform;
 	const client = createControlClient(platform);
 	const processes = () => Math.max(1, membership.entries.live.length);
+	const announce = (message: PeerMessage) => {
+		for (const {vm} of membership.entries.live) {
+			if (vm !== self.vm) {
+				network.send(vm, message);
+			}
+		}
+	};
+
 	const fleet = parts.add(new ServerFleet({
 		clock,
 		logger,
@@ -440,16 +450,15 @@
 		retries: fleetSettings.retries,
 		processes,
 		announceUnreachable(key) {
-			for (const {vm} of membership.entries.live) {
-				if (vm !== self.vm) {
-					network.send(vm, {type: 'forwarding/unreachable', server: key});
-				}
-			}
+			announce({type: 'forwarding/unreachable', server: key});
 		},
 	}));
 	network.handle('forwarding/unreachable', unreachableSchema, (from, {server: key}) => {
 		void fleet.verify(key, from.vm);
 	});
+	network.handle('forwarding/engine-ordered', engineOrderedSchema, (from, {server: key, forMs}) => {
+		fleet.noteOrder(key, forMs, from.vm);
+	});
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = parts.add(new ForwardServer({
 		protocol,
@@ -476,6 +485,9 @@
 			isLeader: () => consensus.role === 'leader',
 			holder: fleetSettings.node,
 			services: () => client.access.view?.configuration.forwarding?.services.filter(({engine}) => engine).map(({name}) => name) ?? [],
+			announceOrder(key, forMs) {
+				announce({type: 'forwarding/engine-ordered', server: key, forMs});
+			},
 			turnMs: fleetSettings.orderTurnMs,
 		}));
 	}
