Find the other members of the log after a restart without seeds; tell suspects at once

With no seed up they never found each other. Now the log's members are addressed by their names, and a process that knows nobody asks every 0.2 s. Suspects were told only when a probe came round to them.

--- a/src/common/membership/membership.test.ts
+++ b/src/common/membership/membership.test.ts
@@ -28,6 +28,15 @@
 	}), {seed: 3, numRuns: 15});
 });
 
+test('guards against a member that waits seconds to be found because its seed was not up at its first attempt', () => {
+	const fleet = new Fleet(2, 1);
+	fleet.lose(() => true);
+	fleet.advance(1000);
+	fleet.lose(() => false);
+	fleet.advance(500);
+	assert.ok(fleet.hasConverged());
+});
+
 /** Share of the given members that the running members count as live. */
 function liveShare(fleet: Fleet, vms: readonly string[]): number {
 	const running = [...fleet.members.keys()].filter(by => !fleet.down.has(by));
@@ -165,12 +174,14 @@
 });
 
 test('a member that was cut off declares nobody dead on its return', () => {
-	const fleet = makeFleet(8);
-	fleet.lose((from, to) => from === 'vm-4' || to === 'vm-4');
-	fleet.advance(6000);
-	fleet.lose(() => false);
-	fleet.until(() => fleet.hasConverged(), 30_000);
-	assert.deepEqual([...new Set(fleet.deaths.map(({vm}) => vm))], ['vm-4']);
+	for (let seed = 1; seed <= 40; seed++) {
+		const fleet = makeFleet(8, seed);
+		fleet.lose((from, to) => from === 'vm-4' || to === 'vm-4');
+		fleet.advance(6000);
+		fleet.lose(() => false);
+		fleet.until(() => fleet.hasConverged(), 30_000);
+		assert.deepEqual([...new Set(fleet.deaths.map(({vm}) => vm))], ['vm-4'], `seed ${seed}`);
+	}
 });
 
 test('a member alone with one other does declare it dead', () => {
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -15,6 +15,8 @@
 /** Change of the own load that is worth spreading, in percent, and the shortest interval between two, in milliseconds. */
 const loadStep = 10;
 const loadEveryMs = 5000;
+/** Interval between attempts to reach a seed while no other member is known, in milliseconds; a process that starts alone can serve nobody. */
+const aloneExchangeMs = 200;
 /** Probe intervals without any message after which this process may be cut off. */
 const isolatedProbes = 2;
 /** Suspicions last so many times longer while this process may be cut off. */
@@ -62,7 +64,7 @@
 	}
 
 	if (nowMs >= state.nextExchangeMs) {
-		state.nextExchangeMs = nowMs + state.options.exchangeEveryMs;
+		state.nextExchangeMs = nowMs + (state.members.size === 0 ? aloneExchangeMs : state.options.exchangeEveryMs);
 		effects.push(...exchange(state));
 	}
 
@@ -89,15 +91,18 @@
 	return nowMs - state.heardMs >= isolatedProbes * state.options.probeEveryMs;
 }
 
-/** Gives members that were suspected in isolation their full time to refute. */
-function endIsolation(state: MembershipState, nowMs: number): void {
-	if (isIsolated(state, nowMs)) {
-		for (const member of state.members.values()) {
-			member.sinceMs = member.record.status === 'suspect' ? nowMs : member.sinceMs;
+/** Tells members that were suspected in isolation of it, and gives them their full time to refute: one probe after another would take longer. */
+function endIsolation(state: MembershipState, nowMs: number): MembershipEffect[] {
+	const effects: MembershipEffect[] = [];
+	for (const [vm, member] of isIsolated(state, nowMs) ? state.members : []) {
+		if (member.record.status === 'suspect') {
+			member.sinceMs = nowMs;
+			effects.push(ping(state, state.nextSequence++, vm, ''));
 		}
 	}
 
 	state.heardMs = nowMs;
+	return effects;
 }
 
 /** Asks others when the target does not answer, and suspects it when they get no answer either. */
@@ -125,9 +130,10 @@
 		}));
 }
 
+/** The suspect itself is told at once, so that one that lives can refute. */
 function suspect(state: MembershipState, vm: VmId, nowMs: number): MembershipEffect[] {
 	const record = state.members.get(vm)?.record;
-	return record?.status === 'alive' ? learn(state, {...record, status: 'suspect'}, nowMs) : [];
+	return record?.status === 'alive' ? [...learn(state, {...record, status: 'suspect'}, nowMs), ping(state, state.nextSequence++, vm, '')] : [];
 }
 
 function startProbe(state: MembershipState, nowMs: number): MembershipEffect[] {
@@ -195,8 +201,8 @@
 }
 
 function receive(state: MembershipState, {from, message, nowMs}: EventOf<'membership/message'>): MembershipEffect[] {
-	endIsolation(state, nowMs);
-	const effects = message.updates.flatMap(record => learn(state, record, nowMs));
+	const effects = endIsolation(state, nowMs);
+	effects.push(...message.updates.flatMap(record => learn(state, record, nowMs)));
 	switch (message.type) {
 		case 'membership.ping': {
 			const {sequence, onBehalfOf} = message;
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -126,6 +126,8 @@
 	readonly timings?: Partial<ConsensusTimings>;
 	/** Interval between exchanges of the member list, in milliseconds. */
 	readonly exchangeEveryMs?: number;
+	/** Where a VM listens for others, if its name tells. */
+	readonly addressOf?: (vm: VmId) => string;
 	/** Further fields of each log line. */
 	readonly logContext?: Readonly<Record<string, string>>;
 };
@@ -161,6 +163,15 @@
 		access: createAccess({controlVms, decode: decodeConfiguration}),
 		replica: storage && await createReplica(settings, cluster, storage),
 	};
+	const seeds = new Set(settings.control.map(peer => peer.vm));
+	// After a restart of them all, members of the log must find each other although seeds may have changed or be gone.
+	for (const member of cluster.addressOf && state.replica ? currentMembers(state.replica.consensus) : []) {
+		if (member.vm !== vm && !seeds.has(member.vm)) {
+			tcp.setAddress(member.vm, cluster.addressOf!(member.vm));
+			seeds.add(member.vm);
+		}
+	}
+
 	const runtime = new Runtime<ProcessEvent, ProcessEffect>(event => reduce(state, event), clock);
 	registerCoreEffects(runtime, network, logger, metrics);
 	if (storage) {
@@ -171,7 +182,7 @@
 	const link = new ControlLink({network, clock, controlVms});
 	const membership = parts.add(new MembershipHost({
 		self: describeSelf(settings, self),
-		seeds: settings.control.map(peer => peer.vm),
+		seeds: [...seeds],
 		network,
 		clock,
 		logger,
@@ -347,9 +358,16 @@
 	/** Rejects if an address is taken or the data folder cannot be trusted. */
 	static async start(settings: Settings, fleetSettings: FleetSettings, protocol: FleetProtocol): Promise<FleetProcess> {
 		const parts = new DisposableStore();
+		const {port} = splitAddress(settings.listen.peers);
 		try {
 			const platform = await createPlatform(settings, parts, {
-				initialVms: [], admitsNewVms: true, timings: fleetTimings, exchangeEveryMs: fleetExchangeMs, logContext: {node: fleetSettings.node},
+				initialVms: [],
+				admitsNewVms: true,
+				timings: fleetTimings,
+				exchangeEveryMs: fleetExchangeMs,
+				// A VM's name is its IP address, and ports are the same on all VMs.
+				addressOf: vm => `${vm}:${port}`,
+				logContext: {node: fleetSettings.node},
 			});
 			const fleet = await startForwarding(platform, fleetSettings, protocol);
 			formCluster(platform, fleetSettings);
