Hand over the buckets of tenants' rates when a leader stops as planned

A leader that gets SIGTERM now stops granting, sends levels and live grants to the other members of the log and steps down; one that is elected in the next term goes on with them without a pause. A handover that is lost, late or of another term changes nothing.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -244,6 +244,17 @@
 	assert.equal(cluster.nowMs - state.leaderContactMs < state.timings.electionMinMs, true);
 });
 
+test('a leader that steps down lets another one lead, and leads again where no other can', () => {
+	const {cluster, leader, others} = electedCluster();
+	cluster.dispatch(leader, {type: 'consensus/step-down'});
+	cluster.run(2000);
+	assert.equal(others.includes(cluster.leader()!), true);
+	const alone = electedCluster(1);
+	alone.cluster.dispatch(alone.leader, {type: 'consensus/step-down'});
+	alone.cluster.run(6000);
+	assert.equal(alone.cluster.leader(), alone.leader);
+});
+
 test('a member whose disk hangs neither acknowledges, votes nor campaigns', () => {
 	const {cluster, leader, others: [follower]} = electedCluster();
 	cluster.disks.get(follower!)!.latencyMs = 20_000;
--- a/src/common/consensus/election.ts
+++ b/src/common/consensus/election.ts
@@ -8,6 +8,9 @@
 	isStorageSlow, isVoter, quorum, sendNow, setRole, voters,
 } from './state.js';
 
+/** Election timeouts for which a leader that stepped down leaves the others to elect one. */
+const stepDownPauses = 4;
+
 /** Starts the election timer anew with a random timeout, so that members rarely campaign at the same time. */
 export function resetElectionTimer({state, nowMs}: Context): void {
 	const {electionMinMs, electionMaxMs} = state.timings;
@@ -34,6 +37,15 @@
 	}
 }
 
+/** Ends leadership; this member campaigns again only if no other one does for some time. */
+export function stepDown(context: Context): void {
+	const {state, nowMs} = context;
+	if (state.role === 'leader') {
+		becomeFollower(context, state.hard.term, undefined);
+		state.electionDeadlineMs = nowMs + (stepDownPauses * state.timings.electionMaxMs);
+	}
+}
+
 function followerRole({state}: Context): 'follower' | 'learner' {
 	return isVoter(state, state.vm, state.diskId) ? 'follower' : 'learner';
 }
--- a/src/common/consensus/reducer.ts
+++ b/src/common/consensus/reducer.ts
@@ -5,7 +5,7 @@
 import {completeWrite, flush, updateHardState} from './durability.js';
 import {
 	becomeFollower, countOwnVote, halt, handlePreVote, handlePreVoteReply, handleVote, handleVoteReply, mayVote,
-	resetElectionTimer, tickElection,
+	resetElectionTimer, stepDown, tickElection,
 } from './election.js';
 import {handleIntroduce, handleIntroduceReply, tickFormation} from './formation.js';
 import {changeMembers, handleJoin} from './membership.js';
@@ -112,6 +112,11 @@
 			break;
 		}
 
+		case 'consensus/step-down': {
+			stepDown(context);
+			break;
+		}
+
 		case 'consensus/persisted': {
 			finishWrite(context, event.sequence);
 			break;
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -77,6 +77,8 @@
 	for admission.
 	*/
 	| (BaseEvent<'consensus/peers'> & {readonly initialVms?: readonly VmId[]; readonly knownVms: readonly VmId[]})
+	/** A leader that stops lets one of the others lead. */
+	| BaseEvent<'consensus/step-down'>
 	| (BaseEvent<'consensus/persisted'> & {readonly sequence: number})
 	/** The disk is full, failing or slower than the limit; the member steps aside. */
 	| (BaseEvent<'consensus/storage-failed'> & {readonly reason: string})
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -15,8 +15,9 @@
 import {AllowanceOwner} from '../limits/owner.js';
 import type {Allotment} from '../limits/owner.js';
 import {applyCommand} from './apply.js';
+import {handoverLimit} from './messages.js';
 import type {
-	Command, ProposeReply, ReadQuery, ReadReply, SyncReply, SyncRequest,
+	Command, Handover, ProposeReply, ReadQuery, ReadReply, SyncReply, SyncRequest,
 } from './messages.js';
 import {changesSince, readState, readViewPage} from './read.js';
 import {
@@ -40,7 +41,7 @@
 const clockTolerance = 0.9;
 const clockToken: ReplyToken = 0;
 
-type ConsensusInput = WithoutTime<Extract<ConsensusEvent, {type: 'consensus/propose' | 'consensus/read' | 'consensus/snapshot-taken'}>>;
+type ConsensusInput = WithoutTime<Extract<ConsensusEvent, {type: 'consensus/propose' | 'consensus/read' | 'consensus/snapshot-taken' | 'consensus/step-down'}>>;
 
 export type ControlOptions = {
 	/** Decodes the bytes of a checked configuration; throws if they are damaged. */
@@ -76,6 +77,8 @@
 	/** Buckets of this term; only the leader has them. */
 	owner: AllowanceOwner | undefined;
 	decoded: Decoded | undefined;
+	/** From a leader that stepped down. */
+	handover: Handover | undefined;
 	readonly sessions: Map<VmId, Session>;
 	readonly pending: Map<ReplyToken, Pending>;
 	/** The leader's clock up to which log time was proposed. */
@@ -92,6 +95,9 @@
 	| (BaseEvent<'control/sync'> & {readonly token: ReplyToken; readonly from: VmIdentity; readonly request: SyncRequest})
 	/** Replies with a `ReadReply`. */
 	| (BaseEvent<'control/read'> & {readonly token: ReplyToken; readonly query: ReadQuery})
+	/** This process stops: if it leads, it lets one of the others lead instead. */
+	| (BaseEvent<'control/hand-over'> & {readonly to: readonly VmId[]})
+	| (BaseEvent<'control/handover'> & {readonly handover: Handover})
 	| (BaseEvent<'control/consensus'> & {readonly effect: ConsensusEffect});
 
 export type ControlEffect =
@@ -108,6 +114,7 @@
 		leader: undefined,
 		owner: undefined,
 		decoded: undefined,
+		handover: undefined,
 		sessions: new Map(),
 		pending: new Map(),
 		clockMs: 0,
@@ -134,6 +141,15 @@
 			return read(state, event);
 		}
 
+		case 'control/hand-over': {
+			return handOver(state, event.to, event.nowMs);
+		}
+
+		case 'control/handover': {
+			state.handover = event.handover;
+			return [];
+		}
+
 		case 'control/consensus': {
 			return takeConsensus(state, event.effect, event.nowMs);
 		}
@@ -154,7 +170,7 @@
 
 /** Why a request is answered at once; undefined when it may go on. */
 function turnAway(state: ControlSlice, token: ReplyToken): ControlEffect[] | undefined {
-	if (state.role !== 'leader') {
+	if (state.role !== 'leader' || !state.owner) {
 		return [reply(token, notLeader(state))];
 	}
 
@@ -162,6 +178,25 @@
 	return state.pending.size >= pendingLimit ? [reply(token, {kind: 'not-leader'})] : undefined;
 }
 
+function handOver(state: ControlSlice, to: readonly VmId[], nowMs: number): ControlEffect[] {
+	if (state.role !== 'leader' || !state.owner || to.length === 0) {
+		return [];
+	}
+
+	const message = state.owner.handOver(nowMs);
+	state.owner = undefined;
+	const isSmall = message.buckets.length <= handoverLimit && message.grants.length <= handoverLimit;
+	return [
+		...(isSmall ? to.map((vm): ControlEffect => ({type: 'send', to: vm, message})) : []),
+		toConsensus({type: 'consensus/step-down'}),
+		{
+			type: 'log', level: 'info', message: 'leadership handed over', fields: {
+				term: state.term, to, buckets: message.buckets.length, grants: message.grants.length, isSmall,
+			},
+		},
+	];
+}
+
 function tick(state: ControlSlice, nowMs: number): ControlEffect[] {
 	if (state.role !== 'leader') {
 		return [];
@@ -401,6 +436,12 @@
 			state.sessions.clear();
 			state.clockMs = nowMs;
 			setLimits(state, nowMs);
+			// Only the leader of the term before granted until then; one in between would have a term of its own.
+			if (state.handover?.term === term - 1) {
+				state.owner.takeOver(state.handover, nowMs);
+			}
+
+			state.handover = undefined;
 		}
 
 		return [];
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -279,6 +279,23 @@
 	notLeaderSchema,
 ]);
 
+/** Buckets and grants in one handover; a leader with more hands nothing over, and its successor pauses. */
+export const handoverLimit = 10_000;
+
+/** What a leader that steps down knows of the tenants' rates; it grants nothing any more. Sent to the other members of the log. */
+export const handoverSchema = z.strictObject({
+	type: z.literal('control/handover'),
+	/** Term in which the sender led. */
+	term: z.int().min(1),
+	/** For how long grants of the sender's own predecessor may still be spent, in milliseconds. */
+	pauseMs: z.number().min(0),
+	buckets: z.array(z.strictObject({tenant: idSchema, level: z.number(), returnable: tokensSchema})).max(handoverLimit),
+	/** Grants that their holders may still spend. */
+	grants: z.array(z.strictObject({
+		id: z.int(), tenant: idSchema, holder: vmIdentitySchema, left: tokensSchema, returnable: tokensSchema, tokens: tokensSchema, expiresInMs: z.number().min(0),
+	})).max(handoverLimit),
+});
+
 /** Tells an entry process with a live session that its view is out of date. */
 export const changedSchema = z.strictObject({type: z.literal('control/changed'), revision: revisionSchema});
 
@@ -293,6 +310,7 @@
 export type OwnerStamp = z.infer<typeof ownerStampSchema>;
 export type Refund = z.infer<typeof refundSchema>;
 export type AllowanceReport = z.infer<typeof allowanceReportSchema>;
+export type Handover = z.infer<typeof handoverSchema>;
 export type SyncRequest = z.infer<typeof syncRequestSchema>;
 export type SyncReply = z.infer<typeof syncReplySchema>;
 export type ProposeReply = z.infer<typeof proposeReplySchema>;
--- a/src/common/limits/limits.test.ts
+++ b/src/common/limits/limits.test.ts
@@ -16,6 +16,7 @@
 	lateMs: fc.integer({min: 0, max: 3000}),
 	electionEveryMs: fc.constantFrom(0, 1500, 4000),
 	restartEveryMs: fc.constantFrom(0, 1000, 5000),
+	handoverEveryMs: fc.constantFrom(0, 700, 3000),
 });
 
 const options: fc.Arbitrary<SimulationOptions> = fc.record({
@@ -150,3 +151,24 @@
 	assert.ok(Math.min(...shares) >= total / 4 * 0.9, `shares ${shares.join(', ')}`);
 	assert.ok(total >= limit.rate * 28, `${total} tokens of ${limit.rate * 30} used`);
 });
+
+test('guards against refusals within the rate because the leader was stopped as planned', () => {
+	const settings = {
+		seed: 5, limit: {rate: 1000, burst: 2000}, entries: 4, clockDrift: 0,
+	};
+	const refusals = (handoverEveryMs: number, electionEveryMs: number) => {
+		const simulation = new Simulation({...settings, faults: {...noFaults, handoverEveryMs, electionEveryMs}});
+		for (let entry = 0; entry < settings.entries; entry++) {
+			simulation.offer(entry, 2, () => ({
+				tokens: 50, used: 50, durationMs: 100, maxWaitMs: 2000,
+			}));
+		}
+
+		simulation.runUntil(60_000);
+		return simulation.refusals.length;
+	};
+
+	assert.equal(refusals(4000, 0), 0);
+	// Leaders that are lost without a handover show that the load would notice.
+	assert.ok(refusals(0, 4000) > 0);
+});
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -177,6 +177,29 @@
 	assert.equal(totalOf(ask(owner, 'a', pauseMs, {wanted: want(100)})), 100);
 });
 
+test('a successor goes on where its predecessor stopped, and an answer that was not sent counts for nothing', () => {
+	const owner = makeOwner(100, 1000);
+	const holder = {vm: 'a', incarnation: 1};
+	const [first] = ask(owner, 'a', 11_000, {wanted: want(600)});
+	owner.allot(holder, {...emptyReport, wanted: want(300)}, 11_000);
+	const successor = new AllowanceOwner(2, 0);
+	successor.setLimits([['acme', {rate: 100, burst: 1000}]], 0);
+	successor.takeOver(owner.handOver(11_000), 0);
+	assert.equal(totalOf(ask(successor, 'b', 0, {wanted: want(1000)})), 400);
+	// What the holder gives back, or lets expire, comes back as with the predecessor.
+	ask(successor, 'a', 100, {returned: [{grant: first!.id, tokens: 500}]});
+	assert.equal(totalOf(ask(successor, 'b', 100, {wanted: want(1000)})), 500);
+});
+
+test('guards against a successor that grants while a grant of its predecessor\'s predecessor may be spent', () => {
+	const owner = makeOwner(1000, 1000, 2);
+	const successor = new AllowanceOwner(3, 0);
+	successor.setLimits([['acme', {rate: 1000, burst: 1000}]], 0);
+	successor.takeOver(owner.handOver(300), 0);
+	assert.equal(totalOf(ask(successor, 'a', ownerValidityMs - 301, {wanted: want(10)})), 0);
+	assert.equal(totalOf(ask(successor, 'a', ownerValidityMs - 300, {wanted: want(10)})), 10);
+});
+
 test('guards against a lookup that waits for tokens kept aside for a prompt of thousands elsewhere', () => {
 	const owner = makeOwner(1000, 6000);
 	const waiting = (tokens: number) => ({wanted: [{tenant: 'acme', tokens, atLeast: tokens}]});
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -4,7 +4,7 @@
 in any window of length t is at most burst + rate * t.
 */
 import type {
-	AllowanceReport, Grant, Shortage, Want,
+	AllowanceReport, Grant, Handover, Shortage, Want,
 } from '../control/messages.js';
 import type {VmId, VmIdentity} from '../core/types.js';
 import {HeadroomHistory} from './headroom.js';
@@ -68,7 +68,7 @@
 	@param startMs - when this term's leadership began
 	@param silenceMs - for how long before that the former leader cannot have granted anything
 	*/
-	constructor(readonly term: number, private readonly _startMs: number, private readonly _silenceMs = 0) {}
+	constructor(readonly term: number, private readonly _startMs: number, private _silenceMs = 0) {}
 
 	get bucketCount(): number {
 		return this._buckets.size;
@@ -108,7 +108,7 @@
 		this._takeReport(holder, report, nowMs);
 		const grants: Grant[] = [];
 		const shortages: Shortage[] = [];
-		const startsInMs = this._startMs + ownerValidityMs - this._silenceMs - nowMs;
+		const startsInMs = this._startsInMs(nowMs);
 		for (const want of report.wanted) {
 			const bucket = this._bucket(want.tenant, nowMs);
 			if (!bucket) {
@@ -150,6 +150,47 @@
 		}
 	}
 
+	/** What a successor needs to go on without a pause. Nothing may be granted or confirmed after this call. */
+	handOver(nowMs: number): Handover {
+		this._expire(nowMs);
+		const grants = [...this._grants.values()];
+		this.revoke(grants.filter(({expiresMs}) => expiresMs === undefined), nowMs);
+		return {
+			type: 'control/handover',
+			term: this.term,
+			pauseMs: Math.max(0, this._startsInMs(nowMs)),
+			buckets: [...this._buckets.keys()].map(tenant => {
+				const {level, returnable} = this._bucket(tenant, nowMs)!;
+				return {tenant, level, returnable};
+			}),
+			grants: [...this._grants.values()].map(({vm, incarnation, expiresMs, ...grant}) => ({...grant, holder: {vm, incarnation}, expiresInMs: expiresMs! - nowMs})),
+		};
+	}
+
+	/** Goes on where the former leader stopped, instead of pausing until its grants have expired. Limits must be set before. */
+	takeOver({pauseMs, buckets, grants}: Handover, nowMs: number): void {
+		this._silenceMs = ownerValidityMs - pauseMs;
+		for (const {holder, expiresInMs, ...grant} of grants) {
+			const bucket = this._bucket(grant.tenant, nowMs);
+			if (bucket) {
+				bucket.outstanding += grant.left;
+				const owned = {...grant, ...holder, expiresMs: nowMs + expiresInMs};
+				this._grants.set(grant.id, owned);
+				this._expiring.push(owned);
+			}
+		}
+
+		this._expiring.sort((a, b) => a.expiresMs! - b.expiresMs!);
+		for (const {tenant, level, returnable} of buckets) {
+			const bucket = this._bucket(tenant, nowMs);
+			if (bucket) {
+				bucket.level = Math.min(level, bucket.limit.burst - bucket.outstanding);
+				bucket.returnable = returnable;
+				noteHeadroom(bucket, nowMs);
+			}
+		}
+	}
+
 	/** Frees what can be computed again; call it every few seconds. */
 	trim(nowMs: number): void {
 		this._expire(nowMs);
@@ -164,6 +205,11 @@
 		}
 	}
 
+	/** When the grants of an earlier leader have expired. */
+	private _startsInMs(nowMs: number): number {
+		return this._startMs + ownerValidityMs - this._silenceMs - nowMs;
+	}
+
 	/** The bucket with its level at `nowMs`; undefined for an unknown tenant. */
 	private _bucket(tenant: string, nowMs: number): Bucket | undefined {
 		const bucket = this._buckets.get(tenant);
--- a/src/common/limits/simulation.ts
+++ b/src/common/limits/simulation.ts
@@ -5,7 +5,7 @@
 import type {ConsensusEffect} from '../consensus/types.js';
 import {createControl, reduceControl} from '../control/control.js';
 import type {ControlEffect, ControlEvent, ControlSlice} from '../control/control.js';
-import type {SyncRequest} from '../control/messages.js';
+import type {Handover, SyncRequest} from '../control/messages.js';
 import {SeededRandom} from '../core/random.js';
 import type {ReplyToken, WithoutTime} from '../core/types.js';
 import type {AllowanceResult} from '../services/access-service.js';
@@ -21,6 +21,8 @@
 	/** Mean time between leader changes, or between restarts of some entry process; in milliseconds. */
 	readonly electionEveryMs: number;
 	readonly restartEveryMs: number;
+	/** Mean time between planned stops of the leader, in milliseconds. */
+	readonly handoverEveryMs: number;
 };
 
 export type SimulationOptions = {
@@ -50,7 +52,7 @@
 
 /** No faults. */
 export const noFaults: SimulationFaults = {
-	lostShare: 0, lateShare: 0, lateMs: 0, electionEveryMs: 0, restartEveryMs: 0,
+	lostShare: 0, lateShare: 0, lateMs: 0, electionEveryMs: 0, restartEveryMs: 0, handoverEveryMs: 0,
 };
 
 /** A cluster with one tenant, `acme`. */
@@ -91,6 +93,9 @@
 		this._every(_options.faults.electionEveryMs, () => {
 			this._loseLeader();
 		});
+		this._every(_options.faults.handoverEveryMs, () => {
+			this._stopLeader();
+		});
 		this._every(_options.faults.restartEveryMs, () => {
 			this._restartEntry(this._random.integer(0, _options.entries), configuration);
 		});
@@ -197,6 +202,23 @@
 		});
 	}
 
+	/** The leader hands over; one of the others is elected after an election timeout. */
+	private _stopLeader(): void {
+		const former = this._leader;
+		if (former < 0) {
+			return;
+		}
+
+		this._dispatchControl(former, {type: 'control/hand-over', to: ['0', '1', '2'].filter(vm => vm !== String(former))});
+		this._leader = -1;
+		this._deliver(former, {
+			type: 'consensus/role', role: 'follower', term: this._term, leader: undefined,
+		});
+		this.after(shortestElectionMs + (this._random.next() * 400), () => {
+			this._elect((former + 1 + this._random.integer(0, 2)) % controlCount);
+		});
+	}
+
 	private _elect(leader: number): void {
 		this._leader = leader;
 		this._term++;
@@ -235,6 +257,10 @@
 			this._syncs.delete(effect.token);
 		} else if (effect.type === 'control/to-consensus' && effect.event.type === 'consensus/read') {
 			this._confirmRead(control, effect.event.token);
+		} else if (effect.type === 'send' && effect.message.type === 'control/handover') {
+			this._transmit(() => {
+				this._dispatchControl(Number(effect.to), {type: 'control/handover', handover: effect.message as Handover});
+			});
 		}
 	}
 
--- a/src/node/control/control-server.ts
+++ b/src/node/control/control-server.ts
@@ -1,5 +1,5 @@
 import {
-	proposeRequestSchema, readRequestSchema, syncRequestSchema,
+	handoverSchema, proposeRequestSchema, readRequestSchema, syncRequestSchema,
 } from '../../common/control/messages.js';
 import type {ControlEvent} from '../../common/control/control.js';
 import type {Disposable} from '../../common/core/disposable.js';
@@ -29,6 +29,9 @@
 		network.handle('control/sync', syncRequestSchema, async (from, request) => host.ask(token => ({
 			type: 'control/sync', token, from, request,
 		}), answerTimeoutMs));
+		network.handle('control/handover', handoverSchema, (_from, handover) => {
+			host.dispatch({type: 'control/handover', handover});
+		});
 		this._timer = setInterval(() => {
 			host.dispatch({type: 'control/tick'});
 		}, tickIntervalMs);
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -107,6 +107,7 @@
 		const {logger, membership, parts} = this._platform;
 		logger.log('info', 'stopping');
 		membership.setDraining(true);
+		handOver(this._platform);
 		if (this._entry) {
 			await this._entry.scheduler.stop();
 			await this._entry.server.drained();
@@ -118,6 +119,14 @@
 	}
 }
 
+/** Lets another member lead the replicated log before this process stops, so that rates stay confirmed. */
+function handOver({state, self, runtime}: Platform): void {
+	if (state.replica) {
+		const to = currentMembers(state.replica.consensus).map(({vm}) => vm).filter(vm => vm !== self.vm);
+		runtime.dispatch({type: 'control/hand-over', to});
+	}
+}
+
 /** How a process finds the other members of the replicated log. */
 type ClusterOptions = {
 	/** VMs that form the cluster at its first start; empty when they are learned later. */
@@ -397,6 +406,7 @@
 		const {logger, membership, parts} = this._platform;
 		logger.log('info', 'stopping');
 		membership.setDraining(true);
+		handOver(this._platform);
 		await this._fleet.server.drained();
 		membership.leave();
 		await parts.dispose();
