Advise callers to return after an election and a pause where shared state is not confirmed, spread over 1.5 s

Cause: callers have one more attempt; after a restart of all VMs they were told to come back after 0.3 s, while no leader could confirm a rate for 1.2 s and more, and came back together. Test: patience.test.ts.

--- a/src/common/forwarding/patience.test.ts
+++ b/src/common/forwarding/patience.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {patienceOf, returnAfterMs} from './patience.js';
+import {confirmedAfterMs, patienceOf, returnAfterMs} from './patience.js';
 
 const route = {timeoutMs: 14_000, targetMs: 900};
 
@@ -21,3 +21,10 @@
 	assert.equal(new Set(returns).size, returns.length);
 	assert.ok(returns.every(afterMs => afterMs >= 3000 && afterMs <= 4500));
 });
+
+test('guards against callers who spend their next attempt while no leader can confirm rates, or all return at once', () => {
+	const electionAndPauseMs = 1200;
+	assert.ok(confirmedAfterMs(0) >= electionAndPauseMs);
+	assert.ok(confirmedAfterMs(0.99) - confirmedAfterMs(0) >= 1000);
+	assert.equal(confirmedAfterMs(0, 400), 400);
+});
--- a/src/common/forwarding/patience.ts
+++ b/src/common/forwarding/patience.ts
@@ -15,6 +15,9 @@
 /** Spread of the returns, in milliseconds, so that callers turned away together do not return together. */
 const returnSpreadMs = 1500;
 
+/** Time after which shared state is confirmed again, in milliseconds: an election and the pause of a new leader. */
+const confirmExpectedMs = 1300;
+
 export type Patience = {
 	/** How long the request may wait for memory. */
 	readonly maxWaitMs: number;
@@ -36,3 +39,8 @@
 export function returnAfterMs(random: number): number {
 	return roomExpectedMs + Math.round(random * returnSpreadMs);
 }
+
+/** When a caller should return that was refused because shared state is not known or not confirmed; callers have few attempts. */
+export function confirmedAfterMs(random: number, expectedMs = confirmExpectedMs): number {
+	return expectedMs + Math.round(random * returnSpreadMs);
+}
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {ForwardTenant} from '../../common/configuration/forwarding.js';
 import {BodyMemory} from '../../common/requests/body-memory.js';
+import {confirmedAfterMs} from '../../common/forwarding/patience.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
 import type {AccessService, Acquisition, View} from '../../common/services/access-service.js';
 import {readBody} from '../entry/body.js';
@@ -16,8 +17,8 @@
 const bodyMemoryBytes = 32 * 1024 * 1024;
 /** Longest wait for a part of the tenant's rate, in milliseconds; half the latency objective of a model request. */
 const allowanceWaitMs = 450;
-/** Advice to callers while the shared state is not known or cannot be confirmed, in milliseconds; an election takes about this long. */
-const unconfirmedRetryMs = 300;
+/** Advice to callers beyond their tenant's rate where it is not known when the rate allows more, in milliseconds. */
+const rateRetryMs = 1000;
 /** Advice to callers that are refused because the process stops; other processes take them at once, in milliseconds. */
 const stoppingRetryMs = 50;
 
@@ -102,7 +103,7 @@
 	private _admit(req: IncomingMessage, caller: CallerRequest) {
 		const table = this._table;
 		if (!table) {
-			throw new ForwardRefusal(503, 'no configuration is known', unconfirmedRetryMs);
+			throw new ForwardRefusal(503, 'no configuration is known', confirmedAfterMs(this._options.fleet.random.next()));
 		}
 
 		const route = table.match(req.headers.host ?? '', req.url!);
@@ -143,8 +144,11 @@
 		logger.log('info', 'request not within its tenant\'s rate', {
 			requestId, tenant: tenant.name, cost, rate: limit.rate, burst: limit.burst, code: result.code, method: req.method,
 		});
-		const isUnreachable = result.code === 'control-unreachable';
-		throw new ForwardRefusal(isUnreachable ? 503 : 429, isUnreachable ? 'the tenant\'s rate cannot be confirmed' : 'the tenant has used up its rate', result.retryAfterMs ?? unconfirmedRetryMs);
+		if (result.code === 'control-unreachable') {
+			throw new ForwardRefusal(503, 'the tenant\'s rate cannot be confirmed', confirmedAfterMs(this._options.fleet.random.next(), result.retryAfterMs));
+		}
+
+		throw new ForwardRefusal(429, 'the tenant has used up its rate', result.retryAfterMs ?? rateRetryMs);
 	}
 
 	private _settle(acquisition: Acquisition | undefined, mayHaveRun: boolean): void {
