Bound the prompts under way to prefill engines; wait longer for a prompt that is being read

Each process now has its part of at most six prompts an engine under way and lets further requests wait before they reserve memory; a prefill call waits 1.2 of the objective instead of .8. Tests: prefill-places.test.ts.

--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -16,8 +16,8 @@
 const holdTimeoutMs = 150;
 /** Bound on a call that frees what an engine keeps; the engine frees it by itself soon after. */
 const releaseTimeoutMs = 1000;
-/** Bound on a prefill call as a share of the latency objective. */
-const prefillShare = 0.8;
+/** Bound on a prefill call as a share of the latency objective; giving one up costs the whole reading, and a late answer has worth. */
+const prefillShare = 1.2;
 /** Largest answer to a prefill call, or of an answer that is no stream, in bytes. */
 const wholeAnswerLimitBytes = 1024 * 1024;
 /** Validity of a reservation; it covers the prefill and the transfer. */
@@ -44,6 +44,8 @@
 	private _abort = new AbortController();
 	private _held: Held | undefined;
 	private _prefilled: Prefilled | undefined;
+	/** Whether the request counts among the prompts under way to prefill engines. */
+	private _hasPrefillPlace = false;
 	private _answer: Answer | undefined;
 	private _outcome = 'unfinished';
 	private _sends = 0;
@@ -165,8 +167,10 @@
 	private async _hold(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
 		const {fleet, protocol, clock, logger, zone} = this._services;
 		const {service, requestId} = this._call;
-		const server = fleet.directory.chooseDecode(this._question(exclude, zone));
+		this._hasPrefillPlace ||= fleet.takePrefillPlace(service.name);
+		const server = this._hasPrefillPlace ? fleet.directory.chooseDecode(this._question(exclude, zone)) : undefined;
 		if (!server) {
+			this._leavePrefill();
 			this._dispatchLater({type: 'forward/no-engine', attempt});
 			return;
 		}
@@ -298,6 +302,7 @@
 		const prefilled = this._prefilled;
 		const {server} = held;
 		const {signal} = this._abort;
+		this._leavePrefill();
 		this._sends++;
 		if (this._sends === 1) {
 			fleet.countSend(service.name);
@@ -447,6 +452,7 @@
 
 	/** Gives up exchanges under way and frees what engines keep. */
 	private _release(): void {
+		this._leavePrefill();
 		this._abort.abort();
 		this._abort = new AbortController();
 		this._answer?.body.destroy();
@@ -464,6 +470,13 @@
 		}
 	}
 
+	private _leavePrefill(): void {
+		if (this._hasPrefillPlace) {
+			this._hasPrefillPlace = false;
+			this._services.fleet.releasePrefillPlace(this._call.service.name);
+		}
+	}
+
 	/** A reservation that a request used ends with it. */
 	private _freeHold({server, hold, tokens, isUsed}: Held): void {
 		this._services.fleet.directory.end(server, tokens);
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -3,6 +3,7 @@
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
 import {SeededRandom} from '../../common/core/random.js';
+import {PrefillPlaces} from '../../common/forwarding/prefill-places.js';
 import {RetryWindow} from '../../common/forwarding/retry-window.js';
 import type {RetryWindowLimits} from '../../common/forwarding/retry-window.js';
 import {ServerDirectory} from '../../common/forwarding/server-directory.js';
@@ -35,6 +36,7 @@
 	readonly directory: ServerDirectory;
 	readonly random: SeededRandom;
 	private readonly _adapters = new Map<ServerKey, ForwardAdapter>();
+	private readonly _places = new PrefillPlaces();
 	private readonly _windows = new Map<string, RetryWindow>();
 	/** Servers that are being probed because another process cannot reach them. */
 	private readonly _verifying = new Set<ServerKey>();
@@ -91,6 +93,15 @@
 		return this._window(service).takeRetry(this._options.clock.nowMs(), this._options.processes());
 	}
 
+	/** Whether one more prompt of this process may be under way to the prefill engines of a service; ends with `releasePrefillPlace`. */
+	takePrefillPlace(service: string): boolean {
+		return this._places.take(service, this.directory.ready(service, 'prefill').length, this._options.processes());
+	}
+
+	releasePrefillPlace(service: string): void {
+		this._places.release(service);
+	}
+
 	/** Counts a failed exchange. A server that cannot be reached, or fails several times in a row, is ejected until a probe succeeds. */
 	recordFailure(server: Server, failure: {readonly isUnreachable: boolean; readonly detail: string}): void {
 		if (!this.directory.recordFailure(server, failure.isUnreachable, this._options.clock.nowMs())) {
