--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -5,6 +5,8 @@
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import type {Answer} from '../upstreams/connection-pool.js';
+import {EngineMemory} from './engine-memory.js';
+import type {Prefilled} from './engine-memory.js';
 import {EventIds} from './event-ids.js';
 import {readWhole} from './forward-adapter.js';
 import type {ForwardMethod} from './forward-adapter.js';
@@ -12,10 +14,6 @@
 import type {ForwardCall, ForwardResult, ForwardServices} from './forward-call.js';
 import type {SystemFacts} from './fleet-protocol.js';
 
-/** Bound on a reservation call; engines answer it without doing work. */
-const holdTimeoutMs = 150;
-/** Bound on a call that frees what an engine keeps; the engine frees it by itself soon after. */
-const releaseTimeoutMs = 1000;
 /** Bound on a prefill call as a share of the latency objective; giving one up costs the whole reading, and a late answer has worth. */
 const prefillShare = 1.2;
 /** Largest answer to a prefill call, or of an answer that is no stream, in bytes. */
@@ -33,17 +31,13 @@
 /** Requests whose head arrives late may have been answered by the server in time. */
 const headSlackMs = 100;
 
-type Held = {readonly server: Server; readonly hold: string; readonly tokens: number; isUsed: boolean};
-type Prefilled = {readonly server: Server; readonly handle: string; isUsed: boolean};
-
 /** Runs one request to a model service: executes the effects of its lifecycle and reports what comes of them. */
 export class ModelForwardRun {
 	private readonly _state: ModelForward;
 	private readonly _events = new EventIds();
 	private readonly _tokens: number;
 	private _abort = new AbortController();
-	private _held: Held | undefined;
-	private _prefilled: Prefilled | undefined;
+	private readonly _memory: EngineMemory;
 	/** Whether the request counts among the prompts under way to prefill engines. */
 	private _hasPrefillPlace = false;
 	private _answer: Answer | undefined;
@@ -57,7 +51,8 @@
 	private _finish!: () => void;
 
 	constructor(private readonly _services: ForwardServices, private readonly _call: ForwardCall) {
-		const {route, service, caller: {prompt}} = _call;
+		const {route, service, requestId, caller: {prompt}} = _call;
+		this._memory = new EngineMemory(_services, requestId);
 		this._state = createModelForward({
 			isResumable: route.isResumable,
 			maxAttempts: route.maxAttempts,
@@ -165,7 +160,7 @@
 
 	/** The call goes on when the request is given up, so that a reservation that was granted is freed at once. */
 	private async _hold(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
-		const {fleet, protocol, clock, logger, zone} = this._services;
+		const {fleet, logger, zone} = this._services;
 		const {service, requestId} = this._call;
 		this._hasPrefillPlace ||= fleet.takePrefillPlace(service.name);
 		const server = this._hasPrefillPlace ? fleet.directory.chooseDecode(this._question(exclude, zone)) : undefined;
@@ -175,63 +170,31 @@
 			return;
 		}
 
-		const {room} = this._state.patience;
 		const ttlMs = Math.min(holdTtlMs, service.engine?.holdTtlMs ?? holdTtlMs);
-		fleet.directory.begin(server, this._tokens);
 		try {
-			const adapter = fleet.adapter(server);
-			if (room > 1 && !await this._hasRoom(server, this._tokens * room)) {
-				fleet.directory.end(server, this._tokens);
-				this._dispatch({type: 'forward/hold-refused', attempt, server: server.key});
+			const reservation = await this._memory.reserve(server, {tokens: this._tokens, ttlMs, room: this._state.patience.room});
+			if (reservation.kind !== 'held') {
+				this._dispatch({type: reservation.kind === 'refused' ? 'forward/hold-refused' : 'forward/hold-failed', attempt, server: server.key});
 				return;
 			}
 
-			const {status, text} = await adapter.call(protocol.holdCall(this._tokens, ttlMs), holdTimeoutMs);
-			const hold = status === 200 ? protocol.readHold(text) : undefined;
-			if (hold === undefined) {
-				fleet.directory.end(server, this._tokens);
-				if (status !== 503) {
-					fleet.recordFailure(server, {isUnreachable: false, detail: `reservation answered with status ${status}`});
-				}
-
-				fleet.directory.refusedReservation(server, clock.nowMs());
-				this._dispatch({type: status === 503 ? 'forward/hold-refused' : 'forward/hold-failed', attempt, server: server.key});
-				return;
-			}
-
-			const held: Held = {
-				server, hold, tokens: this._tokens, isUsed: false,
-			};
 			if (this._isStale(attempt)) {
-				this._freeHold(held);
+				this._memory.freeHold(reservation.held);
 				return;
 			}
 
-			this._held = held;
+			this._memory.held = reservation.held;
 			logger.log('info', 'request placed', {
 				requestId, attempt, server: server.key, tokens: this._tokens, ownTokens: server.tokens, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
 			});
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
-			fleet.directory.end(server, this._tokens);
 			// A reservation is no work: an engine that does not answer cannot be reached.
 			this._noteFailure(server, err, {isAborted: this._isStale(attempt), isUnreachable: true});
 			this._dispatch({type: 'forward/hold-failed', attempt, server: server.key});
 		}
 	}
 
-	/** Whether the engine would reserve that many tokens; nothing stays reserved. */
-	private async _hasRoom(server: Server, tokens: number): Promise<boolean> {
-		const {fleet, protocol} = this._services;
-		const {status, text} = await fleet.adapter(server).call(protocol.holdCall(tokens, holdTimeoutMs), holdTimeoutMs);
-		const hold = status === 200 ? protocol.readHold(text) : undefined;
-		if (hold !== undefined) {
-			await fleet.adapter(server).call(protocol.releaseHoldCall(hold), holdTimeoutMs);
-		}
-
-		return hold !== undefined;
-	}
-
 	private _isStale(attempt: number): boolean {
 		return this._state.phase === 'ended' || this._state.attempt !== attempt;
 	}
@@ -239,7 +202,7 @@
 	private async _prefill(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
 		const {fleet, protocol, clock} = this._services;
 		const {route, caller} = this._call;
-		const server = fleet.directory.choosePrefill(this._question(exclude, this._held!.server.record.zone));
+		const server = fleet.directory.choosePrefill(this._question(exclude, this._memory.held!.server.record.zone));
 		if (!server) {
 			this._dispatchLater({type: 'forward/prefill-failed', attempt, server: undefined});
 			return;
@@ -266,12 +229,12 @@
 
 			const prefilled: Prefilled = {server, handle: result.handle, isUsed: false};
 			if (this._isStale(attempt)) {
-				this._freePrefill(prefilled);
+				this._memory.freePrefill(prefilled);
 				return;
 			}
 
 			fleet.directory.recordAnswer(server, true, clock.nowMs() - startedMs);
-			this._prefilled = prefilled;
+			this._memory.prefilled = prefilled;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
 			this._noteFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).maySent});
@@ -298,8 +261,8 @@
 	private async _send(attempt: number): Promise<void> {
 		const {fleet, protocol, clock, logger} = this._services;
 		const {service, requestId, deadlineMs} = this._call;
-		const held = this._held!;
-		const prefilled = this._prefilled;
+		const {prefilled} = this._memory;
+		const held = this._memory.held!;
 		const {server} = held;
 		const {signal} = this._abort;
 		this._leavePrefill();
@@ -368,7 +331,7 @@
 		const {exchange, requestId} = this._call;
 		const {protocol, logger} = this._services;
 		const answer = this._answer!;
-		const {server} = this._held!;
+		const {server} = this._memory.held!;
 		let rest: Uint8Array = new Uint8Array();
 		this._events.restart();
 		try {
@@ -459,15 +422,7 @@
 		this._answer = undefined;
 		clearTimeout(this._timer);
 		clearTimeout(this._stallTimer);
-		if (this._held) {
-			this._freeHold(this._held);
-			this._held = undefined;
-		}
-
-		if (this._prefilled) {
-			this._freePrefill(this._prefilled);
-			this._prefilled = undefined;
-		}
+		this._memory.release();
 	}
 
 	private _leavePrefill(): void {
@@ -477,31 +432,6 @@
 		}
 	}
 
-	/** A reservation that a request used ends with it. */
-	private _freeHold({server, hold, tokens, isUsed}: Held): void {
-		this._services.fleet.directory.end(server, tokens);
-		if (!isUsed) {
-			void this._free(server, this._services.protocol.releaseHoldCall(hold));
-		}
-	}
-
-	private _freePrefill({server, handle, isUsed}: Prefilled): void {
-		if (!isUsed) {
-			void this._free(server, this._services.protocol.releasePrefillCall(handle));
-		}
-	}
-
-	private async _free(server: Server, call: Parameters<ReturnType<ForwardServices['fleet']['adapter']>['call']>[0]): Promise<void> {
-		try {
-			await this._services.fleet.adapter(server).call(call, releaseTimeoutMs);
-		} catch (err) {
-			// The engine frees it by itself when its time to live is over.
-			this._services.logger.log('info', 'engine memory not freed', {
-				requestId: this._call.requestId, server: server.key, detail: err instanceof Error ? err.message : String(err),
-			});
-		}
-	}
-
 	private _noteFailure(server: Server, err: unknown, {isAborted, isUnreachable}: {readonly isAborted: boolean; readonly isUnreachable: boolean}): void {
 		if (isAborted) {
 			return;
