--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -114,3 +114,15 @@
 	assert.deepEqual(run([{type: 'forward/held', attempt: 1}, failed, {...failed, server: 'p2'}]), ['hold -', 'prefill', 'prefill', 'send']);
 	assert.deepEqual(run([{type: 'forward/held', attempt: 1}, {type: 'forward/prefill-failed', attempt: 1, server: undefined}]), ['hold -', 'prefill', 'send']);
 });
+
+test('guards against resends that arrive twice, with their prompt and by themselves, and count once', () => {
+	const arrivals: number[] = [];
+	const takeRetry = (_nowMs: number, count: number) => {
+		arrivals.push(count);
+		return true;
+	};
+
+	run([...sent(), answered(1), {type: 'forward/broken', attempt: 1, server: 'd1'}], {isResumable: true, maxAttempts: 2, takeRetry});
+	run([{type: 'forward/held', attempt: 1}, {type: 'forward/prefill-failed', attempt: 1, server: 'p1'}], {takeRetry});
+	assert.deepEqual(arrivals, [2, 1]);
+});
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -10,6 +10,8 @@
 
 /** Prefill calls of one attempt; a second one finds another engine when the first is gone. */
 const maxPrefills = 2;
+/** Arrivals that another attempt adds: its prompt on a prefill engine and the request itself. */
+const attemptArrivals = 2;
 /** Advice to a caller after engines failed, in milliseconds. */
 const failedRetryMs = 300;
 
@@ -21,7 +23,8 @@
 	readonly patience: Patience;
 	/** When the caller should return if the pool stays full, in milliseconds. */
 	readonly returnAfterMs: number;
-	readonly takeRetry: (nowMs: number) => boolean;
+	/** Takes what a retry costs in further arrivals at engines from the budget for resends. */
+	readonly takeRetry: (nowMs: number, arrivals: number) => boolean;
 };
 
 export type ModelForward = ModelForwardOptions & {
@@ -213,7 +216,7 @@
 function takePrefillFailure(state: ModelForward, {server, nowMs}: Of<'forward/prefill-failed'>): ModelForwardEffect[] {
 	if (server !== undefined) {
 		state.failedOn.add(server);
-		if (state.prefills < maxPrefills && state.takeRetry(nowMs)) {
+		if (state.prefills < maxPrefills && state.takeRetry(nowMs, 1)) {
 			return prefill(state);
 		}
 	}
@@ -259,7 +262,7 @@
 function retryOrGiveUp(state: ModelForward, {server, mayHaveRun, nowMs, reason}: AttemptEnd): ModelForwardEffect[] {
 	state.runs += mayHaveRun ? 1 : 0;
 	const isAllowed = state.runs < state.maxAttempts && (state.runs === 0 || state.isResumable) && state.turnedAway <= state.maxAttempts;
-	if (isAllowed && state.takeRetry(nowMs)) {
+	if (isAllowed && state.takeRetry(nowMs, attemptArrivals)) {
 		state.failedOn.add(server);
 		return [{type: 'forward/release'}, ...startAttempt(state, nowMs)];
 	}
@@ -269,7 +272,7 @@
 
 /** A silent engine may still answer, so a stream that cannot go on elsewhere is waited for. */
 function takeStall(state: ModelForward, {server, nowMs}: Of<'forward/stalled'>): ModelForwardEffect[] {
-	const mayMove = state.isResumable && state.runs + 1 < state.maxAttempts && state.takeRetry(nowMs);
+	const mayMove = state.isResumable && state.runs + 1 < state.maxAttempts && state.takeRetry(nowMs, attemptArrivals);
 	if (!mayMove) {
 		return [];
 	}
--- a/src/common/forwarding/retry-window.test.ts
+++ b/src/common/forwarding/retry-window.test.ts
@@ -10,9 +10,17 @@
 	const taken = (nowMs: number) => Array.from({length: 5}, () => window.takeRetry(nowMs, 11)).filter(Boolean).length;
 	assert.equal(taken(0), 2);
 	assert.equal(taken(9000), 0);
+	assert.equal(taken(11_900), 0);
 	assert.equal(taken(12_000), 2);
 });
 
+test('a retry that arrives twice takes two, or none', () => {
+	const window = new RetryWindow({...limits, slack: 3});
+	assert.equal(window.takeRetry(0, 1, 2), true);
+	assert.equal(window.takeRetry(0, 1, 2), false);
+	assert.equal(window.takeRetry(0, 1), true);
+});
+
 test('guards against retries of several processes beyond the common bound in any window', () => {
 	const processes = 4;
 	const step = fc.record({process: fc.integer({min: 0, max: processes - 1}), afterMs: fc.integer({min: 0, max: 900}), sends: fc.integer({min: 0, max: 6})});
@@ -32,11 +40,9 @@
 				retries.push(nowMs);
 			}
 
-			// A slice of the window may linger, so the sends of the window before count in part.
-			const from = nowMs - (limits.windowMs * 1.2);
 			const windowStartMs = nowMs - limits.windowMs;
 			const recentRetries = retries.filter(atMs => atMs > windowStartMs).length;
-			const recentSends = sends.filter(atMs => atMs > from).length;
+			const recentSends = sends.filter(atMs => atMs > windowStartMs).length;
 			assert.ok(recentRetries <= (recentSends * limits.ratio) + limits.slack);
 		}
 	}), {seed: 3, numRuns: 200});
--- a/src/common/forwarding/retry-window.ts
+++ b/src/common/forwarding/retry-window.ts
@@ -1,5 +1,7 @@
 /** Slices of the window; finer ones would only track the bound more closely. */
 const sliceCount = 10;
+/** Slices for which a retry counts beyond the window: it may arrive up to a wait for memory and a prompt after it was taken. */
+const lateSlices = 2;
 
 export type RetryWindowLimits = {
 	/** Retries allowed as a share of first sends. */
@@ -26,29 +28,29 @@
 		this._current(nowMs).sends++;
 	}
 
-	/** Takes one retry if this process has one left; `processes` share the slack. */
-	takeRetry(nowMs: number, processes: number): boolean {
+	/** Takes what a retry costs in further arrivals, if this process has as many left; `processes` share the slack. */
+	takeRetry(nowMs: number, processes: number, arrivals = 1): boolean {
 		const current = this._current(nowMs);
-		const {ratio, slack} = this._limits;
+		const {ratio, slack, windowMs} = this._limits;
 		let sends = 0;
 		let retries = 0;
 		for (const slice of this._slices) {
-			sends += slice.sends;
+			sends += slice.startMs > nowMs - windowMs ? slice.sends : 0;
 			retries += slice.retries;
 		}
 
-		if (retries + 1 > (sends * ratio) + (slack / Math.max(1, processes))) {
+		if (retries + arrivals > (sends * ratio) + (slack / Math.max(1, processes))) {
 			return false;
 		}
 
-		current.retries++;
+		current.retries += arrivals;
 		return true;
 	}
 
 	private _current(nowMs: number): Slice {
 		const {windowMs} = this._limits;
 		const sliceMs = windowMs / sliceCount;
-		while (this._slices.length > 0 && this._slices[0]!.startMs <= nowMs - windowMs - sliceMs) {
+		while (this._slices.length > 0 && this._slices[0]!.startMs <= nowMs - windowMs - (lateSlices * sliceMs)) {
 			this._slices.shift();
 		}
 
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -58,7 +58,7 @@
 			maxAttempts: route.maxAttempts,
 			patience: patienceOf({waitMs: _call.callerDeadlineMs - _call.exchange.startedAtMs, timeoutMs: route.timeoutMs, targetMs: route.targetMs}),
 			returnAfterMs: returnAfterMs(_services.fleet.random.next()),
-			takeRetry: () => _services.fleet.takeRetry(service.name),
+			takeRetry: (_nowMs, arrivals) => _services.fleet.takeRetry(service.name, arrivals),
 		});
 		const output = Math.min(prompt?.maxOutputTokens ?? 0, prompt?.expectedOutputTokens ?? Infinity);
 		this._tokens = Math.ceil(((prompt?.promptTokens ?? 0) + output) / blockTokens) * blockTokens;
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -89,8 +89,9 @@
 		this._window(service).countSend(this._options.clock.nowMs());
 	}
 
-	takeRetry(service: string): boolean {
-		return this._window(service).takeRetry(this._options.clock.nowMs(), this._options.processes());
+	/** Takes as many further arrivals as a retry makes from the budget of its service. */
+	takeRetry(service: string, arrivals = 1): boolean {
+		return this._window(service).takeRetry(this._options.clock.nowMs(), this._options.processes(), arrivals);
 	}
 
 	/** Whether one more prompt of this process may be under way to the prefill engines of a service; ends with `releasePrefillPlace`. */
