--- a/src/common/forwarding/stage-plan.ts
+++ b/src/common/forwarding/stage-plan.ts
@@ -26,12 +26,12 @@
 	const decode = inStage('decode');
 	if (prefill.length > Math.max(minPrefillEngines, Math.ceil(engines.length * prefillShare))) {
 		// The zone that keeps the most gives one, so that each zone keeps one near its decode engines.
-		return change(prefill, ordered, 'decode', zone => -countIn(prefill, zone));
+		return pickFrom(prefill, ordered, 'decode', zone => -countIn(prefill, zone));
 	}
 
 	// Servers that leave or are lost may take the prefill engines with them.
 	if (decode.length > 1 && prefill.length < Math.max(1, Math.round(engines.length * prefillShare))) {
-		return change(decode, ordered, 'prefill', zone => (countIn(prefill, zone) * engines.length) - countIn(decode, zone));
+		return pickFrom(decode, ordered, 'prefill', zone => (countIn(prefill, zone) * engines.length) - countIn(decode, zone));
 	}
 
 	return undefined;
@@ -42,7 +42,7 @@
 }
 
 /** The engine of the zone with the lowest rank that is not carrying out an order. */
-function change(engines: readonly ServerRecord[], ordered: StageQuestion['ordered'], stage: EngineStage, rank: (zone: string) => number): StageChange | undefined {
+function pickFrom(engines: readonly ServerRecord[], ordered: StageQuestion['ordered'], stage: EngineStage, rank: (zone: string) => number): StageChange | undefined {
 	const [record] = engines.filter(engine => !ordered.has(serverKey(engine)))
 		.sort((a, b) => rank(a.zone) - rank(b.zone) || (serverKey(a) < serverKey(b) ? -1 : 1));
 	return record && {record, stage};
--- a/src/node/transport/tcp-peer-network.test.ts
+++ b/src/node/transport/tcp-peer-network.test.ts
@@ -91,30 +91,45 @@
 	assert.equal(ups, 0);
 });
 
+/** A listener that stands between two networks; `sockets` collects what ends with the test. */
+async function startForwarder(t: TestContext, onInbound: (inbound: Socket, sockets: Socket[]) => void) {
+	const sockets: Socket[] = [];
+	const server = createServer(inbound => {
+		sockets.push(inbound);
+		onInbound(inbound, sockets);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.after(() => {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, sockets};
+}
+
+function pipeTo(target: TcpPeerNetwork, inbound: Socket, sockets: Socket[]): void {
+	const outbound = connect(Number(target.address.split(':')[1]), '127.0.0.1');
+	inbound.pipe(outbound).pipe(inbound);
+	inbound.on('error', () => outbound.destroy());
+	outbound.on('error', () => inbound.destroy());
+	inbound.on('close', () => outbound.destroy());
+	sockets.push(outbound);
+}
+
 test('guards against messages that wait a second behind a connection attempt that gets no answer', async t => {
 	const {network: target} = await startNetwork(t, 'a');
 	const {network: source} = await startNetwork(t, 'b');
-	const sockets: Socket[] = [];
 	const attemptsMs: number[] = [];
 	// Keeps the first connection open without a word, as a machine that is starting does with a lost SYN.
-	const forwarder = createServer(inbound => {
+	const {address} = await startForwarder(t, (inbound, sockets) => {
 		attemptsMs.push(performance.now());
-		sockets.push(inbound);
 		if (attemptsMs.length > 1) {
-			const outbound = connect(Number(target.address.split(':')[1]), '127.0.0.1');
-			inbound.pipe(outbound).pipe(inbound);
-			sockets.push(outbound);
+			pipeTo(target, inbound, sockets);
 		}
 	});
-	forwarder.listen(0, '127.0.0.1');
-	await once(forwarder, 'listening');
-	t.after(() => {
-		forwarder.close();
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-	});
-	source.setAddress('a', `127.0.0.1:${(forwarder.address() as AddressInfo).port}`);
+	source.setAddress('a', address);
 	assert.deepEqual(await requestUntilAnswered(source), {from: 'b', text: 'after'});
 	assert.ok(attemptsMs[1]! - attemptsMs[0]! < 700, `the second attempt came ${attemptsMs[1]! - attemptsMs[0]!} ms after the first`);
 });
@@ -122,27 +137,13 @@
 test('a peer that goes silent is replaced on a new connection, and the request that was lost is rejected', async t => {
 	const {network: target} = await startNetwork(t, 'a');
 	const {network: source} = await startNetwork(t, 'b');
-	const pipes: Socket[] = [];
-	// Forwards bytes until `pause`, then keeps the connection open and drops everything.
-	const forwarder = createServer(inbound => {
-		const outbound = connect(Number(target.address.split(':')[1]), '127.0.0.1');
-		inbound.pipe(outbound).pipe(inbound);
-		inbound.on('error', () => outbound.destroy());
-		outbound.on('error', () => inbound.destroy());
-		inbound.on('close', () => outbound.destroy());
-		pipes.push(inbound, outbound);
-	});
-	forwarder.listen(0, '127.0.0.1');
-	await once(forwarder, 'listening');
-	t.after(() => {
-		forwarder.close();
-		for (const socket of pipes) {
-			socket.destroy();
-		}
+	const {address, sockets} = await startForwarder(t, (inbound, all) => {
+		pipeTo(target, inbound, all);
 	});
-	source.setAddress('a', `127.0.0.1:${(forwarder.address() as AddressInfo).port}`);
+	source.setAddress('a', address);
 	await source.request('a', {type: 'echo', text: 'before'}, 5000);
-	for (const socket of pipes) {
+	// From now on the connection stays open and drops everything.
+	for (const socket of sockets) {
 		socket.unpipe();
 		socket.resume();
 	}
