Count failed prompts in the budget for resends, use half of its ratio, and suspend servers that are not the listed ones

Three parts: 1. a prompt that an engine rejects or drops from its queue is an arrival more and counted nowhere; the address of a dead prefill engine was used by another service, which answered 421 to every request, and the other engine was given up on 30 to 60 times in 10 s; 2. each process counts its own last 10 s when it takes a retry, so that together they counted sends of up to 20 s; 3. nothing told the other processes of a server that is not the listed one. Now failed prompts count, no prompt goes to a prefill engine when the budget is used up, a process uses half of the ratio, and a 421 suspends the server everywhere for 3 s. Tests: retry-window.test.ts (two that fail without the change, a property after the rule's own windows beside the one there was), model-forward.test.ts (its former cases without budget now allow a first prompt, as a budget that is just used up does).

--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -8,7 +8,7 @@
 
 function run(steps: readonly Step[], options: Partial<ModelForwardOptions> = {}): string[] {
 	const state = createModelForward({
-		isResumable: false, maxAttempts: 1, patience: {maxWaitMs: 600, gapMs: 50, room: 1}, returnAfterMs: 2000, takeRetry: () => true, ...options,
+		isResumable: false, maxAttempts: 1, patience: {maxWaitMs: 600, gapMs: 50, room: 1}, returnAfterMs: 2000, takeRetry: () => true, countFailedPrompt: () => undefined, ...options,
 	});
 	return [{type: 'forward/start'} as const, ...steps].flatMap(step => reduceModelForward(state, {nowMs: 0, ...step}).map(effect => summary(effect)));
 }
@@ -76,7 +76,7 @@
 	const broken: Step = {type: 'forward/broken', attempt: 1, server: 'd1'};
 	assert.deepEqual(run([...sent(), answered(1), broken]).slice(4), ['release', 'cut']);
 	assert.deepEqual(run([...sent(), answered(1), broken], {isResumable: true, maxAttempts: 2}).slice(4), ['release', 'hold -d1']);
-	assert.deepEqual(run([...sent(), answered(1), broken], {isResumable: true, maxAttempts: 2, takeRetry: () => false}).slice(4), ['release', 'cut']);
+	assert.deepEqual(run([...sent(), answered(1), broken], {isResumable: true, maxAttempts: 2, takeRetry: (_nowMs, arrivals) => arrivals === 0}).slice(4), ['release', 'cut']);
 });
 
 test('the time that is over is answered truthfully', () => {
@@ -92,7 +92,7 @@
 	assert.deepEqual(run([...sent(), stalled], {isResumable: true, maxAttempts: 2}).slice(3), ['release', 'hold -d1']);
 	assert.deepEqual(run([...sent(), answered(1), stalled], {isResumable: true, maxAttempts: 2}).slice(4), ['release', 'hold -d1']);
 	assert.deepEqual(run([...sent(), stalled, answered(1)]).slice(3), ['relay']);
-	assert.deepEqual(run([...sent(), stalled, answered(1)], {isResumable: true, maxAttempts: 2, takeRetry: () => false}).slice(3), ['relay']);
+	assert.deepEqual(run([...sent(), stalled, answered(1)], {isResumable: true, maxAttempts: 2, takeRetry: (_nowMs, arrivals) => arrivals === 0}).slice(3), ['relay']);
 });
 
 test('crash on a full pool: a stream that broke off waits for memory as long as a new request', () => {
@@ -110,9 +110,13 @@
 });
 
 test('the decode engine reads the prompt itself when no prefill engine can', () => {
-	const failed: Step = {type: 'forward/prefill-failed', attempt: 1, server: 'p1'};
+	const failed: Step = {
+		type: 'forward/prefill-failed', attempt: 1, server: 'p1',
+	};
 	assert.deepEqual(run([{type: 'forward/held', attempt: 1}, failed, {...failed, server: 'p2'}]), ['hold -', 'prefill', 'prefill', 'send']);
-	assert.deepEqual(run([{type: 'forward/held', attempt: 1}, {type: 'forward/prefill-failed', attempt: 1, server: undefined}]), ['hold -', 'prefill', 'send']);
+	assert.deepEqual(run([{type: 'forward/held', attempt: 1}, {
+		type: 'forward/prefill-failed', attempt: 1, server: undefined,
+	}]), ['hold -', 'prefill', 'send']);
 });
 
 test('guards against resends that arrive twice, with their prompt and by themselves, and count once', () => {
@@ -123,6 +127,24 @@
 	};
 
 	run([...sent(), answered(1), {type: 'forward/broken', attempt: 1, server: 'd1'}], {isResumable: true, maxAttempts: 2, takeRetry});
-	run([{type: 'forward/held', attempt: 1}, {type: 'forward/prefill-failed', attempt: 1, server: 'p1'}], {takeRetry});
-	assert.deepEqual(arrivals, [2, 1]);
+	run([{type: 'forward/held', attempt: 1}, {
+		type: 'forward/prefill-failed', attempt: 1, server: 'p1',
+	}], {takeRetry});
+	assert.deepEqual(arrivals.filter(count => count > 0), [2]);
+});
+
+test('guards against prompts that fail and count nowhere: each may be an arrival more', () => {
+	let failed = 0;
+	const steps: Step[] = [{type: 'forward/held', attempt: 1}, ...['p1', 'p2'].map(server => ({
+		type: 'forward/prefill-failed' as const, attempt: 1, server,
+	}))];
+	const effects = run(steps, {
+		countFailedPrompt() {
+			failed++;
+		},
+	});
+	assert.deepEqual(effects, ['hold -', 'prefill', 'prefill', 'send']);
+	assert.equal(failed, 2);
+	// Without budget for a prompt that may fail, none is sent to a prefill engine.
+	assert.deepEqual(run([{type: 'forward/held', attempt: 1}], {takeRetry: () => false}), ['hold -', 'send']);
 });
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -25,6 +25,8 @@
 	readonly returnAfterMs: number;
 	/** Takes what a retry costs in further arrivals at engines from the budget for resends. */
 	readonly takeRetry: (nowMs: number, arrivals: number) => boolean;
+	/** Counts a prompt that failed in that budget: unlike the first one that is accepted, it may be one arrival more. */
+	readonly countFailedPrompt: (nowMs: number) => void;
 };
 
 export type ModelForward = ModelForwardOptions & {
@@ -112,8 +114,9 @@
 		}
 
 		case 'forward/held': {
-			state.phase = 'prefilling';
-			return prefill(state);
+			// A prompt that fails costs an arrival; without budget for it the decode engine reads it.
+			state.phase = state.takeRetry(event.nowMs, 0) ? 'prefilling' : 'sending';
+			return state.phase === 'prefilling' ? prefill(state) : [{type: 'forward/send', attempt: state.attempt}];
 		}
 
 		case 'forward/hold-refused': {
@@ -216,7 +219,8 @@
 function takePrefillFailure(state: ModelForward, {server, nowMs}: Of<'forward/prefill-failed'>): ModelForwardEffect[] {
 	if (server !== undefined) {
 		state.failedOn.add(server);
-		if (state.prefills < maxPrefills && state.takeRetry(nowMs, 1)) {
+		state.countFailedPrompt(nowMs);
+		if (state.prefills < maxPrefills && state.takeRetry(nowMs, 0)) {
 			return prefill(state);
 		}
 	}
--- a/src/common/forwarding/retry-window.test.ts
+++ b/src/common/forwarding/retry-window.test.ts
@@ -47,3 +47,63 @@
 		}
 	}), {seed: 3, numRuns: 200});
 });
+
+test('a rejected arrival uses up the budget of later retries', () => {
+	const window = new RetryWindow({...limits, slack: 2});
+	window.countArrival(0);
+	window.countArrival(0);
+	assert.equal(window.takeRetry(0, 1), false);
+	assert.equal(window.takeRetry(0, 1, 0), true);
+	window.countArrival(0);
+	assert.equal(window.takeRetry(0, 1, 0), false);
+});
+
+test('guards against processes that count different windows for the same retries', () => {
+	const small = {...limits, slack: 2};
+	const [early, late] = [new RetryWindow(small), new RetryWindow(small)];
+	const sendAt = (window: RetryWindow, nowMs: number) => {
+		for (let i = 0; i < 100; i++) {
+			window.countSend(nowMs);
+		}
+	};
+
+	const takenAt = (window: RetryWindow, nowMs: number) => Array.from({length: 50}, () => window.takeRetry(nowMs, 2)).filter(Boolean).length;
+	sendAt(early, 1000);
+	sendAt(late, 19_000);
+	// Both sets of retries lie within one window, the sends of only one of them count for it.
+	assert.ok(takenAt(early, 10_500) + takenAt(late, 19_500) <= (100 * small.ratio) + small.slack);
+});
+
+test('guards against retries beyond the bound of a window, of the one before it and of the one half a window before it', () => {
+	const processes = 4;
+	const {windowMs, ratio, slack} = limits;
+	const step = fc.record({
+		process: fc.integer({min: 0, max: processes - 1}), afterMs: fc.integer({min: 0, max: 900}), sends: fc.integer({min: 0, max: 40}), asks: fc.integer({min: 0, max: 12}),
+	});
+	fc.assert(fc.property(fc.array(step, {maxLength: 150}), steps => {
+		const windows = Array.from({length: processes}, () => new RetryWindow(limits));
+		const sends: number[] = [];
+		const retries: number[] = [];
+		let nowMs = 0;
+		for (const {process, afterMs, sends: count, asks} of steps) {
+			nowMs += afterMs;
+			for (let i = 0; i < count; i++) {
+				windows[process]!.countSend(nowMs);
+				sends.push(nowMs);
+			}
+
+			for (let i = 0; i < asks; i++) {
+				if (windows[process]!.takeRetry(nowMs, processes)) {
+					retries.push(nowMs);
+				}
+			}
+		}
+
+		const countIn = (times: readonly number[], fromMs: number) => times.filter(atMs => atMs >= fromMs && atMs < fromMs + windowMs).length;
+		for (const startMs of new Set(retries)) {
+			// Sends count in that window, in the one before it or in the one half a window before it.
+			const most = Math.max(...[0, 0.5, 1].map(share => countIn(sends, startMs - (share * windowMs))));
+			assert.ok(countIn(retries, startMs) <= (most * ratio) + slack);
+		}
+	}), {seed: 1, numRuns: 500});
+});
--- a/src/common/forwarding/retry-window.ts
+++ b/src/common/forwarding/retry-window.ts
@@ -3,6 +3,12 @@
 /** Slices for which a retry counts beyond the window: it may arrive up to a wait for memory and a prompt after it was taken. */
 const lateSlices = 2;
 
+/**
+Part of the ratio that a process uses. Each counts its own last window when it takes a retry; over processes these windows cover up to
+twice the time of the window that is bounded.
+*/
+const ratioPart = 0.5;
+
 export type RetryWindowLimits = {
 	/** Retries allowed as a share of first sends. */
 	readonly ratio: number;
@@ -28,7 +34,7 @@
 		this._current(nowMs).sends++;
 	}
 
-	/** Takes what a retry costs in further arrivals, if this process has as many left; `processes` share the slack. */
+	/** Takes what a retry costs in further arrivals, 0 to learn whether the budget is used up, if this process has as many left; `processes` share the slack. */
 	takeRetry(nowMs: number, processes: number, arrivals = 1): boolean {
 		const current = this._current(nowMs);
 		const {ratio, slack, windowMs} = this._limits;
@@ -39,7 +45,7 @@
 			retries += slice.retries;
 		}
 
-		if (retries + arrivals > (sends * ratio) + (slack / Math.max(1, processes))) {
+		if (retries + arrivals > (sends * ratio * ratioPart) + (slack / Math.max(1, processes))) {
 			return false;
 		}
 
@@ -47,6 +53,11 @@
 		return true;
 	}
 
+	/** Counts one further arrival, whether or not one is left. */
+	countArrival(nowMs: number): void {
+		this._current(nowMs).retries++;
+	}
+
 	private _current(nowMs: number): Slice {
 		const {windowMs} = this._limits;
 		const sliceMs = windowMs / sliceCount;
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -18,6 +18,8 @@
 const prefillShare = 1.2;
 /** Largest answer to a prefill call, or of an answer that is no stream, in bytes. */
 const wholeAnswerLimitBytes = 1024 * 1024;
+/** Status of a server that is not the one meant, or in another stage (HTTP 421, Misdirected Request). */
+const misdirectedStatus = 421;
 /** Validity of a reservation; it covers the prefill and the transfer. */
 const holdTtlMs = 2000;
 /** Memory is allocated in blocks of this many tokens. */
@@ -58,6 +60,9 @@
 			maxAttempts: route.maxAttempts,
 			patience: patienceOf({waitMs: _call.callerDeadlineMs - _call.exchange.startedAtMs, timeoutMs: route.timeoutMs, targetMs: route.targetMs}),
 			returnAfterMs: returnAfterMs(_services.fleet.random.next()),
+			countFailedPrompt() {
+				_services.fleet.countArrival(service.name);
+			},
 			takeRetry: (_nowMs, arrivals) => _services.fleet.takeRetry(service.name, arrivals),
 		});
 		const output = Math.min(prompt?.maxOutputTokens ?? 0, prompt?.expectedOutputTokens ?? Infinity);
@@ -200,8 +205,8 @@
 	}
 
 	private async _prefill(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
-		const {fleet, protocol, clock} = this._services;
-		const {route, caller} = this._call;
+		const {fleet, protocol, clock, logger} = this._services;
+		const {route, caller, requestId} = this._call;
 		const server = fleet.directory.choosePrefill(this._question(exclude, this._memory.held!.server.record.zone));
 		if (!server) {
 			this._dispatchLater({type: 'forward/prefill-failed', attempt, server: undefined});
@@ -217,7 +222,13 @@
 			const {status, headers, body} = await readWhole(answer, wholeAnswerLimitBytes);
 			const result = status === 200 ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
 			if (!result) {
-				if (protocol.readServerAnswer(headers).isNotRun) {
+				const isRejected = protocol.readServerAnswer(headers).isNotRun;
+				logger.log('info', 'prompt not read', {
+					requestId, attempt, server: server.key, status, isRejected, listAgeMs: fleet.listAgeMs(),
+				});
+				if (status === misdirectedStatus) {
+					fleet.recordMisdirected(server);
+				} else if (isRejected) {
 					fleet.directory.refusedReservation(server, clock.nowMs());
 				} else {
 					fleet.recordFailure(server, {isUnreachable: false, detail: `prefill answered with status ${status}`});
@@ -295,7 +306,9 @@
 				logger.log('info', 'engine turned the request away', {
 					requestId, attempt, server: server.key, prefillServer: prefilled?.server.key, status: answer.status,
 				});
-				if (prefilled) {
+				if (answer.status === misdirectedStatus) {
+					fleet.recordMisdirected(server);
+				} else if (prefilled) {
 					fleet.recordFailure(prefilled.server, {isUnreachable: false, detail: 'the prefill result was gone'});
 				}
 
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -14,8 +14,8 @@
 /** Tells that a server cannot be reached from the sender. */
 export const unreachableSchema = z.strictObject({type: z.literal('forwarding/unreachable'), server: z.string().max(300)});
 
-/** Tells that an engine carries out an order and turns work away for so long, in milliseconds; 0 takes that back. */
-export const engineOrderedSchema = z.strictObject({type: z.literal('forwarding/engine-ordered'), server: z.string().max(300), forMs: z.number().min(0).max(60_000)});
+/** Tells that a server turns work away for so long, in milliseconds; 0 takes that back. */
+export const suspendedSchema = z.strictObject({type: z.literal('forwarding/suspended'), server: z.string().max(300), forMs: z.number().min(0).max(60_000)});
 
 export type ServerFleetOptions = {
 	readonly clock: Clock;
@@ -26,8 +26,12 @@
 	readonly processes: () => number;
 	/** Tells the other processes that a server cannot be reached from here. */
 	readonly announceUnreachable: (key: ServerKey) => void;
+	/** Tells the other processes that a server gets no work for so long, or takes that back with 0. */
+	readonly announceSuspended: (key: ServerKey, forMs: number) => void;
 };
 
+/** Time for which a server that is not the listed one gets no work, in milliseconds; lists lag by a second or two, and crashed servers stay on them for some. */
+const misdirectedMs = 3000;
 /** Bound on a probe, in milliseconds; servers are a few milliseconds away. */
 const probeTimeoutMs = 250;
 
@@ -94,6 +98,22 @@
 		return this._window(service).takeRetry(this._options.clock.nowMs(), this._options.processes(), arrivals);
 	}
 
+	/** Counts one further arrival in that budget, whether or not one is left. */
+	countArrival(service: string): void {
+		this._window(service).countArrival(this._options.clock.nowMs());
+	}
+
+	/**
+	The server at this address is another one, or in another stage, than the list says: no process sends it work until the list may
+	have caught up.
+	*/
+	recordMisdirected(server: Server): void {
+		const {clock, logger, announceSuspended} = this._options;
+		this.directory.suspend(server, clock.nowMs() + misdirectedMs);
+		logger.log('warn', 'server is not the listed one', {server: server.key, forMs: misdirectedMs, listAgeMs: this.listAgeMs()});
+		announceSuspended(server.key, misdirectedMs);
+	}
+
 	/** Whether one more prompt of this process may be under way to the prefill engines of a service; ends with `releasePrefillPlace`. */
 	takePrefillPlace(service: string): boolean {
 		return this._places.take(service, this.directory.ready(service, 'prefill').length, this._options.processes());
@@ -132,12 +152,12 @@
 		}
 	}
 
-	/** Another process ordered an engine to change its stage. */
-	noteOrder(key: ServerKey, forMs: number, announcedBy: string): void {
+	/** Another process found that a server turns work away. */
+	noteSuspended(key: ServerKey, forMs: number, announcedBy: string): void {
 		const server = this.directory.get(key);
 		if (server) {
 			this.directory.suspend(server, this._options.clock.nowMs() + forMs);
-			this._options.logger.log('info', 'engine carries out an order', {server: key, forMs, announcedBy});
+			this._options.logger.log('info', 'server suspended', {server: key, forMs, announcedBy});
 		}
 	}
 
--- a/src/node/forwarding/stage-host.test.ts
+++ b/src/node/forwarding/stage-host.test.ts
@@ -52,7 +52,7 @@
 	const clock = new ManualClock();
 	const logger = new NullLogger();
 	const fleet = new ServerFleet({
-		clock, logger, seed: 1, retries: {ratio: 0.2, windowMs: 10_000, slack: 10}, processes: () => 1, announceUnreachable: () => undefined,
+		clock, logger, seed: 1, retries: {ratio: 0.2, windowMs: 10_000, slack: 10}, processes: () => 1, announceUnreachable: () => undefined, announceSuspended: () => undefined,
 	});
 	const records: ServerRecord[] = ids.map(id => buildServer({
 		id, address: server.address, stage: id.startsWith('p') ? 'prefill' : 'decode',
@@ -67,7 +67,7 @@
 		isLeader: () => isLeader,
 		holder: 'vm-1',
 		services: () => ['desk'],
-		announceOrder(key, forMs) {
+		announceSuspended(key, forMs) {
 			announced.push([key.split(' ')[2]!, forMs > 0, orders.length]);
 		},
 		turnMs,
--- a/src/node/forwarding/stage-host.ts
+++ b/src/node/forwarding/stage-host.ts
@@ -42,7 +42,7 @@
 	/** Services whose engines are balanced. */
 	readonly services: () => readonly string[];
 	/** Tells the other processes that an engine turns work away for so long, or takes that back with 0. */
-	readonly announceOrder: (key: ServerKey, forMs: number) => void;
+	readonly announceSuspended: (key: ServerKey, forMs: number) => void;
 	/** Time for which orders of two holders must lie apart, in milliseconds. */
 	readonly turnMs: number;
 };
@@ -174,8 +174,8 @@
 
 	/** Reservations that the engine still grants would end in requests that it turns away. */
 	private _suspend(server: Server, forMs: number): void {
-		const {fleet, clock, announceOrder} = this._options;
+		const {fleet, clock, announceSuspended} = this._options;
 		fleet.directory.suspend(server, clock.nowMs() + forMs);
-		announceOrder(server.key, forMs);
+		announceSuspended(server.key, forMs);
 	}
 }
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -42,7 +42,7 @@
 import type {FleetProtocol} from './forwarding/fleet-protocol.js';
 import type {FleetSettings} from './forwarding/fleet-settings.js';
 import {ForwardServer} from './forwarding/forward-server.js';
-import {engineOrderedSchema, ServerFleet, unreachableSchema} from './forwarding/server-fleet.js';
+import {ServerFleet, suspendedSchema, unreachableSchema} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {StageHost} from './forwarding/stage-host.js';
 import {Runtime} from './runtime.js';
@@ -471,6 +471,10 @@
 		}
 	};
 
+	const announceSuspended = (key: string, forMs: number) => {
+		announce({type: 'forwarding/suspended', server: key, forMs});
+	};
+
 	const fleet = parts.add(new ServerFleet({
 		clock,
 		logger,
@@ -480,12 +484,13 @@
 		announceUnreachable(key) {
 			announce({type: 'forwarding/unreachable', server: key});
 		},
+		announceSuspended,
 	}));
 	network.handle('forwarding/unreachable', unreachableSchema, (from, {server: key}) => {
 		void fleet.verify(key, from.vm);
 	});
-	network.handle('forwarding/engine-ordered', engineOrderedSchema, (from, {server: key, forMs}) => {
-		fleet.noteOrder(key, forMs, from.vm);
+	network.handle('forwarding/suspended', suspendedSchema, (from, {server: key, forMs}) => {
+		fleet.noteSuspended(key, forMs, from.vm);
 	});
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = parts.add(new ForwardServer({
@@ -513,9 +518,7 @@
 			isLeader: () => consensus.role === 'leader',
 			holder: fleetSettings.node,
 			services: () => client.access.view?.configuration.forwarding?.services.filter(({engine}) => engine).map(({name}) => name) ?? [],
-			announceOrder(key, forMs) {
-				announce({type: 'forwarding/engine-ordered', server: key, forMs});
-			},
+			announceSuspended,
 			turnMs: fleetSettings.orderTurnMs,
 		}));
 	}
