Let both engines of the test with random faults answer with the request's own content

An import that fails or takes too long on the first decode engine moves its request to the second, which the test had left with its usual answer; with the 41st import reset on purpose the test failed in the same way each time. Checks are unchanged, and hold for both engines now.

--- a/src/node/entry/model-path.test.ts
+++ b/src/node/entry/model-path.test.ts
@@ -308,9 +308,9 @@
 });
 
 test('many concurrent streams with random faults each bring their own whole answer and leave no memory held', async t => {
-	const {url, prefill, decode1, services} = await startHarness(t);
+	const {url, prefill, decode1, decode2, services} = await startHarness(t);
 	const random = new SeededRandom(5);
-	decode1.script.on.decode = (res, {requestId, after}) => {
+	const answerWithFaults = (held: Set<string>): EngineScript['on']['decode'] => (res, {requestId, after}) => {
 		const own = Array.from({length: 20}, (_, i) => eventLine(requestId, i + 1, `${requestId}/${i} `));
 		const lines = [...own, endLine(requestId, 21)].slice(Math.max(0, after - 1));
 		const fault = random.integer(0, 5);
@@ -337,13 +337,18 @@
 
 			default: {
 				res.end(lines.join(''));
-				decode1.held.delete(requestId);
+				held.delete(requestId);
 			}
 		}
 
 		return true;
 	};
 
+	// An import that takes too long on the first engine moves its request to the second.
+	for (const engine of [decode1, decode2]) {
+		engine.script.on.decode = answerWithFaults(engine.held);
+	}
+
 	await Promise.all(Array.from({length: 100}, async () => {
 		const res = await fetch(`${url}/v1/chat/completions`, chatInit({stream: true}));
 		const body = await res.text();
