Judge refusals by the tokens that a tenant really had; bound the wait for a rate by the latency target

The judge counted a request that was sent again after its process died once, though the tenant had paid for both runs and what was let through counts as consumed. And a request waited for its tenant's rate for as long as its profile lets it wait at all, so that the scheduler found its deadline hopeless when the rate came.

--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -94,6 +94,8 @@
 /** One prefill in the record of an engine. */
 export type PrefillRecord = {
 	readonly requestId: string;
+	/** Unix milliseconds. */
+	readonly startedMs: number;
 	readonly answerId: string;
 	readonly promptTokens: number;
 	readonly cachedTokens: number;
@@ -296,7 +298,7 @@
 
 		const id = answerId(req.prompt, req.requestId);
 		const entry: PrefillRecord = {
-			requestId: req.requestId, answerId: id, promptTokens, cachedTokens, outcome: 'running',
+			requestId: req.requestId, startedMs: Date.now(), answerId: id, promptTokens, cachedTokens, outcome: 'running',
 		};
 		this._remember(entry);
 		const handle = `${req.requestId}~${randomUUID().slice(0, 8)}`;
--- a/fakes/plain-service.ts
+++ b/fakes/plain-service.ts
@@ -15,6 +15,8 @@
 
 /** One call that ran. */
 export type PlainCall = {
+	/** When the call arrived, in Unix milliseconds. */
+	readonly startedMs: number;
 	readonly method: string;
 	readonly path: string;
 	readonly idempotencyKey: string | undefined;
@@ -77,6 +79,7 @@
 		const body = await text(req);
 		const url = new URL(req.url ?? '/', 'http://service');
 		const call: PlainCall = {
+			startedMs: Date.now(),
 			method: req.method ?? 'GET',
 			path: url.pathname,
 			idempotencyKey: req.headers['idempotency-key'] as string | undefined,
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -61,8 +61,8 @@
 	});
 	const target = await startSystem(workload);
 	try {
-		const [outcomes, stopStatus] = await Promise.all([sendTrace(target, trace), interrupt(target)]);
-		const measures = score({trace, outcomes, ...await readRecords(target.cluster)});
+		const [sent, stopStatus] = await Promise.all([sendTrace(target, trace), interrupt(target)]);
+		const measures = score({trace, ...sent, ...await readRecords(target.cluster)});
 		const checks = checkAll(measures, stopStatus);
 		printTable([
 			['requests', measures.requests],
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -5,7 +5,7 @@
 import type {Disposable} from '../common/core/disposable.js';
 import {entryPointAnswerSchema} from '../common/services/entry-point-service.js';
 import type {EntryPointAnswer} from '../common/services/entry-point-service.js';
-import type {Outcome, OutcomeKind} from './outcome.js';
+import type {Attempt, Outcome, OutcomeKind} from './outcome.js';
 import {buildPrompt} from './prompts.js';
 import {sseData} from './sse.js';
 import type {ModelTraceRequest, PlainTraceRequest, TraceRequest} from './trace.js';
@@ -69,15 +69,21 @@
 			: setTimeout(() => {
 				abort.abort();
 			}, req.cancelAfterMs);
-		let attempts = 0;
+		const attempts: Attempt[] = [];
 		let result: Result = {kind: 'unknown'};
-		while (attempts < maxAttempts) {
-			attempts++;
+		while (attempts.length < maxAttempts) {
 			const address = await this._entryPoint();
+			const attemptMs = this._options.nowMs();
+			const endAttempt = (isBroken: boolean): void => {
+				attempts.push({sentMs: attemptMs, endMs: this._options.nowMs(), isBroken});
+			};
+
 			try {
 				result = await (req.kind === 'model' ? this._sendModel(req, address, abort.signal) : this._sendPlain(req, address, abort.signal));
+				endAttempt(false);
 				break;
 			} catch (err) {
+				endAttempt(!abort.signal.aborted);
 				if (abort.signal.aborted) {
 					result = {kind: 'cancelled'};
 					break;
--- a/src/load/outcome.ts
+++ b/src/load/outcome.ts
@@ -1,4 +1,6 @@
-import type {TraceRequest} from './trace.js';
+import type {EngineRecord} from '../../fakes/engine.js';
+import type {PlainRecord} from '../../fakes/plain-service.js';
+import type {Trace, TraceRequest} from './trace.js';
 
 /**
 What became of a request, from the caller's view:
@@ -8,6 +10,14 @@
 */
 export type OutcomeKind = 'complete' | 'refused' | 'unknown' | 'cancelled' | 'crossed' | 'incomplete';
 
+/** One connection over which a request was sent; times are in milliseconds from the start of the replay. */
+export type Attempt = {
+	readonly sentMs: number;
+	readonly endMs: number;
+	/** Whether it ended without an answer, so that the caller knows nothing of what became of it. */
+	readonly isBroken: boolean;
+};
+
 /** Result of one request; times are in milliseconds from the start of the replay. */
 export type Outcome = {
 	readonly request: TraceRequest;
@@ -22,6 +32,16 @@
 	readonly status?: number;
 	/** Code of the problem document, or of the error of the connection. */
 	readonly code?: string;
-	/** Connections tried. */
-	readonly attempts: number;
+	/** Connections tried, in order. */
+	readonly attempts: readonly Attempt[];
+};
+
+/** What the callers and the upstreams saw of one replay. */
+export type ReplayResult = {
+	readonly trace: Trace;
+	/** Unix milliseconds at which the times of the outcomes begin. */
+	readonly startedMs: number;
+	readonly outcomes: readonly Outcome[];
+	readonly engines: readonly EngineRecord[];
+	readonly plain: readonly PlainRecord[];
 };
--- a/src/load/plot.ts
+++ b/src/load/plot.ts
@@ -1,5 +1,5 @@
+import type {ReplayResult} from './outcome.js';
 import {isGood} from './scoring.js';
-import type {ReplayResult} from './scoring.js';
 
 type Series = {readonly name: string; readonly colour: string; readonly points: ReadonlyArray<readonly [number, number]>};
 
--- a/src/load/replay.ts
+++ b/src/load/replay.ts
@@ -11,10 +11,10 @@
 import type {SharedConfiguration} from '../common/configuration/types.js';
 import {Caller} from './caller.js';
 import {Cluster, scriptCommand} from './cluster.js';
-import type {Outcome} from './outcome.js';
+import type {Outcome, ReplayResult} from './outcome.js';
 import {writePlot} from './plot.js';
 import {score} from './scoring.js';
-import type {Measures, ReplayResult} from './scoring.js';
+import type {Measures} from './scoring.js';
 import {writeTrace} from './trace.js';
 import {System} from './system.js';
 import type {Trace} from './trace.js';
@@ -178,9 +178,10 @@
 	}
 }
 
-/** Sends the requests of a trace at their times and returns what became of each. */
-export async function sendTrace(target: Target, trace: Trace, options: {readonly faults?: boolean} = {}): Promise<Outcome[]> {
+/** Sends the requests of a trace at their times and returns what became of each, with the time of the start. */
+export async function sendTrace(target: Target, trace: Trace, options: {readonly faults?: boolean} = {}): Promise<Pick<ReplayResult, 'outcomes' | 'startedMs'>> {
 	const startMs = performance.now();
+	const startedMs = Date.now();
 	const nowMs = (): number => performance.now() - startMs;
 	const bootstrap = target.cluster.addresses('entry', 'callers');
 	const callers = new Map(Object.entries(target.keys).map(([tenant, key], index) => [tenant, new Caller({
@@ -199,14 +200,14 @@
 
 	const [outcomes] = await Promise.all([Promise.all(pending), faults]);
 	await Promise.all([...callers.values()].map(async caller => caller.dispose()));
-	return outcomes;
+	return {outcomes, startedMs};
 }
 
 async function measure(start: (workload: WorkloadName) => Promise<Target>, trace: Trace, faults: boolean): Promise<ReplayResult> {
 	const target = await start(trace.header.workload);
 	try {
-		const outcomes = await sendTrace(target, trace, {faults});
-		return {trace, outcomes, ...await readRecords(target.cluster)};
+		const sent = await sendTrace(target, trace, {faults});
+		return {trace, ...sent, ...await readRecords(target.cluster)};
 	} finally {
 		await target.cluster.dispose();
 	}
--- /dev/null
+++ b/src/load/request-cost.ts
@@ -0,0 +1,13 @@
+import {marker} from '../../fakes/answer.js';
+import {bytesPerToken} from '../common/upstreams/prefix.js';
+import type {TraceRequest} from './trace.js';
+
+/** Tokens that a request takes from the tenant's limit before it runs. */
+export function requestCost(req: TraceRequest): number {
+	if (req.kind === 'plain') {
+		return req.cost;
+	}
+
+	const prompt = req.shared.reduce((sum, {tokens}) => sum + tokens, 0) + req.ownTokens + Math.ceil(marker(req.id).length / bytesPerToken);
+	return prompt + req.maxTokens;
+}
--- a/src/load/scoring.ts
+++ b/src/load/scoring.ts
@@ -1,18 +1,8 @@
 import {build} from 'hdr-histogram-js';
-import type {EngineRecord} from '../../fakes/engine.js';
-import type {PlainRecord} from '../../fakes/plain-service.js';
-import {bytesPerToken} from '../common/upstreams/prefix.js';
-import {marker} from '../../fakes/answer.js';
-import type {Outcome} from './outcome.js';
-import type {Trace, TraceRequest} from './trace.js';
-
-/** What the callers and the upstreams saw of one replay. */
-export type ReplayResult = {
-	readonly trace: Trace;
-	readonly outcomes: readonly Outcome[];
-	readonly engines: readonly EngineRecord[];
-	readonly plain: readonly PlainRecord[];
-};
+import type {Outcome, ReplayResult} from './outcome.js';
+import {wrongfulRefusals} from './rate-judge.js';
+import {requestCost} from './request-cost.js';
+import type {TraceRequest} from './trace.js';
 
 export type Percentiles = {readonly p50: number; readonly p95: number; readonly p99: number};
 
@@ -32,7 +22,7 @@
 	readonly cachedPromptRatio: number;
 	/** Goodput of the worst-served tenant as a share of the tenants' mean. */
 	readonly worstTenantGoodput: number;
-	/** Refusals of requests within the tenant's rate and burst. */
+	/** Refusals of requests for which the tenant's bucket had room at that moment. */
 	readonly wrongfulRefusals: number;
 	/** Tokens admitted beyond `burst + rate * t` in the worst window of each tenant, summed. */
 	readonly overAdmitted: number;
@@ -52,16 +42,6 @@
 	readonly plainMs: Percentiles;
 };
 
-/** Tokens that a request takes from the tenant's limit before it runs. */
-export function requestCost(req: TraceRequest): number {
-	if (req.kind === 'plain') {
-		return req.cost;
-	}
-
-	const prompt = req.shared.reduce((sum, {tokens}) => sum + tokens, 0) + req.ownTokens + Math.ceil(marker(req.id).length / bytesPerToken);
-	return prompt + req.maxTokens;
-}
-
 class ReferenceBucket {
 	private _level: number;
 	private _lastMs = 0;
@@ -244,7 +224,7 @@
 		goodputPerSecond: good.length * 1000 / durationMs,
 		...prefillMeasures(result),
 		worstTenantGoodput: worstTenantShare(Object.values(goodputs)),
-		wrongfulRefusals: outcomes.filter(({request, kind}) => kind === 'refused' && within.has(request.id)).length,
+		wrongfulRefusals: wrongfulRefusals(result).length,
 		overAdmitted: Math.round(Object.entries(tenants).reduce((sum, [tenant, {rate, burst}]) => sum + excessTokens(byTenant(outcomes, tenant), rate, burst), 0)),
 		duplicateRuns: countDuplicateRuns(result),
 		crossedAnswers: count('crossed'),
--- a/src/load/workload.test.ts
+++ b/src/load/workload.test.ts
@@ -3,7 +3,7 @@
 import {prefixHashes} from '../common/upstreams/prefix.js';
 import {buildPrompt} from './prompts.js';
 import {loadExample} from './replay.js';
-import {requestCost} from './scoring.js';
+import {requestCost} from './request-cost.js';
 import {readTrace, writeTrace} from './trace.js';
 import type {ModelTraceRequest, PlainTraceRequest} from './trace.js';
 import {generateTrace} from './workload.js';
--- a/src/node/entry/chat-handler.ts
+++ b/src/node/entry/chat-handler.ts
@@ -1,5 +1,6 @@
 import type {ModelService, Profile, SharedConfiguration} from '../../common/configuration/types.js';
 import type {BodyMemory} from '../../common/requests/body-memory.js';
+import {LearnedRatio} from '../../common/scheduler/learned.js';
 import {estimateTokens} from '../../common/upstreams/prefix.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import {DocumentSink, StreamSink} from './answer-sink.js';
@@ -13,6 +14,9 @@
 import {ProblemError} from './problems.js';
 import type {EntryLimits, EntryOptions, EntryServices} from './types.js';
 
+/** Least time that a request waits for its tenant's rate, in milliseconds; the leader's answer takes some tens of them. */
+const minRateWaitMs = 250;
+
 type Chat = {
 	readonly chat: ChatRequest;
 	readonly service: ModelService;
@@ -22,6 +26,8 @@
 /** Serves `POST /v1/chat/completions`. */
 export class ChatHandler {
 	private _nextRequest = 1;
+	/** Milliseconds from the grant of the rate to the first token, by service. */
+	private readonly _firstTextMs = new Map<string, LearnedRatio>();
 
 	constructor(
 		private readonly _services: EntryServices,
@@ -60,7 +66,7 @@
 		const {chat, service, profile} = request;
 		const maxTokens = chat.maxTokens ?? service.maxTokens;
 		const wait = new WaitBudget(this._services, profile.maxWait);
-		const acquisition = await this._gatekeeper.acquire(exchange, estimateTokens(chat.prompt) + maxTokens, wait);
+		const acquisition = await this._gatekeeper.acquire(exchange, estimateTokens(chat.prompt) + maxTokens, this._rateWaitMs(exchange, request, wait));
 		let leave: (() => void) | undefined;
 		try {
 			({leave} = await this._gatekeeper.enter(exchange, chat.service, profile, wait));
@@ -88,6 +94,27 @@
 		} finally {
 			leave();
 		}
+
+		if (run.firstTextAfterMs !== undefined) {
+			this._firstText(chat.service).observe(run.firstTextAfterMs, 1);
+		}
+	}
+
+	/** How long the request may wait for its tenant's rate and still meet its target for the first token, in milliseconds. */
+	private _rateWaitMs(exchange: Exchange, {chat, profile}: Chat, wait: WaitBudget): number {
+		const elapsedMs = this._services.clock.nowMs() - exchange.startedAtMs;
+		const usableMs = profile.latency.firstToken - elapsedMs - this._firstText(chat.service).value;
+		return Math.min(wait.leftMs, Math.max(minRateWaitMs, usableMs));
+	}
+
+	private _firstText(service: string): LearnedRatio {
+		let learned = this._firstTextMs.get(service);
+		if (!learned) {
+			learned = new LearnedRatio({value: 0}, 1);
+			this._firstTextMs.set(service, learned);
+		}
+
+		return learned;
 	}
 
 	/** Unique in the cluster, unlike the ids that callers choose. */
--- a/src/node/entry/gatekeeper.ts
+++ b/src/node/entry/gatekeeper.ts
@@ -65,13 +65,13 @@
 	}
 
 	/** Takes tokens from the tenant's allowance; undefined where nothing is counted. */
-	async acquire(exchange: Exchange, tokens: number, wait: WaitBudget): Promise<Acquisition | undefined> {
+	async acquire(exchange: Exchange, tokens: number, maxWaitMs: number): Promise<Acquisition | undefined> {
 		const tenant = exchange.identity?.tenant;
 		if (tenant === undefined || tokens === 0) {
 			return undefined;
 		}
 
-		const result = await this._services.access.acquire(tenant, tokens, wait.leftMs);
+		const result = await this._services.access.acquire(tenant, tokens, maxWaitMs);
 		if (!result.ok) {
 			const options = result.retryAfterMs === undefined ? {} : {retryAfterMs: result.retryAfterMs};
 			throw result.code === 'control-unreachable' ? this.unreachable(result.retryAfterMs) : new ProblemError(result.code, options);
--- a/src/node/entry/model-path.test.ts
+++ b/src/node/entry/model-path.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import type {ServerResponse} from 'node:http';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {SeededRandom} from '../../common/core/random.js';
 import {
 	bearer, chatInit, eventsOf, startHarness, textOf, until,
@@ -361,3 +362,22 @@
 	assert.equal(services.metrics.counts.get('stream_resumptions_total')! > 20, true);
 	await until(() => prefill.held.size === 0);
 });
+
+test('a request waits for its tenant\'s rate only while it can still meet its target for the first token', async t => {
+	const firstTokenMs = 1500;
+	const prefillMs = 400;
+	const {url, services, prefill} = await startHarness(t, {profile: {maxWait: '3s', latency: {firstToken: `${firstTokenMs}ms`, betweenTokens: '69ms'}}});
+	prefill.script.on.prefill = async () => {
+		await sleep(prefillMs);
+		return false;
+	};
+
+	for (let i = 0; i < 2; i++) {
+		await (await fetch(`${url}/v1/chat/completions`, chatInit())).text();
+	}
+
+	const [first, second] = services.access.maxWaitsMs;
+	assert.ok(first! <= firstTokenMs, 'not as long as the bound on all waiting');
+	// One sample against a prior of zero that counts as one.
+	assert.ok(second! <= firstTokenMs - (prefillMs / 2), 'the time to the first token is taken off');
+});
--- a/src/node/entry/model-path.ts
+++ b/src/node/entry/model-path.ts
@@ -63,6 +63,11 @@
 		this._state = createModelRequest(_request.engineRequestId, _request.chat.isStreaming, this._promptTokens);
 	}
 
+	/** Time from the start of the run to the first text, in milliseconds; undefined without one. */
+	get firstTextAfterMs(): number | undefined {
+		return this._firstTextAtMs === undefined ? undefined : this._firstTextAtMs - this._startedAtMs;
+	}
+
 	/** Resolves when the request has ended for the caller and its engines have been told. */
 	async run(): Promise<void> {
 		const {exchange, profile} = this._request;
--- a/src/node/entry/plain-handler.ts
+++ b/src/node/entry/plain-handler.ts
@@ -59,7 +59,7 @@
 	private async _admit(exchange: Exchange, request: PlainRequest): Promise<void> {
 		const {name, profile, route} = request;
 		const wait = new WaitBudget(this._services, profile.maxWait);
-		const acquisition = await this._gatekeeper.acquire(exchange, route.cost, wait);
+		const acquisition = await this._gatekeeper.acquire(exchange, route.cost, wait.leftMs);
 		let used = 0;
 		let leave: (() => void) | undefined;
 		try {
--- a/src/node/entry/testing/services.ts
+++ b/src/node/entry/testing/services.ts
@@ -26,6 +26,8 @@
 	readonly settlements: Array<{tenant: string; acquired: number; used: number}> = [];
 	isConfirmed = true;
 	acquisitions = 0;
+	/** Bounds on waiting, in milliseconds, of the acquisitions so far. */
+	readonly maxWaitsMs: number[] = [];
 	nextAllowance: Promise<AllowanceResult> = Promise.resolve({ok: true});
 	private _view: View | undefined;
 
@@ -41,8 +43,9 @@
 		return this.keys.get(key);
 	}
 
-	override async acquire(tenant: string, tokens: number): Promise<AcquireResult> {
+	override async acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AcquireResult> {
 		const id = this.acquisitions++;
+		this.maxWaitsMs.push(maxWaitMs);
 		const result = await this.nextAllowance;
 		return result.ok ? {ok: true, acquisition: {id, tenant, tokens}} : result;
 	}
