Ask the owner of a rate at once after a shortage, and grant in advance only beyond the largest request

And tokens granted in advance to other processes (burst 27,000, prompts of up to 21,000 tokens) were lacking to prompts that the bucket had room for. Change: a request that may still be in time is asked for at once; advance grants leave room for the largest request of the last 10 s. The control test that asked for the rest of a bucket in advance asks for it as a waiting request, and that nothing more is left.

--- a/src/common/control/control.test.ts
+++ b/src/common/control/control.test.ts
@@ -91,8 +91,10 @@
 	sync(6102, 4, want(100));
 	assert.equal(grantedIn(confirm(6102, 4)), 100);
 	// The bucket began empty at the election and holds what came in since then.
-	sync(6102, 5, [{tenant: 'acme', tokens: 10_000, atLeast: 0}]);
+	sync(6102, 5, want(1000 - 100));
 	assert.equal(grantedIn(confirm(6102, 5)), 1000 - 100);
+	sync(6102, 6, want(1));
+	assert.equal(grantedIn(confirm(6102, 6)), 0);
 });
 
 test('guards against a sync that arrives twice and reports its refunds and charges again', () => {
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -147,9 +147,9 @@
 			}
 		}
 
-		if (position === 0) {
-			// The owner was asked for the larger request behind it, which the bucket covers later.
-			allowance.readyMs = readyFor(allowance, tokens, limit, nowMs);
+		if (position === 0 || allowance.waiters.length === 0) {
+			// The owner was last asked for a larger request, which the bucket covers later; it keeps tokens aside only for one that it knows of.
+			allowance.readyMs = allowance.waiters.length === 0 ? nowMs : readyFor(allowance, tokens, limit, nowMs);
 			allowance.readyTokens = tokens;
 		}
 
--- a/src/common/limits/limits.test.ts
+++ b/src/common/limits/limits.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
+import {SeededRandom} from '../core/random.js';
 import {noFaults, Simulation} from './simulation.js';
 import type {SimulatedRequest, SimulationOptions} from './simulation.js';
 
@@ -71,10 +72,9 @@
 });
 
 /** Offers requests at several entry processes, and only those that a bucket of this limit over all of them lets through. */
-function offerWithinRate(simulation: Simulation, {limit, entries}: SimulationOptions, makeRequest: () => SimulatedRequest): void {
+function offerWithinRate(simulation: Simulation, {limit, entries}: SimulationOptions, makeRequest: () => SimulatedRequest, meanTokens = makeRequest().tokens): void {
 	let level = limit.burst;
 	let lastMs = simulation.nowMs;
-	const {tokens: typical} = makeRequest();
 	const take = () => {
 		const req = makeRequest();
 		level = Math.min(limit.burst, level + (limit.rate * (simulation.nowMs - lastMs) / 1000));
@@ -85,7 +85,7 @@
 	};
 
 	for (let entry = 0; entry < entries; entry++) {
-		simulation.offer(entry, 2 * limit.rate / typical / entries, take);
+		simulation.offer(entry, 2 * limit.rate / meanTokens / entries, take);
 	}
 }
 
@@ -115,6 +115,33 @@
 	assert.ok(refused <= total * 0.0001, `${refused} of ${total} refused`);
 });
 
+test('guards against wrongful refusals of prompts nearly as large as the burst, among lookups of the same tenant at many entry processes', () => {
+	const limit = {rate: 27_000, burst: 27_000};
+	const lookupTokens = 200;
+	const meanTokens = (0.9 * lookupTokens) + (0.1 * 11_000);
+	let prompts = 0;
+	let refused = 0;
+	for (let seed = 1; seed <= 10; seed++) {
+		const settings = {
+			seed, limit, entries: 11, faults: noFaults, clockDrift: 0.01,
+		};
+		const simulation = new Simulation(settings);
+		simulation.runUntil(10_000);
+		const mix = new SeededRandom(seed);
+		offerWithinRate(simulation, {...settings, limit: {rate: 0.9 * limit.rate, burst: 0.9 * limit.burst}}, () => {
+			const tokens = mix.next() < 0.9 ? lookupTokens : mix.integer(2000, 20_000);
+			return {
+				tokens, used: tokens, durationMs: 100, maxWaitMs: 450,
+			};
+		}, meanTokens);
+		simulation.runUntil(100_000);
+		refused += simulation.refusals.length;
+		prompts += simulation.refusals.length + simulation.consumed.filter(({tokens}) => tokens > lookupTokens).length;
+	}
+
+	assert.ok(refused <= prompts * 0.002, `${refused} of ${prompts} refused`);
+});
+
 test('guards against output limits that count in full although less is used', () => {
 	const limit = {rate: 2000, burst: 8000};
 	const settings = {
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -245,3 +245,27 @@
 	owner.trim(9000);
 	assert.equal(owner.bucketCount, 0);
 });
+
+test('guards against a lookup that waits until the bucket covers a prompt that was refused before it', () => {
+	const holder = new AllowanceHolder();
+	const limit = {rate: 100, burst: 1000};
+	const acquire = (token: number, tokens: number, nowMs: number) => holder.acquire({
+		tenant: 'acme', tokens, maxWaitMs: 500, token, limit, nowMs,
+	});
+	assert.equal(acquire(1, 900, 0), undefined);
+	const refused = holder.receive({
+		sentMs: 0, grants: [], shortages: [{tenant: 'acme', waitMs: 800, isPause: false}], stamp: stamp(0), takenMs: 0,
+	}, () => limit, 10);
+	assert.equal(refused[0]?.result.ok, false);
+	assert.equal(acquire(2, 20, 20), undefined, 'the owner has to be asked');
+	assert.equal(holder.wakeMs(), 20, 'at once');
+});
+
+test('guards against tokens held in advance elsewhere that a large prompt lacks', () => {
+	const owner = makeOwner(1000, 1000);
+	const wanted = (tokens: number, atLeast: number) => ({wanted: [{tenant: 'acme', tokens, atLeast}]});
+	ask(owner, 'a', 5000, wanted(800, 800)).forEach(({id, tokens}) => ask(owner, 'a', 5001, {spent: [{grant: id, tokens}]}));
+	// The bucket is full again.
+	ask(owner, 'b', 6500, wanted(600, 20));
+	assert.equal(totalOf(ask(owner, 'a', 6510, wanted(800, 800))), 800);
+});
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -15,6 +15,8 @@
 const grantsPerTerm = 2 ** 32;
 /** When to ask again for tokens that other holders may give back at their next sync. */
 const returnPollMs = 100;
+/** Time for which the size of a request that was waited for is remembered, in milliseconds; a tenant that sends large prompts sends one every few seconds. */
+const largestValidityMs = 10_000;
 /** Smallest portion worth a grant, in tokens. */
 const smallestGrant = 1;
 
@@ -44,6 +46,8 @@
 	readonly claimants: Map<VmId, Claimant>;
 	/** Tag of the last claim that was covered. */
 	virtualTokens: number;
+	/** Size of the largest request that was waited for in the last seconds, and until when it counts. */
+	largest: {tokens: number; untilMs: number};
 };
 
 type LimitRecord = {readonly limit: TenantLimit; readonly sinceMs: number};
@@ -233,6 +237,7 @@
 			headroom: new HeadroomHistory(),
 			claimants: new Map(),
 			virtualTokens: 0,
+			largest: {tokens: 0, untilMs: 0},
 		};
 		noteHeadroom(created, nowMs);
 		this._buckets.set(tenant, created);
@@ -345,6 +350,7 @@
 		claimant.tag = claimant.waiting > 0 ? claimant.tag : Math.max(bucket.virtualTokens, claimant.finish);
 		claimant.wanted = tokens;
 		claimant.untilMs = nowMs + waitingValidityMs;
+		noteSize(bucket, atLeast, nowMs);
 		if (bucket.level - keptAside(bucket, {vm, tag: claimant.tag, atLeast}) < atLeast) {
 			// Tokens are kept aside for it, or small requests elsewhere would always overtake a large one.
 			claimant.waiting = atLeast;
@@ -352,7 +358,9 @@
 		}
 
 		claimant.waiting = 0;
-		const spare = Math.max(0, bucket.level - atLeast - keptAside(bucket, {vm, tag: Number.POSITIVE_INFINITY, atLeast: Number.POSITIVE_INFINITY}));
+		// Tokens held in advance at other processes would be lacking to the next large request.
+		const reserved = Math.max(bucket.largest.tokens, keptAside(bucket, {vm, tag: Number.POSITIVE_INFINITY, atLeast: Number.POSITIVE_INFINITY}));
+		const spare = Math.max(0, bucket.level - atLeast - reserved);
 		const portion = Math.floor(Math.max(atLeast, Math.min(tokens, atLeast + fairPart(bucket.claimants, spare))));
 		bucket.virtualTokens = Math.max(bucket.virtualTokens, claimant.tag);
 		claimant.finish = claimant.tag + portion;
@@ -388,6 +396,13 @@
 	bucket.headroom.note(nowMs, bucket.limit.burst - bucket.level - bucket.outstanding);
 }
 
+/** Remembers the size of a request that is waited for; a smaller one takes the place of the largest when that is long ago. */
+function noteSize(bucket: Bucket, tokens: number, nowMs: number): void {
+	if (tokens >= bucket.largest.tokens || nowMs >= bucket.largest.untilMs) {
+		bucket.largest = {tokens, untilMs: nowMs + largestValidityMs};
+	}
+}
+
 function claimantOf(bucket: Bucket, vm: VmId): Claimant {
 	let claimant = bucket.claimants.get(vm);
 	if (!claimant) {
