Close connections between processes that nobody uses; wake access and membership by their next deadline

Cause: every process ended with a connection to every other one, with a timer and two pings a second on each, so that the work of an idle process grew with the fleet; the access slice ticked every 20 ms and membership every 50 ms whether or not anything was due. Change: a connection without a message for 1.5 s is closed by the side that dialed it unless a reply is awaited; pings go only where nothing else is sent; one timer checks all connections; DeadlineTimer wakes access and membership.

--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -61,7 +61,7 @@
 };
 
 export type AccessEvent =
-	/** Every 10 to 50 ms. */
+	/** At the time that `nextTickMs` names, or more often. */
 	| BaseEvent<'access/tick'>
 	| (BaseEvent<'access/acquire'> & {readonly token: ReplyToken; readonly tenant: string; readonly tokens: number; readonly maxWaitMs: number})
 	| (BaseEvent<'access/settle'> & Omit<Settlement, 'nowMs'>)
@@ -174,15 +174,25 @@
 	return result ? [{type: 'reply', token, body: result}] : syncIfDue(state, nowMs);
 }
 
-/** Sends the next sync when its time has come, a request waits or the view is incomplete; one sync is under way at a time. */
-function syncIfDue(state: AccessState, nowMs: number): AccessEffect[] {
-	const {target} = state;
-	if (state.pending !== undefined || target === undefined) {
-		return [];
+/** When the slice next has something to do without any other event, in milliseconds: a sync, or a request that has waited too long. */
+export function nextTickMs(state: AccessState): number {
+	return Math.min(nextSyncMs(state), state.holder.deadlineMs() ?? Number.POSITIVE_INFINITY);
+}
+
+/** When the next sync is to be sent; one is under way at a time. */
+function nextSyncMs(state: AccessState): number {
+	if (state.pending !== undefined || state.target === undefined) {
+		return Number.POSITIVE_INFINITY;
 	}
 
 	const wakeMs = Math.max(state.holder.wakeMs() ?? Number.POSITIVE_INFINITY, state.lastSentMs + urgentSyncGapMs);
-	if (nowMs < Math.min(state.nextSyncMs, wakeMs)) {
+	return Math.min(state.nextSyncMs, wakeMs);
+}
+
+/** Sends the next sync when its time has come, a request waits or the view is incomplete. */
+function syncIfDue(state: AccessState, nowMs: number): AccessEffect[] {
+	const {target} = state;
+	if (target === undefined || nowMs < nextSyncMs(state)) {
 		return [];
 	}
 
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -118,6 +118,18 @@
 		return earliest;
 	}
 
+	/** When the first waiting request has waited as long as it may; undefined while none waits. */
+	deadlineMs(): number | undefined {
+		let earliest: number | undefined;
+		for (const {waiters} of this._tenants.values()) {
+			for (const {deadlineMs} of waiters) {
+				earliest = Math.min(earliest ?? deadlineMs, deadlineMs);
+			}
+		}
+
+		return earliest;
+	}
+
 	/** Takes tokens at once, refuses, or lets the request wait; undefined means that it waits. */
 	acquire(req: AllowanceRequest): AllowanceResult | undefined {
 		const {
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -264,7 +264,10 @@
 test('guards against tokens held in advance elsewhere that a large prompt lacks', () => {
 	const owner = makeOwner(1000, 1000);
 	const wanted = (tokens: number, atLeast: number) => ({wanted: [{tenant: 'acme', tokens, atLeast}]});
-	ask(owner, 'a', 5000, wanted(800, 800)).forEach(({id, tokens}) => ask(owner, 'a', 5001, {spent: [{grant: id, tokens}]}));
+	for (const {id, tokens} of ask(owner, 'a', 5000, wanted(800, 800))) {
+		ask(owner, 'a', 5001, {spent: [{grant: id, tokens}]});
+	}
+
 	// The bucket is full again.
 	ask(owner, 'b', 6500, wanted(600, 20));
 	assert.equal(totalOf(ask(owner, 'a', 6510, wanted(800, 800))), 800);
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -56,6 +56,23 @@
 	}
 }
 
+/** When the next tick has something to do, in milliseconds. */
+export function nextTickMs(state: MembershipState): number {
+	const {probe, options} = state;
+	const deadlines = [state.nextProbeMs, state.nextExchangeMs];
+	if (probe) {
+		deadlines.push(probe.startedMs + (probe.askedOthers ? options.probeEveryMs : options.directTimeoutMs));
+	}
+
+	for (const {record, sinceMs} of state.members.values()) {
+		if (record.status === 'suspect') {
+			deadlines.push(sinceMs + options.suspectMs);
+		}
+	}
+
+	return Math.min(...deadlines);
+}
+
 function tick(state: MembershipState, nowMs: number): MembershipEffect[] {
 	const effects = [...expire(state, nowMs), ...watchProbe(state, nowMs)];
 	if (nowMs >= state.nextProbeMs) {
--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -1,5 +1,5 @@
 import Emittery from 'emittery';
-import {isFresh, lookupKey} from '../../common/access/access.js';
+import {isFresh, lookupKey, nextTickMs} from '../../common/access/access.js';
 import type {AccessEffect, AccessEvent, AccessState} from '../../common/access/access.js';
 import {changedSchema} from '../../common/control/messages.js';
 import type {Clock} from '../../common/core/clock.js';
@@ -10,10 +10,9 @@
 	AccessEvents, AcquireResult, Acquisition, AllowanceResult, Identity, View,
 } from '../../common/services/access-service.js';
 import type {PeerNetwork} from '../../common/services/peer-network.js';
+import {DeadlineTimer} from '../deadline-timer.js';
 import {digestKey, equalDigests, isKeyShaped} from './keys.js';
 
-/** Time between two ticks of the access slice. */
-const tickIntervalMs = 20;
 /** Slack for a reply that the slice gives at the request's deadline. */
 const replySlackMs = 1000;
 type AccessInput = WithoutTime<AccessEvent>;
@@ -35,17 +34,18 @@
 /** Keys, freshness and allowances of an entry process, from the control VMs. */
 export class AccessClient extends AccessService implements Disposable {
 	override readonly events = new Emittery<AccessEvents>();
-	private readonly _timer: NodeJS.Timeout;
+	private readonly _timer: DeadlineTimer;
 
 	constructor(private readonly _options: AccessClientOptions) {
 		super();
-		const {network, host} = _options;
+		const {network, host, state, clock} = _options;
+		this._timer = new DeadlineTimer(clock, () => nextTickMs(state), () => {
+			host.dispatch({type: 'access/tick'});
+		});
 		network.handle('control/changed', changedSchema, (_from, {revision}) => {
-			host.dispatch({type: 'access/changed', revision});
+			this._dispatch({type: 'access/changed', revision});
 		});
-		this._timer = setInterval(() => {
-			host.dispatch({type: 'access/tick'});
-		}, tickIntervalMs);
+		this._timer.update();
 	}
 
 	override get view(): View | undefined {
@@ -54,7 +54,7 @@
 
 	/** Executes the effect `access/request`. */
 	request({to, message, seq, timeoutMs}: Extract<AccessEffect, {type: 'access/request'}>): void {
-		const {network, host} = this._options;
+		const {network} = this._options;
 		const sent = async () => {
 			try {
 				const body = await network.request(to, message, timeoutMs);
@@ -65,7 +65,7 @@
 		};
 
 		void (async () => {
-			host.dispatch(await sent());
+			this._dispatch(await sent());
 		})();
 	}
 
@@ -96,12 +96,14 @@
 	override async acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AcquireResult> {
 		let id = 0;
 		try {
-			const result = await this._options.host.ask<AllowanceResult>(token => {
+			const asked = this._options.host.ask<AllowanceResult>(token => {
 				id = token;
 				return {
 					type: 'access/acquire', token, tenant, tokens, maxWaitMs,
 				};
 			}, maxWaitMs + replySlackMs);
+			this._timer.update();
+			const result = await asked;
 			return result.ok ? {ok: true, acquisition: {id, tenant, tokens}} : result;
 		} catch {
 			return {ok: false, code: 'control-unreachable'};
@@ -109,12 +111,17 @@
 	}
 
 	override settle({id, tenant, tokens}: Acquisition, used: number): void {
-		this._options.host.dispatch({
+		this._dispatch({
 			type: 'access/settle', tenant, acquired: tokens, used, acquisition: id,
 		});
 	}
 
 	dispose(): void {
-		clearInterval(this._timer);
+		this._timer.dispose();
+	}
+
+	private _dispatch(event: AccessInput): void {
+		this._options.host.dispatch(event);
+		this._timer.update();
 	}
 }
--- a/src/node/entry/model-path.test.ts
+++ b/src/node/entry/model-path.test.ts
@@ -373,7 +373,8 @@
 	};
 
 	for (let i = 0; i < 2; i++) {
-		await (await fetch(`${url}/v1/chat/completions`, chatInit())).text();
+		const res = await fetch(`${url}/v1/chat/completions`, chatInit());
+		await res.text();
 	}
 
 	const [first, second] = services.access.maxWaitsMs;
--- a/src/node/membership/membership-host.ts
+++ b/src/node/membership/membership-host.ts
@@ -3,7 +3,9 @@
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
 import type {CountEffect, VmId} from '../../common/core/types.js';
-import {createMembership, entryProcesses, reduceMembership} from '../../common/membership/membership.js';
+import {
+	createMembership, entryProcesses, nextTickMs, reduceMembership,
+} from '../../common/membership/membership.js';
 import type {MembershipState} from '../../common/membership/membership.js';
 import {membershipMessageSchema} from '../../common/membership/messages.js';
 import type {
@@ -12,10 +14,11 @@
 import {EntryDirectory} from '../../common/scheduler/entry-directory.js';
 import type {EntryProcesses} from '../../common/scheduler/types.js';
 import type {PeerNetwork} from '../../common/services/peer-network.js';
+import {DeadlineTimer} from '../deadline-timer.js';
 import {Runtime} from '../runtime.js';
 
-/** Interval between ticks, in milliseconds. */
-const tickMs = 50;
+/** Least time between two ticks, in milliseconds; suspicions that last longer in isolation would ask for one again and again. */
+const minTickMs = 50;
 
 export type MembershipHostOptions = {
 	readonly self: SelfDescription;
@@ -41,7 +44,9 @@
 	readonly events = new Emittery<MembershipEvents>();
 	private readonly _state: MembershipState;
 	private readonly _runtime: Runtime<MembershipEvent, MembershipEffect>;
-	private _timer: NodeJS.Timeout | undefined;
+	private readonly _timer: DeadlineTimer;
+	private _lastTickMs = Number.NEGATIVE_INFINITY;
+	private _isStarted = false;
 	private _entries: EntryProcesses;
 
 	constructor(private readonly _options: MembershipHostOptions) {
@@ -53,10 +58,16 @@
 		});
 		this._entries = entryProcesses(this._state);
 		this._runtime = new Runtime(event => reduceMembership(this._state, event), _options.clock);
+		const {clock} = _options;
+		this._timer = new DeadlineTimer(clock, () => this._isStarted ? Math.max(nextTickMs(this._state), this._lastTickMs + minTickMs) : Infinity, () => {
+			this._lastTickMs = clock.nowMs();
+			this._runtime.dispatch({type: 'membership/tick'});
+		});
 		this._registerEffects();
 		for (const {shape: {type: {value}}} of membershipMessageSchema.options) {
 			_options.network.handle(value, membershipMessageSchema, (from, message) => {
 				this._runtime.dispatch({type: 'membership/message', from, message});
+				this._timer.update();
 			});
 		}
 	}
@@ -64,10 +75,8 @@
 	/** Starts probing. */
 	start(): void {
 		this._runtime.dispatch({type: 'membership/seeds', vms: this._options.seeds});
-		this._timer = setInterval(() => {
-			this._runtime.dispatch({type: 'membership/tick'});
-		}, tickMs);
-		this._timer.unref();
+		this._isStarted = true;
+		this._timer.update();
 	}
 
 	override get entries(): EntryProcesses {
@@ -100,11 +109,11 @@
 	/** Tells others that this process ends; call it last, before the network is disposed. */
 	leave(): void {
 		this._runtime.dispatch({type: 'membership/leave'});
-		clearInterval(this._timer);
+		this._timer.dispose();
 	}
 
 	dispose(): void {
-		clearInterval(this._timer);
+		this._timer.dispose();
 		this.events.clearListeners();
 	}
 
--- a/src/node/transport/peer-connection.ts
+++ b/src/node/transport/peer-connection.ts
@@ -7,10 +7,14 @@
 import {envelopeSchema, helloSchema, protocolVersion} from './messages.js';
 import type {Envelope, Hello} from './messages.js';
 
-/** Interval of pings, in milliseconds. */
-const pingIntervalMs = 500;
+/** Interval of pings on a connection that sends nothing else, in milliseconds. */
+export const pingIntervalMs = 500;
 /** A connection without traffic for this long is dead: four pings were lost. */
 const silenceLimitMs = 2000;
+/** A connection that carried no message for this long is closed, in milliseconds; a new one takes two round trips. Longer than the interval of syncs and heartbeats. */
+const idleLimitMs = 1500;
+/** Time before that in which the connection is not used for new messages, since the peer may be closing it, in milliseconds. */
+const idleMarginMs = 600;
 /** Bytes waiting in one socket before messages are dropped instead of queued. */
 const maxQueuedBytes = 4_194_304;
 
@@ -40,8 +44,12 @@
 	private _in: FrameSealer | undefined;
 	private _isReady = false;
 	private _isClosed = false;
+	private _isEnding = false;
+	/** Only received bytes prove that the peer lives; `Socket.setTimeout` would also count the bytes that this side writes. */
 	private _lastReceivedMs = performance.now();
-	private readonly _timer: NodeJS.Timeout;
+	private _lastSentMs = performance.now();
+	/** When the last message that is no ping went either way. */
+	private _lastUsedMs = performance.now();
 
 	constructor(
 		private readonly _socket: Socket,
@@ -61,9 +69,6 @@
 		_socket.on('close', () => {
 			this.close(undefined);
 		});
-		this._timer = setInterval(() => {
-			this._checkSilence();
-		}, pingIntervalMs);
 		if (_isDialer) {
 			this._sendHello();
 		}
@@ -73,23 +78,49 @@
 		return this._isReady && !this._isClosed;
 	}
 
+	/** Whether a new message may be sent. One that is about to be closed for idleness still takes replies. */
+	get isUsable(): boolean {
+		return this.isReady && !this._isEnding && performance.now() - this._lastUsedMs < idleLimitMs - idleMarginMs;
+	}
+
 	/** Returns false, and sends nothing, if the connection is not ready or its queue is full. */
 	send(envelope: Envelope): boolean {
-		if (!this._out || this._isClosed || this._socket.writableLength > maxQueuedBytes) {
+		if (!this._out || this._isClosed || this._isEnding || this._socket.writableLength > maxQueuedBytes) {
 			return false;
 		}
 
+		this._lastSentMs = performance.now();
+		if (envelope.kind !== 'ping') {
+			this._lastUsedMs = this._lastSentMs;
+		}
+
 		this._socket.write(this._out.seal(envelope));
 		return true;
 	}
 
+	/**
+	Closes a connection that is dead or no longer used, and keeps others alive; to be called at the interval of pings.
+	@param isAwaited - whether either side still waits for a reply
+	*/
+	check(isAwaited: boolean): void {
+		const nowMs = performance.now();
+		if (nowMs - this._lastReceivedMs > silenceLimitMs) {
+			this.close(new ProtocolError(`no traffic for ${silenceLimitMs} ms`, at({step: 'transport.silence', peer: this.peer?.vm})));
+		} else if (this._isDialer && !isAwaited && !this._isEnding && nowMs - this._lastUsedMs >= idleLimitMs) {
+			// What the peer has sent meanwhile still arrives.
+			this._isEnding = true;
+			this._socket.end();
+		} else if (nowMs - this._lastSentMs >= pingIntervalMs / 2) {
+			this.send({kind: 'ping'});
+		}
+	}
+
 	close(err: Error | undefined): void {
 		if (this._isClosed) {
 			return;
 		}
 
 		this._isClosed = true;
-		clearInterval(this._timer);
 		this._socket.destroy();
 		this._listener.onClose(this, err);
 	}
@@ -134,6 +165,7 @@
 		}
 
 		if (parsed.data.kind !== 'ping') {
+			this._lastUsedMs = performance.now();
 			this._listener.onEnvelope(this, parsed.data);
 		}
 	}
@@ -165,14 +197,4 @@
 		this._in = new FrameSealer(key, this._isDialer ? 'to-dialer' : 'to-acceptor');
 		this.send({kind: 'ping'});
 	}
-
-	/** Only received bytes prove that the peer lives; `Socket.setTimeout` would also count the bytes that this side writes. */
-	private _checkSilence(): void {
-		if (performance.now() - this._lastReceivedMs > silenceLimitMs) {
-			this.close(new ProtocolError(`no traffic for ${silenceLimitMs} ms`, at({step: 'transport.silence', peer: this.peer?.vm})));
-			return;
-		}
-
-		this.send({kind: 'ping'});
-	}
 }
--- a/src/node/transport/tcp-peer-network.test.ts
+++ b/src/node/transport/tcp-peer-network.test.ts
@@ -153,3 +153,29 @@
 	await down;
 	assert.deepEqual(await requestUntilAnswered(source), {from: 'b', text: 'after'});
 });
+
+test('guards against pings on connections that nobody uses, which would grow with the square of the members', async t => {
+	const {a, b} = await startPair(t);
+	let downs = 0;
+	b.network.events.on('onPeerDown', () => {
+		downs++;
+	});
+	await b.network.request('a', {type: 'echo', text: 'one'}, 5000);
+	while (downs === 0) {
+		await setTimeout(50);
+	}
+
+	assert.equal(b.counts.get('transport_closed_total'), undefined, 'closing an idle connection is no failure');
+	assert.deepEqual(await b.network.request('a', {type: 'echo', text: 'two'}, 5000), {from: 'b', text: 'two'});
+});
+
+test('guards against an idle limit that ends a connection on which a reply is awaited', async t => {
+	const {a, b} = await startPair(t);
+	const slowSchema = z.strictObject({type: z.literal('slow')});
+	const slowMs = 3000;
+	a.network.handle('slow', slowSchema, async () => {
+		await setTimeout(slowMs);
+		return 'done';
+	});
+	assert.equal(await b.network.request('a', {type: 'slow'}, 10_000), 'done');
+});
--- a/src/node/transport/tcp-peer-network.ts
+++ b/src/node/transport/tcp-peer-network.ts
@@ -9,7 +9,7 @@
 import type {MessageHandler, PeerNetworkEvents} from '../../common/services/peer-network.js';
 import {joinAddress, splitAddress} from '../address.js';
 import type {Envelope} from './messages.js';
-import {PeerConnection} from './peer-connection.js';
+import {PeerConnection, pingIntervalMs} from './peer-connection.js';
 
 /** Messages that wait for one connection to open. */
 const maxPendingEnvelopes = 256;
@@ -60,7 +60,10 @@
 	private readonly _redialAfter = new Map<VmId, number>();
 	private readonly _all = new Set<PeerConnection>();
 	private readonly _requests = new Map<number, PendingRequest>();
+	/** Requests of peers that are being answered, by connection. */
+	private readonly _answering = new Map<PeerConnection, number>();
 	private readonly _key: Uint8Array;
+	private readonly _checkTimer: NodeJS.Timeout;
 	private _nextRequestId = 1;
 	private _isDisposed = false;
 
@@ -70,6 +73,10 @@
 		this._server = createServer(socket => {
 			this._all.add(this._wrap(socket, false));
 		});
+		this._checkTimer = setInterval(() => {
+			this._checkConnections();
+		}, pingIntervalMs);
+		this._checkTimer.unref();
 	}
 
 	/** The address that the server listens on; of use when the settings ask for port 0. */
@@ -107,6 +114,7 @@
 
 	override async dispose(): Promise<void> {
 		this._isDisposed = true;
+		clearInterval(this._checkTimer);
 		for (const connection of this._all) {
 			connection.close(undefined);
 		}
@@ -123,7 +131,7 @@
 	/** Returns false if the message certainly did not leave. */
 	private _deliver(to: VmId, envelope: Envelope): boolean {
 		const connection = this._connections.get(to);
-		if (connection?.isReady) {
+		if (connection && (connection.isUsable || (connection.isReady && this._isAwaited(connection)))) {
 			const isSent = connection.send(envelope);
 			if (!isSent) {
 				this._options.count('transport_dropped_total', {reason: 'queue-full'});
@@ -190,8 +198,21 @@
 		void this.events.emit('onPeerUp', peer);
 	}
 
+	private _checkConnections(): void {
+		for (const connection of this._all) {
+			connection.check(this._isAwaited(connection));
+		}
+	}
+
+	/** Whether either side waits for a reply over this connection. */
+	private _isAwaited(connection: PeerConnection): boolean {
+		const vm = connection.peer?.vm;
+		return (this._answering.get(connection) ?? 0) > 0 || [...this._requests.values()].some(({peer}) => peer === vm);
+	}
+
 	private _onClose(connection: PeerConnection, err: Error | undefined): void {
 		this._all.delete(connection);
+		this._answering.delete(connection);
 		if (err) {
 			this._options.count('transport_closed_total', {reason: err.name});
 		}
@@ -241,7 +262,9 @@
 	}
 
 	private async _answer(connection: PeerConnection, id: number, body: PeerMessage): Promise<void> {
+		this._answering.set(connection, (this._answering.get(connection) ?? 0) + 1);
 		const outcome = await this._run(connection.peer!, body);
+		this._answering.set(connection, (this._answering.get(connection) ?? 1) - 1);
 		connection.send(outcome.ok ? {kind: 'reply', id, body: outcome.value} : {kind: 'error', id, message: outcome.message});
 	}
 
