Let the leader read the platform's list of servers and pass differences on with syncs

Calls grow with the fleet although all read the same. Change: the leader of the replicated log reads the list; each sync, which every process sends twice a second anyway, names the position that it has and brings what changed. The age of a list is bounded by the receiver's clock from the sync's sending. A process whose list is older than 2 s reads it itself, so that a lost leader or platform cut costs no knowledge of leaving servers. The histogram server_list_learned_ms tells how old a change was when a process learned of it. Weighed and not taken: readers by rendezvous per zone that push to the others (more messages, and a push cannot bound its age when its sender was paused).

--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -3,13 +3,15 @@
 
 Events come from the platform layer and the request path, none from consensus. Effects: `access/request` (send a
 sync and answer with `access/reply` or `access/failed`), `reply` with an `AllowanceResult`, and `notify`
-with the topics `access/view-changed` (a `View`) and `access/key-withdrawn` (a key id).
+with the topics `access/view-changed` (a `View`), `access/key-withdrawn` (a key id) and `access/servers` (a `ReceivedList`).
 */
 import type {AllowanceReport, SyncReply, SyncRequest} from '../control/messages.js';
 import {syncReplySchema} from '../control/messages.js';
 import type {
 	BaseEvent, CoreEffect, ReplyToken, VmId,
 } from '../core/types.js';
+import {ServerListCopy} from '../forwarding/server-list-feed.js';
+import type {ListPosition} from '../forwarding/server-list-feed.js';
 import {AllowanceHolder} from '../limits/holder.js';
 import type {AllowanceAnswer, Settlement} from '../limits/holder.js';
 import type {TenantLimit} from '../limits/types.js';
@@ -36,6 +38,8 @@
 	/** Control VMs, in the order in which they are tried. */
 	readonly controlVms: readonly VmId[];
 	readonly decode: DecodeConfiguration;
+	/** Whether syncs bring the leader's list of the platform's servers; false by default. */
+	readonly followsServers?: boolean;
 };
 
 type PendingSync = {readonly seq: number; readonly sentMs: number; readonly target: VmId};
@@ -57,6 +61,8 @@
 	/** Hints followed since the last sync that was answered. */
 	hops: number;
 	load: number;
+	/** The platform's list of servers, where this process follows the leader's. */
+	readonly servers: ServerListCopy | undefined;
 	readonly holder: AllowanceHolder;
 };
 
@@ -69,7 +75,7 @@
 	| (BaseEvent<'access/reply'> & {readonly seq: number; readonly body: unknown})
 	| (BaseEvent<'access/failed'> & {readonly seq: number})
 	/** The leader's push that something changed. */
-	| (BaseEvent<'access/changed'> & {readonly revision: number})
+	| (BaseEvent<'access/changed'> & {readonly revision: number; readonly servers?: ListPosition | undefined})
 	| (BaseEvent<'access/load'> & {readonly load: number})
 	| (BaseEvent<'access/control-vms'> & {readonly vms: readonly VmId[]});
 
@@ -77,7 +83,7 @@
 	| CoreEffect
 	| {readonly type: 'access/request'; readonly to: VmId; readonly seq: number; readonly message: SyncRequest; readonly timeoutMs: number};
 
-export function createAccess({controlVms, decode}: AccessOptions): AccessState {
+export function createAccess({controlVms, decode, followsServers = false}: AccessOptions): AccessState {
 	return {
 		decode,
 		controlVms,
@@ -92,6 +98,7 @@
 		nextSeq: 1,
 		hops: 0,
 		load: 0,
+		servers: followsServers ? new ServerListCopy() : undefined,
 		holder: new AllowanceHolder(),
 	};
 }
@@ -132,7 +139,7 @@
 		}
 
 		case 'access/changed': {
-			if (event.revision > state.view.revision) {
+			if (event.revision > state.view.revision || isNewer(event.servers, state.servers?.position)) {
 				state.nextSyncMs = Math.min(state.nextSyncMs, event.nowMs);
 			}
 
@@ -209,6 +216,7 @@
 		...(paged?.cursor !== undefined && {page: {base: paged.base, cursor: paged.cursor}}),
 		allowances,
 		load: state.load,
+		...(state.servers && {servers: state.servers.position}),
 	};
 	return [{
 		type: 'access/request', to: target, seq, message, timeoutMs: syncTimeoutMs,
@@ -237,7 +245,7 @@
 
 	state.pending = undefined;
 	state.hops = 0;
-	return [...takeView(state, reply.data, pending.sentMs, nowMs), ...takeAllowances(state, reply.data, pending.sentMs, nowMs), ...syncIfDue(state, nowMs)];
+	return [...takeServers(state, reply.data, pending.sentMs), ...takeView(state, reply.data, pending.sentMs, nowMs), ...takeAllowances(state, reply.data, pending.sentMs, nowMs), ...syncIfDue(state, nowMs)];
 }
 
 /** Leaves a control VM that did not serve the sync: for the leader it named, or else for the next in the list. */
@@ -255,6 +263,14 @@
 
 type SyncedReply = Extract<SyncReply, {kind: 'synced'}>;
 
+function isNewer(position: ListPosition | undefined, known: ListPosition | undefined): boolean {
+	return position !== undefined && known !== undefined && (position.term > known.term || (position.term === known.term && position.version > known.version));
+}
+
+function takeServers({servers}: AccessState, reply: SyncedReply, sentMs: number): AccessEffect[] {
+	return servers && reply.servers ? [{type: 'notify', topic: 'access/servers', value: servers.take(reply.servers, sentMs)}] : [];
+}
+
 function takeView(state: AccessState, reply: SyncedReply, sentMs: number, nowMs: number): AccessEffect[] {
 	const {snapshot, changes = [], revision} = reply;
 	if (snapshot) {
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -12,6 +12,8 @@
 import type {
 	BaseEvent, CoreEffect, ReplyToken, VmId, VmIdentity, WithoutTime,
 } from '../core/types.js';
+import {ServerListLog} from '../forwarding/server-list-feed.js';
+import type {ServerRecord} from '../forwarding/types.js';
 import {AllowanceOwner} from '../limits/owner.js';
 import type {Allotment} from '../limits/owner.js';
 import {applyCommand} from './apply.js';
@@ -81,6 +83,8 @@
 	handover: Handover | undefined;
 	readonly sessions: Map<VmId, Session>;
 	readonly pending: Map<ReplyToken, Pending>;
+	/** The platform's list of servers; only a leader that reads it has one. */
+	servers: ServerListLog | undefined;
 	/** The leader's clock up to which log time was proposed. */
 	clockMs: number;
 	trimMs: number;
@@ -98,6 +102,8 @@
 	/** This process stops: if it leads, it lets one of the others lead instead. */
 	| (BaseEvent<'control/hand-over'> & {readonly to: readonly VmId[]})
 	| (BaseEvent<'control/handover'> & {readonly handover: Handover})
+	/** This process read the platform's list of servers, which it asked for at `askedMs`. */
+	| (BaseEvent<'control/servers'> & {readonly records: readonly ServerRecord[]; readonly askedMs: number})
 	| (BaseEvent<'control/consensus'> & {readonly effect: ConsensusEffect});
 
 export type ControlEffect =
@@ -117,6 +123,7 @@
 		handover: undefined,
 		sessions: new Map(),
 		pending: new Map(),
+		servers: undefined,
 		clockMs: 0,
 		trimMs: 0,
 	};
@@ -150,6 +157,10 @@
 			return [];
 		}
 
+		case 'control/servers': {
+			return takeServers(state, event);
+		}
+
 		case 'control/consensus': {
 			return takeConsensus(state, event.effect, event.nowMs);
 		}
@@ -406,13 +417,24 @@
 	];
 }
 
+/** Only a leader's list is passed on: its term orders the lists of different readers. */
+function takeServers(state: ControlSlice, {records, askedMs, nowMs}: Extract<ControlEvent, {type: 'control/servers'}>): ControlEffect[] {
+	if (state.role !== 'leader') {
+		return [];
+	}
+
+	state.servers ??= new ServerListLog(state.term);
+	return state.servers.take(records, askedMs) ? pushChanged(state, nowMs) : [];
+}
+
 /** Tells entry processes with a live session to sync; one push until they do. */
 function pushChanged(state: ControlSlice, nowMs: number): ControlEffect[] {
+	const servers = state.servers?.position;
 	const effects: ControlEffect[] = [];
 	for (const [vm, session] of state.role === 'leader' ? state.sessions : []) {
 		if (!session.isPushed && nowMs - session.lastMs <= sessionTtlMs) {
 			session.isPushed = true;
-			effects.push({type: 'send', to: vm, message: {type: 'control/changed', revision: state.data.revision}});
+			effects.push({type: 'send', to: vm, message: {type: 'control/changed', revision: state.data.revision, ...(servers && {servers})}});
 		}
 	}
 
@@ -432,6 +454,7 @@
 		if (!wasLeading) {
 			// What the predecessor granted is unknown, so its buckets and sessions are not taken over.
 			// A grant needs a quorum that hears the leader, and one of it took part in the election.
+			state.servers = undefined;
 			state.owner = new AllowanceOwner(term, nowMs, (state.options.electionSilenceMs ?? 0) * clockTolerance);
 			state.sessions.clear();
 			state.clockMs = nowMs;
@@ -448,6 +471,7 @@
 	}
 
 	state.owner = undefined;
+	state.servers = undefined;
 	state.sessions.clear();
 	return [];
 }
@@ -468,6 +492,7 @@
 	}
 
 	const {grants, shortages} = pending.allotment;
+	const servers = pending.request.servers && state.servers?.since(pending.request.servers, nowMs);
 	state.owner.confirm(grants, nowMs);
 	return [reply(token, {
 		kind: 'synced',
@@ -477,6 +502,7 @@
 		shortages: [...shortages],
 		stamp: {term: state.owner.term, atMs: nowMs},
 		takenMs: pending.sinceMs,
+		...(servers && {servers}),
 	})];
 }
 
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {listPositionSchema, listUpdateSchema} from '../forwarding/server-list-feed.js';
 
 /** Largest compressed configuration or source text in a command, in bytes; both fit one frame between processes. */
 export const compressedLimitBytes = 384 * 1024;
@@ -199,6 +200,8 @@
 	allowances: allowanceReportSchema,
 	/** In-flight requests. */
 	load: z.number().nonnegative(),
+	/** Which platform list of servers the process has, where it follows the leader's. */
+	servers: listPositionSchema.optional(),
 });
 
 export const notLeaderSchema = z.strictObject({kind: z.literal('not-leader'), leader: idSchema.optional()});
@@ -216,6 +219,7 @@
 		stamp: ownerStampSchema,
 		/** Owner's time at which it took the report. */
 		takenMs: z.number(),
+		servers: listUpdateSchema.optional(),
 	}),
 	notLeaderSchema,
 ]);
@@ -296,8 +300,8 @@
 	})).max(handoverLimit),
 });
 
-/** Tells an entry process with a live session that its view is out of date. */
-export const changedSchema = z.strictObject({type: z.literal('control/changed'), revision: revisionSchema});
+/** Tells an entry process with a live session that its view, or its list of servers, is out of date. */
+export const changedSchema = z.strictObject({type: z.literal('control/changed'), revision: revisionSchema, servers: listPositionSchema.optional()});
 
 export type Command = z.infer<typeof commandSchema>;
 export type CommandOf<T extends Command['type']> = Extract<Command, {type: T}>;
--- a/src/common/services/access-service.ts
+++ b/src/common/services/access-service.ts
@@ -1,6 +1,7 @@
 import type Emittery from 'emittery';
 import type {SharedConfiguration} from '../configuration/types.js';
 import type {VmId, VmIdentity} from '../core/types.js';
+import type {ReceivedList} from '../forwarding/server-list-feed.js';
 
 /** A lease as entry processes see it. */
 export type LeaseView = {
@@ -46,6 +47,8 @@
 	onViewChanged: View;
 	/** Id of the key; running requests of this key must end. */
 	onKeyWithdrawn: string;
+	/** With each sync where the process follows the leader's list of servers. */
+	onServers: ReceivedList;
 };
 
 /** Keys, freshness and allowances as the request path of an entry process uses them. */
--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {NotifyEffect, ReplyToken, WithoutTime} from '../../common/core/types.js';
+import type {ReceivedList} from '../../common/forwarding/server-list-feed.js';
 import {AccessService} from '../../common/services/access-service.js';
 import type {
 	AccessEvents, AcquireResult, Acquisition, AllowanceResult, Identity, View,
@@ -42,8 +43,8 @@
 		this._timer = new DeadlineTimer(clock, () => nextTickMs(state), () => {
 			host.dispatch({type: 'access/tick'});
 		});
-		network.handle('control/changed', changedSchema, (_from, {revision}) => {
-			this._dispatch({type: 'access/changed', revision});
+		network.handle('control/changed', changedSchema, (_from, {revision, servers}) => {
+			this._dispatch({type: 'access/changed', revision, servers});
 		});
 		this._timer.update();
 	}
@@ -71,10 +72,21 @@
 
 	/** Executes `notify` effects whose topic starts with `access/`. */
 	notify({topic, value}: NotifyEffect): void {
-		if (topic === 'access/view-changed') {
-			void this.events.emit('onViewChanged', value as View);
-		} else if (topic === 'access/key-withdrawn') {
-			void this.events.emit('onKeyWithdrawn', value as string);
+		switch (topic) {
+			case 'access/view-changed': {
+				void this.events.emit('onViewChanged', value as View);
+				break;
+			}
+
+			case 'access/key-withdrawn': {
+				void this.events.emit('onKeyWithdrawn', value as string);
+				break;
+			}
+
+			case 'access/servers': {
+				void this.events.emit('onServers', value as ReceivedList);
+				break;
+			}
 		}
 	}
 
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -51,9 +51,13 @@
 		this.directory = new ServerDirectory(this.random);
 	}
 
-	/** Takes the platform's list. Exchanges under way with servers that it lacks may end. */
-	update(records: readonly ServerRecord[]): void {
-		const {added, changed, removed} = this.directory.update(records, this._options.clock.nowMs());
+	/** Takes the platform's list as it was asked for at `askedMs`, unless a later one is in use. Exchanges under way with servers that it lacks may end. */
+	update(records: readonly ServerRecord[], askedMs: number): void {
+		if (askedMs <= (this.directory.listedMs ?? Number.NEGATIVE_INFINITY)) {
+			return;
+		}
+
+		const {added, changed, removed} = this.directory.update(records, askedMs);
 		for (const [key, adapter] of this._adapters) {
 			if (!this.directory.get(key)) {
 				adapter.dispose();
@@ -63,7 +67,7 @@
 
 		if (added.length + changed.length + removed.length > 0) {
 			this._options.logger.log('info', 'servers changed', {
-				added, removed, changed: changed.map(key => `${key} ${this.directory.get(key)!.record.state}`),
+				added, removed, changed: changed.map(key => `${key} ${this.directory.get(key)!.record.state}`), listAgeMs: this.listAgeMs(),
 			});
 		}
 	}
--- a/src/node/forwarding/stage-host.test.ts
+++ b/src/node/forwarding/stage-host.test.ts
@@ -79,7 +79,7 @@
 	});
 	const step = async (afterMs: number) => {
 		clock.advance(afterMs);
-		fleet.update(records);
+		fleet.update(records, clock.nowMs());
 		await host.tick();
 	};
 
--- a/src/node/transport/tcp-peer-network.test.ts
+++ b/src/node/transport/tcp-peer-network.test.ts
@@ -156,14 +156,9 @@
 
 test('guards against pings on connections that nobody uses, which would grow with the square of the members', async t => {
 	const {a, b} = await startPair(t);
-	let downs = 0;
-	b.network.events.on('onPeerDown', () => {
-		downs++;
-	});
+	const down = b.network.events.once('onPeerDown');
 	await b.network.request('a', {type: 'echo', text: 'one'}, 5000);
-	while (downs === 0) {
-		await setTimeout(50);
-	}
+	await down;
 
 	assert.equal(b.counts.get('transport_closed_total'), undefined, 'closing an idle connection is no failure');
 	assert.deepEqual(await b.network.request('a', {type: 'echo', text: 'two'}, 5000), {from: 'b', text: 'two'});
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -137,6 +137,8 @@
 	readonly exchangeEveryMs?: number;
 	/** Where a VM listens for others, if its name tells. */
 	readonly addressOf?: (vm: VmId) => string;
+	/** Whether the leader passes on a platform's list of servers. */
+	readonly followsServers?: boolean;
 	/** Further fields of each log line. */
 	readonly logContext?: Readonly<Record<string, string>>;
 };
@@ -169,7 +171,7 @@
 	const controlVms = cluster.initialVms;
 	const storage = settings.roles.includes('control') ? createStorage(settings) : undefined;
 	const state: ProcessState = {
-		access: createAccess({controlVms, decode: decodeConfiguration}),
+		access: createAccess({controlVms, decode: decodeConfiguration, followsServers: cluster.followsServers === true}),
 		replica: storage && await createReplica(settings, cluster, storage),
 	};
 	const seeds = new Set(settings.control.map(peer => peer.vm));
@@ -376,6 +378,7 @@
 				exchangeEveryMs: fleetExchangeMs,
 				// A VM's name is its IP address, and ports are the same on all VMs.
 				addressOf: vm => `${vm}:${port}`,
+				followsServers: fleetSettings.serverList !== undefined,
 				logContext: {node: fleetSettings.node},
 			});
 			const fleet = await startForwarding(platform, fleetSettings, protocol);
@@ -530,10 +533,24 @@
 			protocol,
 			metrics,
 			logger,
-			onList(servers) {
-				fleet.update(servers);
+			clock,
+			isReader: () => state.replica?.consensus.role === 'leader',
+			mayBeReader: state.replica !== undefined,
+			listAgeMs: () => fleet.listAgeMs(),
+			onList(servers, askedMs) {
+				fleet.update(servers, askedMs);
+				if (state.replica) {
+					runtime.dispatch({type: 'control/servers', records: servers, askedMs});
+				}
 			},
 		}));
+		client.access.events.on('onServers', ({records, askedMs, isChanged}) => {
+			if (isChanged) {
+				metrics.observe('server_list_learned_ms', clock.nowMs() - askedMs);
+			}
+
+			fleet.update(records, askedMs);
+		});
 		poller.start();
 	}
 
