Sample the event loop every 500 ms, ping only for a missing sign of life, gather log lines

Cause: prom-client's default metrics run a timer of 10 ms in every process, 100 wakes a second of an idle one; pings went over every open connection; each log line was a write of its own through a thread, and at the start of 91 processes 8,244 lines 'member alive' were written in three seconds. Exchanges of the member list ran every second, meant for the search of lost members only. Change: the above; members that come alive within half a second are one line; the search of lost members has an interval of its own.

--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -59,7 +59,7 @@
 /** When the next tick has something to do, in milliseconds. */
 export function nextTickMs(state: MembershipState): number {
 	const {probe, options} = state;
-	const deadlines = [state.nextProbeMs, state.nextExchangeMs];
+	const deadlines = [state.nextProbeMs, state.nextExchangeMs, ...(lostVms(state).length > 0 ? [state.nextSearchMs] : [])];
 	if (probe) {
 		deadlines.push(probe.startedMs + (probe.askedOthers ? options.probeEveryMs : options.directTimeoutMs));
 	}
@@ -85,6 +85,11 @@
 		effects.push(...exchange(state));
 	}
 
+	if (nowMs >= state.nextSearchMs) {
+		state.nextSearchMs = nowMs + (state.members.size === 0 ? aloneExchangeMs : state.options.searchEveryMs);
+		effects.push(...search(state));
+	}
+
 	return effects;
 }
 
@@ -202,15 +207,22 @@
 	return [...records, ...updates];
 }
 
-/** Asks one member for a page of its list; members and seeds that are lost are tried in turn, so that partitions heal. */
+/** Asks one member for a page of its list. */
 function exchange(state: MembershipState): MembershipEffect[] {
-	const alive = shuffledMembers(state);
-	const lost = [
+	return shuffledMembers(state).slice(0, 1).map(vm => join(state, vm));
+}
+
+/** Tries one of the members and seeds that are lost, so that partitions heal. */
+function search(state: MembershipState): MembershipEffect[] {
+	const lost = lostVms(state);
+	return lost.length > 0 ? [join(state, state.random.pick(lost))] : [];
+}
+
+function lostVms(state: MembershipState): VmId[] {
+	return [
 		...state.seeds.filter(vm => !state.members.has(vm)),
 		...[...state.members.values()].filter(({record}) => record.status === 'dead').map(({record}) => record.vm),
 	];
-	const targets = [...alive.slice(0, 1), ...(lost.length > 0 ? [state.random.pick(lost)] : [])];
-	return targets.map(vm => join(state, vm));
 }
 
 function join(state: MembershipState, vm: VmId): MembershipEffect {
--- a/src/common/membership/state.ts
+++ b/src/common/membership/state.ts
@@ -15,8 +15,10 @@
 	readonly indirectProbes: number;
 	/** From suspicion to death, in milliseconds. */
 	readonly suspectMs: number;
-	/** Interval between exchanges of a page of the list, and attempts to reach seeds and dead members, in milliseconds. */
+	/** Interval between exchanges of a page of the list, in milliseconds. */
 	readonly exchangeEveryMs: number;
+	/** Interval between attempts to reach seeds and members that are lost, in milliseconds. */
+	readonly searchEveryMs: number;
 	/** How long a dead member is remembered, in milliseconds. */
 	readonly rememberDeadMs: number;
 	/** Most members remembered, dead ones included. */
@@ -48,6 +50,7 @@
 	probe: Probe | undefined;
 	nextProbeMs: number;
 	nextExchangeMs: number;
+	nextSearchMs: number;
 	nextSequence: number;
 	/** When any member was last heard. */
 	heardMs: number;
@@ -68,6 +71,7 @@
 	indirectProbes: 3,
 	suspectMs: 2000,
 	exchangeEveryMs: 5000,
+	searchEveryMs: 5000,
 	rememberDeadMs: 300_000,
 	maxMembers: 1024,
 };
@@ -88,6 +92,7 @@
 		probe: undefined,
 		nextProbeMs: 0,
 		nextExchangeMs: 0,
+		nextSearchMs: 0,
 		nextSequence: 1,
 		heardMs: 0,
 		hasPageNews: false,
@@ -128,12 +133,13 @@
 	state.members.set(record.vm, {record, sinceMs: isChanged ? nowMs : known.sinceMs});
 	state.updates.add(record);
 	const effects: MembershipEffect[] = [{type: 'membership/changed', member: record}];
-	return isChanged ? [...effects, logChange(record)] : effects;
+	// Members that come alive are logged together by the host: a start of the whole fleet would write a line for each pair.
+	return isChanged && record.status !== 'alive' ? [...effects, logLoss(record)] : effects;
 }
 
-function logChange({vm, incarnation, status}: MemberRecord): MembershipEffect {
+function logLoss({vm, incarnation, status}: MemberRecord): MembershipEffect {
 	return {
-		type: 'log', level: status === 'alive' ? 'info' : 'warn', message: `member ${status}`, fields: {member: vm, incarnation},
+		type: 'log', level: 'warn', message: `member ${status}`, fields: {member: vm, incarnation},
 	};
 }
 
--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -87,6 +87,11 @@
 				void this.events.emit('onServers', value as ReceivedList);
 				break;
 			}
+
+			default: {
+				// Other topics are for other listeners.
+				break;
+			}
 		}
 	}
 
--- a/src/node/membership/membership-host.ts
+++ b/src/node/membership/membership-host.ts
@@ -20,6 +20,11 @@
 /** Least time between two ticks, in milliseconds; suspicions that last longer in isolation would ask for one again and again. */
 const minTickMs = 50;
 
+/** Time over which members that come alive are gathered for one line of the log, in milliseconds. */
+const aliveLogMs = 500;
+/** Members named in that line; of more only the number is logged. */
+const maxNamed = 20;
+
 export type MembershipHostOptions = {
 	readonly self: SelfDescription;
 	/** Processes to contact first; their addresses must be set in the network. */
@@ -30,8 +35,8 @@
 	readonly count: (effect: CountEffect) => void;
 	/** Seed of the random choices. */
 	readonly randomSeed: number;
-	/** Interval between exchanges of the member list, in milliseconds. */
-	readonly exchangeEveryMs?: number;
+	/** Interval between attempts to reach lost members and seeds, in milliseconds. */
+	readonly searchEveryMs?: number;
 };
 
 export type MembershipEvents = {
@@ -47,6 +52,10 @@
 	private readonly _timer: DeadlineTimer;
 	private _lastTickMs = Number.NEGATIVE_INFINITY;
 	private _isStarted = false;
+	/** Incarnations that came alive since the last line of the log, by member. */
+	private readonly _alive = new Map<VmId, number>();
+	private readonly _known = new Map<VmId, number>();
+	private _aliveTimer: NodeJS.Timeout | undefined;
 	private _entries: EntryProcesses;
 
 	constructor(private readonly _options: MembershipHostOptions) {
@@ -54,7 +63,7 @@
 		this._state = createMembership({
 			self: _options.self,
 			seed: _options.randomSeed,
-			...(_options.exchangeEveryMs !== undefined && {exchangeEveryMs: _options.exchangeEveryMs}),
+			...(_options.searchEveryMs !== undefined && {searchEveryMs: _options.searchEveryMs}),
 		});
 		this._entries = entryProcesses(this._state);
 		this._runtime = new Runtime(event => reduceMembership(this._state, event), _options.clock);
@@ -114,6 +123,7 @@
 
 	dispose(): void {
 		this._timer.dispose();
+		clearTimeout(this._aliveTimer);
 		this.events.clearListeners();
 	}
 
@@ -129,7 +139,27 @@
 		this._runtime.on('membership/changed', ({member}) => {
 			network.setAddress(member.vm, member.peerAddress);
 			this._entries = entryProcesses(this._state);
+			this._noteAlive(member);
 			void this.events.emit('onMemberChanged', member);
 		});
 	}
+
+	private _noteAlive({vm, incarnation, status}: MemberRecord): void {
+		if (status !== 'alive') {
+			this._known.delete(vm);
+		} else if (this._known.get(vm) !== incarnation) {
+			this._known.set(vm, incarnation);
+			this._alive.set(vm, incarnation);
+			this._aliveTimer ??= setTimeout(() => {
+				this._logAlive();
+			}, aliveLogMs).unref();
+		}
+	}
+
+	private _logAlive(): void {
+		this._aliveTimer = undefined;
+		const named = [...this._alive].slice(0, maxNamed).map(([member, incarnation]) => ({member, incarnation}));
+		this._options.logger.log('info', 'members alive', {count: this._alive.size, named, known: this._known.size});
+		this._alive.clear();
+	}
 }
--- a/src/node/observability/json-logger.ts
+++ b/src/node/observability/json-logger.ts
@@ -1,8 +1,19 @@
+import {writeSync} from 'node:fs';
+import process from 'node:process';
 import {Logger as TsLogger} from 'tslog';
 import {Logger} from '../../common/core/log.js';
 import type {LogLevel} from '../../common/core/log.js';
 import {LineWriter} from './line-writer.js';
 
+/** A reader that takes nothing must not keep the process from ending. */
+function writeAtExit(bytes: Uint8Array): void {
+	try {
+		writeSync(1, bytes);
+	} catch {
+		// Nobody can be told of a failed write of the log itself.
+	}
+}
+
 type Line = {readonly message: string; readonly fields: Readonly<Record<string, unknown>>};
 type LineMetadata = {_meta?: {date: Date; logLevelName: string}};
 
@@ -24,6 +35,9 @@
 				writer.writeLine(JSON.stringify(line));
 			}],
 		});
+		process.once('exit', () => {
+			writeAtExit(writer.takeWaiting());
+		});
 	}
 
 	override log(level: LogLevel, message: string, fields: Readonly<Record<string, unknown>> = {}): void {
--- a/src/node/observability/line-writer.test.ts
+++ b/src/node/observability/line-writer.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {LineWriter} from './line-writer.js';
 import type {WriteBytes} from './line-writer.js';
 
@@ -8,7 +9,7 @@
 	const clock = {nowMs: 0};
 	const writer = new LineWriter((bytes, done) => {
 		pending.push({bytes, done});
-	}, () => clock.nowMs);
+	}, () => clock.nowMs, 0);
 	const take = (written?: number) => {
 		const {bytes, done} = pending.shift()!;
 		done(undefined, written ?? bytes.length);
@@ -64,3 +65,21 @@
 	writer.writeLine('after');
 	assert.match(take(), /"dropped":200/);
 });
+
+test('guards against a write for each line: lines that come together are written together, and what waits at the end is not lost', async () => {
+	const writes: string[] = [];
+	const writer = new LineWriter((bytes, done) => {
+		writes.push(new TextDecoder().decode(bytes));
+		done(undefined, bytes.length);
+	}, () => 0, 5);
+	writer.writeLine('a');
+	writer.writeLine('b');
+	assert.deepEqual(writes, []);
+	while (writes.length === 0) {
+		await sleep(5);
+	}
+
+	assert.deepEqual(writes, ['a\nb\n']);
+	writer.writeLine('c');
+	assert.equal(new TextDecoder().decode(writer.takeWaiting()), 'c\n');
+});
--- a/src/node/observability/line-writer.ts
+++ b/src/node/observability/line-writer.ts
@@ -6,6 +6,9 @@
 /** Lines written in one second; a process of today's deployments writes about 20, and each costs processor time. */
 const maxLinesPerSecond = 500;
 
+/** Time for which lines are gathered into one write, in milliseconds; each write wakes a thread and then the event loop. */
+const gatherMs = 50;
+
 /** Writes to a file descriptor; `done` is told how many bytes were taken. */
 export type WriteBytes = (bytes: Uint8Array, done: (err: Error | undefined, written: number) => void) => void;
 
@@ -26,11 +29,12 @@
 	private _waitingBytes = 0;
 	private _dropped = 0;
 	private _isWriting = false;
-
+	private _timer: NodeJS.Timeout | undefined;
 	private _secondStartMs = 0;
 	private _linesInSecond = 0;
 
-	constructor(private readonly _write: WriteBytes = writeTo(1), private readonly _nowMs: () => number = () => performance.now()) {}
+	/** @param _gatherMs - 0 writes each line at once */
+	constructor(private readonly _write: WriteBytes = writeTo(1), private readonly _nowMs: () => number = () => performance.now(), private readonly _gatherMs = gatherMs) {}
 
 	/** Takes one line without its line break. */
 	writeLine(line: string): void {
@@ -48,7 +52,22 @@
 
 		this._waiting.push(bytes);
 		this._waitingBytes += bytes.length;
-		this._flush();
+		if (this._gatherMs === 0) {
+			this._flush();
+			return;
+		}
+
+		this._timer ??= setTimeout(() => {
+			this._timer = undefined;
+			this._flush();
+		}, this._gatherMs).unref();
+	}
+
+	/** Gives back the lines that wait, for a process that ends and cannot wait for their write. */
+	takeWaiting(): Uint8Array {
+		const bytes = Buffer.concat(this._waiting);
+		this._waiting = [];
+		return bytes;
 	}
 
 	private _isWithinRate(): boolean {
--- a/src/node/observability/prom-metrics.ts
+++ b/src/node/observability/prom-metrics.ts
@@ -11,6 +11,9 @@
 const durationBuckets = [0.001, 0.003, 0.01, 0.03, 0.069, 0.1, 0.3, 0.8, 1, 3, 10, 30];
 const millisecondsSuffix = /_ms$/;
 
+/** Interval at which the delay of the event loop is sampled, in milliseconds; the library's default of 10 ms wakes an idle process 100 times a second. */
+const eventLoopSampleMs = 500;
+
 type Vector = Counter | Gauge | Histogram;
 
 /** Exposes metrics through prom-client. Durations, named `_ms` in the code, are exported in seconds as is usual. */
@@ -22,7 +25,7 @@
 	constructor(labels: MetricLabels) {
 		super();
 		this._registry.setDefaultLabels(labels);
-		collectDefaultMetrics({register: this._registry});
+		collectDefaultMetrics({register: this._registry, eventLoopMonitoringPrecision: eventLoopSampleMs});
 	}
 
 	get contentType(): string {
--- a/src/node/transport/peer-connection.ts
+++ b/src/node/transport/peer-connection.ts
@@ -7,14 +7,14 @@
 import {envelopeSchema, helloSchema, protocolVersion} from './messages.js';
 import type {Envelope, Hello} from './messages.js';
 
-/** Interval of pings on a connection that sends nothing else, in milliseconds. */
+/** Interval of pings on a connection on which this side waits for a sign of life, in milliseconds. */
 export const pingIntervalMs = 500;
-/** A connection without traffic for this long is dead: four pings were lost. */
+/** A connection on which nothing arrives for this long after something was sent is dead: four pings were lost. */
 const silenceLimitMs = 2000;
 /** A connection that carried no message for this long is closed, in milliseconds; a new one takes two round trips. Longer than the interval of syncs and heartbeats. */
-const idleLimitMs = 1500;
-/** Time before that in which the connection is not used for new messages, since the peer may be closing it, in milliseconds. */
-const idleMarginMs = 600;
+const idleLimitMs = 1000;
+/** Time before that in which the connection is not used for new messages, since the peer may be closing it, in milliseconds; messages take far less. */
+const idleMarginMs = 200;
 /** Bytes waiting in one socket before messages are dropped instead of queued. */
 const maxQueuedBytes = 4_194_304;
 
@@ -45,8 +45,8 @@
 	private _isReady = false;
 	private _isClosed = false;
 	private _isEnding = false;
-	/** Only received bytes prove that the peer lives; `Socket.setTimeout` would also count the bytes that this side writes. */
-	private _lastReceivedMs = performance.now();
+	/** When the first bytes were sent of which no later bytes of the peer show that they arrived; undefined when there are none. */
+	private _unansweredSinceMs: number | undefined;
 	private _lastSentMs = performance.now();
 	/** When the last message that is no ping went either way. */
 	private _lastUsedMs = performance.now();
@@ -90,6 +90,7 @@
 		}
 
 		this._lastSentMs = performance.now();
+		this._unansweredSinceMs ??= this._lastSentMs;
 		if (envelope.kind !== 'ping') {
 			this._lastUsedMs = this._lastSentMs;
 		}
@@ -99,18 +100,23 @@
 	}
 
 	/**
-	Closes a connection that is dead or no longer used, and keeps others alive; to be called at the interval of pings.
+	Closes a connection that is dead or no longer used, and asks for a sign of life where one is missing; to be called at the interval of pings.
 	@param isAwaited - whether either side still waits for a reply
 	*/
 	check(isAwaited: boolean): void {
 		const nowMs = performance.now();
-		if (nowMs - this._lastReceivedMs > silenceLimitMs) {
+		const isIdle = !isAwaited && nowMs - this._lastUsedMs >= idleLimitMs;
+		if (this._unansweredSinceMs !== undefined && nowMs - this._unansweredSinceMs > silenceLimitMs) {
 			this.close(new ProtocolError(`no traffic for ${silenceLimitMs} ms`, at({step: 'transport.silence', peer: this.peer?.vm})));
-		} else if (this._isDialer && !isAwaited && !this._isEnding && nowMs - this._lastUsedMs >= idleLimitMs) {
+		} else if (isIdle && this._isDialer && !this._isEnding) {
 			// What the peer has sent meanwhile still arrives.
 			this._isEnding = true;
 			this._socket.end();
-		} else if (nowMs - this._lastSentMs >= pingIntervalMs / 2) {
+			this._unansweredSinceMs ??= nowMs;
+		} else if (!isAwaited && nowMs - this._lastUsedMs >= idleLimitMs + silenceLimitMs) {
+			// The dialer is gone without a word, or never said hello.
+			this.close(undefined);
+		} else if (isAwaited || nowMs - (this._unansweredSinceMs ?? nowMs) >= pingIntervalMs) {
 			this.send({kind: 'ping'});
 		}
 	}
@@ -138,7 +144,7 @@
 			return;
 		}
 
-		this._lastReceivedMs = performance.now();
+		this._unansweredSinceMs = undefined;
 		try {
 			for (const frame of this._splitter.push(chunk)) {
 				this._handleFrame(frame);
@@ -167,6 +173,9 @@
 		if (parsed.data.kind !== 'ping') {
 			this._lastUsedMs = performance.now();
 			this._listener.onEnvelope(this, parsed.data);
+		} else if (performance.now() - this._lastSentMs >= pingIntervalMs / 2) {
+			// The peer waits for a sign of life.
+			this.send({kind: 'ping'});
 		}
 	}
 
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -133,8 +133,8 @@
 	readonly initialVms: readonly VmId[];
 	readonly admitsNewVms?: boolean;
 	readonly timings?: Partial<ConsensusTimings>;
-	/** Interval between exchanges of the member list, in milliseconds. */
-	readonly exchangeEveryMs?: number;
+	/** Interval between attempts to reach lost members and seeds, in milliseconds. */
+	readonly searchEveryMs?: number;
 	/** Where a VM listens for others, if its name tells. */
 	readonly addressOf?: (vm: VmId) => string;
 	/** Whether the leader passes on a platform's list of servers. */
@@ -199,7 +199,7 @@
 		logger,
 		count: countOn(metrics),
 		randomSeed: self.incarnation,
-		...(cluster.exchangeEveryMs !== undefined && {exchangeEveryMs: cluster.exchangeEveryMs}),
+		...(cluster.searchEveryMs !== undefined && {searchEveryMs: cluster.searchEveryMs}),
 	}));
 	membership.start();
 	return {
@@ -351,8 +351,8 @@
 
 /** Control VMs of one region answer within a few milliseconds, so a leader that is silent for this long is lost. In milliseconds. */
 const fleetTimings = {heartbeatMs: 75, electionMinMs: 300, electionMaxMs: 600};
-/** Interval between exchanges of the member list while nothing but seeds is known, in milliseconds. */
-const fleetExchangeMs = 1000;
+/** Interval between attempts to reach lost members and seeds, in milliseconds; a cut that heals must be noticed well within 3 s. */
+const fleetSearchMs = 1000;
 /** Time for the news of a drain to reach every process that answers entry-point questions, in milliseconds. */
 const drainSpreadMs = 1000;
 /** Longest time for which callers keep an answer, as a multiple of its validity. */
@@ -375,7 +375,7 @@
 				initialVms: [],
 				admitsNewVms: true,
 				timings: fleetTimings,
-				exchangeEveryMs: fleetExchangeMs,
+				searchEveryMs: fleetSearchMs,
 				// A VM's name is its IP address, and ports are the same on all VMs.
 				addressOf: vm => `${vm}:${port}`,
 				followsServers: fleetSettings.serverList !== undefined,
