Confirm syncs that nobody waits for with the regular heartbeat

Cause: each sync of an entry process began a heartbeat round of its own unless one was under way: 91 processes sync 182 times a second, which made about 1,800 messages a second among 6 voters, and 400 VMs would make 800 rounds a second.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -149,6 +149,30 @@
 	assert.deepEqual(cluster.answers(second), ['consensus/read-ready']);
 });
 
+test('guards against a round of heartbeats for each sync: reads that may wait share the regular heartbeat', () => {
+	const {cluster, leader} = electedCluster();
+	const roundBefore = cluster.state(leader).round;
+	const heartbeats = 5;
+	const {heartbeatMs} = cluster.state(leader).timings;
+	const tokens: number[] = [];
+	for (let elapsedMs = 0; elapsedMs < heartbeats * heartbeatMs; elapsedMs += 5) {
+		tokens.push(cluster.read(leader, true));
+		cluster.run(5);
+	}
+
+	cluster.run(2 * heartbeatMs);
+	assert.ok(cluster.state(leader).round - roundBefore <= heartbeats + 3, `${cluster.state(leader).round - roundBefore} rounds`);
+	for (const token of tokens) {
+		assert.deepEqual(cluster.answers(token), ['consensus/read-ready']);
+	}
+
+	// One that may not wait takes the others along.
+	const patient = cluster.read(leader, true);
+	const urgent = cluster.read(leader);
+	cluster.run(3);
+	assert.deepEqual([cluster.answers(patient), cluster.answers(urgent)], [['consensus/read-ready'], ['consensus/read-ready']]);
+});
+
 test('a new leader answers no read before an entry of its own term is committed', () => {
 	const {cluster, leader, others} = electedCluster();
 	commit(cluster, leader, 3);
--- a/src/common/consensus/read-index.ts
+++ b/src/common/consensus/read-index.ts
@@ -3,21 +3,33 @@
 import {broadcastAppend} from './replication.js';
 import {quorum, voters} from './state.js';
 
-/** Queues a linearizable read; a heartbeat round that begins after its arrival must confirm the leadership. */
-export function requestRead(context: Context, token: ReplyToken): void {
+/** Queues a linearizable read; a heartbeat round that begins after its arrival must confirm the leadership. One that may wait shares the next heartbeat. */
+export function requestRead(context: Context, token: ReplyToken, mayWait = false): void {
 	const {state, effects} = context;
 	if (state.role !== 'leader' || state.reads.length >= state.limits.maxReads) {
 		effects.push({type: 'consensus/read-failed', token, leader: state.leader});
 		return;
 	}
 
-	const isRoundUnderWay = confirmedRound(context) < state.round;
-	state.reads.push({token, round: state.round + 1});
-	if (!isRoundUnderWay) {
+	state.reads.push({token, round: state.round + 1, mayWait});
+	if (!mayWait && !isRoundUnderWay(context)) {
 		startRound(context);
 	}
 }
 
+/** Sends the regular heartbeat, as the round for reads that wait for one. */
+export function sendHeartbeat(context: Context): void {
+	if (context.state.reads.length > 0 && !isRoundUnderWay(context)) {
+		startRound(context);
+	} else {
+		broadcastAppend(context, true);
+	}
+}
+
+function isRoundUnderWay(context: Context): boolean {
+	return confirmedRound(context) < context.state.round;
+}
+
 function startRound(context: Context): void {
 	context.state.round++;
 	broadcastAppend(context, true);
@@ -48,7 +60,7 @@
 
 	state.reads = state.reads.filter(read => !isReady(read.round));
 	// One round is under way at a time; reads that arrived meanwhile share the next one.
-	if (confirmed === state.round && state.reads.length > 0) {
+	if (confirmed === state.round && state.reads.some(({mayWait}) => !mayWait)) {
 		startRound(context);
 	}
 }
--- a/src/common/consensus/reducer.ts
+++ b/src/common/consensus/reducer.ts
@@ -10,7 +10,7 @@
 import {handleIntroduce, handleIntroduceReply, tickFormation} from './formation.js';
 import {changeMembers, handleJoin} from './membership.js';
 import {consensusMessageSchema} from './messages.js';
-import {requestRead} from './read-index.js';
+import {requestRead, sendHeartbeat} from './read-index.js';
 import {
 	acknowledgeWrite, advanceCommit, broadcastAppend, handleAppend, handleAppendReply, propose,
 } from './replication.js';
@@ -96,7 +96,7 @@
 		}
 
 		case 'consensus/read': {
-			requestRead(context, event.token);
+			requestRead(context, event.token, event.mayWait);
 			break;
 		}
 
@@ -145,7 +145,7 @@
 	tickFormation(context);
 	if (state.role === 'leader' && nowMs >= state.nextHeartbeatMs) {
 		state.nextHeartbeatMs = nowMs + state.timings.heartbeatMs;
-		broadcastAppend(context, true);
+		sendHeartbeat(context);
 	}
 }
 
--- a/src/common/consensus/state.ts
+++ b/src/common/consensus/state.ts
@@ -58,6 +58,8 @@
 	readonly token: ReplyToken;
 	/** The read is confirmed by this heartbeat round or a later one. */
 	readonly round: number;
+	/** Whether the regular heartbeat is early enough to begin that round. */
+	readonly mayWait: boolean;
 };
 
 export type Campaign = {
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -154,10 +154,10 @@
 		return token;
 	}
 
-	read(vm: VmId): number {
+	read(vm: VmId, mayWait = false): number {
 		const token = this._nextToken++;
 		this._readFloors.set(token, this._highestAcknowledged);
-		this.dispatch(vm, {type: 'consensus/read', token});
+		this.dispatch(vm, {type: 'consensus/read', token, mayWait});
 		return token;
 	}
 
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -66,7 +66,8 @@
 	/** Proposes a command; the token's fate arrives as `consensus/committed` or `consensus/dropped`. */
 	| (BaseEvent<'consensus/propose'> & {readonly token: ReplyToken; readonly command: unknown})
 	/** Asks for a linearizable read; answered by `consensus/read-ready` or `consensus/read-failed`. */
-	| (BaseEvent<'consensus/read'> & {readonly token: ReplyToken})
+	/** A read that may wait is confirmed with the next regular heartbeat, at no further cost. */
+	| (BaseEvent<'consensus/read'> & {readonly token: ReplyToken; readonly mayWait?: boolean})
 	/** Adds a learner, promotes it when it has caught up, or removes a member; one change at a time. */
 	| (BaseEvent<'consensus/change-members'> & {
 		readonly token: ReplyToken;
--- a/src/common/control/control.test.ts
+++ b/src/common/control/control.test.ts
@@ -68,7 +68,7 @@
 
 test('guards against an answer, a proof or a grant before a quorum has confirmed the leader', () => {
 	const {sync, confirm, consensus, state} = makeLeader();
-	assert.deepEqual(sync(5000, 2, want(100)), [{type: 'control/to-consensus', event: {type: 'consensus/read', token: 2}}]);
+	assert.deepEqual(sync(5000, 2, want(100)), [{type: 'control/to-consensus', event: {type: 'consensus/read', token: 2, mayWait: false}}]);
 	assert.equal(grantedIn(confirm(5001, 2)), 100);
 	sync(5010, 3, want(100));
 	assert.deepEqual(bodyOf(consensus(5500, {type: 'consensus/read-failed', token: 3, leader: 'b'})), {kind: 'not-leader', leader: 'b'});
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -12,7 +12,7 @@
 import type {
 	BaseEvent, CoreEffect, ReplyToken, VmId, VmIdentity, WithoutTime,
 } from '../core/types.js';
-import {ServerListLog} from '../forwarding/server-list-feed.js';
+import {isSamePosition, ServerListLog} from '../forwarding/server-list-feed.js';
 import type {ServerRecord} from '../forwarding/types.js';
 import {AllowanceOwner} from '../limits/owner.js';
 import type {Allotment} from '../limits/owner.js';
@@ -308,7 +308,13 @@
 	state.pending.set(token, {
 		kind: 'sync', sinceMs: nowMs, request, allotment, owner,
 	});
-	return [toConsensus({type: 'consensus/read', token})];
+	return [toConsensus({type: 'consensus/read', token, mayWait: !isUrgent(state, request)})];
+}
+
+/** Whether a request or news waits for the answer; other syncs share the heartbeat, or each would cost messages to every voter. */
+function isUrgent({data, servers}: ControlSlice, {revision, page, allowances, servers: position}: SyncRequest): boolean {
+	const isBehind = revision < data.revision || page !== undefined || (servers && position && !isSamePosition(servers.position, position));
+	return isBehind === true || allowances.wanted.some(({atLeast}) => atLeast > 0);
 }
 
 /** Records the sync; false for one that was overtaken, whose reports must not count again. */
--- a/src/common/forwarding/server-list-feed.ts
+++ b/src/common/forwarding/server-list-feed.ts
@@ -25,6 +25,10 @@
 export type ListPosition = z.infer<typeof listPositionSchema>;
 export type ListUpdate = z.infer<typeof listUpdateSchema>;
 
+export function isSamePosition(a: ListPosition, b: ListPosition): boolean {
+	return a.term === b.term && a.version === b.version;
+}
+
 type Entry = {readonly record: ServerRecord; readonly version: number};
 
 /** The list with its recent changes, at the process that reads it. */
