Bound the part of an event that is kept until it ends

Cause: a server in trouble that sends bytes without end that are no event filled the memory of the process: the part was kept, and copied for each chunk, until the request's deadline (21 MB in 3 s on the test, limited by the copying alone).

--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -13,6 +13,7 @@
 import {sendOwnAnswer, watchStops} from './forward-call.js';
 import type {ForwardCall, ForwardResult, ForwardServices} from './forward-call.js';
 import type {SystemFacts} from './fleet-protocol.js';
+import {WholeEvents} from './whole-events.js';
 
 /** Bound on a prefill call as a share of the latency objective; giving one up costs the whole reading, and a late answer has worth. */
 const prefillShare = 1.2;
@@ -345,8 +346,8 @@
 		const {protocol, logger} = this._services;
 		const answer = this._answer!;
 		const {server} = this._memory.held!;
-		let rest: Uint8Array = new Uint8Array();
 		this._events.restart();
+		const events = new WholeEvents(this._events);
 		try {
 			if (!exchange.res.headersSent) {
 				exchange.writeHead(answer.status, protocol.callerHeaders(answer.headers));
@@ -363,14 +364,11 @@
 					continue;
 				}
 
-				const whole = this._events.push(chunk);
-				const joined = rest.length > 0 ? concat(rest, chunk) : chunk;
-				const end = whole > 0 ? rest.length + whole : 0;
-				rest = joined.subarray(end);
-				if (end > 0) {
+				const whole = events.push(chunk);
+				if (whole.length > 0) {
 					this._watch(attempt, server, nextStallMs);
 					this._noteEvent();
-					await exchange.write(joined.subarray(0, end));
+					await exchange.write(whole);
 				}
 			}
 		} catch (err) {
@@ -386,7 +384,7 @@
 			return;
 		}
 
-		if (answer.wasReset() || (rest.length > 0 && answer.status === 200)) {
+		if (answer.wasReset() || events.hasPart) {
 			logger.log('warn', 'stream broke off', {
 				requestId, attempt, server: server.key, wasReset: answer.wasReset(), after: this._events.lastId,
 			});
@@ -461,10 +459,3 @@
 		return Math.round(this._services.clock.nowMs() - this._call.exchange.startedAtMs);
 	}
 }
-
-function concat(first: Uint8Array, second: Uint8Array): Uint8Array {
-	const joined = new Uint8Array(first.length + second.length);
-	joined.set(first);
-	joined.set(second, first.length);
-	return joined;
-}
