Let leases and the freshness of a view lapse by the time of day as well

Cause: the monotonic clock does not count the time for which a machine is suspended, so that a process that was paused went on to use a lease on orders, or accepted keys by a view, that had run out meanwhile. Change: both must be valid by the monotonic clock and by the time of day; a jump of the clock costs one renewal.

--- a/src/node/clock.ts
+++ b/src/node/clock.ts
@@ -6,4 +6,8 @@
 	override nowMs(): number {
 		return performance.now();
 	}
+
+	override wallMs(): number {
+		return Date.now();
+	}
 }
--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -1,5 +1,7 @@
 import Emittery from 'emittery';
-import {isFresh, lookupKey, nextTickMs} from '../../common/access/access.js';
+import {
+	freshnessLimitMs, isFresh, lookupKey, nextTickMs,
+} from '../../common/access/access.js';
 import type {AccessEffect, AccessEvent, AccessState} from '../../common/access/access.js';
 import {changedSchema} from '../../common/control/messages.js';
 import type {Clock} from '../../common/core/clock.js';
@@ -36,6 +38,8 @@
 export class AccessClient extends AccessService implements Disposable {
 	override readonly events = new Emittery<AccessEvents>();
 	private readonly _timer: DeadlineTimer;
+	/** Time of day at which the last confirmed sync was sent. */
+	private _confirmedWallMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _options: AccessClientOptions) {
 		super();
@@ -55,7 +59,8 @@
 
 	/** Executes the effect `access/request`. */
 	request({to, message, seq, timeoutMs}: Extract<AccessEffect, {type: 'access/request'}>): void {
-		const {network} = this._options;
+		const {network, state, clock} = this._options;
+		const askedWallMs = clock.wallMs();
 		const sent = async () => {
 			try {
 				const body = await network.request(to, message, timeoutMs);
@@ -66,7 +71,10 @@
 		};
 
 		void (async () => {
-			this._dispatch(await sent());
+			const outcome = await sent();
+			const {confirmedMs} = state;
+			this._dispatch(outcome);
+			this._confirmedWallMs = state.confirmedMs === confirmedMs ? this._confirmedWallMs : askedWallMs;
 		})();
 	}
 
@@ -96,7 +104,8 @@
 	}
 
 	override isFresh(): boolean {
-		return isFresh(this._options.state, this._options.clock.nowMs());
+		const {state, clock} = this._options;
+		return isFresh(state, clock.nowMs()) && clock.wallMs() - this._confirmedWallMs <= freshnessLimitMs;
 	}
 
 	override authenticate(key: string): Identity | undefined {
--- a/src/node/control/control-client.test.ts
+++ b/src/node/control/control-client.test.ts
@@ -3,6 +3,7 @@
 import type {TestContext} from 'node:test';
 import {freshnessLimitMs} from '../../common/access/access.js';
 import {snapshotState} from '../../common/control/state.js';
+import {MonotonicClock} from '../clock.js';
 import {makeDocument, TestCluster, until} from './test-helper.js';
 
 async function startCluster(context: TestContext, controlVms?: string[]) {
@@ -32,6 +33,25 @@
 	assert.equal(access.authenticate(issued.key), undefined);
 });
 
+/** A clock of a machine that a test suspends: only the time of day goes on. */
+class SuspendedClock extends MonotonicClock {
+	suspendedMs = 0;
+
+	override wallMs(): number {
+		return super.wallMs() + this.suspendedMs;
+	}
+}
+
+test('guards against keys accepted after a suspension by a view that was confirmed before it', async context => {
+	const {cluster} = await startCluster(context);
+	const clock = new SuspendedClock();
+	const {client: {access}} = cluster.addEntry('entry-1', 1, clock);
+	await until(() => access.isFresh());
+	clock.suspendedMs += freshnessLimitMs + 1;
+	assert.equal(access.isFresh(), false);
+	await until(() => access.isFresh());
+});
+
 test('guards against grants that do not reach a waiting request, and refusals that wait although hopeless', async context => {
 	const {cluster} = await startCluster(context);
 	const {client: {access}} = cluster.addEntry('entry-1');
--- a/src/node/control/test-helper.ts
+++ b/src/node/control/test-helper.ts
@@ -3,6 +3,7 @@
 import {decode, encode} from 'cbor-x';
 import Emittery from 'emittery';
 import type {z} from 'zod';
+import type {Clock} from '../../common/core/clock.js';
 import {createAccess, reduceAccess} from '../../common/access/access.js';
 import type {AccessEffect, AccessEvent, AccessState} from '../../common/access/access.js';
 import type {ConsensusEffect} from '../../common/consensus/types.js';
@@ -218,13 +219,13 @@
 		return {slice, runtime};
 	}
 
-	addEntry(vm: VmId, incarnation = 1): EntryNode {
+	addEntry(vm: VmId, incarnation = 1, clock: Clock = this.clock): EntryNode {
 		const network = this.add(this.hub.join({vm, incarnation}));
 		const state = createAccess({controlVms: this.controlVms, decode: decodeConfiguration});
-		const runtime = new Runtime<AccessEvent, AccessEffect>(event => reduceAccess(state, event), this.clock);
-		const link = new ControlLink({network, clock: this.clock, controlVms: this.controlVms});
+		const runtime = new Runtime<AccessEvent, AccessEffect>(event => reduceAccess(state, event), clock);
+		const link = new ControlLink({network, clock, controlVms: this.controlVms});
 		const client = this.add(new ControlClient({
-			host: runtime, state, network, clock: this.clock, link,
+			host: runtime, state, network, clock, link,
 		}));
 		runtime.on('access/request', effect => {
 			client.access.request(effect);
--- a/src/node/orders/order-host.test.ts
+++ b/src/node/orders/order-host.test.ts
@@ -68,6 +68,10 @@
 	override nowMs(): number {
 		return this._clock.nowMs() + this.skewMs;
 	}
+
+	override wallMs(): number {
+		return this._clock.wallMs() + this.skewMs;
+	}
 }
 
 async function started<T extends Disposable & {start(): Promise<void>}>(context: TestContext, part: T): Promise<T> {
--- a/src/node/scheduler/lease-holder.test.ts
+++ b/src/node/scheduler/lease-holder.test.ts
@@ -80,3 +80,16 @@
 	await holder.release();
 	assert.deepEqual([holder.epoch, keeper.released], [undefined, [7]]);
 });
+
+test('guards against a process that acts on its lease after its machine was suspended, although its monotonic clock stood still', async () => {
+	const {clock, holder} = setUp();
+	await holder.step(true);
+	clock.suspend(leaseTtlMs);
+	assert.equal(holder.epoch, undefined);
+	await holder.step(true);
+	assert.equal(holder.epoch, 7, 'renewed');
+	// A clock that was set back must not lengthen the lease.
+	clock.suspend(-60_000);
+	clock.advance(leaseTtlMs);
+	assert.equal(holder.epoch, undefined);
+});
--- a/src/node/scheduler/lease-holder.ts
+++ b/src/node/scheduler/lease-holder.ts
@@ -10,13 +10,16 @@
 export class LeaseHolder {
 	private _epoch: number | undefined;
 	private _confirmedMs = 0;
+	/** The same by the time of day. */
+	private _confirmedWallMs = 0;
 	private _isBusy = false;
 
 	constructor(private readonly _name: string, private readonly _keeper: LeaseKeeper, private readonly _clock: Clock) {}
 
 	/** The epoch while this process surely holds the lease. */
 	get epoch(): number | undefined {
-		return this._clock.nowMs() - this._confirmedMs < holdMs ? this._epoch : undefined;
+		const isHeld = this._clock.nowMs() - this._confirmedMs < holdMs && this._clock.wallMs() - this._confirmedWallMs < holdMs;
+		return isHeld ? this._epoch : undefined;
 	}
 
 	/** From then on the lease is no longer surely held, unless a renewal succeeds. */
@@ -33,10 +36,14 @@
 		this._isBusy = true;
 		// The lease runs from some time after the request left, so measuring from before is safe.
 		const askedMs = this._clock.nowMs();
+		const askedWallMs = this._clock.wallMs();
 		try {
 			const epoch = await this._ask();
 			this._epoch = epoch;
-			this._confirmedMs = epoch === undefined ? this._confirmedMs : askedMs;
+			if (epoch !== undefined) {
+				this._confirmedMs = askedMs;
+				this._confirmedWallMs = askedWallMs;
+			}
 		} catch {
 			// No quorum answered; the lease lapses here after `holdMs` unless a later attempt succeeds.
 		} finally {
