Let the leader pass on announcements of servers

Cause: a process that found a server unreachable or turned away told every other process itself. Since idle connections are closed it had to connect to each of them first, at 91 VMs some 1,200 packets for one announcement. Change: announcer.ts sends it to the leader, whose connections to all processes are open, and the leader passes it on; without a leader that answered lately it goes to every process as before.

--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -6,7 +6,9 @@
 import {changedSchema} from '../../common/control/messages.js';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
-import type {NotifyEffect, ReplyToken, WithoutTime} from '../../common/core/types.js';
+import type {
+	NotifyEffect, ReplyToken, VmId, WithoutTime,
+} from '../../common/core/types.js';
 import type {ReceivedList} from '../../common/forwarding/server-list-feed.js';
 import {AccessService} from '../../common/services/access-service.js';
 import type {
@@ -57,6 +59,11 @@
 		return this._options.state.published;
 	}
 
+	/** The control VM that confirmed the last sync, while the proof is recent. */
+	get leader(): VmId | undefined {
+		return this.isFresh() ? this._options.state.target : undefined;
+	}
+
 	/** Executes the effect `access/request`. */
 	request({to, message, seq, timeoutMs}: Extract<AccessEffect, {type: 'access/request'}>): void {
 		const {network, state, clock} = this._options;
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -1,4 +1,3 @@
-import {z} from 'zod';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
@@ -11,12 +10,6 @@
 import type {ServerKey, ServerRecord} from '../../common/forwarding/types.js';
 import {ForwardAdapter} from './forward-adapter.js';
 
-/** Tells that a server cannot be reached from the sender. */
-export const unreachableSchema = z.strictObject({type: z.literal('forwarding/unreachable'), server: z.string().max(300)});
-
-/** Tells that a server turns work away for so long, in milliseconds; 0 takes that back. */
-export const suspendedSchema = z.strictObject({type: z.literal('forwarding/suspended'), server: z.string().max(300), forMs: z.number().min(0).max(60_000)});
-
 export type ServerFleetOptions = {
 	readonly clock: Clock;
 	readonly logger: Logger;
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -8,7 +8,7 @@
 import {createControl} from '../common/control/control.js';
 import {DisposableStore} from '../common/core/disposable.js';
 import type {
-	CountEffect, VmId, VmIdentity, PeerMessage,
+	CountEffect, VmId, VmIdentity,
 } from '../common/core/types.js';
 import type {ConsensusTimings} from '../common/consensus/types.js';
 import type {SelfDescription} from '../common/membership/types.js';
@@ -38,11 +38,12 @@
 import type {ReplicaMembers} from './operators/control-operator-service.js';
 import {OperatorServer} from './operators/operator-server.js';
 import {OrderHost} from './orders/order-host.js';
+import {Announcer} from './forwarding/announcer.js';
 import {FleetInterfaces, entryAnswerValidityMs} from './forwarding/fleet-interfaces.js';
 import type {FleetProtocol} from './forwarding/fleet-protocol.js';
 import type {FleetSettings} from './forwarding/fleet-settings.js';
 import {ForwardServer} from './forwarding/forward-server.js';
-import {ServerFleet, suspendedSchema, unreachableSchema} from './forwarding/server-fleet.js';
+import {ServerFleet} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {StageHost} from './forwarding/stage-host.js';
 import {Runtime} from './runtime.js';
@@ -466,18 +467,6 @@
 	} = platform;
 	const client = createControlClient(platform);
 	const processes = () => Math.max(1, membership.entries.live.length);
-	const announce = (message: PeerMessage) => {
-		for (const {vm} of membership.entries.live) {
-			if (vm !== self.vm) {
-				network.send(vm, message);
-			}
-		}
-	};
-
-	const announceSuspended = (key: string, forMs: number) => {
-		announce({type: 'forwarding/suspended', server: key, forMs});
-	};
-
 	const fleet = parts.add(new ServerFleet({
 		clock,
 		logger,
@@ -485,15 +474,23 @@
 		retries: fleetSettings.retries,
 		processes,
 		announceUnreachable(key) {
-			announce({type: 'forwarding/unreachable', server: key});
+			announcer.announceUnreachable(key);
+		},
+		announceSuspended(key, forMs) {
+			announcer.announceSuspended(key, forMs);
 		},
-		announceSuspended,
 	}));
-	network.handle('forwarding/unreachable', unreachableSchema, (from, {server: key}) => {
-		void fleet.verify(key, from.vm);
-	});
-	network.handle('forwarding/suspended', suspendedSchema, (from, {server: key, forMs}) => {
-		fleet.noteSuspended(key, forMs, from.vm);
+	const announcer = new Announcer({
+		self: self.vm,
+		network,
+		processes: () => membership.entries.live,
+		leader: () => client.access.leader,
+		onUnreachable(key, announcedBy) {
+			void fleet.verify(key, announcedBy);
+		},
+		onSuspended(key, forMs, announcedBy) {
+			fleet.noteSuspended(key, forMs, announcedBy);
+		},
 	});
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = parts.add(new ForwardServer({
@@ -521,7 +518,9 @@
 			isLeader: () => consensus.role === 'leader',
 			holder: fleetSettings.node,
 			services: () => client.access.view?.configuration.forwarding?.services.filter(({engine}) => engine).map(({name}) => name) ?? [],
-			announceSuspended,
+			announceSuspended(key, forMs) {
+				announcer.announceSuspended(key, forMs);
+			},
 			turnMs: fleetSettings.orderTurnMs,
 		}));
 	}
