Heed what servers say of themselves: that they leave, or want no work for a time

Cause: neither header was read. Change: the head of every answer of a server is read where it arrives. A start of a server that says it leaves gets nothing more from this process, and the others are told; the note outlives the server's entry on the list. One that wants no work for a time gets none from this process until then; a request placed on it before goes elsewhere. If every server of a service wants none, the caller is refused at once with the time.

--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -55,8 +55,8 @@
 	| (BaseEvent<'forward/hold-refused'> & {readonly attempt: number; readonly server: ServerKey})
 	/** The engine did not answer or cannot be used. */
 	| (BaseEvent<'forward/hold-failed'> & {readonly attempt: number; readonly server: ServerKey})
-	/** No engine is left to ask. */
-	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number})
+	/** No engine is left to ask. `resumesInMs`: every one said that it wants no work for so long. */
+	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number; readonly resumesInMs?: number | undefined})
 	| (BaseEvent<'forward/prefilled'> & {readonly attempt: number})
 	| (BaseEvent<'forward/prefill-failed'> & {readonly attempt: number; readonly server: ServerKey | undefined})
 	/** The head of an answer arrived. */
@@ -130,7 +130,7 @@
 		}
 
 		case 'forward/no-engine': {
-			return takeNoEngine(state, event.nowMs);
+			return takeNoEngine(state, event);
 		}
 
 		case 'forward/prefilled': {
@@ -203,9 +203,14 @@
 }
 
 /** Waits for memory as long as it is worth it, then refuses. */
-function takeNoEngine(state: ModelForward, nowMs: number): ModelForwardEffect[] {
+function takeNoEngine(state: ModelForward, {nowMs, resumesInMs = 0}: Of<'forward/no-engine'>): ModelForwardEffect[] {
 	const {maxWaitMs, gapMs} = state.patience;
-	if (nowMs - state.waitingSinceMs + gapMs <= maxWaitMs) {
+	const waitedMs = nowMs - state.waitingSinceMs;
+	if (waitedMs + resumesInMs > maxWaitMs) {
+		return giveUp(state, 'no engine takes work', Math.max(resumesInMs, state.returnAfterMs));
+	}
+
+	if (waitedMs + gapMs <= maxWaitMs) {
 		state.phase = 'waiting';
 		// An engine that failed may be the only one left.
 		state.failedOn.clear();
--- a/src/common/forwarding/plain-forward.ts
+++ b/src/common/forwarding/plain-forward.ts
@@ -28,7 +28,8 @@
 
 export type PlainForwardEvent =
 	| BaseEvent<'forward/start'>
-	| BaseEvent<'forward/no-server'>
+	/** `resumesInMs`: every server said that it wants no work for so long. */
+	| (BaseEvent<'forward/no-server'> & {readonly resumesInMs?: number | undefined})
 	/** The whole answer of a server arrived; `isNotRun` means that the server says it did not run the request. */
 	| (BaseEvent<'forward/answered'> & {readonly status: number; readonly isNotRun: boolean})
 	| (BaseEvent<'forward/failed'> & {readonly failure: SendFailure})
@@ -59,7 +60,7 @@
 		}
 
 		case 'forward/no-server': {
-			return state.hasAnswer ? relay(state) : end(state, 'no usable server', noServerRetryMs);
+			return state.hasAnswer ? relay(state) : end(state, 'no usable server', event.resumesInMs ?? noServerRetryMs);
 		}
 
 		case 'forward/answered': {
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -1,5 +1,6 @@
 import type {SeededRandom} from '../core/random.js';
 import {OutlierEjection} from '../requests/ejection.js';
+import {ServerNotices} from './server-notices.js';
 import {serverKey} from './types.js';
 import type {EngineStage, ServerKey, ServerRecord} from './types.js';
 
@@ -47,6 +48,8 @@
 export class ServerDirectory {
 	/** Monotonic time of the list in use; undefined before the first one. */
 	listedMs: number | undefined;
+	/** What servers said of themselves. */
+	readonly notices = new ServerNotices();
 	private readonly _servers = new Map<ServerKey, Server>();
 	private readonly _byService = new Map<string, Server[]>();
 
@@ -124,6 +127,18 @@
 		return best(candidates, rank);
 	}
 
+	/** Whether a request that was placed on the server may still be sent to it. */
+	mayTake({key}: Server, nowMs: number): boolean {
+		return this.notices.barredMs(key, nowMs) === 0;
+	}
+
+	/** When the first server of a service takes work again, in milliseconds; undefined unless every one said that it wants none for a time. */
+	resumesInMs(service: string, nowMs: number, stage?: EngineStage): number | undefined {
+		const pausesMs = this.ready(service, stage).map(({key}) => this.notices.barredMs(key, nowMs)).filter(barredMs => barredMs < Infinity);
+		const firstMs = Math.min(...pausesMs);
+		return firstMs > 0 && firstMs < Infinity ? firstMs : undefined;
+	}
+
 	begin(server: Server, tokens = 0): void {
 		server.inFlight++;
 		server.tokens += tokens;
@@ -160,9 +175,10 @@
 
 	/** Ejected servers are used only when every server is ejected: then the fault may lie with this process. */
 	private _candidates({service, stage, exclude, maxInFlight, nowMs}: ServerQuestion): Server[] {
-		const ready = this.ready(service, stage).filter(({suspendedUntilMs}) => suspendedUntilMs <= nowMs);
+		const ready = this.ready(service, stage).filter(server => server.suspendedUntilMs <= nowMs && this.mayTake(server, nowMs));
 		const healthy = ready.filter(({ejection}) => !ejection.isEjected);
-		return (healthy.length > 0 ? healthy : ready).filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
+		const usable = healthy.length > 0 ? healthy : ready;
+		return usable.filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
 	}
 
 	private _delayMs({record, inFlight, latencyMs, failureShare}: Server, zone: string): number {
--- a/src/node/forwarding/announcer.test.ts
+++ b/src/node/forwarding/announcer.test.ts
@@ -56,6 +56,9 @@
 		onSuspended(key, forMs, announcedBy) {
 			taken.push(`${self} ${key} ${forMs} ${announcedBy}`);
 		},
+		onLeaving(key, announcedBy) {
+			taken.push(`${self} ${key} leaving ${announcedBy}`);
+		},
 	}));
 	return {hub, taken, announcers};
 }
@@ -67,6 +70,12 @@
 	assert.deepEqual(hub.pairs, ['a-b', 'b-c', 'b-d']);
 });
 
+test('a server that says it leaves is told to every process', () => {
+	const {taken, announcers} = build('b');
+	announcers[0]!.announceLeaving('desk');
+	assert.deepEqual(taken.sort(), ['b desk leaving a', 'c desk leaving a', 'd desk leaving a']);
+});
+
 test('without a leader, and at the leader, announcements go to every process directly', () => {
 	for (const leader of [undefined, 'a']) {
 		const {hub, taken, announcers} = build(leader);
--- a/src/node/forwarding/announcer.ts
+++ b/src/node/forwarding/announcer.ts
@@ -13,7 +13,10 @@
 	type: z.literal('forwarding/suspended'), server: serverSchema, forMs: z.number().min(0).max(60_000), announcedBy: z.string(),
 });
 
-const announcementSchema = z.discriminatedUnion('type', [unreachableSchema, suspendedSchema]);
+/** Tells that a server says of itself that it leaves. */
+const leavingSchema = z.strictObject({type: z.literal('forwarding/leaving'), server: serverSchema, announcedBy: z.string()});
+
+const announcementSchema = z.discriminatedUnion('type', [unreachableSchema, suspendedSchema, leavingSchema]);
 
 /** Asks the leader to pass an announcement on. */
 const relaySchema = z.strictObject({type: z.literal('forwarding/relay'), announcement: announcementSchema});
@@ -29,6 +32,7 @@
 	readonly leader: () => VmId | undefined;
 	readonly onUnreachable: (key: ServerKey, announcedBy: VmId) => void;
 	readonly onSuspended: (key: ServerKey, forMs: number, announcedBy: VmId) => void;
+	readonly onLeaving: (key: ServerKey, announcedBy: VmId) => void;
 };
 
 /** Tells all processes what one learned of a server. The leader passes it on, since others would have to connect to each process first. */
@@ -41,6 +45,9 @@
 		network.handle('forwarding/suspended', suspendedSchema, (_from, announcement) => {
 			this._take(announcement);
 		});
+		network.handle('forwarding/leaving', leavingSchema, (_from, announcement) => {
+			this._take(announcement);
+		});
 		network.handle('forwarding/relay', relaySchema, (_from, {announcement}) => {
 			this._take(announcement);
 			this._sendToAll(announcement);
@@ -57,6 +64,10 @@
 		});
 	}
 
+	announceLeaving(server: ServerKey): void {
+		this._announce({type: 'forwarding/leaving', server, announcedBy: this._options.self});
+	}
+
 	private _announce(announcement: Announcement): void {
 		const {self, network, leader} = this._options;
 		const relay = leader();
@@ -77,11 +88,23 @@
 	}
 
 	private _take(announcement: Announcement): void {
-		const {onUnreachable, onSuspended} = this._options;
-		if (announcement.type === 'forwarding/unreachable') {
-			onUnreachable(announcement.server, announcement.announcedBy);
-		} else {
-			onSuspended(announcement.server, announcement.forMs, announcement.announcedBy);
+		const {onUnreachable, onSuspended, onLeaving} = this._options;
+		const {server, announcedBy} = announcement;
+		switch (announcement.type) {
+			case 'forwarding/unreachable': {
+				onUnreachable(server, announcedBy);
+				break;
+			}
+
+			case 'forwarding/suspended': {
+				onSuspended(server, announcement.forMs, announcedBy);
+				break;
+			}
+
+			case 'forwarding/leaving': {
+				onLeaving(server, announcedBy);
+				break;
+			}
 		}
 	}
 }
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -35,6 +35,10 @@
 	readonly requestId: string | undefined;
 	/** The server states that it did not run the request. */
 	readonly isNotRun: boolean;
+	/** The server says that it leaves. */
+	readonly isLeaving: boolean;
+	/** How long the server wants no more requests from this process, in milliseconds, where its status says that it turned one away for that. */
+	readonly retryAfterMs: number | undefined;
 };
 
 /** A call to a server that is not a caller's request. */
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -3,6 +3,8 @@
 import {CallError} from '../upstreams/call-error.js';
 import type {Answer, Call} from '../upstreams/connection-pool.js';
 import {UpstreamAdapter} from '../upstreams/upstream-adapter.js';
+import type {UpstreamOptions} from '../upstreams/upstream-adapter.js';
+import type {Clock} from '../../common/core/clock.js';
 import type {ServerCall} from './fleet-protocol.js';
 
 /** Largest answer of a call that is not a caller's request, in bytes. */
@@ -40,11 +42,20 @@
 	return {status, headers, body: Buffer.concat(chunks, length)};
 }
 
+/** Is told of the head of every answer of a server. */
+export type AnswerObserver = (answer: Pick<Answer, 'status' | 'headers'>) => void;
+
 /** Client of one start of a server that requests are forwarded to. */
 export class ForwardAdapter extends UpstreamAdapter {
+	constructor(options: UpstreamOptions, clock: Clock, private readonly _onAnswer: AnswerObserver) {
+		super(options, clock);
+	}
+
 	/** Sends a request; resolves when the answer's headers arrived. Rejects with `CallError`. */
 	async send(call: Call): Promise<Answer> {
-		return this._pool.call(call);
+		const answer = await this._pool.call(call);
+		this._onAnswer(answer);
+		return answer;
 	}
 
 	/** Makes a call that is not a caller's request and reads its whole answer. Rejects with `CallError`. */
@@ -59,7 +70,7 @@
 		const timer = setTimeout(stop, timeoutMs);
 		signal?.addEventListener('abort', stop, {once: true});
 		try {
-			const answer = await this._pool.call({
+			const answer = await this.send({
 				method,
 				path,
 				headers: [...headers, ...(body === undefined ? [] : ['content-type', 'application/json'])],
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -166,13 +166,13 @@
 
 	/** The call goes on when the request is given up, so that a reservation that was granted is freed at once. */
 	private async _hold(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
-		const {fleet, logger, zone} = this._services;
+		const {fleet, logger, clock, zone} = this._services;
 		const {service, requestId} = this._call;
 		this._hasPrefillPlace ||= fleet.takePrefillPlace(service.name);
 		const server = this._hasPrefillPlace ? fleet.directory.chooseDecode(this._question(exclude, zone)) : undefined;
 		if (!server) {
 			this._leavePrefill();
-			this._dispatchLater({type: 'forward/no-engine', attempt});
+			this._dispatchLater({type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.resumesInMs(service.name, clock.nowMs(), 'decode')});
 			return;
 		}
 
@@ -278,6 +278,13 @@
 		const {server} = held;
 		const {signal} = this._abort;
 		this._leavePrefill();
+		if (!fleet.directory.mayTake(server, clock.nowMs())) {
+			this._dispatchLater({
+				type: 'forward/failed', attempt, failure: {mayHaveRun: false, detail: 'the engine takes no more work'}, server: server.key,
+			});
+			return;
+		}
+
 		this._sends++;
 		if (this._sends === 1) {
 			fleet.countSend(service.name);
--- a/src/node/forwarding/forward-plain.ts
+++ b/src/node/forwarding/forward-plain.ts
@@ -97,7 +97,7 @@
 		if (!server) {
 			// The reducer must not be entered again while its effects are executed.
 			queueMicrotask(() => {
-				this._dispatch({type: 'forward/no-server'});
+				this._dispatch({type: 'forward/no-server', resumesInMs: fleet.directory.resumesInMs(service.name, clock.nowMs())});
 			});
 			return;
 		}
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -8,9 +8,12 @@
 import {ServerDirectory} from '../../common/forwarding/server-directory.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, ServerRecord} from '../../common/forwarding/types.js';
+import type {Answer} from '../upstreams/connection-pool.js';
 import {ForwardAdapter} from './forward-adapter.js';
+import type {FleetProtocol} from './fleet-protocol.js';
 
 export type ServerFleetOptions = {
+	readonly protocol: Pick<FleetProtocol, 'readServerAnswer'>;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly seed: number;
@@ -21,10 +24,14 @@
 	readonly announceUnreachable: (key: ServerKey) => void;
 	/** Tells the other processes that a server gets no work for so long, or takes that back with 0. */
 	readonly announceSuspended: (key: ServerKey, forMs: number) => void;
+	/** Tells the other processes that a server says it leaves. */
+	readonly announceLeaving: (key: ServerKey) => void;
 };
 
 /** Time for which a server that is not the listed one gets no work, in milliseconds; lists lag by a second or two, and crashed servers stay on them for some. */
 const misdirectedMs = 3000;
+/** Status of a server that turns work away for a time (HTTP 503, Service Unavailable). */
+const overloadedStatus = 503;
 /** Bound on a probe, in milliseconds; servers are a few milliseconds away. */
 const probeTimeoutMs = 250;
 
@@ -74,7 +81,9 @@
 	adapter({key, record}: Server): ForwardAdapter {
 		let adapter = this._adapters.get(key);
 		if (!adapter) {
-			adapter = new ForwardAdapter({name: key, address: record.address, zone: record.zone}, this._options.clock);
+			adapter = new ForwardAdapter({name: key, address: record.address, zone: record.zone}, this._options.clock, answer => {
+				this._readNotices(key, answer);
+			});
 			this._adapters.set(key, adapter);
 		}
 
@@ -158,6 +167,13 @@
 		}
 	}
 
+	/** Another process was told by a server that it leaves. */
+	noteLeaving(key: ServerKey, announcedBy: string): void {
+		if (this.directory.notices.noteLeaving(key, this._options.clock.nowMs())) {
+			this._options.logger.log('info', 'server says that it leaves', {server: key, announcedBy});
+		}
+	}
+
 	dispose(): void {
 		this._isDisposed = true;
 		for (const adapter of this._adapters.values()) {
@@ -165,6 +181,22 @@
 		}
 	}
 
+	/** Heeds what a server says of itself in any answer, before the list does. */
+	private _readNotices(key: ServerKey, {status, headers}: Pick<Answer, 'status' | 'headers'>): void {
+		const {protocol, clock, logger, announceLeaving} = this._options;
+		const {isLeaving, retryAfterMs} = protocol.readServerAnswer(headers);
+		const {notices} = this.directory;
+		const nowMs = clock.nowMs();
+		if (isLeaving && notices.noteLeaving(key, nowMs)) {
+			logger.log('info', 'server says that it leaves', {server: key, listAgeMs: this.listAgeMs()});
+			announceLeaving(key);
+		}
+
+		if (status === overloadedStatus && retryAfterMs !== undefined && notices.notePause(key, retryAfterMs, nowMs)) {
+			logger.log('info', 'server wants no work', {server: key, forMs: Math.round(retryAfterMs), listAgeMs: this.listAgeMs()});
+		}
+	}
+
 	private _probeWhenDue(server: Server): void {
 		const {clock} = this._options;
 		const timer = setTimeout(async () => {
--- a/src/node/forwarding/stage-host.test.ts
+++ b/src/node/forwarding/stage-host.test.ts
@@ -52,7 +52,15 @@
 	const clock = new ManualClock();
 	const logger = new NullLogger();
 	const fleet = new ServerFleet({
-		clock, logger, seed: 1, retries: {ratio: 0.2, windowMs: 10_000, slack: 10}, processes: () => 1, announceUnreachable: () => undefined, announceSuspended: () => undefined,
+		clock,
+		logger,
+		protocol: new PlatformProtocol(),
+		seed: 1,
+		retries: {ratio: 0.2, windowMs: 10_000, slack: 10},
+		processes: () => 1,
+		announceUnreachable: () => undefined,
+		announceSuspended: () => undefined,
+		announceLeaving: () => undefined,
 	});
 	const records: ServerRecord[] = ids.map(id => buildServer({
 		id, address: server.address, stage: id.startsWith('p') ? 'prefill' : 'decode',
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -468,6 +468,7 @@
 	const client = createControlClient(platform);
 	const processes = () => Math.max(1, membership.entries.live.length);
 	const fleet = parts.add(new ServerFleet({
+		protocol,
 		clock,
 		logger,
 		seed: self.incarnation,
@@ -479,6 +480,9 @@
 		announceSuspended(key, forMs) {
 			announcer.announceSuspended(key, forMs);
 		},
+		announceLeaving(key) {
+			announcer.announceLeaving(key);
+		},
 	}));
 	const announcer = new Announcer({
 		self: self.vm,
@@ -491,6 +495,9 @@
 		onSuspended(key, forMs, announcedBy) {
 			fleet.noteSuspended(key, forMs, announcedBy);
 		},
+		onLeaving(key, announcedBy) {
+			fleet.noteLeaving(key, announcedBy);
+		},
 	});
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = parts.add(new ForwardServer({
