Keep a tenant's tokens aside only for requests that wait, and report their use at once

Cause: an owner of a rate kept tokens aside for requests that their holders had refused already, for up to a second, and such claims of callers that return at other VMs kept each other out. Refill stopped at the burst less what was granted, and what was spent of a grant was reported with the next regular sync, up to half a second later; that refill was lost. Of two holders that had had as much, either could take what the other waited for. Change: a want says how long its request still waits. Tokens are kept aside if the bucket covers it within that time, until it is over or the holder no longer asks; the holder's place stays. Among equals the one that waited first comes first.

--- a/src/common/access/access.test.ts
+++ b/src/common/access/access.test.ts
@@ -177,7 +177,9 @@
 	const {message} = requestOf(reduce({
 		type: 'access/acquire', nowMs: 120, token: 1, tenant: 'acme', tokens: 10, maxWaitMs: 100,
 	}))!;
-	assert.deepEqual(message.allowances.wanted, [{tenant: 'acme', tokens: 10, atLeast: 10}]);
+	assert.deepEqual(message.allowances.wanted, [{
+		tenant: 'acme', tokens: 10, atLeast: 10, waitMs: 100,
+	}]);
 	const answers = [reduce({type: 'access/tick', nowMs: 219}), reduce({type: 'access/tick', nowMs: 220})];
 	assert.deepEqual(answers, [[], [{type: 'reply', token: 1, body: {ok: false, code: 'control-unreachable', retryAfterMs: 1000}}]]);
 });
--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -192,8 +192,9 @@
 		return Number.POSITIVE_INFINITY;
 	}
 
-	const wakeMs = Math.max(state.holder.wakeMs() ?? Number.POSITIVE_INFINITY, state.lastSentMs + urgentSyncGapMs);
-	return Math.min(state.nextSyncMs, wakeMs);
+	const {holder} = state;
+	const wakeMs = Math.min(holder.wakeMs() ?? Number.POSITIVE_INFINITY, holder.reportDueMs() ?? Number.POSITIVE_INFINITY);
+	return Math.min(state.nextSyncMs, Math.max(wakeMs, state.lastSentMs + urgentSyncGapMs));
 }
 
 /** Sends the next sync when its time has come, a request waits or the view is incomplete. */
--- a/src/common/control/control.test.ts
+++ b/src/common/control/control.test.ts
@@ -64,7 +64,9 @@
 	return body?.kind === 'synced' ? body.grants.reduce((total, {tokens}) => total + tokens, 0) : Number.NaN;
 }
 
-const want = (tokens: number): Want[] => [{tenant: 'acme', tokens, atLeast: tokens}];
+const want = (tokens: number): Want[] => [{
+	tenant: 'acme', tokens, atLeast: tokens, waitMs: 500,
+}];
 
 test('guards against an answer, a proof or a grant before a quorum has confirmed the leader', () => {
 	const {sync, confirm, consensus, state} = makeLeader();
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -167,6 +167,8 @@
 	tokens: tokensSchema,
 	/** What the first waiting request needs; a smaller grant would not help it. */
 	atLeast: tokensSchema,
+	/** How long that request still waits, in milliseconds. */
+	waitMs: z.number().nonnegative(),
 });
 
 /** An owner's time; readings of different terms are not compared. */
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -18,6 +18,10 @@
 const acquisitionLimit = 20_000;
 /** A request without a settlement for this long is taken for lost. */
 const acquisitionTtlMs = 600_000;
+/** Share of a burst whose use is reported soon: the owner cannot refill what it takes for unspent. */
+const promptReportShare = 0.02;
+/** Time until that report, in milliseconds, which gathers what is used meanwhile. */
+const promptReportMs = 5;
 /** Time for which the owner's answer that a bucket is short serves for later requests too. */
 const shortageValidityMs = 250;
 /** Advice to callers while the leader cannot be asked. */
@@ -48,6 +52,8 @@
 	demand: number;
 	demandMs: number;
 	lastCost: number;
+	/** Tokens spent since the last report. */
+	unreported: number;
 	/** By the token of their request, oldest first. */
 	readonly acquisitions: Map<ReplyToken, Acquisition>;
 	/** When the bucket may cover `readyTokens`, by the owner's answer at `answeredMs`. */
@@ -101,6 +107,7 @@
 	private _unreported: Acquisition[] = [];
 	private _reported: Acquisition[] = [];
 	private _stamp: OwnerStamp = {term: 0, atMs: 0};
+	private _reportDueMs: number | undefined;
 
 	get tenantCount(): number {
 		return this._tenants.size;
@@ -118,6 +125,11 @@
 		return earliest;
 	}
 
+	/** When a report of spent tokens is due; undefined while none is before the next regular one. */
+	reportDueMs(): number | undefined {
+		return this._reportDueMs;
+	}
+
 	/** When the first waiting request has waited as long as it may; undefined while none waits. */
 	deadlineMs(): number | undefined {
 		let earliest: number | undefined;
@@ -143,6 +155,7 @@
 		const position = allowance.waiters.findIndex(waiter => tokens * passingFactor <= waiter.tokens);
 		const isFirst = position === 0 || allowance.waiters.length === 0;
 		if (isFirst && this._take(allowance, req, nowMs)) {
+			this._noteSpending(allowance, limit, nowMs);
 			return {ok: true};
 		}
 
@@ -195,10 +208,12 @@
 			wanted: [] as Want[],
 		};
 		this._refunds = [];
+		this._reportDueMs = undefined;
 		this._reported = this._unreported;
 		this._unreported = [];
 		this._charges = new Map([...this._charges].slice(syncListLimit));
 		for (const [tenant, allowance] of this._tenants) {
+			allowance.unreported = 0;
 			this._reportGrants(allowance, report, nowMs);
 			const want = wantOf(allowance, tenant, nowMs);
 			if (want) {
@@ -225,6 +240,7 @@
 				id, left: tokens, spent: 0, expiresMs, ownerExpiresMs: answer.stamp.atMs + ownerValidityMs,
 			});
 			this._serve(allowance, nowMs, answers);
+			this._noteSpending(allowance, limitOf(tenant), nowMs);
 		}
 
 		for (const {tenant, waitMs, isPause} of answer.shortages) {
@@ -276,7 +292,7 @@
 		let allowance = this._tenants.get(tenant);
 		if (!allowance) {
 			allowance = {
-				grants: [], waiters: [], demand: 0, demandMs: nowMs, lastCost: 0, acquisitions: new Map(), readyMs: nowMs, readyTokens: 0, answeredMs: Number.NEGATIVE_INFINITY, isPause: false,
+				grants: [], waiters: [], demand: 0, demandMs: nowMs, lastCost: 0, unreported: 0, acquisitions: new Map(), readyMs: nowMs, readyTokens: 0, answeredMs: Number.NEGATIVE_INFINITY, isPause: false,
 			};
 			this._tenants.set(tenant, allowance);
 		}
@@ -303,6 +319,7 @@
 		allowance.demand = decayedDemand(allowance, nowMs) + tokens;
 		allowance.demandMs = nowMs;
 		allowance.lastCost = tokens;
+		allowance.unreported += tokens;
 		if (this._acquisitionCount < acquisitionLimit) {
 			this._acquisitionCount++;
 			const acquisition = {
@@ -315,6 +332,12 @@
 		return true;
 	}
 
+	private _noteSpending({unreported}: Allowance, limit: TenantLimit | undefined, nowMs: number): void {
+		if (limit && unreported >= limit.burst * promptReportShare) {
+			this._reportDueMs ??= nowMs + promptReportMs;
+		}
+	}
+
 	/** The owner counted what the report told of as spent when it took the report, unless a grant had expired before. */
 	private _stampReported({stamp: {term}, takenMs}: OwnerAnswer): void {
 		for (const acquisition of this._reported) {
@@ -409,7 +432,12 @@
 	const ahead = Math.max(0, decayedDemand(allowance, nowMs) - allowance.lastCost);
 	const tokens = Math.ceil(waiting + ahead - held);
 	const atLeast = Math.max(0, (allowance.waiters[0]?.tokens ?? 0) - held);
-	return tokens > 0 || atLeast > 0 ? {tenant, tokens: Math.max(tokens, atLeast), atLeast} : undefined;
+	const waitMs = Math.max(0, (allowance.waiters[0]?.deadlineMs ?? nowMs) - nowMs);
+	return tokens > 0 || atLeast > 0
+		? {
+			tenant, tokens: Math.max(tokens, atLeast), atLeast, waitMs,
+		}
+		: undefined;
 }
 
 /** When the bucket may cover this many tokens, as far as its owner's last answer tells. */
--- a/src/common/limits/limits.test.ts
+++ b/src/common/limits/limits.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {SeededRandom} from '../core/random.js';
+import {CentralBucket} from './central-bucket.js';
 import {noFaults, Simulation} from './simulation.js';
 import type {SimulatedRequest, SimulationOptions} from './simulation.js';
 
@@ -199,3 +200,45 @@
 	// Leaders that are lost without a handover show that the load would notice.
 	assert.ok(refusals(0, 4000) > 0);
 });
+
+/** Tokens let through as a share of what one central bucket of the same patience lets through, of lookups and of prompts up to two thirds of the burst. */
+function shareOfCentralBucket(entries: number, factor: number, seeds: number): number {
+	const limit = {rate: 30_000, burst: 30_000};
+	const maxWaitMs = 450;
+	const meanTokens = (0.5 * 200) + (0.5 * 11_000);
+	let product = 0;
+	let central = 0;
+	for (let seed = 1; seed <= seeds; seed++) {
+		const simulation = new Simulation({
+			seed, limit, entries, faults: noFaults, clockDrift: 0.01,
+		});
+		simulation.runUntil(10_000);
+		const bucket = new CentralBucket(limit, simulation.nowMs);
+		const mix = new SeededRandom(seed);
+		for (let entry = 0; entry < entries; entry++) {
+			simulation.offer(entry, factor * limit.rate / meanTokens / entries, () => {
+				const tokens = mix.next() < 0.5 ? 200 : mix.integer(2000, 20_000);
+				bucket.ask(tokens, maxWaitMs, simulation.nowMs);
+				return {
+					tokens, used: tokens, durationMs: 100, maxWaitMs,
+				};
+			});
+		}
+
+		simulation.runUntil(60_000);
+		bucket.advance(60_000);
+		assert.ok(simulation.excess() <= roundingTokens);
+		product += simulation.consumed.reduce((total, {tokens}) => total + tokens, 0);
+		central += bucket.letThrough;
+	}
+
+	return product / central;
+}
+
+for (const entries of [11, 91, 200]) {
+	test(`guards against a tenant beyond its rate that gets less than its rate, at ${entries} entry processes`, () => {
+		const shares = [0.6, 0.9, 1.5, 3].map(factor => shareOfCentralBucket(entries, factor, entries > 100 ? 1 : 2));
+		const mean = shares.reduce((total, share) => total + share, 0) / shares.length;
+		assert.ok(mean >= 0.99, `${shares.map(share => share.toFixed(3)).join(', ')} at 0.6, 0.9, 1.5 and 3 times the rate`);
+	});
+}
--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -22,7 +22,10 @@
 	return grants;
 }
 
-const want = (tokens: number) => [{tenant: 'acme', tokens, atLeast: 0}];
+const wanted = (tokens: number, atLeast: number, waitMs = 500) => [{
+	tenant: 'acme', tokens, atLeast, waitMs,
+}];
+const want = (tokens: number) => wanted(tokens, 0);
 const totalOf = (grants: readonly Grant[]) => grants.reduce((total, {tokens}) => total + tokens, 0);
 const acquireFrom = (holder: AllowanceHolder, token: number, tokens: number, nowMs: number) => holder.acquire({
 	tenant: 'acme', tokens, maxWaitMs: 500, token, limit: {rate: 100, burst: 1000}, nowMs,
@@ -202,7 +205,7 @@
 
 test('guards against a lookup that waits for tokens kept aside for a prompt of thousands elsewhere', () => {
 	const owner = makeOwner(1000, 6000);
-	const waiting = (tokens: number) => ({wanted: [{tenant: 'acme', tokens, atLeast: tokens}]});
+	const waiting = (tokens: number) => ({wanted: wanted(tokens, tokens, 5000)});
 	assert.equal(totalOf(ask(owner, 'a', ownerValidityMs, waiting(5000))), 0);
 	assert.equal(totalOf(ask(owner, 'b', ownerValidityMs, waiting(400))), 400);
 	// A request of more than a tenth has its turn after the one that waits.
@@ -263,12 +266,11 @@
 
 test('guards against tokens held in advance elsewhere that a large prompt lacks', () => {
 	const owner = makeOwner(1000, 1000);
-	const wanted = (tokens: number, atLeast: number) => ({wanted: [{tenant: 'acme', tokens, atLeast}]});
-	for (const {id, tokens} of ask(owner, 'a', 5000, wanted(800, 800))) {
+	for (const {id, tokens} of ask(owner, 'a', 5000, {wanted: wanted(800, 800)})) {
 		ask(owner, 'a', 5001, {spent: [{grant: id, tokens}]});
 	}
 
 	// The bucket is full again.
-	ask(owner, 'b', 6500, wanted(600, 20));
-	assert.equal(totalOf(ask(owner, 'a', 6510, wanted(800, 800))), 800);
+	ask(owner, 'b', 6500, {wanted: wanted(600, 20)});
+	assert.equal(totalOf(ask(owner, 'a', 6510, {wanted: wanted(800, 800)})), 800);
 });
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -28,6 +28,12 @@
 	waiting: number;
 	/** Until when both count. */
 	untilMs: number;
+	/** Until when its request waits. */
+	waitsUntilMs: number;
+	/** Whether its last request got nothing; it keeps its place even if that request is refused, since others may wait behind it. */
+	isShort: boolean;
+	/** Place of that request among those that wait, by when they began to. */
+	order: number;
 	/** Virtual time of its claim: tokens that it had before, compared with the others. */
 	tag: number;
 	/** Virtual time at which its last portion ends. */
@@ -46,6 +52,8 @@
 	readonly claimants: Map<VmId, Claimant>;
 	/** Tag of the last claim that was covered. */
 	virtualTokens: number;
+	/** Requests that had to wait so far. */
+	waits: number;
 	/** Size of the largest request that was waited for in the last seconds, and until when it counts. */
 	largest: {tokens: number; untilMs: number};
 };
@@ -67,6 +75,8 @@
 	/** Confirmed grants in the order of their expiry. */
 	private _expiring: OwnedGrant[] = [];
 	private _nextGrant = 1;
+	/** Tenants for whose buckets each holder has a request waiting. */
+	private readonly _waitingFor = new Map<VmId, Set<string>>();
 
 	/**
 	@param startMs - when this term's leadership began
@@ -113,6 +123,7 @@
 		const grants: Grant[] = [];
 		const shortages: Shortage[] = [];
 		const startsInMs = this._startsInMs(nowMs);
+		this._endWaits(holder.vm, report.wanted);
 		for (const want of report.wanted) {
 			const bucket = this._bucket(want.tenant, nowMs);
 			if (!bucket) {
@@ -237,6 +248,7 @@
 			headroom: new HeadroomHistory(),
 			claimants: new Map(),
 			virtualTokens: 0,
+			waits: 0,
 			largest: {tokens: 0, untilMs: 0},
 		};
 		noteHeadroom(created, nowMs);
@@ -252,6 +264,24 @@
 		noteHeadroom(bucket, nowMs);
 	}
 
+	/** Nothing is kept aside for what the holder asked for before: it was answered or given up, unless the holder asks again. */
+	private _endWaits(vm: VmId, wanted: readonly Want[]): void {
+		const tenants = this._waitingFor.get(vm) ?? new Set();
+		const next = new Set(wanted.filter(({atLeast}) => atLeast > 0).map(({tenant}) => tenant));
+		for (const tenant of tenants) {
+			const claimant = next.has(tenant) ? undefined : this._buckets.get(tenant)?.claimants.get(vm);
+			if (claimant) {
+				claimant.waiting = 0;
+			}
+		}
+
+		if (next.size > 0) {
+			this._waitingFor.set(vm, next);
+		} else {
+			this._waitingFor.delete(vm);
+		}
+	}
+
 	private _takeReport(holder: VmIdentity, {spent, returned, refunds, charges}: AllowanceReport, nowMs: number): void {
 		for (const {grant: id, tokens} of spent) {
 			const grant = this._ownGrant(id, holder);
@@ -344,22 +374,30 @@
 	}
 
 	/** Tokens for a want: the whole of what a waiting request needs, then a fair part of what nobody waits for. */
-	private _portion(bucket: Bucket, vm: VmId, {tokens, atLeast}: Want, nowMs: number): number {
+	private _portion(bucket: Bucket, vm: VmId, {tokens, atLeast, waitMs}: Want, nowMs: number): number {
 		expireClaims(bucket, nowMs);
 		const claimant = claimantOf(bucket, vm);
-		claimant.tag = claimant.waiting > 0 ? claimant.tag : Math.max(bucket.virtualTokens, claimant.finish);
+		claimant.tag = claimant.isShort ? claimant.tag : Math.max(bucket.virtualTokens, claimant.finish);
 		claimant.wanted = tokens;
 		claimant.untilMs = nowMs + waitingValidityMs;
 		noteSize(bucket, atLeast, nowMs);
-		if (bucket.level - keptAside(bucket, {vm, tag: claimant.tag, atLeast}) < atLeast) {
-			// Tokens are kept aside for it, or small requests elsewhere would always overtake a large one.
-			claimant.waiting = atLeast;
+		if (bucket.level - keptAside(bucket, {...claimant, vm, atLeast}) < atLeast) {
+			// Tokens are kept aside for it, or small requests elsewhere would always overtake a large one. One that cannot be covered in time is refused by its holder.
+			const isWaiting = this._timeToCover(bucket, vm, atLeast) <= waitMs;
+			claimant.order = isWaiting && claimant.waiting === 0 ? bucket.waits++ : claimant.order;
+			claimant.waiting = isWaiting ? atLeast : 0;
+			claimant.isShort = true;
+			claimant.waitsUntilMs = nowMs + Math.min(waitMs, waitingValidityMs);
 			return 0;
 		}
 
 		claimant.waiting = 0;
+		claimant.order = Infinity;
+		claimant.isShort = false;
 		// Tokens held in advance at other processes would be lacking to the next large request.
-		const reserved = Math.max(bucket.largest.tokens, keptAside(bucket, {vm, tag: Number.POSITIVE_INFINITY, atLeast: Number.POSITIVE_INFINITY}));
+		const reserved = Math.max(bucket.largest.tokens, keptAside(bucket, {
+			vm, tag: Infinity, order: Infinity, atLeast: Infinity,
+		}));
 		const spare = Math.max(0, bucket.level - atLeast - reserved);
 		const portion = Math.floor(Math.max(atLeast, Math.min(tokens, atLeast + fairPart(bucket.claimants, spare))));
 		bucket.virtualTokens = Math.max(bucket.virtualTokens, claimant.tag);
@@ -368,8 +406,11 @@
 	}
 
 	private _timeToCover(bucket: Bucket, vm: VmId, tokens: number): number {
-		const tag = bucket.claimants.get(vm)?.tag ?? bucket.virtualTokens;
-		const missing = keptAside(bucket, {vm, tag, atLeast: tokens}) + tokens - bucket.level;
+		const {tag, order} = bucket.claimants.get(vm) ?? {tag: bucket.virtualTokens, order: Infinity};
+		const kept = keptAside(bucket, {
+			vm, tag, order, atLeast: tokens,
+		});
+		const missing = kept + tokens - bucket.level;
 		const refillMs = Math.max(0, missing / bucket.limit.rate * 1000);
 		// Other holders may give back what they hold in advance, so the request need not be refused yet.
 		return missing <= bucket.returnable ? Math.min(refillMs, returnPollMs) : refillMs;
@@ -407,7 +448,7 @@
 	let claimant = bucket.claimants.get(vm);
 	if (!claimant) {
 		claimant = {
-			wanted: 0, waiting: 0, untilMs: 0, tag: 0, finish: 0,
+			wanted: 0, waiting: 0, untilMs: 0, waitsUntilMs: 0, isShort: false, order: Infinity, tag: 0, finish: 0,
 		};
 		bucket.claimants.set(vm, claimant);
 	}
@@ -418,6 +459,7 @@
 function expireClaims(bucket: Bucket, nowMs: number): void {
 	let isIdle = true;
 	for (const [vm, claimant] of bucket.claimants) {
+		claimant.waiting = claimant.waitsUntilMs > nowMs ? claimant.waiting : 0;
 		if (claimant.untilMs > nowMs) {
 			isIdle = false;
 			continue;
@@ -425,6 +467,7 @@
 
 		claimant.wanted = 0;
 		claimant.waiting = 0;
+		claimant.isShort = false;
 		// A holder that has had no more than the others needs no memory of it.
 		if (claimant.finish <= bucket.virtualTokens) {
 			bucket.claimants.delete(vm);
@@ -438,14 +481,15 @@
 	}
 }
 
-type Claim = {readonly vm: VmId; readonly tag: number; readonly atLeast: number};
+type Claim = {readonly vm: VmId; readonly tag: number; readonly order: number; readonly atLeast: number};
 
-/** What holders wait for that have had less than this one, but for requests so large that this one's may pass them. */
-function keptAside(bucket: Bucket, {vm, tag, atLeast}: Claim): number {
+/** What holders wait for that have had less than this one, or as much and waited before it, but for requests so large that this one's may pass them. */
+function keptAside(bucket: Bucket, {vm, tag, order, atLeast}: Claim): number {
 	const passedTokens = atLeast > 0 ? atLeast * passingFactor : Number.POSITIVE_INFINITY;
 	let total = 0;
 	for (const [other, claimant] of bucket.claimants) {
-		if (other !== vm && claimant.tag < tag && claimant.waiting < passedTokens) {
+		const isBefore = claimant.tag < tag || (claimant.tag === tag && claimant.order < order);
+		if (other !== vm && isBefore && claimant.waiting < passedTokens) {
 			total += claimant.waiting;
 		}
 	}
--- a/src/load/bench-capacity.ts
+++ b/src/load/bench-capacity.ts
@@ -117,7 +117,9 @@
 }
 
 function makeSync(seq: number, node: number, revision: number): SyncRequest {
-	const wanted = Array.from({length: activeTenants}, (_, i) => ({tenant: `tenant-${((node * 50) + i) % tenantCount}`, tokens: 500, atLeast: 100}));
+	const wanted = Array.from({length: activeTenants}, (_, i) => ({
+		tenant: `tenant-${((node * 50) + i) % tenantCount}`, tokens: 500, atLeast: 100, waitMs: 500,
+	}));
 	return {
 		type: 'control/sync', seq, revision, load: 5, allowances: {
 			spent: [], returned: [], refunds: [], charges: [], wanted,
