Count answers of plain services that do not come in time, and forget failures with time

A failure that did count was never forgotten while a server got no requests. Change: an exchange that is overdue (three times the usual latency) raises its server's cost while it lasts; one that ends without an answer counts as a failure of that duration, unless the server had little time. Failures and slow answers fade with 2 s. Test of the load: a server mute to 0.4 of its requests gets 4 of about 75 instead of a third, and its share again after.

--- a/src/common/forwarding/server-directory.test.ts
+++ b/src/common/forwarding/server-directory.test.ts
@@ -60,7 +60,7 @@
 	const directory = build([buildServer({id: 'a'}), buildServer({id: 'b'}), buildServer({id: 'c'})]);
 	const grey = directory.choose(ask())!;
 	for (let i = 0; i < 20; i++) {
-		directory.recordAnswer(grey, i % 2 === 0, 20);
+		directory.recordAnswer(grey, i % 2 === 0, 20, 0);
 	}
 
 	assert.ok(!chosenIds(directory, ask()).includes(grey.record.id));
@@ -86,3 +86,60 @@
 	directory.end(server);
 	assert.equal(directory.choose(ask({maxInFlight: 1})), server);
 });
+
+/** Requests of one process to three servers, one of which leaves part of them unanswered until `muteUntilMs`. */
+function playMuteServer(muteShare: number, muteUntilMs: number): {readonly unanswered: number; readonly sentToMute: number; readonly sentLater: number} {
+	const directory = build(['a', 'b', 'c'].map(id => buildServer({id})));
+	const mute = [...directory.servers][0]!;
+	const random = new SeededRandom(7);
+	const timeoutMs = 1200;
+	const pending: Array<{readonly atMs: number; readonly end: () => void}> = [];
+	const counts = {unanswered: 0, sentToMute: 0, sentLater: 0};
+	for (let nowMs = 0; nowMs < 30_000; nowMs += 10) {
+		for (const {end} of pending.filter(({atMs}) => atMs === nowMs)) {
+			end();
+		}
+
+		if (random.next() >= 0.05) {
+			continue;
+		}
+
+		const server = directory.choose(ask({nowMs}))!;
+		const exchange = directory.beginExchange(server, nowMs);
+		const isMute = server === mute && nowMs < muteUntilMs && random.next() < muteShare;
+		counts.unanswered += isMute ? 1 : 0;
+		counts.sentToMute += server === mute && nowMs < muteUntilMs ? 1 : 0;
+		counts.sentLater += server === mute && nowMs >= muteUntilMs ? 1 : 0;
+		const workMs = random.integer(2, 8) * 10;
+		const atMs = nowMs + (isMute ? timeoutMs : workMs);
+		pending.push({
+			atMs, end() {
+				if (isMute) {
+					assert.equal(directory.recordOverdue(server, exchange, atMs), true);
+				} else {
+					directory.recordAnswer(server, true, workMs, atMs);
+				}
+
+				directory.endExchange(server, exchange);
+			},
+		});
+	}
+
+	return counts;
+}
+
+test('guards against a mute server: one that leaves part of its requests unanswered gets few of them, and its share when it answers again', () => {
+	const muteUntilMs = 15_000;
+	const {unanswered, sentToMute, sentLater} = playMuteServer(0.4, muteUntilMs);
+	// A third of about 75 requests would go there.
+	assert.ok(sentToMute <= 8, `${sentToMute} sent to it, ${unanswered} unanswered`);
+	assert.ok(sentLater >= 12, `${sentLater} sent to it later`);
+});
+
+test('a server that had little time for its answer is not blamed', () => {
+	const directory = build([buildServer()]);
+	const [server] = [...directory.servers];
+	const exchange = directory.beginExchange(server!, 0);
+	assert.equal(directory.recordOverdue(server!, exchange, 50), false);
+	assert.equal(server!.failureShare, 0);
+});
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -10,6 +10,10 @@
 const initialLatencyMs = 20;
 /** How many times its latency a server that always fails appears to have. */
 const failureFactor = 10;
+/** How many times its latency a server may take for an answer before it counts as overdue. */
+const overdueFactor = 3;
+/** Time constant in which a server's failures and slow answers are forgotten while it gets no requests, in milliseconds; it is tried again then. */
+const memoryMs = 2000;
 /** Cost of a server in another zone, in milliseconds; a round trip between zones. */
 const otherZoneMs = 1;
 /** Time for which an engine that refused a reservation is asked last, in milliseconds. */
@@ -17,11 +21,16 @@
 /** Tokens by which an engine in another zone seems fuller; moves of KV cache between zones are slower and dearer. */
 const otherZoneTokens = 2000;
 
+/** An exchange under way. */
+export type PlainExchange = {readonly startedMs: number};
+
 export type Server = {
 	readonly key: ServerKey;
 	record: ServerRecord;
 	/** Exchanges of this process under way. */
 	inFlight: number;
+	/** Those with a server that is no engine, oldest first. */
+	readonly exchanges: Set<PlainExchange>;
 	/** Tokens that this process has under way: reserved on a decode engine, to be read on a prefill engine. */
 	tokens: number;
 	/** It turned work away, and is not expected to take any before this time. */
@@ -30,6 +39,8 @@
 	suspendedUntilMs: number;
 	latencyMs: number;
 	failureShare: number;
+	/** When the last answer arrived, or failed to. */
+	sampledMs: number;
 	readonly ejection: OutlierEjection;
 };
 
@@ -107,7 +118,7 @@
 	/** The server that is expected to answer first; undefined if none may be used. */
 	choose(question: ServerQuestion): Server | undefined {
 		const candidates = this._candidates(question);
-		return best(candidates, server => this._delayMs(server, question.zone));
+		return best(candidates, server => this._delayMs(server, question));
 	}
 
 	/** The decode engine with the most room for a reservation by what this process knows, engines that refused one last. */
@@ -139,6 +150,29 @@
 		return firstMs > 0 && firstMs < Infinity ? firstMs : undefined;
 	}
 
+	/** Begins an exchange with a server that is no engine. */
+	beginExchange(server: Server, nowMs: number): PlainExchange {
+		const exchange = {startedMs: nowMs};
+		server.exchanges.add(exchange);
+		this.begin(server);
+		return exchange;
+	}
+
+	endExchange(server: Server, exchange: PlainExchange): void {
+		server.exchanges.delete(exchange);
+		this.end(server);
+	}
+
+	/** Counts an answer that did not come in time. Returns false if the server cannot be blamed: it had less time than its answers sometimes take. */
+	recordOverdue(server: Server, {startedMs}: PlainExchange, nowMs: number): boolean {
+		if (nowMs - startedMs <= overdueMs(server)) {
+			return false;
+		}
+
+		this._sample(server, false, nowMs - startedMs, nowMs);
+		return true;
+	}
+
 	begin(server: Server, tokens = 0): void {
 		server.inFlight++;
 		server.tokens += tokens;
@@ -160,16 +194,15 @@
 	}
 
 	/** Counts an answer. */
-	recordAnswer(server: Server, isSuccess: boolean, latencyMs: number): void {
+	recordAnswer(server: Server, isSuccess: boolean, latencyMs: number, nowMs: number): void {
 		server.ejection.recordSuccess();
-		server.latencyMs += (latencyMs - server.latencyMs) * sampleWeight;
-		server.failureShare += ((isSuccess ? 0 : 1) - server.failureShare) * sampleWeight;
+		this._sample(server, isSuccess, latencyMs, nowMs);
 		server.ejection.recordProbe(true, 0);
 	}
 
 	/** Counts a failed exchange; returns whether the server is ejected by it. One that cannot be reached is ejected at once. */
 	recordFailure(server: Server, isUnreachable: boolean, nowMs: number): boolean {
-		server.failureShare += (1 - server.failureShare) * sampleWeight;
+		this._sample(server, false, server.latencyMs, nowMs);
 		return isUnreachable ? server.ejection.eject(nowMs) : server.ejection.recordFailure(nowMs);
 	}
 
@@ -181,19 +214,42 @@
 		return usable.filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
 	}
 
-	private _delayMs({record, inFlight, latencyMs, failureShare}: Server, zone: string): number {
+	private _sample(server: Server, isSuccess: boolean, latencyMs: number, nowMs: number): void {
+		Object.assign(server, remembered(server, nowMs));
+		server.latencyMs += (latencyMs - server.latencyMs) * sampleWeight;
+		server.failureShare += ((isSuccess ? 0 : 1) - server.failureShare) * sampleWeight;
+		server.sampledMs = nowMs;
+	}
+
+	private _delayMs(server: Server, {zone, nowMs}: ServerQuestion): number {
+		const {record, inFlight, exchanges} = server;
+		const {latencyMs, failureShare} = remembered(server, nowMs);
+		const [oldest] = exchanges;
+		const lateMs = oldest ? Math.max(0, nowMs - oldest.startedMs - overdueMs(server)) : 0;
+		const ownMs = latencyMs + (failureShare * failureFactor * initialLatencyMs);
 		const queueFactor = 1 + (inFlight / Math.max(1, record.slots));
 		const jitter = 0.9 + (this._random.integer(0, 1000) / 5000);
-		return ((latencyMs + (failureShare * failureFactor * initialLatencyMs)) * queueFactor * jitter) + (record.coldLeftMs / 1000) + (record.zone === zone ? 0 : otherZoneMs);
+		return ((ownMs + lateMs) * queueFactor * jitter) + (record.coldLeftMs / 1000) + (record.zone === zone ? 0 : otherZoneMs);
 	}
 }
 
 function createServer(key: ServerKey, record: ServerRecord): Server {
 	return {
-		key, record, inFlight: 0, tokens: 0, fullUntilMs: 0, suspendedUntilMs: 0, latencyMs: initialLatencyMs, failureShare: 0, ejection: new OutlierEjection(),
+		key, record, inFlight: 0, exchanges: new Set(), tokens: 0, fullUntilMs: 0, suspendedUntilMs: 0, latencyMs: initialLatencyMs, failureShare: 0, sampledMs: 0, ejection: new OutlierEjection(),
 	};
 }
 
+/** What is remembered of a server's answers some time after the last one. */
+function remembered({latencyMs, failureShare, sampledMs}: Server, nowMs: number): Pick<Server, 'latencyMs' | 'failureShare'> {
+	const memory = Math.exp(-Math.max(0, nowMs - sampledMs) / memoryMs);
+	return {latencyMs: initialLatencyMs + ((latencyMs - initialLatencyMs) * memory), failureShare: failureShare * memory};
+}
+
+/** Time after which an answer is overdue, in milliseconds. */
+function overdueMs({latencyMs}: Server): number {
+	return Math.max(latencyMs, initialLatencyMs) * overdueFactor;
+}
+
 function best(servers: readonly Server[], cost: (server: Server) => number): Server | undefined {
 	let chosen: Server | undefined;
 	let least = Infinity;
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -243,7 +243,7 @@
 				return;
 			}
 
-			fleet.directory.recordAnswer(server, true, clock.nowMs() - startedMs);
+			fleet.directory.recordAnswer(server, true, clock.nowMs() - startedMs, clock.nowMs());
 			this._memory.prefilled = prefilled;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
@@ -329,7 +329,7 @@
 				throw new CallError('broken', true, 'the answer belongs to another request');
 			}
 
-			fleet.directory.recordAnswer(server, answer.status < 500, server.latencyMs);
+			fleet.directory.recordAnswer(server, answer.status < 500, server.latencyMs, clock.nowMs());
 			this._answer = answer;
 			this._dispatch({
 				type: 'forward/answered', attempt, status: answer.status, isNotRun: false, server: server.key,
--- a/src/node/forwarding/forward-plain.ts
+++ b/src/node/forwarding/forward-plain.ts
@@ -19,6 +19,7 @@
 	private _abort = new AbortController();
 	private _answer: WholeAnswer | undefined;
 	private _outcome = 'unfinished';
+	private _isOverdue = false;
 	private _finish!: () => void;
 
 	constructor(private readonly _services: ForwardServices, private readonly _call: ForwardCall) {
@@ -44,6 +45,7 @@
 
 	private _stop(cause: StopCause): void {
 		this._outcome = cause;
+		this._isOverdue = cause === 'deadline';
 		this._dispatch({type: 'forward/stopped', cause});
 	}
 
@@ -112,7 +114,7 @@
 			});
 		}
 
-		fleet.directory.begin(server);
+		const exchange = fleet.directory.beginExchange(server, sentMs);
 		const abort = new AbortController();
 		this._abort = abort;
 		let event: WithoutTime<PlainForwardEvent>;
@@ -120,8 +122,13 @@
 			event = await this._exchange(server, abort.signal, sentMs);
 		} catch (err) {
 			event = this._failed(server, err, abort.signal.aborted);
+			if (this._isOverdue && fleet.directory.recordOverdue(server, exchange, clock.nowMs())) {
+				logger.log('warn', 'server did not answer in time', {
+					requestId, server: server.key, elapsedMs: Math.round(clock.nowMs() - sentMs), failureShare: server.failureShare, listAgeMs: fleet.listAgeMs(),
+				});
+			}
 		} finally {
-			fleet.directory.end(server);
+			fleet.directory.endExchange(server, exchange);
 		}
 
 		this._dispatch(event);
@@ -151,7 +158,7 @@
 		}
 
 		this._answer = whole;
-		fleet.directory.recordAnswer(server, whole.status < 500, clock.nowMs() - sentMs);
+		fleet.directory.recordAnswer(server, whole.status < 500, clock.nowMs() - sentMs, clock.nowMs());
 		return {type: 'forward/answered', status: whole.status, isNotRun: false};
 	}
 
