Keep prompts on prefill engines that take them, without budget for a failure; wait for the first configuration after a start

Change: a prefill engine that read a prompt of this process within the last second, and has not failed since, gets the next one too; it will hardly turn it away, and only that would cost an arrival.

--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -8,7 +8,14 @@
 
 function run(steps: readonly Step[], options: Partial<ModelForwardOptions> = {}): string[] {
 	const state = createModelForward({
-		isResumable: false, maxAttempts: 1, patience: {maxWaitMs: 600, gapMs: 50, room: 1}, returnAfterMs: 2000, takeRetry: () => true, countFailedPrompt: () => undefined, ...options,
+		isResumable: false,
+		maxAttempts: 1,
+		patience: {maxWaitMs: 600, gapMs: 50, room: 1},
+		returnAfterMs: 2000,
+		takeRetry: () => true,
+		hasSoundPrefill: () => false,
+		countFailedPrompt: () => undefined,
+		...options,
 	});
 	return [{type: 'forward/start'} as const, ...steps].flatMap(step => reduceModelForward(state, {nowMs: 0, ...step}).map(effect => summary(effect)));
 }
@@ -147,4 +154,6 @@
 	assert.equal(failed, 2);
 	// Without budget for a prompt that may fail, none is sent to a prefill engine.
 	assert.deepEqual(run([{type: 'forward/held', attempt: 1}], {takeRetry: () => false}), ['hold -', 'send']);
+	// The decode engine's streams would stand still while it reads.
+	assert.deepEqual(run([{type: 'forward/held', attempt: 1}], {takeRetry: () => false, hasSoundPrefill: () => true}), ['hold -', 'prefill']);
 });
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -25,6 +25,8 @@
 	readonly returnAfterMs: number;
 	/** Takes what a retry costs in further arrivals at engines from the budget for resends. */
 	readonly takeRetry: (nowMs: number, arrivals: number) => boolean;
+	/** Whether a prefill engine will hardly turn the next prompt away. */
+	readonly hasSoundPrefill: (nowMs: number) => boolean;
 	/** Counts a prompt that failed in that budget: unlike the first one that is accepted, it may be one arrival more. */
 	readonly countFailedPrompt: (nowMs: number) => void;
 };
@@ -114,8 +116,8 @@
 		}
 
 		case 'forward/held': {
-			// A prompt that fails costs an arrival; without budget for it the decode engine reads it.
-			state.phase = state.takeRetry(event.nowMs, 0) ? 'prefilling' : 'sending';
+			// A prompt that fails costs an arrival; without budget for it the decode engine reads it, which holds up its other streams.
+			state.phase = state.takeRetry(event.nowMs, 0) || state.hasSoundPrefill(event.nowMs) ? 'prefilling' : 'sending';
 			return state.phase === 'prefilling' ? prefill(state) : [{type: 'forward/send', attempt: state.attempt}];
 		}
 
--- a/src/common/forwarding/server-directory.test.ts
+++ b/src/common/forwarding/server-directory.test.ts
@@ -143,3 +143,18 @@
 	assert.equal(directory.recordOverdue(server!, exchange, 50), false);
 	assert.equal(server!.failureShare, 0);
 });
+
+test('guards against prompts that decode engines read although a prefill engine takes them: it is sound until it fails or turns one away', () => {
+	const directory = build([buildServer({id: 'p', stage: 'prefill'}), buildServer({id: 'd', stage: 'decode'})]);
+	const [prefill] = directory.ready('desk', 'prefill');
+	assert.equal(directory.hasSoundPrefill('desk', 0), false, 'nothing is known of it');
+	directory.recordAnswer(prefill!, true, 100, 500);
+	assert.equal(directory.hasSoundPrefill('desk', 1500), true);
+	assert.equal(directory.hasSoundPrefill('desk', 1501), false, 'too long ago');
+	directory.recordAnswer(prefill!, true, 100, 2000);
+	directory.refusedReservation(prefill!, 2100);
+	assert.equal(directory.hasSoundPrefill('desk', 2200), false);
+	directory.recordAnswer(prefill!, true, 100, 2300);
+	directory.recordFailure(prefill!, false, 2400);
+	assert.equal(directory.hasSoundPrefill('desk', 2500), false);
+});
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -14,6 +14,8 @@
 const overdueFactor = 3;
 /** Time constant in which a server's failures and slow answers are forgotten while it gets no requests, in milliseconds; it is tried again then. */
 const memoryMs = 2000;
+/** Time for which a prompt that was read shows that its engine takes others, in milliseconds. */
+const soundMs = 1000;
 /** Cost of a server in another zone, in milliseconds; a round trip between zones. */
 const otherZoneMs = 1;
 /** Time for which an engine that refused a reservation is asked last, in milliseconds. */
@@ -41,6 +43,8 @@
 	failureShare: number;
 	/** When the last answer arrived, or failed to. */
 	sampledMs: number;
+	/** Whether that was a success. */
+	isSound: boolean;
 	readonly ejection: OutlierEjection;
 };
 
@@ -138,6 +142,11 @@
 		return best(candidates, rank);
 	}
 
+	/** Whether a prefill engine took a prompt of this process lately and none failed since: another one will hardly be turned away. */
+	hasSoundPrefill(service: string, nowMs: number): boolean {
+		return this.ready(service, 'prefill').some(server => server.isSound && nowMs - server.sampledMs <= soundMs && this._isUsable(server, nowMs));
+	}
+
 	/** Whether a request that was placed on the server may still be sent to it. */
 	mayTake({key}: Server, nowMs: number): boolean {
 		return this.notices.barredMs(key, nowMs) === 0;
@@ -186,6 +195,7 @@
 	/** The engine has no room for a reservation or a prompt. */
 	refusedReservation(server: Server, nowMs: number): void {
 		server.fullUntilMs = nowMs + fullMemoryMs;
+		server.isSound = false;
 	}
 
 	/** The engine carries out an order until then; a time that has passed takes it back. */
@@ -208,17 +218,22 @@
 
 	/** Ejected servers are used only when every server is ejected: then the fault may lie with this process. */
 	private _candidates({service, stage, exclude, maxInFlight, nowMs}: ServerQuestion): Server[] {
-		const ready = this.ready(service, stage).filter(server => server.suspendedUntilMs <= nowMs && this.mayTake(server, nowMs));
+		const ready = this.ready(service, stage).filter(server => this._isUsable(server, nowMs));
 		const healthy = ready.filter(({ejection}) => !ejection.isEjected);
 		const usable = healthy.length > 0 ? healthy : ready;
 		return usable.filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
 	}
 
+	private _isUsable(server: Server, nowMs: number): boolean {
+		return server.suspendedUntilMs <= nowMs && this.mayTake(server, nowMs);
+	}
+
 	private _sample(server: Server, isSuccess: boolean, latencyMs: number, nowMs: number): void {
 		Object.assign(server, remembered(server, nowMs));
 		server.latencyMs += (latencyMs - server.latencyMs) * sampleWeight;
 		server.failureShare += ((isSuccess ? 0 : 1) - server.failureShare) * sampleWeight;
 		server.sampledMs = nowMs;
+		server.isSound = isSuccess;
 	}
 
 	private _delayMs(server: Server, {zone, nowMs}: ServerQuestion): number {
@@ -235,7 +250,7 @@
 
 function createServer(key: ServerKey, record: ServerRecord): Server {
 	return {
-		key, record, inFlight: 0, exchanges: new Set(), tokens: 0, fullUntilMs: 0, suspendedUntilMs: 0, latencyMs: initialLatencyMs, failureShare: 0, sampledMs: 0, ejection: new OutlierEjection(),
+		key, record, inFlight: 0, exchanges: new Set(), tokens: 0, fullUntilMs: 0, suspendedUntilMs: 0, latencyMs: initialLatencyMs, failureShare: 0, sampledMs: 0, isSound: false, ejection: new OutlierEjection(),
 	};
 }
 
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -12,6 +12,7 @@
 import {PlainForwardRun} from './forward-plain.js';
 import type {ForwardCall, ForwardResult, ForwardServices} from './forward-call.js';
 import type {CallerRequest} from './fleet-protocol.js';
+import {StartupGate} from './startup-gate.js';
 
 /** Memory that request bodies may occupy together, in bytes. */
 const bodyMemoryBytes = 32 * 1024 * 1024;
@@ -42,8 +43,11 @@
 	private readonly _memory = new BodyMemory(bodyMemoryBytes);
 	private _table: RouteTable | undefined;
 	private _version = 0;
+	private readonly _startup: StartupGate;
 
-	constructor(private readonly _options: ForwardHandlerOptions) {}
+	constructor(private readonly _options: ForwardHandlerOptions) {
+		this._startup = new StartupGate(_options.clock);
+	}
 
 	/** Whether a configuration is known. */
 	get isConfigured(): boolean {
@@ -58,6 +62,7 @@
 		if (configuration.forwarding && version !== this._version) {
 			this._table = new RouteTable(configuration.forwarding);
 			this._version = version;
+			this._startup.open();
 		}
 	}
 
@@ -65,6 +70,11 @@
 	async handle(exchange: Exchange): Promise<void> {
 		const {req} = exchange;
 		const caller = this._options.protocol.readCallerRequest(req.rawHeaders);
+		await this._startup.passed(caller.waitMs ?? 0);
+		if (exchange.stopReason !== undefined) {
+			return;
+		}
+
 		const {route, service, tenant} = this._admit(req, caller);
 		exchange.serviceName = service.name;
 		const isModel = service.engine !== undefined;
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -63,6 +63,7 @@
 			countFailedPrompt() {
 				_services.fleet.countArrival(service.name);
 			},
+			hasSoundPrefill: nowMs => _services.fleet.directory.hasSoundPrefill(service.name, nowMs),
 			takeRetry: (_nowMs, arrivals) => _services.fleet.takeRetry(service.name, arrivals),
 		});
 		this._tokens = reservedTokens(prompt);
