Ask decode engines that keep memory to spare before the others

Cause: entry processes do not see each other's streams, so an engine was filled to its last block while others had room, also between bursts. Change: a round of reservations first asks for a fifth of the engine's memory beside the request, without keeping it; only if no engine has that much is one taken that just has room. The same question replaces the one for returning requests.

--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -10,7 +10,7 @@
 	const state = createModelForward({
 		isResumable: false,
 		maxAttempts: 1,
-		patience: {maxWaitMs: 600, gapMs: 50, room: 1},
+		patience: {maxWaitMs: 600, gapMs: 50, spareShare: 0},
 		returnAfterMs: 2000,
 		takeRetry: () => true,
 		hasSoundPrefill: () => false,
@@ -23,7 +23,7 @@
 function summary(effect: ModelForwardEffect): string {
 	switch (effect.type) {
 		case 'forward/hold': {
-			return `hold -${[...effect.exclude].join(',')}`;
+			return `${effect.isSpacious ? '' : 'tight '}hold -${[...effect.exclude].join(',')}`;
 		}
 
 		case 'forward/answer': {
@@ -61,8 +61,18 @@
 
 test('guards against a burst that is refused at once: a request waits on a full pool while its objective is in reach', () => {
 	const none: Step = {type: 'forward/no-engine', attempt: 1};
-	assert.deepEqual(run([refused('d1'), none, {type: 'forward/wake'}]), ['hold -', 'hold -d1', 'wait', 'hold -']);
-	assert.deepEqual(run([refused('d1'), {...none, nowMs: 590}]), ['hold -', 'hold -d1', 'release', '503 later']);
+	const tight = [refused('d1'), none, refused('d1')];
+	const asked = ['hold -', 'hold -d1', 'tight hold -', 'tight hold -d1'];
+	assert.deepEqual(run([...tight, none, {type: 'forward/wake'}]), [...asked, 'wait', 'hold -']);
+	assert.deepEqual(run([...tight, {...none, nowMs: 590}]), [...asked, 'release', '503 later']);
+});
+
+test('guards against streams that outgrow a full engine while others have room: engines with memory to spare are asked before the others', () => {
+	assert.deepEqual(run([refused('d1'), {type: 'forward/held', attempt: 1}]), ['hold -', 'hold -d1', 'prefill']);
+	const none: Step = {type: 'forward/no-engine', attempt: 1};
+	assert.deepEqual(run([refused('d1'), refused('d2'), none, {type: 'forward/held', attempt: 1}]), ['hold -', 'hold -d1', 'hold -d1,d2', 'tight hold -', 'prefill']);
+	// Nothing was refused for the memory to spare.
+	assert.deepEqual(run([none]), ['hold -', 'wait']);
 });
 
 test('a request that was turned away starts over elsewhere, though it may run only once', () => {
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -37,6 +37,8 @@
 	waitingSinceMs: number;
 	/** Events of an earlier attempt are ignored. */
 	attempt: number;
+	/** Whether this round asks only engines that keep memory to spare. */
+	isSpacious: boolean;
 	/** Engines that refused memory in this round. */
 	refusedBy: Set<ServerKey>;
 	/** Engines on which the request failed. */
@@ -75,8 +77,8 @@
 	| (BaseEvent<'forward/stopped'> & {readonly cause: StopCause});
 
 export type ModelForwardEffect =
-	/** Reserves memory on an engine that is not excluded. */
-	| {readonly type: 'forward/hold'; readonly attempt: number; readonly exclude: ReadonlySet<ServerKey>}
+	/** Reserves memory on an engine that is not excluded; a spacious one keeps memory for its streams to grow. */
+	| {readonly type: 'forward/hold'; readonly attempt: number; readonly exclude: ReadonlySet<ServerKey>; readonly isSpacious: boolean}
 	| {readonly type: 'forward/wait'; readonly durationMs: number}
 	| {readonly type: 'forward/prefill'; readonly attempt: number; readonly exclude: ReadonlySet<ServerKey>}
 	/** Sends the request to the engine that holds memory for it, with the prefill result if there is one. */
@@ -94,6 +96,7 @@
 		phase: 'holding',
 		waitingSinceMs: 0,
 		attempt: 0,
+		isSpacious: true,
 		refusedBy: new Set(),
 		failedOn: new Set(),
 		prefills: 0,
@@ -173,8 +176,7 @@
 			}
 
 			state.phase = 'holding';
-			state.refusedBy = new Set();
-			return hold(state);
+			return startRound(state);
 		}
 
 		case 'forward/stopped': {
@@ -191,12 +193,20 @@
 	state.waitingSinceMs = nowMs;
 	state.phase = 'holding';
 	state.prefills = 0;
+	return startRound(state);
+}
+
+/** Asks every engine again, those that keep memory to spare before the others. */
+function startRound(state: ModelForward): ModelForwardEffect[] {
+	state.isSpacious = true;
 	state.refusedBy = new Set();
 	return hold(state);
 }
 
 function hold(state: ModelForward): ModelForwardEffect[] {
-	return [{type: 'forward/hold', attempt: state.attempt, exclude: new Set([...state.refusedBy, ...state.failedOn])}];
+	return [{
+		type: 'forward/hold', attempt: state.attempt, exclude: new Set([...state.refusedBy, ...state.failedOn]), isSpacious: state.isSpacious,
+	}];
 }
 
 function prefill(state: ModelForward): ModelForwardEffect[] {
@@ -206,6 +216,12 @@
 
 /** Waits for memory as long as it is worth it, then refuses. */
 function takeNoEngine(state: ModelForward, {nowMs, resumesInMs = 0}: Of<'forward/no-engine'>): ModelForwardEffect[] {
+	if (state.isSpacious && state.refusedBy.size > 0) {
+		state.isSpacious = false;
+		state.refusedBy = new Set();
+		return hold(state);
+	}
+
 	const {maxWaitMs, gapMs} = state.patience;
 	const waitedMs = nowMs - state.waitingSinceMs;
 	if (waitedMs + resumesInMs > maxWaitMs) {
--- a/src/common/forwarding/patience.test.ts
+++ b/src/common/forwarding/patience.test.ts
@@ -12,8 +12,8 @@
 });
 
 test('burst on a full pool: a returning request leaves room for a fresh one, which can still meet its objective', () => {
-	assert.equal(patienceOf({...route, waitMs: 14_000}).room, 1);
-	assert.ok(patienceOf({...route, waitMs: 11_000}).room > 1);
+	assert.equal(patienceOf({...route, waitMs: 14_000}).spareShare, 0);
+	assert.ok(patienceOf({...route, waitMs: 11_000}).spareShare > 0);
 });
 
 test('callers turned away together do not return together', () => {
--- a/src/common/forwarding/patience.ts
+++ b/src/common/forwarding/patience.ts
@@ -6,8 +6,8 @@
 const returningGapMs = 150;
 /** Longest wait of a returning request, in milliseconds. A longer one took room from fresh requests on pools that stayed full. */
 const returningWaitMs = 1000;
-/** Requests of its own size for which an engine must have room before it takes a returning one, so that a fresh one still finds some. */
-const returningRoom = 2;
+/** Memory that an engine must have beside a returning request, as a multiple of its size, so that a fresh one still finds some. */
+const returningSpareShare = 1;
 /** A deadline shorter than the route's timeout by this much, in milliseconds, shows that the caller was turned away before. */
 const returnMarginMs = 400;
 /** Time after which a caller that was turned away finds room, in milliseconds: about the time that a request occupies its engine. */
@@ -23,16 +23,16 @@
 	readonly maxWaitMs: number;
 	/** Pause between two rounds of asking engines. */
 	readonly gapMs: number;
-	/** Requests of this size for which an engine must have room. */
-	readonly room: number;
+	/** Memory that an engine must have beside the request, as a multiple of its size. */
+	readonly spareShare: number;
 };
 
 /** How long a model request waits on a full pool. Durations in milliseconds. */
 export function patienceOf({waitMs, timeoutMs, targetMs}: {readonly waitMs: number; readonly timeoutMs: number; readonly targetMs: number}): Patience {
 	const isReturning = waitMs < timeoutMs - returnMarginMs;
 	return isReturning
-		? {maxWaitMs: returningWaitMs, gapMs: returningGapMs, room: returningRoom}
-		: {maxWaitMs: targetMs * freshWaitShare, gapMs: freshGapMs, room: 1};
+		? {maxWaitMs: returningWaitMs, gapMs: returningGapMs, spareShare: returningSpareShare}
+		: {maxWaitMs: targetMs * freshWaitShare, gapMs: freshGapMs, spareShare: 0};
 }
 
 /** When a caller that a full pool turned away should return; `random` is in [0, 1). */
--- a/src/common/forwarding/reservation.ts
+++ b/src/common/forwarding/reservation.ts
@@ -5,6 +5,8 @@
 and estimates of the output are often far off.
 */
 const reservedOutputShare = 0.6;
+/** Share of its memory that an engine should have to spare, for the growth of streams beyond their reservations. */
+const spareShare = 0.2;
 /** Engines allocate memory in blocks of this many tokens. */
 const blockTokens = 16;
 
@@ -18,3 +20,11 @@
 	const output = Math.min(maxOutputTokens, expectedOutputTokens);
 	return Math.ceil((promptTokens + (output * reservedOutputShare)) / blockTokens) * blockTokens;
 }
+
+/**
+Tokens that an engine with this much memory should have to spare. A stream that grows beyond it is preempted and read again, which
+holds up every other stream of its engine, while others have room.
+*/
+export function spareTokens(cacheTokens: number): number {
+	return Math.floor(cacheTokens * spareShare / blockTokens) * blockTokens;
+}
--- a/src/node/forwarding/engine-memory.ts
+++ b/src/node/forwarding/engine-memory.ts
@@ -23,15 +23,15 @@
 	constructor(private readonly _services: ForwardServices, private readonly _requestId: string) {}
 
 	/**
-	Reserves memory on a decode engine that has room for `room` requests of that size. The reservation counts in the
-	directory until it is freed. Rejects with `CallError` if the engine does not answer.
+	Reserves memory on a decode engine that has `spareTokens` beside it. The reservation counts in the directory until it is freed. Rejects with `CallError` if the engine does not answer.
 	*/
-	async reserve(server: Server, {tokens, ttlMs, room}: {readonly tokens: number; readonly ttlMs: number; readonly room: number}): Promise<Reservation> {
+	async reserve(server: Server, {tokens, ttlMs, spareTokens}: {readonly tokens: number; readonly ttlMs: number; readonly spareTokens: number}): Promise<Reservation> {
 		const {fleet, protocol, clock} = this._services;
 		fleet.directory.begin(server, tokens);
 		let isHeld = false;
 		try {
-			if (room > 1 && !await this._hasRoom(server, tokens * room)) {
+			if (spareTokens > 0 && !await this._hasRoom(server, tokens + spareTokens)) {
+				fleet.directory.refusedReservation(server, clock.nowMs());
 				return {kind: 'refused'};
 			}
 
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -1,7 +1,7 @@
 import {createModelForward, reduceModelForward} from '../../common/forwarding/model-forward.js';
 import type {ModelForward, ModelForwardEffect, ModelForwardInput} from '../../common/forwarding/model-forward.js';
 import {patienceOf, returnAfterMs} from '../../common/forwarding/patience.js';
-import {reservedTokens} from '../../common/forwarding/reservation.js';
+import {reservedTokens, spareTokens} from '../../common/forwarding/reservation.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
@@ -110,7 +110,7 @@
 	private _execute(effect: ModelForwardEffect): void {
 		switch (effect.type) {
 			case 'forward/hold': {
-				void this._hold(effect.attempt, effect.exclude);
+				void this._hold(effect);
 				break;
 			}
 
@@ -164,7 +164,7 @@
 	}
 
 	/** The call goes on when the request is given up, so that a reservation that was granted is freed at once. */
-	private async _hold(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
+	private async _hold({attempt, exclude, isSpacious}: Extract<ModelForwardEffect, {type: 'forward/hold'}>): Promise<void> {
 		const {fleet, logger, clock, zone} = this._services;
 		const {service, requestId} = this._call;
 		this._hasPrefillPlace ||= fleet.takePrefillPlace(service.name);
@@ -177,7 +177,7 @@
 
 		const ttlMs = Math.min(holdTtlMs, service.engine?.holdTtlMs ?? holdTtlMs);
 		try {
-			const reservation = await this._memory.reserve(server, {tokens: this._tokens, ttlMs, room: this._state.patience.room});
+			const reservation = await this._memory.reserve(server, {tokens: this._tokens, ttlMs, spareTokens: this._spareTokens(isSpacious)});
 			if (reservation.kind !== 'held') {
 				this._dispatch({type: reservation.kind === 'refused' ? 'forward/hold-refused' : 'forward/hold-failed', attempt, server: server.key});
 				return;
@@ -200,6 +200,12 @@
 		}
 	}
 
+	/** Memory that an engine must have beside the request. */
+	private _spareTokens(isSpacious: boolean): number {
+		const {service} = this._call;
+		return Math.max(this._tokens * this._state.patience.spareShare, isSpacious ? spareTokens(service.engine?.cacheTokens ?? 0) : 0);
+	}
+
 	private _isStale(attempt: number): boolean {
 		return this._state.phase === 'ended' || this._state.attempt !== attempt;
 	}
