Let a new leader grant within 0.24 s of its election, and nothing that its predecessor's holders may still spend

And its buckets filled in that pause while holders might spend a whole burst: with a burst that is granted just before and spent at its end, a tenant got up to 0.9 s of its rate too much. Change: what a waiting request gets is spent as it arrives, so such a grant may be spent for 0.4 s only; grants in advance keep 1 s and are bounded by half of a burst. A new leader waits for the former, starts with empty buckets then, and leaves half of each burst to the latter until they have expired. A handover still goes on at once.

--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -152,6 +152,8 @@
 	id: z.int(),
 	tenant: idSchema,
 	tokens: tokensSchema,
+	/** Whether nobody waits for it; it may be spent for longer. */
+	isAdvance: z.boolean(),
 });
 
 /** Tells that the bucket cannot cover what a waiting request needs for `waitMs`. */
@@ -295,10 +297,10 @@
 	term: z.int().min(1),
 	/** For how long grants of the sender's own predecessor may still be spent, in milliseconds. */
 	pauseMs: z.number().min(0),
-	buckets: z.array(z.strictObject({tenant: idSchema, level: z.number(), returnable: tokensSchema})).max(handoverLimit),
+	buckets: z.array(z.strictObject({tenant: idSchema, level: z.number()})).max(handoverLimit),
 	/** Grants that their holders may still spend. */
 	grants: z.array(z.strictObject({
-		id: z.int(), tenant: idSchema, holder: vmIdentitySchema, left: tokensSchema, returnable: tokensSchema, tokens: tokensSchema, expiresInMs: z.number().min(0),
+		id: z.int(), tenant: idSchema, holder: vmIdentitySchema, left: tokensSchema, isAdvance: z.boolean(), tokens: tokensSchema, expiresInMs: z.number().min(0),
 	})).max(handoverLimit),
 });
 
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -5,7 +5,9 @@
 import {syncListLimit} from '../control/messages.js';
 import type {ReplyToken} from '../core/types.js';
 import type {AllowanceResult} from '../services/access-service.js';
-import {grantValidityMs, ownerValidityMs, passingFactor} from './types.js';
+import {
+	askedValidityMs, grantValidityMs, ownerAskedValidityMs, ownerValidityMs, passingFactor,
+} from './types.js';
 import type {TenantLimit} from './types.js';
 
 /** A grant with less validity left is given back at a sync, since it would expire before the next one. */
@@ -230,17 +232,24 @@
 
 	/** Takes the owner's answer to a report made at `sentMs`. */
 	receive(answer: OwnerAnswer, limitOf: (tenant: string) => TenantLimit | undefined, nowMs: number): AllowanceAnswer[] {
-		const expiresMs = answer.sentMs + grantValidityMs;
 		const answers: AllowanceAnswer[] = [];
 		this._stamp = answer.stamp;
 		this._stampReported(answer);
-		for (const {id, tenant, tokens} of expiresMs > nowMs ? answer.grants : []) {
+		for (const {id, tenant, tokens, isAdvance} of answer.grants) {
 			const allowance = this._allowance(tenant, nowMs);
 			allowance.grants.push({
-				id, left: tokens, spent: 0, expiresMs, ownerExpiresMs: answer.stamp.atMs + ownerValidityMs,
+				id,
+				left: tokens,
+				spent: 0,
+				expiresMs: answer.sentMs + (isAdvance ? grantValidityMs : askedValidityMs),
+				ownerExpiresMs: answer.stamp.atMs + (isAdvance ? ownerValidityMs : ownerAskedValidityMs),
 			});
 			this._serve(allowance, nowMs, answers);
 			this._noteSpending(allowance, limitOf(tenant), nowMs);
+			if (!isAdvance && allowance.grants.some(({id: other, left}) => other === id && left > 0)) {
+				// Its request has gone; the tokens are given back before they expire.
+				this._reportDueMs ??= nowMs + promptReportMs;
+			}
 		}
 
 		for (const {tenant, waitMs, isPause} of answer.shortages) {
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -8,7 +8,9 @@
 } from '../control/messages.js';
 import type {VmId, VmIdentity} from '../core/types.js';
 import {HeadroomHistory} from './headroom.js';
-import {ownerValidityMs, passingFactor, waitingValidityMs} from './types.js';
+import {
+	advanceShare, ownerAskedValidityMs, ownerValidityMs, passingFactor, waitingValidityMs,
+} from './types.js';
 import type {OwnedGrant, TenantLimit} from './types.js';
 
 /** Grant ids of one term; ids of later terms are higher, so a report never meets another leader's grant. */
@@ -45,8 +47,10 @@
 	/** Negative after a charge that the bucket could not cover. */
 	level: number;
 	outstanding: number;
-	/** Part of the outstanding tokens that nobody waited for when they were granted. */
+	/** Part of the outstanding tokens that was granted in advance. */
 	returnable: number;
+	/** Until when grants in advance of an earlier leader may be spent. */
+	readonly unknownUntilMs: number;
 	updatedMs: number;
 	readonly headroom: HeadroomHistory;
 	readonly claimants: Map<VmId, Claimant>;
@@ -58,6 +62,11 @@
 	largest: {tokens: number; untilMs: number};
 };
 
+/** Tokens for a request that waits, and tokens in advance. */
+type Portion = {readonly asked: number; readonly advance: number};
+
+const nothing: Portion = {asked: 0, advance: 0};
+
 type LimitRecord = {readonly limit: TenantLimit; readonly sinceMs: number};
 
 /** What a sync gets; the grants count from now on, and expire after `confirm`. */
@@ -72,8 +81,9 @@
 	private _hadLimits = false;
 	private readonly _buckets = new Map<string, Bucket>();
 	private readonly _grants = new Map<number, OwnedGrant>();
-	/** Confirmed grants in the order of their expiry. */
-	private _expiring: OwnedGrant[] = [];
+	/** Confirmed grants in the order of their expiry, those that requests wait for and those in advance. */
+	private _expiringAsked: OwnedGrant[] = [];
+	private _expiringAdvance: OwnedGrant[] = [];
 	private _nextGrant = 1;
 	/** Tenants for whose buckets each holder has a request waiting. */
 	private readonly _waitingFor = new Map<VmId, Set<string>>();
@@ -95,7 +105,7 @@
 		for (const [tenant, {rate, burst}] of limits) {
 			const known = this._limits.get(tenant);
 			const isSame = known?.limit.rate === rate && known.limit.burst === burst;
-			next.set(tenant, isSame ? known : {limit: {rate, burst}, sinceMs: known?.sinceMs ?? (isFirst ? this._startMs : nowMs)});
+			next.set(tenant, isSame ? known : {limit: {rate, burst}, sinceMs: known?.sinceMs ?? (isFirst ? this._startsAtMs : nowMs)});
 			if (known && !isSame) {
 				this._changeLimit(tenant, {rate, burst}, nowMs);
 			}
@@ -131,12 +141,16 @@
 			}
 
 			// Grants of an earlier leader may still be spent.
-			const tokens = startsInMs > 0 ? 0 : this._portion(bucket, holder.vm, want, nowMs);
-			if (tokens >= smallestGrant) {
-				grants.push(this._grant(bucket, holder, want, tokens));
+			const {asked, advance} = startsInMs > 0 ? nothing : this._portion(bucket, holder.vm, want, nowMs);
+			if (asked > 0) {
+				grants.push(this._grant(bucket, holder, {tenant: want.tenant, tokens: asked, isAdvance: false}));
+			}
+
+			if (advance >= smallestGrant) {
+				grants.push(this._grant(bucket, holder, {tenant: want.tenant, tokens: advance, isAdvance: true}));
 			}
 
-			if (want.atLeast > 0 && tokens < want.atLeast) {
+			if (asked < want.atLeast) {
 				shortages.push({tenant: want.tenant, waitMs: Math.max(startsInMs, this._timeToCover(bucket, holder.vm, want.atLeast)), isPause: startsInMs > 0});
 			}
 		}
@@ -149,8 +163,8 @@
 		for (const {id} of grants) {
 			const grant = this._grants.get(id);
 			if (grant) {
-				grant.expiresMs = nowMs + ownerValidityMs;
-				this._expiring.push(grant);
+				grant.expiresMs = nowMs + (grant.isAdvance ? ownerValidityMs : ownerAskedValidityMs);
+				this._expiringOf(grant).push(grant);
 			}
 		}
 	}
@@ -173,10 +187,10 @@
 		return {
 			type: 'control/handover',
 			term: this.term,
-			pauseMs: Math.max(0, this._startsInMs(nowMs)),
+			pauseMs: Math.max(0, this._unknownUntilMs - nowMs),
 			buckets: [...this._buckets.keys()].map(tenant => {
-				const {level, returnable} = this._bucket(tenant, nowMs)!;
-				return {tenant, level, returnable};
+				const {level} = this._bucket(tenant, nowMs)!;
+				return {tenant, level};
 			}),
 			grants: [...this._grants.values()].map(({vm, incarnation, expiresMs, ...grant}) => ({...grant, holder: {vm, incarnation}, expiresInMs: expiresMs! - nowMs})),
 		};
@@ -185,22 +199,29 @@
 	/** Goes on where the former leader stopped, instead of pausing until its grants have expired. Limits must be set before. */
 	takeOver({pauseMs, buckets, grants}: Handover, nowMs: number): void {
 		this._silenceMs = ownerValidityMs - pauseMs;
+		for (const [tenant, {limit, sinceMs}] of this._limits) {
+			this._limits.set(tenant, {limit, sinceMs: Math.min(sinceMs, this._startsAtMs)});
+		}
+
 		for (const {holder, expiresInMs, ...grant} of grants) {
 			const bucket = this._bucket(grant.tenant, nowMs);
 			if (bucket) {
 				bucket.outstanding += grant.left;
+				bucket.returnable += grant.isAdvance ? grant.left : 0;
 				const owned = {...grant, ...holder, expiresMs: nowMs + expiresInMs};
 				this._grants.set(grant.id, owned);
-				this._expiring.push(owned);
+				this._expiringOf(owned).push(owned);
 			}
 		}
 
-		this._expiring.sort((a, b) => a.expiresMs! - b.expiresMs!);
-		for (const {tenant, level, returnable} of buckets) {
+		for (const expiring of [this._expiringAsked, this._expiringAdvance]) {
+			expiring.sort((a, b) => a.expiresMs! - b.expiresMs!);
+		}
+
+		for (const {tenant, level} of buckets) {
 			const bucket = this._bucket(tenant, nowMs);
 			if (bucket) {
-				bucket.level = Math.min(level, bucket.limit.burst - bucket.outstanding);
-				bucket.returnable = returnable;
+				bucket.level = Math.min(level, roomOf(bucket));
 				noteHeadroom(bucket, nowMs);
 			}
 		}
@@ -220,9 +241,22 @@
 		}
 	}
 
-	/** When the grants of an earlier leader have expired. */
+	/** When every grant of an earlier leader has expired. */
+	private get _unknownUntilMs(): number {
+		return this._startMs + ownerValidityMs - this._silenceMs;
+	}
+
+	/** When those of its grants that requests waited for have expired, and this one begins. */
+	private get _startsAtMs(): number {
+		return this._unknownUntilMs - ownerValidityMs + ownerAskedValidityMs;
+	}
+
 	private _startsInMs(nowMs: number): number {
-		return this._startMs + ownerValidityMs - this._silenceMs - nowMs;
+		return this._startsAtMs - nowMs;
+	}
+
+	private _expiringOf({isAdvance}: OwnedGrant): OwnedGrant[] {
+		return isAdvance ? this._expiringAdvance : this._expiringAsked;
 	}
 
 	/** The bucket with its level at `nowMs`; undefined for an unknown tenant. */
@@ -241,17 +275,19 @@
 		const {limit, sinceMs} = record;
 		const created: Bucket = {
 			limit,
-			level: levelSince(limit, nowMs - sinceMs),
+			level: 0,
 			outstanding: 0,
 			returnable: 0,
-			updatedMs: nowMs,
+			unknownUntilMs: this._unknownUntilMs,
+			updatedMs: Math.min(nowMs, sinceMs),
 			headroom: new HeadroomHistory(),
 			claimants: new Map(),
 			virtualTokens: 0,
 			waits: 0,
 			largest: {tokens: 0, untilMs: 0},
 		};
-		noteHeadroom(created, nowMs);
+		noteHeadroom(created, created.updatedMs);
+		refill(created, nowMs);
 		this._buckets.set(tenant, created);
 		return created;
 	}
@@ -260,7 +296,7 @@
 		// The bucket is made at the old limit, so that its level does not jump to the new burst.
 		const bucket = this._bucket(tenant, nowMs)!;
 		bucket.limit = limit;
-		bucket.level = Math.min(bucket.level, limit.burst - bucket.outstanding);
+		bucket.level = Math.min(bucket.level, roomOf(bucket));
 		noteHeadroom(bucket, nowMs);
 	}
 
@@ -322,12 +358,10 @@
 	private _spend(grant: OwnedGrant, total: number, nowMs: number): void {
 		const newlySpent = Math.min(grant.left, Math.max(0, total - (grant.tokens - grant.left)));
 		const bucket = this._bucket(grant.tenant, nowMs);
-		const noLongerReturnable = grant.returnable - Math.min(grant.returnable, grant.left - newlySpent);
 		grant.left -= newlySpent;
-		grant.returnable -= noLongerReturnable;
 		if (bucket) {
 			bucket.outstanding -= newlySpent;
-			bucket.returnable -= noLongerReturnable;
+			bucket.returnable -= grant.isAdvance ? newlySpent : 0;
 		}
 
 		if (grant.left <= 0) {
@@ -341,15 +375,21 @@
 		const bucket = this._bucket(grant.tenant, nowMs);
 		if (bucket) {
 			bucket.outstanding = Math.max(0, bucket.outstanding - grant.left);
-			bucket.returnable = Math.max(0, bucket.returnable - grant.returnable);
+			bucket.returnable = Math.max(0, bucket.returnable - (grant.isAdvance ? grant.left : 0));
 			bucket.level += returned;
 		}
 	}
 
 	private _expire(nowMs: number): void {
+		this._expiringAsked = this._expireFirst(this._expiringAsked, nowMs);
+		this._expiringAdvance = this._expireFirst(this._expiringAdvance, nowMs);
+	}
+
+	/** Ends the grants whose time is over and returns the others. */
+	private _expireFirst(expiring: OwnedGrant[], nowMs: number): OwnedGrant[] {
 		let count = 0;
-		while (count < this._expiring.length && this._expiring[count]!.expiresMs! <= nowMs) {
-			const grant = this._expiring[count++]!;
+		while (count < expiring.length && expiring[count]!.expiresMs! <= nowMs) {
+			const grant = expiring[count++]!;
 			const bucket = this._buckets.get(grant.tenant);
 			if (this._grants.has(grant.id) && bucket) {
 				refill(bucket, grant.expiresMs!);
@@ -357,24 +397,24 @@
 			}
 		}
 
-		if (count > 0) {
-			this._expiring = this._expiring.slice(count);
-		}
+		return count > 0 ? expiring.slice(count) : expiring;
 	}
 
-	private _grant(bucket: Bucket, {vm, incarnation}: VmIdentity, {tenant, atLeast}: Want, tokens: number): Grant {
+	private _grant(bucket: Bucket, {vm, incarnation}: VmIdentity, {tenant, tokens, isAdvance}: Omit<Grant, 'id'>): Grant {
 		const id = (this.term * grantsPerTerm) + this._nextGrant++;
 		bucket.level -= tokens;
 		bucket.outstanding += tokens;
-		bucket.returnable += tokens - atLeast;
+		bucket.returnable += isAdvance ? tokens : 0;
 		this._grants.set(id, {
-			id, tenant, vm, incarnation, left: tokens, returnable: tokens - atLeast, tokens, expiresMs: undefined,
+			id, tenant, vm, incarnation, left: tokens, isAdvance, tokens, expiresMs: undefined,
 		});
-		return {id, tenant, tokens};
+		return {
+			id, tenant, tokens, isAdvance,
+		};
 	}
 
 	/** Tokens for a want: the whole of what a waiting request needs, then a fair part of what nobody waits for. */
-	private _portion(bucket: Bucket, vm: VmId, {tokens, atLeast, waitMs}: Want, nowMs: number): number {
+	private _portion(bucket: Bucket, vm: VmId, {tokens, atLeast, waitMs}: Want, nowMs: number): Portion {
 		expireClaims(bucket, nowMs);
 		const claimant = claimantOf(bucket, vm);
 		claimant.tag = claimant.isShort ? claimant.tag : Math.max(bucket.virtualTokens, claimant.finish);
@@ -388,7 +428,7 @@
 			claimant.waiting = isWaiting ? atLeast : 0;
 			claimant.isShort = true;
 			claimant.waitsUntilMs = nowMs + Math.min(waitMs, waitingValidityMs);
-			return 0;
+			return nothing;
 		}
 
 		claimant.waiting = 0;
@@ -398,11 +438,12 @@
 		const reserved = Math.max(bucket.largest.tokens, keptAside(bucket, {
 			vm, tag: Infinity, order: Infinity, atLeast: Infinity,
 		}));
-		const spare = Math.max(0, bucket.level - atLeast - reserved);
-		const portion = Math.floor(Math.max(atLeast, Math.min(tokens, atLeast + fairPart(bucket.claimants, spare))));
+		const advanceLeft = (bucket.limit.burst * advanceShare) - bucket.returnable - unknownOf(bucket);
+		const spare = Math.max(0, Math.min(bucket.level - atLeast - reserved, advanceLeft));
+		const advance = Math.floor(Math.max(0, Math.min(tokens - atLeast, fairPart(bucket.claimants, spare), spare)));
 		bucket.virtualTokens = Math.max(bucket.virtualTokens, claimant.tag);
-		claimant.finish = claimant.tag + portion;
-		return portion;
+		claimant.finish = claimant.tag + atLeast + advance;
+		return {asked: atLeast, advance};
 	}
 
 	private _timeToCover(bucket: Bucket, vm: VmId, tokens: number): number {
@@ -427,14 +468,30 @@
 		return;
 	}
 
-	const room = Math.max(bucket.level, bucket.limit.burst - bucket.outstanding);
+	if (bucket.updatedMs < bucket.unknownUntilMs && bucket.unknownUntilMs < nowMs) {
+		refill(bucket, bucket.unknownUntilMs);
+		refill(bucket, nowMs);
+		return;
+	}
+
+	const room = Math.max(bucket.level, roomOf(bucket));
 	bucket.level = Math.min(bucket.level + (bucket.limit.rate * elapsedMs / 1000), room);
 	bucket.updatedMs = nowMs;
 	noteHeadroom(bucket, nowMs);
 }
 
+/** What an earlier leader may have given in advance, as of the bucket's last update. */
+function unknownOf({limit, updatedMs, unknownUntilMs}: Bucket): number {
+	return updatedMs < unknownUntilMs ? limit.burst * advanceShare : 0;
+}
+
+/** Highest level at which the holders of grants cannot exceed the burst. */
+function roomOf(bucket: Bucket): number {
+	return bucket.limit.burst - bucket.outstanding - unknownOf(bucket);
+}
+
 function noteHeadroom(bucket: Bucket, nowMs: number): void {
-	bucket.headroom.note(nowMs, bucket.limit.burst - bucket.level - bucket.outstanding);
+	bucket.headroom.note(nowMs, roomOf(bucket) - bucket.level);
 }
 
 /** Remembers the size of a request that is waited for; a smaller one takes the place of the largest when that is long ago. */
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -8,10 +8,15 @@
 	readonly burst: number;
 };
 
-/** Time for which a grant may be spent, counted by its holder from when it asked. */
+/** Time for which a grant in advance may be spent, counted by its holder from when it asked. */
 export const grantValidityMs = 1000;
-/** Time for which the owner counts a grant as outstanding, counted from its answer; longer, since clocks differ in rate. */
+/** Time for which the owner counts it as outstanding, counted from its answer; longer, since clocks differ in rate. */
 export const ownerValidityMs = 1100;
+/** The same of a grant that a request waits for: it is spent as it arrives, and a new leader must wait as long before it grants anything. A sync is given up after that time. */
+export const askedValidityMs = 400;
+export const ownerAskedValidityMs = 440;
+/** Share of a burst that may be out in advance. A new leader does not know how much its predecessor gave, and takes it for all of that. */
+export const advanceShare = 0.5;
 /** Longest time for which tokens are kept aside for a holder that did not come back for them. */
 export const waitingValidityMs = 1000;
 
@@ -26,8 +31,8 @@
 	readonly incarnation: number;
 	/** Tokens not known to be spent. */
 	left: number;
-	/** Part of `left` that nobody waited for when it was granted. */
-	returnable: number;
+	/** Whether nobody waited for it when it was granted. */
+	readonly isAdvance: boolean;
 	readonly tokens: number;
 	/** Undefined until the answer that carries the grant is sent. */
 	expiresMs: number | undefined;
