Let the prompts under way to prefill engines follow the time that readings take

Cause: of the six prompts an engine may have under way, each of eleven processes had at least one, so eleven waited on the engine that was left after a crash or a release: the last of them for 1.05 s, its time limit being 1.08 s. Change: each process has a window that grows by prompts that are read within 0.45 of the objective and shrinks by others; below one it is a pause. The number of processes plays no part. Test of the load, at twice the capacity: 11 processes before 1 or 2 engines, 3 before 1, 60 before 4: at most 1 in 100 given up, 5 in 100 late, 0.8 of the capacity used; at 0.6 of the capacity at most 1 in 100 refused. It replaces the test of the fixed places, which allowed 11 on one engine.

--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -212,7 +212,7 @@
 
 	private async _prefill(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
 		const {fleet, protocol, clock, logger} = this._services;
-		const {route, caller, requestId} = this._call;
+		const {route, service, caller, requestId} = this._call;
 		const server = fleet.directory.choosePrefill(this._question(exclude, this._memory.held!.server.record.zone));
 		if (!server) {
 			this._dispatchLater({type: 'forward/prefill-failed', attempt, server: undefined});
@@ -251,10 +251,15 @@
 			}
 
 			fleet.directory.recordAnswer(server, true, clock.nowMs() - startedMs, clock.nowMs());
+			fleet.recordPrefill(service.name, clock.nowMs() - startedMs, route.targetMs);
 			this._memory.prefilled = prefilled;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
 			this._noteFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).maySent});
+			if (!signal.aborted && clock.nowMs() - startedMs >= route.targetMs) {
+				fleet.recordPrefill(service.name, clock.nowMs() - startedMs, route.targetMs);
+			}
+
 			this._dispatch({type: 'forward/prefill-failed', attempt, server: server.key});
 		} finally {
 			fleet.directory.end(server, tokens);
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -2,7 +2,7 @@
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
 import {SeededRandom} from '../../common/core/random.js';
-import {PrefillPlaces} from '../../common/forwarding/prefill-places.js';
+import {PrefillWindow} from '../../common/forwarding/prefill-window.js';
 import {RetryWindow} from '../../common/forwarding/retry-window.js';
 import type {RetryWindowLimits} from '../../common/forwarding/retry-window.js';
 import {ServerDirectory} from '../../common/forwarding/server-directory.js';
@@ -40,7 +40,7 @@
 	readonly directory: ServerDirectory;
 	readonly random: SeededRandom;
 	private readonly _adapters = new Map<ServerKey, ForwardAdapter>();
-	private readonly _places = new PrefillPlaces();
+	private readonly _prefills = new PrefillWindow();
 	private readonly _windows = new Map<string, RetryWindow>();
 	/** Servers that are being probed because another process cannot reach them. */
 	private readonly _verifying = new Set<ServerKey>();
@@ -122,11 +122,16 @@
 
 	/** Whether one more prompt of this process may be under way to the prefill engines of a service; ends with `releasePrefillPlace`. */
 	takePrefillPlace(service: string): boolean {
-		return this._places.take(service, this.directory.ready(service, 'prefill').length, this._options.processes());
+		return this._prefills.take(service, this.directory.ready(service, 'prefill').length, this._options.clock.nowMs());
 	}
 
 	releasePrefillPlace(service: string): void {
-		this._places.release(service);
+		this._prefills.release(service);
+	}
+
+	/** Counts how long a prompt took to be read, or until it was given up. */
+	recordPrefill(service: string, durationMs: number, targetMs: number): void {
+		this._prefills.record(service, durationMs, targetMs, this._options.clock.nowMs());
 	}
 
 	/** Counts a failed exchange. A server that cannot be reached, or fails several times in a row, is ejected until a probe succeeds. */
