--- a/src/node/upstreams/engine-adapter.test.ts
+++ b/src/node/upstreams/engine-adapter.test.ts
@@ -9,9 +9,12 @@
 const prefill = {
 	requestId: 'r', owner: {vm: 'v', incarnation: 1}, model: 'm', prompt: 'p', priority: 5,
 };
-const options = {timeoutMs: 100};
+/** Long enough for an answer that comes, on a busy machine too, in milliseconds. */
+const options = {timeoutMs: 10_000};
+/** For an answer that never comes. */
+const shortOptions = {timeoutMs: 100};
 
-async function failureOfPrefill(t: {after: (fn: () => void) => void}, handler: Handler) {
+async function failureOfPrefill(t: {after: (fn: () => void) => void}, handler: Handler, callOptions = options) {
 	const server = await TestServer.start(handler);
 	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock());
 	t.after(() => {
@@ -19,7 +22,7 @@
 		server.close();
 	});
 	try {
-		await engine.prefill(prefill, options);
+		await engine.prefill(prefill, callOptions);
 	} catch (err) {
 		return err instanceof CallError ? err.failure : err;
 	}
@@ -42,7 +45,7 @@
 	}), {kind: 'broken', maySent: true});
 	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
 		res.writeHead(200).write('{');
-	}), {kind: 'timeout', maySent: true});
+	}, shortOptions), {kind: 'timeout', maySent: true});
 	assert.deepEqual(await failureOfPrefill(t, (_req, res) => {
 		res.end('x'.repeat(5_000_000));
 	}), {kind: 'broken', maySent: true}, 'the memory for an answer is bounded');
