Name the reason that holds when a request has waited too long for room

A request that had waited longer than it may was refused as if every engine had said that it wants no work, which sends whoever reads the log the wrong way.

--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -167,3 +167,20 @@
 	// The decode engine's streams would stand still while it reads.
 	assert.deepEqual(run([{type: 'forward/held', attempt: 1}], {takeRetry: () => false, hasSoundPrefill: () => true}), ['hold -', 'prefill']);
 });
+
+test('a request is refused at once if every engine wants no work for longer than it may wait, and for the reason that holds', () => {
+	const refusal = (nowMs: number, resumesInMs?: number) => {
+		const state = createModelForward({
+			isResumable: false, maxAttempts: 1, patience: {maxWaitMs: 600, gapMs: 50, spareShare: 0}, returnAfterMs: 2000, takeRetry: () => true, hasSoundPrefill: () => false, countFailedPrompt: () => undefined,
+		});
+		reduceModelForward(state, {type: 'forward/start', nowMs: 0});
+		const effects = reduceModelForward(state, {
+			type: 'forward/no-engine', attempt: 1, nowMs, resumesInMs,
+		});
+		return effects.map(effect => effect.type === 'forward/answer' ? effect.answer : effect.type);
+	};
+
+	assert.deepEqual(refusal(0, 2500), ['forward/release', {status: 503, reason: 'no engine takes work', retryAfterMs: 2500}]);
+	assert.deepEqual(refusal(0, 300), ['forward/wait']);
+	assert.deepEqual(refusal(700), ['forward/release', {status: 503, reason: 'no engine has room', retryAfterMs: 2000}]);
+});
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -224,7 +224,7 @@
 
 	const {maxWaitMs, gapMs} = state.patience;
 	const waitedMs = nowMs - state.waitingSinceMs;
-	if (waitedMs + resumesInMs > maxWaitMs) {
+	if (resumesInMs > 0 && waitedMs + resumesInMs > maxWaitMs) {
 		return giveUp(state, 'no engine takes work', Math.max(resumesInMs, state.returnAfterMs));
 	}
 
