Start the bucket of a tenant that a handover does not name with this term at the earliest

Cause: since the leader change, a successor filled the bucket of a tenant without one from 0.66 s before its own term. A tenant that was removed and added again just before a planned stop of the leader got that much of its rate twice (66 tokens at 100 a second).

--- a/src/common/limits/owner.test.ts
+++ b/src/common/limits/owner.test.ts
@@ -224,6 +224,18 @@
 	takesAll(successor, 100, 500, {returned: [{grant: first!.id, tokens: 500}]});
 });
 
+test('guards against a tenant that gets tokens twice since it was removed and added again just before a handover', () => {
+	const owner = makeOwner(100, 1000);
+	takesAll(owner, 20_000, 1000);
+	owner.setLimits([], 20_100);
+	owner.setLimits([['acme', {rate: 100, burst: 1000}]], 20_200);
+	const successor = new AllowanceOwner(2, 0);
+	successor.setLimits([['acme', {rate: 100, burst: 1000}]], 0);
+	successor.takeOver(owner.handOver(20_200), 0);
+	takesAll(successor, 0, 0);
+	takesAll(successor, 100, 10);
+});
+
 test('guards against a successor that grants while a grant of its predecessor\'s predecessor may be spent', () => {
 	const owner = makeOwner(1000, 1000, 2);
 	const successor = new AllowanceOwner(3, 0);
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -200,7 +200,8 @@
 	takeOver({pauseMs, buckets, grants}: Handover, nowMs: number): void {
 		this._silenceMs = ownerValidityMs - pauseMs;
 		for (const [tenant, {limit, sinceMs}] of this._limits) {
-			this._limits.set(tenant, {limit, sinceMs: Math.min(sinceMs, this._startsAtMs)});
+			// Not before this term: a tenant without a bucket may have been added just then.
+			this._limits.set(tenant, {limit, sinceMs: Math.min(sinceMs, Math.max(this._startMs, this._startsAtMs))});
 		}
 
 		for (const {holder, expiresInMs, ...grant} of grants) {
