Move the token bucket out of its owner; name what is in advance and early reports as such

'returnable' had come to mean grants in advance; 'prompt' means a model's input elsewhere. The time limit of a sync and the validity of what it grants to waiting requests are one constant.

--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -14,6 +14,7 @@
 import type {ListPosition} from '../forwarding/server-list-feed.js';
 import {AllowanceHolder} from '../limits/holder.js';
 import type {AllowanceAnswer, Settlement} from '../limits/holder.js';
+import {askedValidityMs} from '../limits/types.js';
 import type {TenantLimit} from '../limits/types.js';
 import type {Identity, View} from '../services/access-service.js';
 import {
@@ -27,8 +28,8 @@
 export const syncIntervalMs = 500;
 /** Least time between two syncs, which bounds the leader's work for a tenant far over its rate. */
 const urgentSyncGapMs = 10;
-/** A control VM that does not answer for this long is left for another; a read-index takes a few milliseconds. */
-const syncTimeoutMs = 400;
+/** A control VM that does not answer for this long is left for another; what it granted to waiting requests could no longer be spent. */
+const syncTimeoutMs = askedValidityMs;
 /** Hints followed in a row without a pause. */
 const hopLimit = 2;
 /** Pause before the next control VM is tried. */
@@ -246,7 +247,13 @@
 
 	state.pending = undefined;
 	state.hops = 0;
-	return [...takeServers(state, reply.data, pending.sentMs), ...takeView(state, reply.data, pending.sentMs, nowMs), ...takeAllowances(state, reply.data, pending.sentMs, nowMs), ...syncIfDue(state, nowMs)];
+	const {sentMs} = pending;
+	return [
+		...takeServers(state, reply.data, sentMs),
+		...takeView(state, reply.data, sentMs, nowMs),
+		...takeAllowances(state, reply.data, sentMs, nowMs),
+		...syncIfDue(state, nowMs),
+	];
 }
 
 /** Leaves a control VM that did not serve the sync: for the leader it named, or else for the next in the list. */
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -119,9 +119,7 @@
 		}
 
 		case 'forward/held': {
-			// A prompt that fails costs an arrival; without budget for it the decode engine reads it, which holds up its other streams.
-			state.phase = state.takeRetry(event.nowMs, 0) || state.hasSoundPrefill(event.nowMs) ? 'prefilling' : 'sending';
-			return state.phase === 'prefilling' ? prefill(state) : [{type: 'forward/send', attempt: state.attempt}];
+			return takeReservation(state, event.nowMs);
 		}
 
 		case 'forward/hold-refused': {
@@ -214,6 +212,12 @@
 	return [{type: 'forward/prefill', attempt: state.attempt, exclude: state.failedOn}];
 }
 
+function takeReservation(state: ModelForward, nowMs: number): ModelForwardEffect[] {
+	// A prompt that fails costs an arrival; without budget for it the decode engine reads it, which holds up its other streams.
+	state.phase = state.takeRetry(nowMs, 0) || state.hasSoundPrefill(nowMs) ? 'prefilling' : 'sending';
+	return state.phase === 'prefilling' ? prefill(state) : [{type: 'forward/send', attempt: state.attempt}];
+}
+
 /** Waits for memory as long as it is worth it, then refuses. */
 function takeNoEngine(state: ModelForward, {nowMs, resumesInMs = 0}: Of<'forward/no-engine'>): ModelForwardEffect[] {
 	if (state.isSpacious && state.refusedBy.size > 0) {
--- a/src/common/limits/holder.ts
+++ b/src/common/limits/holder.ts
@@ -21,9 +21,9 @@
 /** A request without a settlement for this long is taken for lost. */
 const acquisitionTtlMs = 600_000;
 /** Share of a burst whose use is reported soon: the owner cannot refill what it takes for unspent. */
-const promptReportShare = 0.02;
+const earlyReportShare = 0.02;
 /** Time until that report, in milliseconds, which gathers what is used meanwhile. */
-const promptReportMs = 5;
+const earlyReportMs = 5;
 /** Time for which the owner's answer that a bucket is short serves for later requests too. */
 const shortageValidityMs = 250;
 /** Advice to callers while the leader cannot be asked. */
@@ -237,18 +237,19 @@
 		this._stampReported(answer);
 		for (const {id, tenant, tokens, isAdvance} of answer.grants) {
 			const allowance = this._allowance(tenant, nowMs);
-			allowance.grants.push({
+			const grant: HeldGrant = {
 				id,
 				left: tokens,
 				spent: 0,
 				expiresMs: answer.sentMs + (isAdvance ? grantValidityMs : askedValidityMs),
 				ownerExpiresMs: answer.stamp.atMs + (isAdvance ? ownerValidityMs : ownerAskedValidityMs),
-			});
+			};
+			allowance.grants.push(grant);
 			this._serve(allowance, nowMs, answers);
 			this._noteSpending(allowance, limitOf(tenant), nowMs);
-			if (!isAdvance && allowance.grants.some(({id: other, left}) => other === id && left > 0)) {
+			if (!isAdvance && grant.left > 0) {
 				// Its request has gone; the tokens are given back before they expire.
-				this._reportDueMs ??= nowMs + promptReportMs;
+				this._reportDueMs ??= nowMs + earlyReportMs;
 			}
 		}
 
@@ -342,8 +343,8 @@
 	}
 
 	private _noteSpending({unreported}: Allowance, limit: TenantLimit | undefined, nowMs: number): void {
-		if (limit && unreported >= limit.burst * promptReportShare) {
-			this._reportDueMs ??= nowMs + promptReportMs;
+		if (limit && unreported >= limit.burst * earlyReportShare) {
+			this._reportDueMs ??= nowMs + earlyReportMs;
 		}
 	}
 
--- a/src/common/limits/owner.ts
+++ b/src/common/limits/owner.ts
@@ -1,15 +1,18 @@
 /**
 Token buckets of the leader.
-Level plus outstanding grants never exceeds the burst, so what all entry processes together consume
-in any window of length t is at most burst + rate * t.
+Level, outstanding grants and what an earlier leader may have granted never exceed the burst together, so what all entry processes
+consume in any window of length t is at most burst + rate * t.
 */
 import type {
 	AllowanceReport, Grant, Handover, Shortage, Want,
 } from '../control/messages.js';
 import type {VmId, VmIdentity} from '../core/types.js';
-import {HeadroomHistory} from './headroom.js';
 import {
-	advanceShare, ownerAskedValidityMs, ownerValidityMs, passingFactor, waitingValidityMs,
+	claimantOf, createBucket, expireClaims, fairPart, keptAside, levelSince, noteHeadroom, noteSize, refill, roomOf, unknownOf,
+} from './bucket.js';
+import type {Bucket} from './bucket.js';
+import {
+	advanceShare, ownerAskedValidityMs, ownerValidityMs, waitingValidityMs,
 } from './types.js';
 import type {OwnedGrant, TenantLimit} from './types.js';
 
@@ -17,55 +20,13 @@
 const grantsPerTerm = 2 ** 32;
 /** When to ask again for tokens that other holders may give back at their next sync. */
 const returnPollMs = 100;
-/** Time for which the size of a request that was waited for is remembered, in milliseconds; a tenant that sends large prompts sends one every few seconds. */
-const largestValidityMs = 10_000;
 /** Smallest portion worth a grant, in tokens. */
 const smallestGrant = 1;
 
-/** What one holder asked of a bucket. Kept while it may matter to the others. */
-type Claimant = {
-	/** Tokens that it wanted last. */
-	wanted: number;
-	/** Tokens that its waiting request needs and did not get. */
-	waiting: number;
-	/** Until when both count. */
-	untilMs: number;
-	/** Until when its request waits. */
-	waitsUntilMs: number;
-	/** Whether its last request got nothing; it keeps its place even if that request is refused, since others may wait behind it. */
-	isShort: boolean;
-	/** Place of that request among those that wait, by when they began to. */
-	order: number;
-	/** Virtual time of its claim: tokens that it had before, compared with the others. */
-	tag: number;
-	/** Virtual time at which its last portion ends. */
-	finish: number;
-};
-
-type Bucket = {
-	limit: TenantLimit;
-	/** Negative after a charge that the bucket could not cover. */
-	level: number;
-	outstanding: number;
-	/** Part of the outstanding tokens that was granted in advance. */
-	returnable: number;
-	/** Until when grants in advance of an earlier leader may be spent. */
-	readonly unknownUntilMs: number;
-	updatedMs: number;
-	readonly headroom: HeadroomHistory;
-	readonly claimants: Map<VmId, Claimant>;
-	/** Tag of the last claim that was covered. */
-	virtualTokens: number;
-	/** Requests that had to wait so far. */
-	waits: number;
-	/** Size of the largest request that was waited for in the last seconds, and until when it counts. */
-	largest: {tokens: number; untilMs: number};
-};
-
 /** Tokens for a request that waits, and tokens in advance. */
 type Portion = {readonly asked: number; readonly advance: number};
 
-const nothing: Portion = {asked: 0, advance: 0};
+const noPortion: Portion = {asked: 0, advance: 0};
 
 type LimitRecord = {readonly limit: TenantLimit; readonly sinceMs: number};
 
@@ -141,7 +102,7 @@
 			}
 
 			// Grants of an earlier leader may still be spent.
-			const {asked, advance} = startsInMs > 0 ? nothing : this._portion(bucket, holder.vm, want, nowMs);
+			const {asked, advance} = startsInMs > 0 ? noPortion : this._portion(bucket, holder.vm, want, nowMs);
 			if (asked > 0) {
 				grants.push(this._grant(bucket, holder, {tenant: want.tenant, tokens: asked, isAdvance: false}));
 			}
@@ -208,7 +169,7 @@
 			const bucket = this._bucket(grant.tenant, nowMs);
 			if (bucket) {
 				bucket.outstanding += grant.left;
-				bucket.returnable += grant.isAdvance ? grant.left : 0;
+				bucket.advance += grant.isAdvance ? grant.left : 0;
 				const owned = {...grant, ...holder, expiresMs: nowMs + expiresInMs};
 				this._grants.set(grant.id, owned);
 				this._expiringOf(owned).push(owned);
@@ -274,20 +235,7 @@
 		}
 
 		const {limit, sinceMs} = record;
-		const created: Bucket = {
-			limit,
-			level: 0,
-			outstanding: 0,
-			returnable: 0,
-			unknownUntilMs: this._unknownUntilMs,
-			updatedMs: Math.min(nowMs, sinceMs),
-			headroom: new HeadroomHistory(),
-			claimants: new Map(),
-			virtualTokens: 0,
-			waits: 0,
-			largest: {tokens: 0, untilMs: 0},
-		};
-		noteHeadroom(created, created.updatedMs);
+		const created = createBucket(limit, Math.min(nowMs, sinceMs), this._unknownUntilMs);
 		refill(created, nowMs);
 		this._buckets.set(tenant, created);
 		return created;
@@ -362,7 +310,7 @@
 		grant.left -= newlySpent;
 		if (bucket) {
 			bucket.outstanding -= newlySpent;
-			bucket.returnable -= grant.isAdvance ? newlySpent : 0;
+			bucket.advance -= grant.isAdvance ? newlySpent : 0;
 		}
 
 		if (grant.left <= 0) {
@@ -376,7 +324,7 @@
 		const bucket = this._bucket(grant.tenant, nowMs);
 		if (bucket) {
 			bucket.outstanding = Math.max(0, bucket.outstanding - grant.left);
-			bucket.returnable = Math.max(0, bucket.returnable - (grant.isAdvance ? grant.left : 0));
+			bucket.advance = Math.max(0, bucket.advance - (grant.isAdvance ? grant.left : 0));
 			bucket.level += returned;
 		}
 	}
@@ -405,7 +353,7 @@
 		const id = (this.term * grantsPerTerm) + this._nextGrant++;
 		bucket.level -= tokens;
 		bucket.outstanding += tokens;
-		bucket.returnable += isAdvance ? tokens : 0;
+		bucket.advance += isAdvance ? tokens : 0;
 		this._grants.set(id, {
 			id, tenant, vm, incarnation, left: tokens, isAdvance, tokens, expiresMs: undefined,
 		});
@@ -425,11 +373,11 @@
 		if (bucket.level - keptAside(bucket, {...claimant, vm, atLeast}) < atLeast) {
 			// Tokens are kept aside for it, or small requests elsewhere would always overtake a large one. One that cannot be covered in time is refused by its holder.
 			const isWaiting = this._timeToCover(bucket, vm, atLeast) <= waitMs;
-			claimant.order = isWaiting && claimant.waiting === 0 ? bucket.waits++ : claimant.order;
+			claimant.order = isWaiting && claimant.waiting === 0 ? bucket.waitCount++ : claimant.order;
 			claimant.waiting = isWaiting ? atLeast : 0;
 			claimant.isShort = true;
 			claimant.waitsUntilMs = nowMs + Math.min(waitMs, waitingValidityMs);
-			return nothing;
+			return noPortion;
 		}
 
 		claimant.waiting = 0;
@@ -439,7 +387,7 @@
 		const reserved = Math.max(bucket.largest.tokens, keptAside(bucket, {
 			vm, tag: Infinity, order: Infinity, atLeast: Infinity,
 		}));
-		const advanceLeft = (bucket.limit.burst * advanceShare) - bucket.returnable - unknownOf(bucket);
+		const advanceLeft = (bucket.limit.burst * advanceShare) - bucket.advance - unknownOf(bucket);
 		const spare = Math.max(0, Math.min(bucket.level - atLeast - reserved, advanceLeft));
 		const advance = Math.floor(Math.max(0, Math.min(tokens - atLeast, fairPart(bucket.claimants, spare), spare)));
 		bucket.virtualTokens = Math.max(bucket.virtualTokens, claimant.tag);
@@ -455,118 +403,6 @@
 		const missing = kept + tokens - bucket.level;
 		const refillMs = Math.max(0, missing / bucket.limit.rate * 1000);
 		// Other holders may give back what they hold in advance, so the request need not be refused yet.
-		return missing <= bucket.returnable ? Math.min(refillMs, returnPollMs) : refillMs;
-	}
-}
-
-function levelSince({rate, burst}: TenantLimit, elapsedMs: number): number {
-	return Math.min(burst, rate * Math.max(0, elapsedMs) / 1000);
-}
-
-function refill(bucket: Bucket, nowMs: number): void {
-	const elapsedMs = Math.max(0, nowMs - bucket.updatedMs);
-	if (elapsedMs === 0) {
-		return;
-	}
-
-	if (bucket.updatedMs < bucket.unknownUntilMs && bucket.unknownUntilMs < nowMs) {
-		refill(bucket, bucket.unknownUntilMs);
-		refill(bucket, nowMs);
-		return;
+		return missing <= bucket.advance ? Math.min(refillMs, returnPollMs) : refillMs;
 	}
-
-	const room = Math.max(bucket.level, roomOf(bucket));
-	bucket.level = Math.min(bucket.level + (bucket.limit.rate * elapsedMs / 1000), room);
-	bucket.updatedMs = nowMs;
-	noteHeadroom(bucket, nowMs);
-}
-
-/** What an earlier leader may have given in advance, as of the bucket's last update. */
-function unknownOf({limit, updatedMs, unknownUntilMs}: Bucket): number {
-	return updatedMs < unknownUntilMs ? limit.burst * advanceShare : 0;
-}
-
-/** Highest level at which the holders of grants cannot exceed the burst. */
-function roomOf(bucket: Bucket): number {
-	return bucket.limit.burst - bucket.outstanding - unknownOf(bucket);
-}
-
-function noteHeadroom(bucket: Bucket, nowMs: number): void {
-	bucket.headroom.note(nowMs, roomOf(bucket) - bucket.level);
-}
-
-/** Remembers the size of a request that is waited for; a smaller one takes the place of the largest when that is long ago. */
-function noteSize(bucket: Bucket, tokens: number, nowMs: number): void {
-	if (tokens >= bucket.largest.tokens || nowMs >= bucket.largest.untilMs) {
-		bucket.largest = {tokens, untilMs: nowMs + largestValidityMs};
-	}
-}
-
-function claimantOf(bucket: Bucket, vm: VmId): Claimant {
-	let claimant = bucket.claimants.get(vm);
-	if (!claimant) {
-		claimant = {
-			wanted: 0, waiting: 0, untilMs: 0, waitsUntilMs: 0, isShort: false, order: Infinity, tag: 0, finish: 0,
-		};
-		bucket.claimants.set(vm, claimant);
-	}
-
-	return claimant;
-}
-
-function expireClaims(bucket: Bucket, nowMs: number): void {
-	let isIdle = true;
-	for (const [vm, claimant] of bucket.claimants) {
-		claimant.waiting = claimant.waitsUntilMs > nowMs ? claimant.waiting : 0;
-		if (claimant.untilMs > nowMs) {
-			isIdle = false;
-			continue;
-		}
-
-		claimant.wanted = 0;
-		claimant.waiting = 0;
-		claimant.isShort = false;
-		// A holder that has had no more than the others needs no memory of it.
-		if (claimant.finish <= bucket.virtualTokens) {
-			bucket.claimants.delete(vm);
-		} else {
-			isIdle &&= claimant.untilMs + waitingValidityMs <= nowMs;
-		}
-	}
-
-	if (isIdle) {
-		bucket.claimants.clear();
-	}
-}
-
-type Claim = {readonly vm: VmId; readonly tag: number; readonly order: number; readonly atLeast: number};
-
-/** What holders wait for that have had less than this one, or as much and waited before it, but for requests so large that this one's may pass them. */
-function keptAside(bucket: Bucket, {vm, tag, order, atLeast}: Claim): number {
-	const passedTokens = atLeast > 0 ? atLeast * passingFactor : Number.POSITIVE_INFINITY;
-	let total = 0;
-	for (const [other, claimant] of bucket.claimants) {
-		const isBefore = claimant.tag < tag || (claimant.tag === tag && claimant.order < order);
-		if (other !== vm && isBefore && claimant.waiting < passedTokens) {
-			total += claimant.waiting;
-		}
-	}
-
-	return total;
-}
-
-/** Largest amount that each may have of `spare` tokens, where those that ask for less leave the rest to the others; infinite if all get what they ask for. */
-function fairPart(claimants: ReadonlyMap<VmId, Claimant>, spare: number): number {
-	const amounts = [...claimants.values()].map(({wanted}) => wanted).filter(wanted => wanted > 0).sort((a, b) => a - b);
-	let left = spare;
-	for (const [i, wanted] of amounts.entries()) {
-		const part = left / (amounts.length - i);
-		if (wanted >= part) {
-			return part;
-		}
-
-		left -= wanted;
-	}
-
-	return Number.POSITIVE_INFINITY;
 }
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -12,7 +12,7 @@
 export const grantValidityMs = 1000;
 /** Time for which the owner counts it as outstanding, counted from its answer; longer, since clocks differ in rate. */
 export const ownerValidityMs = 1100;
-/** The same of a grant that a request waits for: it is spent as it arrives, and a new leader must wait as long before it grants anything. A sync is given up after that time. */
+/** The same of a grant that a request waits for: it is spent as it arrives, and a new leader must wait as long before it grants anything. A sync is given up after as long. */
 export const askedValidityMs = 400;
 export const ownerAskedValidityMs = 440;
 /** Share of a burst that may be out in advance. A new leader does not know how much its predecessor gave, and takes it for all of that. */
