--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -169,13 +169,13 @@
 });
 
 test('a request is refused at once if every engine wants no work for longer than it may wait, and for the reason that holds', () => {
-	const refusal = (nowMs: number, resumesInMs?: number) => {
+	const refusal = (nowMs: number, resumesInMs?: number, isPrefillBusy = false) => {
 		const state = createModelForward({
 			isResumable: false, maxAttempts: 1, patience: {maxWaitMs: 600, gapMs: 50, spareShare: 0}, returnAfterMs: 2000, takeRetry: () => true, hasSoundPrefill: () => false, countFailedPrompt: () => undefined,
 		});
 		reduceModelForward(state, {type: 'forward/start', nowMs: 0});
 		const effects = reduceModelForward(state, {
-			type: 'forward/no-engine', attempt: 1, nowMs, resumesInMs,
+			type: 'forward/no-engine', attempt: 1, nowMs, resumesInMs, isPrefillBusy,
 		});
 		return effects.map(effect => effect.type === 'forward/answer' ? effect.answer : effect.type);
 	};
@@ -183,4 +183,5 @@
 	assert.deepEqual(refusal(0, 2500), ['forward/release', {status: 503, reason: 'no engine takes work', retryAfterMs: 2500}]);
 	assert.deepEqual(refusal(0, 300), ['forward/wait']);
 	assert.deepEqual(refusal(700), ['forward/release', {status: 503, reason: 'no engine has room', retryAfterMs: 2000}]);
+	assert.deepEqual(refusal(700, undefined, true), ['forward/release', {status: 503, reason: 'the prefill engines are busy', retryAfterMs: 2000}]);
 });
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -59,8 +59,8 @@
 	| (BaseEvent<'forward/hold-refused'> & {readonly attempt: number; readonly server: ServerKey})
 	/** The engine did not answer or cannot be used. */
 	| (BaseEvent<'forward/hold-failed'> & {readonly attempt: number; readonly server: ServerKey})
-	/** No engine is left to ask. `resumesInMs`: every one said that it wants no work for so long. */
-	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number; readonly resumesInMs?: number | undefined})
+	/** No engine is left to ask. `resumesInMs`: every one said that it wants no work for so long; `isPrefillBusy`: none was asked, since prompts queue already. */
+	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number; readonly resumesInMs?: number | undefined; readonly isPrefillBusy?: boolean})
 	| (BaseEvent<'forward/prefilled'> & {readonly attempt: number})
 	| (BaseEvent<'forward/prefill-failed'> & {readonly attempt: number; readonly server: ServerKey | undefined})
 	/** The head of an answer arrived. */
@@ -219,7 +219,7 @@
 }
 
 /** Waits for memory as long as it is worth it, then refuses. */
-function takeNoEngine(state: ModelForward, {nowMs, resumesInMs = 0}: Of<'forward/no-engine'>): ModelForwardEffect[] {
+function takeNoEngine(state: ModelForward, {nowMs, resumesInMs = 0, isPrefillBusy = false}: Of<'forward/no-engine'>): ModelForwardEffect[] {
 	if (state.isSpacious && state.refusedBy.size > 0) {
 		state.isSpacious = false;
 		state.refusedBy = new Set();
@@ -239,7 +239,7 @@
 		return [{type: 'forward/wait', durationMs: gapMs}];
 	}
 
-	return giveUp(state, 'no engine has room', state.returnAfterMs);
+	return giveUp(state, isPrefillBusy ? 'the prefill engines are busy' : 'no engine has room', state.returnAfterMs);
 }
 
 /** Another prefill engine is asked once; the decode engine reads the prompt itself when none answers. */
--- a/src/common/forwarding/prefill-window.ts
+++ b/src/common/forwarding/prefill-window.ts
@@ -4,8 +4,9 @@
 const mostPerEngine = 6;
 /** Smallest window: a process without a place tries again after some readings. */
 const smallestWidth = 0.2;
-/** Growth of the window by a prompt that was read in time, and its part that is left by one that was not. */
+/** Growth of the window by a prompt that was read in time. */
 const growth = 0.3;
+/** Part of the window that a prompt leaves which was not; prompts that were sent together report one after the other. */
 const decrease = 0.6;
 /** Share of the latency objective in which a prompt should be read; the rest is for room and the first token. */
 const readingShare = 0.45;
@@ -27,7 +28,7 @@
 
 	/** False if no further prompt should be under way now. A pool without prefill engines has no bound. Ends with `release`. */
 	take(service: string, engines: number, nowMs: number): boolean {
-		const window = this._window(service, engines);
+		const window = this._window(service);
 		window.width = Math.min(window.width, Math.max(1, mostPerEngine * engines));
 		// A window below one is a pause between readings.
 		const pauseMs = window.width < 1 ? ((1 / window.width) - 1) * window.lastMs : 0;
@@ -56,7 +57,7 @@
 		}
 	}
 
-	private _window(service: string, engines: number): Window {
+	private _window(service: string): Window {
 		let window = this._windows.get(service);
 		if (!window) {
 			window = {
--- a/src/node/forwarding/forward-model.ts
+++ b/src/node/forwarding/forward-model.ts
@@ -168,10 +168,13 @@
 		const {fleet, logger, clock, zone} = this._services;
 		const {service, requestId} = this._call;
 		this._hasPrefillPlace ||= fleet.takePrefillPlace(service.name);
-		const server = this._hasPrefillPlace ? fleet.directory.chooseDecode(this._question(exclude, zone)) : undefined;
+		const isPrefillBusy = !this._hasPrefillPlace;
+		const server = isPrefillBusy ? undefined : fleet.directory.chooseDecode(this._question(exclude, zone));
 		if (!server) {
 			this._leavePrefill();
-			this._dispatchLater({type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.resumesInMs(service.name, clock.nowMs(), 'decode')});
+			this._dispatchLater({
+				type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.resumesInMs(service.name, clock.nowMs(), 'decode'), isPrefillBusy,
+			});
 			return;
 		}
 
@@ -190,7 +193,7 @@
 
 			this._memory.held = reservation.held;
 			logger.log('info', 'request placed', {
-				requestId, attempt, server: server.key, tokens: this._tokens, ownTokens: server.tokens, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
+				requestId, attempt, server: server.key, tokens: this._tokens, isSpacious, ownTokens: server.tokens, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
 			});
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
