--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -12,6 +12,8 @@
 	/** Id of the last stream event that the caller received before it resumes the stream; undefined if it does not resume one. */
 	readonly lastEventId: string | undefined;
 	readonly prompt: ModelRequestSize | undefined;
+	/** Ids of the parts of the prompt, in order; empty if the caller states none. Requests that share a part state the same id. */
+	readonly promptParts: readonly string[];
 };
 
 /** Facts about a request that the router states to the server in its headers. */
