--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -9,6 +9,7 @@
 	readonly method: string;
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly atMs: number;
 	/** Whether the response has ended or its connection has closed. */
 	isClosed: boolean;
 };
@@ -20,6 +21,12 @@
 	readonly state?: 'ready' | 'draining';
 };
 
+/** A crash of a server. */
+export type ServerCrash = {readonly server: string; readonly atMs: number};
+
+/** Time for which a crashed server is down, in milliseconds. */
+const restartDelayMs = 400;
+
 type RequestHandler = (req: IncomingMessage, res: ServerResponse) => boolean;
 
 /** Servers of one platform and the list that names them. */
@@ -29,25 +36,24 @@
 	readonly reservations = new Set<string>();
 	/** Handler that is called first for each request. If it returns true, it has handled the request, and the default behaviour is skipped. */
 	overrideHandler: RequestHandler | undefined;
+	/** Id of a prompt part on which an engine crashes when it begins to write the output; it starts again under another id a short time later. */
+	crashingPart: string | undefined;
+	readonly crashes: ServerCrash[] = [];
 	private readonly _servers: Server[] = [];
+	private readonly _restartTimers = new Set<NodeJS.Timeout>();
 	private readonly _listEntries: Array<Record<string, unknown>> = [];
 	private _nextReservation = 1;
 
 	/** Starts a server and adds it to the list. */
-	async addServer({service, id, stage, state = 'ready'}: PlatformServerOptions): Promise<void> {
-		const address = await this._listen((req, res) => {
-			this._handleRequest(id, stage, req, res);
-		});
-		this._listEntries.push({
-			service, id, address, zone: 'z1', version: 'v1', slots: 8, state, coldLeftMs: 0, born: 1, ...(stage && {stage, models: []}),
-		});
+	async addServer(options: PlatformServerOptions): Promise<void> {
+		await this._startServer(options, 0, 1);
 	}
 
 	/** Starts the server of the list and returns its IP address and port. */
 	async startList(): Promise<string> {
-		return this._listen((_req, res) => {
+		return addressOf(await this._listen((_req, res) => {
 			res.end(JSON.stringify({instances: [...this._listEntries, {id: 7, state: 'odd'}], next: null}));
-		});
+		}));
 	}
 
 	/** Returns the requests that callers sent to a path, without the prefill requests that the router adds. */
@@ -55,32 +61,80 @@
 		return this.receivedRequests.filter(request => request.path === path && request.headers.stage !== 'prefill');
 	}
 
+	/** Requests with the crashing part that reached a server, prefill calls included. */
+	crashingRequests(): ReceivedRequest[] {
+		return this.receivedRequests.filter(({headers}) => this._isCrashing(headers));
+	}
+
 	close(): void {
+		for (const timer of this._restartTimers) {
+			clearTimeout(timer);
+		}
+
 		for (const server of this._servers) {
 			server.closeAllConnections();
 			server.close();
 		}
 	}
 
-	private async _listen(handler: (req: IncomingMessage, res: ServerResponse) => void): Promise<string> {
+	private async _startServer(options: PlatformServerOptions, port: number, born: number): Promise<void> {
+		const {
+			service, id, stage, state = 'ready',
+		} = options;
+		const server = await this._listen((req, res) => {
+			if (stage === 'decode' && req.headers.stage !== 'prefill' && this._isCrashing(req.headers)) {
+				this._recordRequest(id, req, res);
+				this._crash(options, server, born);
+			} else {
+				this._handleRequest(id, stage, req, res);
+			}
+		}, port);
+		const entry = {
+			service, id, address: addressOf(server), zone: 'z1', version: 'v1', slots: 8, state, coldLeftMs: 0, born, ...(stage && {stage, models: []}),
+		};
+		const former = this._listEntries.findIndex(({address}) => address === entry.address);
+		this._listEntries.splice(former === -1 ? this._listEntries.length : former, former === -1 ? 0 : 1, entry);
+	}
+
+	private _crash(options: PlatformServerOptions, server: Server, born: number): void {
+		const {port} = server.address() as AddressInfo;
+		this.crashes.push({server: options.id, atMs: performance.now()});
+		server.close();
+		server.closeAllConnections();
+		const timer = setTimeout(() => {
+			this._restartTimers.delete(timer);
+			void this._startServer({...options, id: `${options.id.split('+', 1)[0]}+${born}`}, port, born + 1);
+		}, restartDelayMs);
+		this._restartTimers.add(timer);
+	}
+
+	private _isCrashing(headers: ReceivedRequest['headers']): boolean {
+		const parts = String(headers['prompt-prefix'] ?? '').split(',').map(entry => entry.split(':', 1)[0]);
+		return this.crashingPart !== undefined && parts.includes(this.crashingPart);
+	}
+
+	private async _listen(handler: (req: IncomingMessage, res: ServerResponse) => void, port = 0): Promise<Server> {
 		const server = createServer(handler);
 		this._servers.push(server);
 		await new Promise<void>(resolve => {
-			server.listen(0, '127.0.0.1', resolve);
+			server.listen(port, '127.0.0.1', resolve);
 		});
-		return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+		return server;
 	}
 
-	private _handleRequest(id: string, stage: PlatformServerOptions['stage'], req: IncomingMessage, res: ServerResponse): void {
-		const {url = '', method = ''} = req;
+	private _recordRequest(server: string, req: IncomingMessage, res: ServerResponse): void {
 		const request: ReceivedRequest = {
-			server: id, method, path: url, headers: req.headers, isClosed: false,
+			server, method: req.method ?? '', path: req.url ?? '', headers: req.headers, atMs: performance.now(), isClosed: false,
 		};
 		this.receivedRequests.push(request);
 		res.once('close', () => {
 			request.isClosed = true;
 		});
 		req.resume();
+	}
+
+	private _handleRequest(id: string, stage: PlatformServerOptions['stage'], req: IncomingMessage, res: ServerResponse): void {
+		this._recordRequest(id, req, res);
 		this.reservations.delete(req.headers['kv-hold'] as string);
 		if (this.overrideHandler?.(req, res) === true || this._answerControlRequest(id, req, res)) {
 			return;
@@ -131,3 +185,7 @@
 		}
 	}
 }
+
+function addressOf(server: Server): string {
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
