--- a/src/common/upstreams/prompt-prefix.ts
+++ b/src/common/upstreams/prompt-prefix.ts
@@ -1,3 +1,5 @@
+import {FnvHash} from '../core/fnv.js';
+
 /** Bytes of prompt text per KV cache block: 64 tokens of 4 bytes. */
 export const blockBytes = 256;
 /** Largest number of leading blocks of a prompt that are hashed to find cached prefixes. */
@@ -19,17 +21,13 @@
 	const bytes = new TextEncoder().encode(prompt.slice(0, blockBytes * maxBlocks));
 	const blocks = Math.min(maxBlocks, Math.floor(bytes.length / blockBytes));
 	const hashes: string[] = [];
-	let low = 0x81_1C_9D_C5;
-	let high = 0x9D_C5_81_1C;
+	const hash = new FnvHash();
 	for (let block = 0; block < blocks; block++) {
 		for (let i = block * blockBytes; i < (block + 1) * blockBytes; i++) {
-			/* eslint-disable no-bitwise -- FNV-1a is defined on 32-bit words */
-			low = Math.imul(low ^ bytes[i]!, 0x01_00_01_93) >>> 0;
-			high = Math.imul(high ^ bytes[i]! ^ (low >>> 24), 0x01_00_01_93) >>> 0;
-			/* eslint-enable no-bitwise */
+			hash.update(bytes[i]!);
 		}
 
-		hashes.push(high.toString(36) + low.toString(36));
+		hashes.push(hash.digest());
 	}
 
 	return hashes;
