--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -186,3 +186,14 @@
 	assert.deepEqual(refusal(700), ['forward/release', {status: 503, reason: 'no engine has room', retryAfterMs: 2000}]);
 	assert.deepEqual(refusal(700, undefined, true), ['forward/release', {status: 503, reason: 'the prefill engines are busy', retryAfterMs: 2000}]);
 });
+
+// Guards against a request with a blocked prompt that is sent on, and against a refusal that says "not run" although an engine may have run the request.
+test('a request whose prompt is blocked ends at once: as not run before its first send, and without that promise afterwards', () => {
+	const blocked = (attempt: number): Step => ({
+		type: 'forward/blocked', attempt, reason: 'blocked', retryAfterMs: 60_000,
+	});
+	assert.deepEqual(run([blocked(1), ...reservedAndPrefilled()]), ['hold -', 'release', '503 retry-after']);
+	assert.deepEqual(run([...reservedAndPrefilled(), {
+		type: 'forward/failed', attempt: 1, failure: {mayHaveRun: true, detail: 'closed'}, server: 'd1',
+	}, blocked(2)], {isResumable: true, maxAttempts: 2}), ['hold -', 'prefill', 'send', 'release', 'hold -d1', 'release', '502']);
+});
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -83,6 +83,8 @@
 	/** No event arrived within the stall timeout. */
 	| (BaseEvent<'forward/stalled'> & {readonly attempt: number; readonly server: ServerKey})
 	| (BaseEvent<'forward/completed'> & {readonly attempt: number})
+	/** The prompt contains parts that crash servers; the block of these parts ends after `retryAfterMs` milliseconds. */
+	| (BaseEvent<'forward/blocked'> & {readonly attempt: number; readonly reason: string; readonly retryAfterMs: number})
 	| BaseEvent<'forward/wake'>
 	| (BaseEvent<'forward/stopped'> & {readonly cause: StopCause});
 
@@ -178,6 +180,10 @@
 			return [{type: 'forward/release'}];
 		}
 
+		case 'forward/blocked': {
+			return failRequest(state, event.reason, event.retryAfterMs);
+		}
+
 		case 'forward/wake': {
 			if (state.phase !== 'waiting') {
 				return [];
--- /dev/null
+++ b/src/common/quarantine/crash-analysis.ts
@@ -0,0 +1,99 @@
+import type {CrashReport, PartId, ServerId} from './types.js';
+
+/** Number of crashes that a part without known output must have in common before it is held responsible. */
+const minCrashes = 2;
+/** Number of crashes for a part on which a server has produced output before. */
+const minCrashesOfSoundPart = 4;
+/** Time between two reports about a server from which on they are about two crashes, in milliseconds; shorter than any restart of a server. */
+const minCrashIntervalMs = 2000;
+
+/** Parts that are held responsible for crashes: every report in `reports` names all of them. */
+export type Culprit = {readonly parts: readonly PartId[]; readonly reports: readonly CrashReport[]};
+
+/** Returns the time at which a server was last known to produce output on a prompt with the part, in milliseconds; undefined if it is not known. */
+type SoundTime = (part: PartId) => number | undefined;
+
+/** Names one crash of one server. */
+type CrashKey = string;
+
+type Candidate = {readonly part: PartId; readonly reports: readonly CrashReport[]; readonly crashes: number; readonly weight: number};
+
+/**
+Finds the parts that explain the reported crashes. The part with the most crashes since its last output is held responsible first, and
+crashes that it explains do not count against other parts, so that a request that merely ran on the same servers is not suspected.
+
+Parts that occur in exactly the same reports cannot be told apart and are returned together: only prompts that contain all of them are at fault.
+
+@param isSettled - whether a report is already explained, so that its crash does not count against other parts
+*/
+export function findCulprits(reports: readonly CrashReport[], soundMs: SoundTime, isSettled: (report: CrashReport) => boolean = () => false): Culprit[] {
+	const culprits: Culprit[] = [];
+	const crashOf = assignCrashes(reports);
+	// Every process must come to the same result, whatever the order in which the reports reached it.
+	const settled = new Set(reports.filter(report => isSettled(report)).map(report => crashOf.get(report)));
+	let unexplained = reports.filter(report => !settled.has(crashOf.get(report))).sort((a, b) => compareText(a.id, b.id));
+	for (let best = findCandidate(unexplained, crashOf, soundMs); best; best = findCandidate(unexplained, crashOf, soundMs)) {
+		const {reports: evidence} = best;
+		const firstMs = Math.min(...evidence.map(({atMs}) => atMs));
+		const parts = evidence[0]!.parts.filter(part => (soundMs(part) ?? -Infinity) < firstMs && evidence.every(report => report.parts.includes(part)));
+		culprits.push({parts: [...new Set(parts)].sort(), reports: evidence});
+		const explained = new Set(evidence.map(report => crashOf.get(report)));
+		unexplained = unexplained.filter(report => !explained.has(crashOf.get(report)));
+	}
+
+	return culprits;
+}
+
+function compareText(a: string, b: string): number {
+	return a < b ? -1 : Number(a > b);
+}
+
+/** Tells the crashes of a server apart by their time, since a server may restart under the same key. */
+function assignCrashes(reports: readonly CrashReport[]): Map<CrashReport, CrashKey> {
+	const crashOf = new Map<CrashReport, CrashKey>();
+	const lastByServer = new Map<ServerId, {readonly atMs: number; readonly crash: CrashKey}>();
+	for (const report of [...reports].sort((a, b) => a.atMs - b.atMs)) {
+		const {server, atMs} = report;
+		const last = lastByServer.get(server);
+		const crash = last && atMs - last.atMs < minCrashIntervalMs ? last.crash : `${server} ${atMs}`;
+		crashOf.set(report, crash);
+		lastByServer.set(server, {atMs, crash});
+	}
+
+	return crashOf;
+}
+
+function findCandidate(reports: readonly CrashReport[], crashOf: ReadonlyMap<CrashReport, CrashKey>, soundMs: SoundTime): Candidate | undefined {
+	const byPart = new Map<PartId, CrashReport[]>();
+	const suspectsByCrash = new Map<CrashKey, number>();
+	for (const report of reports) {
+		const crash = crashOf.get(report)!;
+		suspectsByCrash.set(crash, (suspectsByCrash.get(crash) ?? 0) + 1);
+		for (const part of new Set(report.parts)) {
+			if (report.atMs > (soundMs(part) ?? -Infinity)) {
+				byPart.set(part, [...byPart.get(part) ?? [], report]);
+			}
+		}
+	}
+
+	let best: Candidate | undefined;
+	for (const [part, evidence] of byPart) {
+		const crashes = [...new Set(evidence.map(report => crashOf.get(report)!))];
+		const candidate = {
+			part, reports: evidence, crashes: crashes.length,
+			// A crash that few requests may have caused weighs more against each of them.
+			weight: crashes.reduce((sum, crash) => sum + (1 / suspectsByCrash.get(crash)!), 0),
+		};
+		const isSuspect = candidate.crashes >= (soundMs(part) === undefined ? minCrashes : minCrashesOfSoundPart);
+		if (isSuspect && (!best || compareCandidates(candidate, best) > 0)) {
+			best = candidate;
+		}
+	}
+
+	return best;
+}
+
+/** Returns a positive number if `a` is the more likely culprit. */
+function compareCandidates(a: Candidate, b: Candidate): number {
+	return a.crashes - b.crashes || a.weight - b.weight || compareText(b.part, a.part);
+}
--- /dev/null
+++ b/src/common/quarantine/quarantine.test.ts
@@ -0,0 +1,185 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {QuarantineModel} from './fixtures.js';
+import type {ModelOptions} from './fixtures.js';
+import {findBlock} from './quarantine.js';
+
+/** Time after the fifth crash from which on no more than `maxLaterRequests` with a crashing part may reach servers, in milliseconds. */
+const contactMs = 3000;
+const maxLaterRequests = 3;
+const seeds = Array.from({length: 50}, (_, seed) => seed + 1);
+
+function createModel(options: Partial<ModelOptions> = {}): QuarantineModel {
+	return new QuarantineModel({
+		processes: 5, servers: 6, seed: 1, crashingParts: ['deadly'], ...options,
+	});
+}
+
+/** Sends a sound request; a few first parts are popular, most are rare. */
+function sendSound(model: QuarantineModel): void {
+	const first = model.random.next() < 0.5 ? model.random.integer(0, 3) : model.random.integer(3, 200);
+	model.send({name: 'sound', parts: [`first${first}`]});
+}
+
+function blockedParts(model: QuarantineModel): string[] {
+	return [...new Set([...model.processes.values()].flatMap(({blocks}) => [...blocks.keys()]))].sort();
+}
+
+function logsOf(model: QuarantineModel, message: string) {
+	return model.logs.filter(log => log.message === message);
+}
+
+// Guards against one crashing part that takes down server after server, and against blocks of what its requests share with sound ones.
+test('several crashing parts are blocked in time at all processes, amid crashes, lost messages and restarts, and sound requests are served', () => {
+	for (const seed of seeds) {
+		const deadly = ['deadly-a', 'deadly-b', 'deadly-c'];
+		const model = createModel({
+			seed, servers: 12, processes: 8, crashingParts: deadly, lossShare: 0.1,
+		});
+		let step = 0;
+		model.run(30_000, 20, () => {
+			step++;
+			sendSound(model);
+			if (step > 100 && step % 15 === 0) {
+				model.send({name: 'deadly', parts: [`first${model.random.integer(0, 3)}`, model.random.pick(deadly)]});
+			}
+
+			if (step % 200 === 0) {
+				model.crashServer();
+			}
+
+			if (step % 300 === 0) {
+				model.startProcess(`vm${model.random.integer(0, 8)}`);
+			}
+		});
+		for (const part of deadly) {
+			const crashes = model.crashes.filter(crash => crash.part === part);
+			const fifthMs = crashes[4]?.atMs ?? Infinity;
+			const later = model.sent.filter(({request, atMs}) => request.parts.includes(part) && atMs > fifthMs + contactMs);
+			assert.ok(later.length <= maxLaterRequests, `seed ${seed}, ${part}: ${later.length} later, ${crashes.length} crashes`);
+		}
+
+		const wronglyRefused = model.refused.filter(({request}) => request.name === 'sound');
+		assert.ok(wronglyRefused.length <= model.sent.length / 100, `seed ${seed}: ${wronglyRefused.length} sound requests refused, blocked ${blockedParts(model).join(' ')}`);
+	}
+});
+
+// Guards against suspicions that rest on nothing but bad luck: requests that were on several servers when these crashed by themselves.
+test('servers that crash by themselves lead to hardly any blocks', () => {
+	for (const seed of seeds) {
+		const model = createModel({seed, servers: 8});
+		let step = 0;
+		model.run(30_000, 20, () => {
+			sendSound(model);
+			if (++step % 75 === 0) {
+				model.crashServer();
+			}
+		});
+		assert.ok(model.refused.length <= model.sent.length / 100, `seed ${seed}: ${model.refused.length} refused, blocked ${blockedParts(model).join(' ')}`);
+	}
+});
+
+// Guards against messages and evidence where connections break but no server has crashed.
+test('broken requests whose server can still be reached lead to no report, and nothing is sent', () => {
+	const model = createModel();
+	for (let i = 0; i < 20; i++) {
+		model.dispatch('vm0', {
+			type: 'quarantine/attempt-started', attempt: i, server: `s${i % 6}`, requestId: 'r', parts: ['p'],
+		});
+		model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt: i, outcome: 'broken'});
+	}
+
+	model.run(10_000);
+	model.dispatch('vm0', {type: 'quarantine/server-lost', server: 's1'});
+	model.run(10_000);
+	assert.equal(model.sentMessages, 0);
+	assert.deepEqual(model.logs, []);
+});
+
+// Guards against evidence that is missed because a process learns of the crash before its own connection breaks.
+test('a request that breaks shortly after its server was found to be lost is reported', () => {
+	const model = createModel();
+	model.dispatch('vm0', {
+		type: 'quarantine/attempt-started', attempt: 1, server: 's1', requestId: 'r', parts: ['p'],
+	});
+	model.dispatch('vm0', {type: 'quarantine/server-lost', server: 's1'});
+	model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt: 1, outcome: 'broken'});
+	assert.equal(logsOf(model, 'server crashed before it produced output').length, 1);
+});
+
+// Guards against suspicions that never end, and against crashing requests that come back again and again after a block has ended.
+test('a block ends by itself, and one further crash renews it for twice the time', () => {
+	const model = createModel();
+	model.send({name: 'deadly', parts: ['deadly']});
+	model.run(1000);
+	assert.deepEqual(blockedParts(model), ['deadly']);
+	model.run(61_000);
+	assert.deepEqual(blockedParts(model), []);
+	model.send({name: 'deadly', parts: ['deadly']}, {tries: 1});
+	model.run(1000);
+	assert.deepEqual(blockedParts(model), ['deadly']);
+	model.run(100_000);
+	assert.deepEqual(blockedParts(model), ['deadly']);
+	model.run(30_000);
+	assert.deepEqual(blockedParts(model), []);
+});
+
+// Guards against refusals of a part that only came with the crashing one: it is told apart as soon as it appears without it.
+test('parts that always came together are blocked together, and a part that is then seen alone is released', () => {
+	const model = createModel();
+	model.send({name: 'deadly', parts: ['first', 'deadly']});
+	model.run(1000);
+	assert.deepEqual(blockedParts(model), ['deadly,first']);
+	model.send({name: 'sound', parts: ['first']});
+	model.send({name: 'deadly', parts: ['other', 'deadly']}, {tries: 1});
+	model.run(5000);
+	assert.deepEqual(blockedParts(model), ['deadly']);
+	assert.equal(model.refused.length, 0);
+});
+
+// Guards against processes without the news, which would let every restarted process crash servers anew.
+test('a process that starts after the crashes refuses the parts that the others have blocked', () => {
+	const model = createModel({processes: 3});
+	model.send({name: 'deadly', parts: ['deadly']});
+	model.run(2000);
+	model.startProcess('vm2');
+	model.run(100);
+	assert.ok(findBlock(model.processes.get('vm2')!, ['deadly', 'x'], model.nowMs));
+	assert.equal(findBlock(model.processes.get('vm2')!, ['x'], model.nowMs), undefined);
+});
+
+// Guards against a state that grows with the number of prompts, reports or blocks.
+test('the state stays bounded whatever the number of parts, reports and blocks', () => {
+	const model = createModel({processes: 2});
+	for (let i = 0; i < 2000; i++) {
+		for (const attempt of [2 * i, (2 * i) + 1]) {
+			model.dispatch('vm0', {
+				type: 'quarantine/attempt-started', attempt, server: `s${attempt}`, requestId: `r${i}`, parts: [`p${i}`],
+			});
+			model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt, outcome: 'broken'});
+			model.dispatch('vm0', {type: 'quarantine/server-lost', server: `s${attempt}`});
+		}
+
+		model.run(20);
+	}
+
+	for (let i = 0; i < 10_000; i++) {
+		model.dispatch('vm0', {
+			type: 'quarantine/attempt-started', attempt: i, server: 's', requestId: 'r', parts: [`q${i}`],
+		});
+		model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt: i, outcome: 'completed'});
+	}
+
+	const state = model.processes.get('vm0')!;
+	for (const [name, size, limit] of [
+		['blocks', state.blocks.size, 64],
+		['reports', state.reports.size, 256],
+		['sound parts', state.soundMs.size, 4096],
+		['pending', state.pending.length, 256],
+		['news', state.newsItems.size, 512],
+		['released', state.releasedMs.size, 64],
+		['attempts', state.attempts.size, 0],
+	] as const) {
+		assert.ok(size <= limit, `${name}: ${size}`);
+	}
+});
--- /dev/null
+++ b/src/common/quarantine/quarantine.ts
@@ -0,0 +1,516 @@
+/**
+Quarantine of prompt parts that crash servers. Each process reports the crashes of servers that had not produced output for one of its
+requests. Processes exchange the reports, hold the parts that they have in common responsible, and refuse requests with these parts.
+*/
+import {hashText} from '../core/fnv.js';
+import {SeededRandom} from '../core/random.js';
+import type {VmId} from '../core/types.js';
+import {findCulprits} from './crash-analysis.js';
+import type {Culprit} from './crash-analysis.js';
+import {
+	maxEvidence, maxItemsPerMessage, maxPartLength, maxPartsPerReport,
+} from './messages.js';
+import type {
+	AttemptId, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
+} from './types.js';
+
+/** Reason given to callers whose prompt contains blocked parts. */
+export const blockedReason = 'servers crash on a part of the prompt';
+/** Time after the first output within which a crash is still attributed to the request, in milliseconds. */
+const startupWindowMs = 300;
+/** Time for which a broken request waits for the confirmation that its server has crashed, in milliseconds; the platform's list shows a crash within some seconds. */
+const confirmationTimeoutMs = 6000;
+/** Time for which a crash report counts, in milliseconds. */
+const reportValidityMs = 60_000;
+/** Time for which output on a prompt with a part shows that the part is sound, in milliseconds. */
+const soundValidityMs = 60_000;
+/** Time between a report and its evaluation, in milliseconds, in which other processes can state that its parts are sound. */
+const evaluationDelayMs = 300;
+/** Maximum delay of such a statement, in milliseconds. The delay is random, so that one process states what many know. */
+const maxStatementDelayMs = 200;
+/** Shortest interval between two statements about the same part, in milliseconds. */
+const minStatementIntervalMs = 300;
+/** Duration of the first block of some parts, in milliseconds. It doubles with each further block, up to `maxBlockMs`. */
+const initialBlockMs = 60_000;
+const maxBlockMs = 3_600_000;
+/** Time after the end of a block in which one crash renews it, in milliseconds. */
+const probationMs = 3_600_000;
+/** Difference in the end of a block, in milliseconds, up to which two processes agree on it. */
+const blockToleranceMs = 1000;
+/** Number of times that an item is sent along with gossip, for each doubling of the member count. */
+const transmissionsPerDoubling = 3;
+const maxReports = 256;
+const maxPending = 256;
+const maxLostServers = 256;
+const maxSoundParts = 4096;
+const maxBlocks = 64;
+const maxNewsItems = 512;
+
+type Attempt = {
+	readonly server: ServerId;
+	readonly requestId: string;
+	readonly parts: readonly PartId[];
+	/** Time of the first output, in milliseconds. */
+	producedMs: number | undefined;
+	/** Whether the server has stalled since it last produced output. */
+	isStalled: boolean;
+};
+/** A request that broke before its server produced output. It becomes a report if the server proves to have crashed. */
+type PendingReport = Omit<CrashReport, 'id' | 'vm'>;
+/** An ended block: until `untilMs`, one crash renews it. */
+type Probation = {readonly strikes: number; readonly untilMs: number};
+/** Item to gossip: the key of a report, sound part or block. */
+type NewsItem = {readonly kind: 'crash' | 'sound' | 'block'; readonly key: string; sends: number};
+
+export type QuarantineState = {
+	readonly self: VmId;
+	/** Prefix of the ids of this process's reports; differs between the runs of a process. */
+	readonly idPrefix: string;
+	readonly random: SeededRandom;
+	nextReport: number;
+	readonly attempts: Map<AttemptId, Attempt>;
+	pending: PendingReport[];
+	/** Times at which servers were last found to be lost. */
+	readonly lostMs: Map<ServerId, number>;
+	readonly reports: Map<string, CrashReport>;
+	/** Time at which a server was last known to produce output on a prompt with a part, least recent first. */
+	readonly soundMs: Map<PartId, number>;
+	/** Newest of these times that was sent to or received from other processes, for parts of reports and blocks. */
+	readonly statedSoundMs: Map<PartId, number>;
+	/** Times at which this process states that a part is sound unless another process does. */
+	readonly statementsDueMs: Map<PartId, number>;
+	/** Time at which the reports are evaluated next; Infinity if they are evaluated. */
+	evaluationDueMs: number;
+	readonly blocks: Map<string, Block>;
+	/** Start times of released blocks, so that a process that still has such a block does not bring it back. */
+	readonly releasedMs: Map<string, number>;
+	readonly probations: Map<string, Probation>;
+	readonly newsItems: Map<string, NewsItem>;
+};
+
+export function createQuarantine({self, idPrefix, seed}: {readonly self: VmId; readonly idPrefix: string; readonly seed: number}): QuarantineState {
+	return {
+		self,
+		idPrefix,
+		random: new SeededRandom(seed),
+		nextReport: 1,
+		attempts: new Map(),
+		pending: [],
+		lostMs: new Map(),
+		reports: new Map(),
+		soundMs: new Map(),
+		statedSoundMs: new Map(),
+		statementsDueMs: new Map(),
+		evaluationDueMs: Infinity,
+		blocks: new Map(),
+		releasedMs: new Map(),
+		probations: new Map(),
+		newsItems: new Map(),
+	};
+}
+
+/** Returns the part ids in the form in which reports name them: bounded in number and length, without duplicates. */
+export function normalizeParts(ids: readonly string[]): PartId[] {
+	return [...new Set(ids)].slice(0, maxPartsPerReport).map(id => id.length > maxPartLength ? hashText(id) : id);
+}
+
+/** Returns the block that applies to a prompt, or undefined. */
+export function findBlock({blocks}: QuarantineState, parts: readonly PartId[], nowMs: number): Block | undefined {
+	return [...blocks.values()].find(block => block.untilMs > nowMs && block.parts.every(part => parts.includes(part)));
+}
+
+/** Returns the time at which the next tick is due, in milliseconds; Infinity if there is nothing to do. */
+export function nextTickMs(state: QuarantineState): number {
+	return Math.min(state.evaluationDueMs, ...state.statementsDueMs.values(), ...[...state.blocks.values()].map(({untilMs}) => untilMs));
+}
+
+export function reduceQuarantine(state: QuarantineState, event: QuarantineEvent): QuarantineEffect[] {
+	const {nowMs} = event;
+	switch (event.type) {
+		case 'quarantine/attempt-started': {
+			const {attempt, server, requestId, parts} = event;
+			state.attempts.set(attempt, {
+				server, requestId, parts, producedMs: undefined, isStalled: false,
+			});
+			return [];
+		}
+
+		case 'quarantine/attempt-produced': {
+			const attempt = state.attempts.get(event.attempt);
+			if (attempt) {
+				attempt.producedMs ??= nowMs;
+				attempt.isStalled = false;
+			}
+
+			return [];
+		}
+
+		case 'quarantine/attempt-stalled': {
+			const attempt = state.attempts.get(event.attempt);
+			if (attempt) {
+				attempt.isStalled = true;
+			}
+
+			return [];
+		}
+
+		case 'quarantine/attempt-ended': {
+			return endAttempt(state, event.attempt, event.outcome, nowMs);
+		}
+
+		case 'quarantine/server-lost': {
+			setNewest(state.lostMs, event.server, nowMs, maxLostServers);
+			return reportCrash(state, event.server, nowMs);
+		}
+
+		case 'quarantine/news': {
+			return receiveNews(state, event.from, event.news, nowMs);
+		}
+
+		case 'quarantine/gossip': {
+			const news = event.isFull ? fullNews(state, nowMs) : takeNews(state, event.memberCount, nowMs);
+			return news ? [{type: 'send', to: event.to, message: news}] : [];
+		}
+
+		case 'quarantine/tick': {
+			return handleTick(state, nowMs);
+		}
+	}
+}
+
+function endAttempt(state: QuarantineState, id: AttemptId, outcome: 'completed' | 'broken' | 'stopped', nowMs: number): QuarantineEffect[] {
+	const attempt = state.attempts.get(id);
+	state.attempts.delete(id);
+	if (!attempt) {
+		return [];
+	}
+
+	if (outcome === 'completed' || isPastStartup(attempt, nowMs)) {
+		recordSound(state, attempt.parts, nowMs);
+	} else if (outcome === 'broken' || attempt.isStalled) {
+		const {server, requestId, parts} = attempt;
+		state.pending = [...state.pending.filter(({atMs}) => nowMs - atMs < confirmationTimeoutMs), {
+			server, requestId, parts, atMs: nowMs,
+		}].slice(-maxPending);
+		// The connections to a server may break after the server was found to be lost.
+		return nowMs - (state.lostMs.get(server) ?? -Infinity) < confirmationTimeoutMs ? reportCrash(state, server, nowMs) : [];
+	}
+
+	return [];
+}
+
+function isPastStartup({producedMs}: Attempt, nowMs: number): boolean {
+	return producedMs !== undefined && nowMs - producedMs >= startupWindowMs;
+}
+
+function recordSound(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
+	for (const part of parts) {
+		setNewest(state.soundMs, part, nowMs, maxSoundParts);
+		const isBlocked = [...state.blocks.values()].some(block => block.parts.includes(part));
+		if (isBlocked && nowMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
+			state.statementsDueMs.set(part, nowMs);
+		}
+	}
+}
+
+/** Sets the time of a key and makes the key the newest of the map; evicts the oldest keys beyond `maxSize`. */
+function setNewest(map: Map<string, number>, key: string, timeMs: number, maxSize: number): void {
+	map.delete(key);
+	map.set(key, timeMs);
+	if (map.size > maxSize) {
+		map.delete(map.keys().next().value!);
+	}
+}
+
+/** Turns the requests that broke on the server into reports, and shares these. */
+function reportCrash(state: QuarantineState, server: ServerId, nowMs: number): QuarantineEffect[] {
+	const confirmed = state.pending.filter(report => report.server === server && nowMs - report.atMs < confirmationTimeoutMs);
+	if (confirmed.length === 0) {
+		return [];
+	}
+
+	state.pending = state.pending.filter(report => report.server !== server);
+	const effects = confirmed.flatMap(report => addReport(state, {...report, id: `${state.idPrefix}.${state.nextReport++}`, vm: state.self}, state.self, nowMs));
+	return [...effects, ...push(state, nowMs)];
+}
+
+function addReport(state: QuarantineState, report: CrashReport, from: VmId, nowMs: number): QuarantineEffect[] {
+	const {id, server, requestId, vm, parts} = report;
+	if (state.reports.has(id) || nowMs - report.atMs >= reportValidityMs) {
+		return [];
+	}
+
+	state.reports.set(id, report);
+	if (state.reports.size > maxReports) {
+		state.reports.delete(state.reports.keys().next().value!);
+	}
+
+	queueNews(state, 'crash', id);
+	state.evaluationDueMs = Math.min(state.evaluationDueMs, nowMs + evaluationDelayMs);
+	scheduleStatements(state, parts, nowMs);
+	return [
+		{
+			type: 'log', level: 'warn', message: 'server crashed before it produced output', fields: {
+				report: id, server, requestId, parts, reportedBy: vm, from, ageMs: Math.round(nowMs - report.atMs),
+			},
+		},
+		{type: 'count', metric: 'quarantine_crash_reports_total', labels: {source: vm === state.self ? 'own' : 'peer'}},
+	];
+}
+
+/** Schedules statements about the parts that this process knows to be sound, its running requests included. */
+function scheduleStatements(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
+	for (const attempt of state.attempts.values()) {
+		if (isPastStartup(attempt, nowMs) && attempt.parts.some(part => parts.includes(part))) {
+			recordSound(state, attempt.parts, nowMs);
+		}
+	}
+
+	for (const part of parts) {
+		const knownMs = state.soundMs.get(part);
+		if (knownMs !== undefined && nowMs - knownMs < soundValidityMs && knownMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
+			state.statementsDueMs.set(part, nowMs + state.random.integer(0, maxStatementDelayMs));
+		}
+	}
+}
+
+function handleTick(state: QuarantineState, nowMs: number): QuarantineEffect[] {
+	const effects: QuarantineEffect[] = [];
+	for (const [part, dueMs] of state.statementsDueMs) {
+		const knownMs = state.soundMs.get(part);
+		if (dueMs > nowMs) {
+			continue;
+		}
+
+		state.statementsDueMs.delete(part);
+		if (knownMs !== undefined && knownMs > (state.statedSoundMs.get(part) ?? -Infinity)) {
+			setNewest(state.statedSoundMs, part, knownMs, maxSoundParts);
+			queueNews(state, 'sound', part);
+			effects.push(...clearSoundBlocks(state, part, nowMs));
+		}
+	}
+
+	effects.push(...releaseExpired(state, nowMs));
+	if (state.evaluationDueMs <= nowMs) {
+		state.evaluationDueMs = Infinity;
+		effects.push(...evaluate(state, nowMs));
+	}
+
+	return [...effects, ...push(state, nowMs)];
+}
+
+/** Derives the blocks from the reports: adds those that the reports demand, and releases those that they no longer support. */
+function evaluate(state: QuarantineState, nowMs: number): QuarantineEffect[] {
+	for (const [id, {atMs}] of state.reports) {
+		if (nowMs - atMs >= reportValidityMs) {
+			state.reports.delete(id);
+		}
+	}
+
+	const reports = [...state.reports.values()];
+	const settledBlocks = [...state.blocks.values()].filter(({evidence}) => !evidence.every(id => state.reports.has(id)));
+	const effects = reports.flatMap(report => renewBlocks(state, report, nowMs));
+	const isSettled = ({parts}: CrashReport) => settledBlocks.some(block => isCovered(block.parts, parts));
+	const culprits = findCulprits(reports, part => knownSoundMs(state, part, nowMs), isSettled);
+	for (const [key, block] of state.blocks) {
+		const isSupported = settledBlocks.includes(block) || block.strikes > 1 || culprits.some(culprit => keyOf(culprit.parts) === key);
+		if (!isSupported) {
+			effects.push(...release(state, key, 'other parts explain the crashes', nowMs));
+		}
+	}
+
+	return [...effects, ...culprits.flatMap(culprit => addDerivedBlock(state, culprit, nowMs))];
+}
+
+function knownSoundMs({soundMs}: QuarantineState, part: PartId, nowMs: number): number | undefined {
+	const timeMs = soundMs.get(part);
+	return timeMs !== undefined && nowMs - timeMs < soundValidityMs ? timeMs : undefined;
+}
+
+function addDerivedBlock(state: QuarantineState, {parts, reports}: Culprit, nowMs: number): QuarantineEffect[] {
+	const key = keyOf(parts);
+	if (state.blocks.has(key)) {
+		return [];
+	}
+
+	return startBlock(state, {parts, strikes: 1, evidence: reports}, nowMs);
+}
+
+/** Renews an ended block if a crash that is newer than the block's end is due to the same parts. */
+function renewBlocks(state: QuarantineState, report: CrashReport, nowMs: number): QuarantineEffect[] {
+	return [...state.probations].flatMap(([key, {strikes, untilMs}]) => {
+		const parts = key.split(',');
+		const isRenewed = untilMs > nowMs && report.atMs > untilMs - probationMs && !state.blocks.has(key) && isCovered(parts, report.parts);
+		return isRenewed ? startBlock(state, {parts, strikes: strikes + 1, evidence: [report]}, nowMs) : [];
+	});
+}
+
+type Decision = {readonly parts: readonly PartId[]; readonly strikes: number; readonly evidence: readonly CrashReport[]};
+
+function startBlock(state: QuarantineState, {parts, strikes, evidence}: Decision, nowMs: number): QuarantineEffect[] {
+	const durationMs = Math.min(maxBlockMs, initialBlockMs * (2 ** (strikes - 1)));
+	return addBlock(state, {
+		parts, strikes, startedMs: nowMs, untilMs: nowMs + durationMs, decidedBy: state.self, evidence: evidence.slice(-maxEvidence).map(({id}) => id),
+	}, nowMs);
+}
+
+function addBlock(state: QuarantineState, block: Block, nowMs: number): QuarantineEffect[] {
+	const key = keyOf(block.parts);
+	state.blocks.set(key, block);
+	queueNews(state, 'block', key);
+	const effects: QuarantineEffect[] = [
+		{
+			type: 'log', level: 'warn', message: 'prompt parts blocked', fields: {
+				parts: block.parts, strikes: block.strikes, forMs: Math.round(block.untilMs - nowMs), decidedBy: block.decidedBy, evidence: block.evidence,
+				crashes: block.evidence.flatMap(id => state.reports.get(id) ?? []).map(({server, requestId, vm}) => ({server, requestId, reportedBy: vm})),
+			},
+		},
+		{type: 'count', metric: 'quarantine_blocks_total', labels: {source: block.decidedBy === state.self ? 'own' : 'peer'}},
+	];
+	if (state.blocks.size > maxBlocks) {
+		effects.push(...release(state, state.blocks.keys().next().value!, 'too many blocks', nowMs));
+	}
+
+	return effects;
+}
+
+function release(state: QuarantineState, key: string, reason: string, nowMs: number): QuarantineEffect[] {
+	const {startedMs, parts, strikes} = state.blocks.get(key)!;
+	state.blocks.delete(key);
+	setNewest(state.releasedMs, key, startedMs, maxBlocks);
+	return [
+		{
+			type: 'log', level: 'info', message: 'prompt parts released', fields: {
+				parts, strikes, reason, blockedForMs: Math.round(nowMs - startedMs),
+			},
+		},
+		{type: 'count', metric: 'quarantine_releases_total'},
+	];
+}
+
+function releaseExpired(state: QuarantineState, nowMs: number): QuarantineEffect[] {
+	return [...state.blocks].filter(([, {untilMs}]) => untilMs <= nowMs).flatMap(([key, {strikes, untilMs}]) => {
+		state.probations.delete(key);
+		state.probations.set(key, {strikes, untilMs: untilMs + probationMs});
+		if (state.probations.size > maxBlocks) {
+			state.probations.delete(state.probations.keys().next().value!);
+		}
+
+		return release(state, key, 'the block has ended', nowMs);
+	});
+}
+
+/** Releases blocks whose only part a server has produced output on since the block started, and removes such a part from the others. */
+function clearSoundBlocks(state: QuarantineState, part: PartId, nowMs: number): QuarantineEffect[] {
+	const affected = [...state.blocks].filter(([, block]) => block.parts.includes(part) && state.soundMs.get(part)! > block.startedMs);
+	return affected.flatMap(([key, block]) => {
+		const parts = block.parts.filter(other => other !== part);
+		const effects = release(state, key, `a server produced output on ${part}`, nowMs);
+		const isNarrowed = parts.length > 0 && !state.blocks.has(keyOf(parts));
+		return isNarrowed ? [...effects, ...addBlock(state, {...block, parts}, nowMs)] : effects;
+	});
+}
+
+function receiveNews(state: QuarantineState, from: VmId, {sound, crashes, blocks}: QuarantineNews, nowMs: number): QuarantineEffect[] {
+	const effects: QuarantineEffect[] = [];
+	for (const {part, ageMs} of sound) {
+		const timeMs = nowMs - ageMs;
+		if (ageMs < soundValidityMs && timeMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
+			setNewest(state.statedSoundMs, part, timeMs, maxSoundParts);
+			setNewest(state.soundMs, part, Math.max(timeMs, state.soundMs.get(part) ?? -Infinity), maxSoundParts);
+			queueNews(state, 'sound', part);
+			effects.push(...clearSoundBlocks(state, part, nowMs));
+		}
+	}
+
+	for (const {ageMs, ...report} of crashes) {
+		effects.push(...addReport(state, {...report, atMs: nowMs - ageMs}, from, nowMs));
+	}
+
+	for (const {ageMs, remainingMs, ...block} of blocks) {
+		effects.push(...receiveBlock(state, {...block, startedMs: nowMs - ageMs, untilMs: nowMs + Math.min(remainingMs, maxBlockMs)}, nowMs));
+	}
+
+	return [...effects, ...push(state, nowMs)];
+}
+
+function receiveBlock(state: QuarantineState, block: Block, nowMs: number): QuarantineEffect[] {
+	const key = keyOf(block.parts);
+	const known = state.blocks.get(key);
+	const isReleased = (state.releasedMs.get(key) ?? -Infinity) + blockToleranceMs >= block.startedMs;
+	const isRefuted = block.parts.some(part => (state.soundMs.get(part) ?? -Infinity) > block.startedMs);
+	const isNewer = !known || block.untilMs > known.untilMs + blockToleranceMs;
+	return block.untilMs > nowMs && isNewer && !isReleased && !isRefuted ? addBlock(state, block, nowMs) : [];
+}
+
+function queueNews(state: QuarantineState, kind: NewsItem['kind'], key: string): void {
+	const item = `${kind} ${key}`;
+	state.newsItems.delete(item);
+	state.newsItems.set(item, {kind, key, sends: 0});
+	if (state.newsItems.size > maxNewsItems) {
+		state.newsItems.delete(state.newsItems.keys().next().value!);
+	}
+}
+
+/** Sends what was queued and not yet sent to some members at once. */
+function push(state: QuarantineState, nowMs: number): QuarantineEffect[] {
+	const unsent = [...state.newsItems.values()].filter(({sends}) => sends === 0).slice(0, maxItemsPerMessage);
+	for (const item of unsent) {
+		item.sends++;
+	}
+
+	const news = createNews(state, unsent, nowMs);
+	return news ? [{type: 'quarantine/push', news}] : [];
+}
+
+/** Returns the queued items that were sent least often, and removes those that have reached the transmission limit. */
+function takeNews(state: QuarantineState, memberCount: number, nowMs: number): QuarantineNews | undefined {
+	const transmissionLimit = transmissionsPerDoubling * Math.ceil(Math.log2(memberCount + 2));
+	const chosen = [...state.newsItems].sort(([, a], [, b]) => a.sends - b.sends).slice(0, maxItemsPerMessage);
+	for (const [key, item] of chosen) {
+		item.sends++;
+		if (item.sends > transmissionLimit) {
+			state.newsItems.delete(key);
+		}
+	}
+
+	return createNews(state, chosen.map(([, item]) => item), nowMs);
+}
+
+/** Returns all blocks and the newest reports, for a process that may have missed the news. */
+function fullNews(state: QuarantineState, nowMs: number): QuarantineNews | undefined {
+	const reports = [...state.reports.values()].filter(({atMs}) => nowMs - atMs < reportValidityMs).slice(-maxItemsPerMessage);
+	const soundParts = new Set(reports.flatMap(({parts}) => parts).filter(part => state.statedSoundMs.has(part)));
+	return createNews(state, [
+		...reports.map(({id}) => ({kind: 'crash' as const, key: id})),
+		...[...soundParts].slice(-maxItemsPerMessage).map(key => ({kind: 'sound' as const, key})),
+		...[...state.blocks.keys()].slice(-maxItemsPerMessage).map(key => ({kind: 'block' as const, key})),
+	], nowMs);
+}
+
+function createNews(state: QuarantineState, items: ReadonlyArray<Pick<NewsItem, 'kind' | 'key'>>, nowMs: number): QuarantineNews | undefined {
+	const keysOf = (kind: NewsItem['kind']) => items.filter(item => item.kind === kind).map(({key}) => key);
+	const crashes = keysOf('crash').flatMap(id => state.reports.get(id) ?? []).map(({atMs, ...report}) => ({...report, parts: [...report.parts], ageMs: Math.max(0, nowMs - atMs)}));
+	const sound = keysOf('sound').filter(part => state.statedSoundMs.has(part)).map(part => ({part, ageMs: Math.max(0, nowMs - state.statedSoundMs.get(part)!)}));
+	const blocks = keysOf('block').flatMap(key => state.blocks.get(key) ?? []).map(({
+		parts, strikes, startedMs, untilMs, decidedBy, evidence,
+	}) => ({
+		parts: [...parts], strikes, ageMs: Math.max(0, nowMs - startedMs), remainingMs: Math.max(0, untilMs - nowMs), decidedBy, evidence: [...evidence],
+	}));
+	if (crashes.length + sound.length + blocks.length === 0) {
+		return undefined;
+	}
+
+	return {
+		type: 'quarantine.news', crashes, sound, blocks,
+	};
+}
+
+function isCovered(parts: readonly PartId[], by: readonly PartId[]): boolean {
+	return parts.every(part => by.includes(part));
+}
+
+/** Returns the key of a set of parts. Part ids contain no commas: the platform separates them by commas, and hashes have none. */
+function keyOf(parts: readonly PartId[]): string {
+	return parts.join(',');
+}
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -3,6 +3,7 @@
 import {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
+import {blockedReason, normalizeParts} from '../../common/quarantine/quarantine.js';
 import type {AccessService, Acquisition, SharedStateView} from '../../common/services/access-service.js';
 import {readBody} from '../entry/request-body.js';
 import type {Exchange} from '../entry/exchange.js';
@@ -82,6 +83,12 @@
 			throw new ForwardRefusal(503, 'the process is stopping', stoppingRetryMs);
 		}
 
+		const sharedParts = isModel ? normalizeParts(caller.promptParts.slice(0, -1)) : [];
+		const block = this._options.quarantine.findBlock(sharedParts);
+		if (block) {
+			throw new ForwardRefusal(503, blockedReason, this._options.quarantine.recordRefusal(block, caller.requestId!));
+		}
+
 		const {limits} = this._routeTable!.forwarding;
 		const version = this._version;
 		const body = await readBody(exchange, {
@@ -96,6 +103,7 @@
 			route,
 			service,
 			body,
+			sharedParts,
 			deadlineMs: exchange.startedAtMs + waitMs,
 			callerDeadlineMs: exchange.startedAtMs + (caller.waitMs ?? route.timeoutMs),
 		};
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -1,15 +1,18 @@
 import type {ForwardRoute, ForwardService} from '../../common/configuration/forwarding.js';
 import type {Clock} from '../../common/core/clock.js';
 import type {Logger} from '../../common/core/log.js';
+import type {PartId} from '../../common/quarantine/types.js';
 import type {LocalAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
+import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {ServerFleet} from './server-fleet.js';
 
 export type ForwardDependencies = {
 	readonly protocol: FleetProtocol;
 	readonly fleet: ServerFleet;
+	readonly quarantine: PromptQuarantine;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly clock: Clock;
@@ -25,6 +28,8 @@
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
 	readonly body: Uint8Array;
+	/** Parts of the prompt that other requests may share: all but the last, which belongs to the request itself. */
+	readonly sharedParts: readonly PartId[];
 	/** Monotonic time, in milliseconds, at which the caller's deadline or the route's timeout passes, whichever is first. */
 	readonly deadlineMs: number;
 	/** Monotonic time, in milliseconds, at which the caller's deadline passes; the end of the route's timeout if the caller states no deadline. */
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -4,10 +4,12 @@
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
+import {blockedReason} from '../../common/quarantine/quarantine.js';
+import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
-import type {PrefilledCache} from './engine-resources.js';
+import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {HttpMethod} from './forward-adapter.js';
 import {sendLocalAnswer, watchForStop} from './forward-request.js';
@@ -52,6 +54,8 @@
 	/** Whether the request occupies one of the prefill slots of this process. */
 	private _hasPrefillSlot = false;
 	private _response: UpstreamResponse | undefined;
+	/** The send in progress, for the quarantine of prompt parts. */
+	private _trackedSend: TrackedAttempt | undefined;
 	private _outcome = 'unfinished';
 	private _sends = 0;
 	private _firstEventMs: number | undefined;
@@ -177,6 +181,10 @@
 	the id by which a granted reservation can be released at once.
 	*/
 	private async _reserveMemory({attempt, exclude, isSpacious}: Extract<ModelForwardEffect, {type: 'forward/hold'}>): Promise<void> {
+		if (this._endIfBlocked(attempt)) {
+			return;
+		}
+
 		const {fleet, logger, clock, zone} = this._dependencies;
 		const {service, requestId} = this._request;
 		this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
@@ -225,7 +233,25 @@
 		return this._state.phase === 'ended' || this._state.attempt !== attempt;
 	}
 
+	/** Ends the request if its prompt contains blocked parts. Returns whether it does. */
+	private _endIfBlocked(attempt: number): boolean {
+		const {quarantine} = this._dependencies;
+		const {sharedParts, requestId} = this._request;
+		const block = quarantine.findBlock(sharedParts);
+		if (block) {
+			this._dispatchLater({
+				type: 'forward/blocked', attempt, reason: blockedReason, retryAfterMs: quarantine.recordRefusal(block, requestId),
+			});
+		}
+
+		return block !== undefined;
+	}
+
 	private async _prefill(attempt: number, exclude: ReadonlySet<ServerKey>): Promise<void> {
+		if (this._endIfBlocked(attempt)) {
+			return;
+		}
+
 		const {fleet, protocol, clock, logger} = this._dependencies;
 		const {route, service, caller, requestId} = this._request;
 		const server = fleet.directory.choosePrefillEngine(this._selectionCriteria(exclude, this._resources.reservation!.server.record.zone));
@@ -303,6 +329,10 @@
 		const {server} = reservation;
 		const {signal} = this._abort;
 		this._releasePrefillSlot();
+		if (this._endIfBlocked(attempt)) {
+			return;
+		}
+
 		if (!fleet.directory.isAcceptingWork(server, clock.nowMs())) {
 			this._dispatchLater({
 				type: 'forward/failed', attempt, failure: {mayHaveRun: false, detail: 'the engine takes no more work'}, server: server.key,
@@ -310,6 +340,8 @@
 			return;
 		}
 
+		const trackedSend = this._dependencies.quarantine.track(server.key, requestId, this._request.sharedParts);
+		this._trackedSend = trackedSend;
 		this._sends++;
 		if (this._sends === 1) {
 			fleet.countSend(service.name);
@@ -331,24 +363,9 @@
 			}, Math.max(1, deadlineMs - clock.nowMs() + headersSlackMs), signal));
 			const facts = protocol.readServerAnswer(response.headers);
 			if (facts.isNotRun) {
+				trackedSend.end('stopped');
 				response.body.resume();
-				reservation.isUsed = false;
-				if (prefilledCache) {
-					prefilledCache.isUsed = false;
-				}
-
-				logger.log('info', 'engine turned the request away', {
-					requestId, attempt, server: server.key, prefillServer: prefilledCache?.server.key, status: response.status,
-				});
-				if (response.status === misdirectedStatus) {
-					fleet.recordMisdirected(server);
-				} else if (prefilledCache) {
-					fleet.recordFailure(prefilledCache.server, {isUnreachable: false, detail: 'the prefill result is no longer available'});
-				}
-
-				this._dispatch({
-					type: 'forward/answered', attempt, status: response.status, isNotRun: true, server: server.key, prefillServer: prefilledCache?.server.key,
-				});
+				this._handleRejection(attempt, response.status, reservation, prefilledCache);
 				return;
 			}
 
@@ -366,6 +383,7 @@
 				response.body.destroy();
 			}
 		} catch (err) {
+			trackedSend.end(!signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
 			this._recordFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).mayHaveBeenSent});
 			this._dispatch({
 				type: 'forward/failed', attempt, failure: {mayHaveRun: failureOf(err).mayHaveBeenSent, detail: err instanceof Error ? err.message : String(err)}, server: server.key,
@@ -373,6 +391,30 @@
 		}
 	}
 
+	/** Handles an answer that states that the engine did not run the request. */
+	private _handleRejection(attempt: number, status: number, reservation: MemoryReservation, prefilledCache: PrefilledCache | undefined): void {
+		const {fleet, logger} = this._dependencies;
+		const {requestId} = this._request;
+		const {server} = reservation;
+		reservation.isUsed = false;
+		if (prefilledCache) {
+			prefilledCache.isUsed = false;
+		}
+
+		logger.log('info', 'engine turned the request away', {
+			requestId, attempt, server: server.key, prefillServer: prefilledCache?.server.key, status,
+		});
+		if (status === misdirectedStatus) {
+			fleet.recordMisdirected(server);
+		} else if (prefilledCache) {
+			fleet.recordFailure(prefilledCache.server, {isUnreachable: false, detail: 'the prefill result is no longer available'});
+		}
+
+		this._dispatch({
+			type: 'forward/answered', attempt, status, isNotRun: true, server: server.key, prefillServer: prefilledCache?.server.key,
+		});
+	}
+
 	/** Relays the answer event by event, so that a stream that breaks off can resume after its last complete event. */
 	private async _relay(attempt: number): Promise<void> {
 		const {exchange, requestId} = this._request;
@@ -406,6 +448,7 @@
 			}
 		} catch (err) {
 			if (!this._isStale(attempt)) {
+				this._trackedSend?.end('broken');
 				this._recordFailure(server, err, {isAborted: false, isUnreachable: false});
 				this._dispatch({type: 'forward/broken', attempt, server: server.key});
 			}
@@ -418,6 +461,7 @@
 		}
 
 		if (response.wasReset() || eventBuffer.hasPartialEvent) {
+			this._trackedSend?.end('broken');
 			logger.log('warn', 'stream broke off', {
 				requestId, attempt, server: server.key, wasReset: response.wasReset(), after: this._eventTracker.lastEventId,
 			});
@@ -425,12 +469,14 @@
 			return;
 		}
 
+		this._trackedSend?.end('completed');
 		this._outcome = 'relayed';
 		exchange.res.end();
 		this._dispatch({type: 'forward/completed', attempt});
 	}
 
 	private _recordEvent(): void {
+		this._trackedSend?.recordOutput();
 		const nowMs = this._elapsedMs();
 		if (this._firstEventMs === undefined) {
 			this._firstEventMs = nowMs;
@@ -453,6 +499,7 @@
 			this._dependencies.logger.log('warn', 'engine silent', {
 				requestId: this._request.requestId, attempt, server: server.key, stallMs, after: this._eventTracker.lastEventId, elapsedMs: this._elapsedMs(),
 			});
+			this._trackedSend?.recordStall();
 			this._dispatch({type: 'forward/stalled', attempt, server: server.key});
 		}, stallMs);
 	}
@@ -460,6 +507,8 @@
 	/** Aborts the exchanges and timers of the request, and releases its prefill slot and the memory that engines keep for it. */
 	private _release(): void {
 		this._releasePrefillSlot();
+		this._trackedSend?.end('stopped');
+		this._trackedSend = undefined;
 		this._abort.abort();
 		this._abort = new AbortController();
 		this._response?.body.destroy();
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -26,6 +26,8 @@
 	readonly announceSuspended: (key: ServerKey, forMs: number) => void;
 	/** Tells the other processes that a server has stated that it is shutting down. */
 	readonly announceLeaving: (key: ServerKey) => void;
+	/** Called when a server cannot be reached, or is no longer listed. */
+	readonly onServerLost: (key: ServerKey) => void;
 };
 
 /**
@@ -64,6 +66,10 @@
 		}
 
 		const {added, changed, removed} = this.directory.update(records, requestedMs);
+		for (const key of removed) {
+			this._options.onServerLost(key);
+		}
+
 		for (const [key, adapter] of this._adapters) {
 			if (!this.directory.get(key)) {
 				adapter.dispose();
@@ -148,6 +154,10 @@
 
 	/** Records a failed exchange. A server that cannot be reached, or fails several times in a row, is ejected until a probe succeeds. */
 	recordFailure(server: Server, failure: {readonly isUnreachable: boolean; readonly detail: string}): void {
+		if (failure.isUnreachable) {
+			this._options.onServerLost(server.key);
+		}
+
 		if (!this.directory.recordFailure(server, failure.isUnreachable, this._options.clock.nowMs())) {
 			return;
 		}
@@ -169,6 +179,10 @@
 		this._serversBeingProbed.add(key);
 		const isReached = await this.adapterFor(server).probe(probeTimeoutMs);
 		this._serversBeingProbed.delete(key);
+		if (!isReached) {
+			this._options.onServerLost(key);
+		}
+
 		if (!isReached && this.directory.recordFailure(server, true, this._options.clock.nowMs())) {
 			this._options.logger.log('warn', 'server ejected', {server: key, detail: 'reported as unreachable by another process, and the probe failed', announcedBy});
 			this._scheduleProbe(server);
--- a/src/node/forwarding/stage-balancer.test.ts
+++ b/src/node/forwarding/stage-balancer.test.ts
@@ -60,7 +60,7 @@
 		processCount: () => 1,
 		announceUnreachable: () => undefined,
 		announceSuspended: () => undefined,
-		announceLeaving: () => undefined,
+		announceLeaving: () => undefined, onServerLost: () => undefined,
 	});
 	const records: ServerRecord[] = ids.map(id => buildServer({
 		id, address: server.address, stage: id.startsWith('p') ? 'prefill' : 'decode',
--- a/src/node/membership/membership-host.ts
+++ b/src/node/membership/membership-host.ts
@@ -58,6 +58,7 @@
 	private readonly _aliveIncarnations = new Map<VmId, number>();
 	private _aliveLogTimer: NodeJS.Timeout | undefined;
 	private _entries: EntryProcesses;
+	private _onGossipSent: ((to: VmId, isPage: boolean) => void) | undefined;
 
 	constructor(private readonly _options: MembershipHostOptions) {
 		super();
@@ -103,6 +104,16 @@
 		return this._state.leaving;
 	}
 
+	/** Members that are alive or suspect, without this process. */
+	get liveMembers(): VmId[] {
+		return [...this._state.members.values()].filter(({record}) => record.status !== 'dead').map(({record}) => record.vm);
+	}
+
+	/** Sets the function that is called after each gossip message, so that other news can go the same way. `isPage` if the message is a page of the member list, as a new member requests it. */
+	setGossipCompanion(onGossipSent: (to: VmId, isPage: boolean) => void): void {
+		this._onGossipSent = onGossipSent;
+	}
+
 	updatePlatformList(vms: ReadonlyMap<VmId, PlatformVmState>): void {
 		this._runtime.dispatch({type: 'membership/platform', vms});
 	}
@@ -132,6 +143,7 @@
 		const {network, count, logger} = this._options;
 		this._runtime.on('send', ({to, message}) => {
 			network.send(to, message);
+			this._onGossipSent?.(to, message.type === 'membership.members');
 		});
 		this._runtime.on('count', count);
 		this._runtime.on('log', ({level, message, fields}) => {
--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -5,10 +5,11 @@
 import type {ProcessState, Replica} from '../../common/reducer.js';
 import type {EntryServer} from '../entry/entry-server.js';
 import type {MembershipHost} from '../membership/membership-host.js';
+import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {OrderHost} from '../orders/order-host.js';
 import type {SchedulerHost} from '../scheduler/scheduler-host.js';
 
-type DumpSources = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState; readonly membership: MembershipHost};
+type DumpSources = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState; readonly membership: MembershipHost; readonly quarantine: PromptQuarantine};
 type EntryDumpSources = {readonly scheduler: SchedulerHost; readonly orders: OrderHost; readonly server: EntryServer};
 
 function dumpReplica({consensus, control}: Replica): unknown {
@@ -50,12 +51,13 @@
 
 /** Returns the state of a process for operators. API keys and their digests are counted but never included. */
 export function createStateDump({
-	self, clock, state, membership,
+	self, clock, state, membership, quarantine,
 }: DumpSources, entry: EntryDumpSources | undefined): Record<string, unknown> {
 	return {
 		self,
 		members: membership.members,
 		leaving: membership.leavingVms,
+		quarantine: quarantine.dump(),
 		...(entry && {
 			access: dumpAccess(state, clock.nowMs()),
 			requests: entry.server.getState(),
--- /dev/null
+++ b/src/node/quarantine/prompt-quarantine.ts
@@ -0,0 +1,179 @@
+import type {Clock} from '../../common/core/clock.js';
+import type {Disposable} from '../../common/core/disposable.js';
+import type {Logger} from '../../common/core/log.js';
+import {SeededRandom} from '../../common/core/random.js';
+import type {VmId, VmIdentity} from '../../common/core/types.js';
+import {quarantineNewsSchema} from '../../common/quarantine/messages.js';
+import {
+	createQuarantine, findBlock, nextTickMs, reduceQuarantine,
+} from '../../common/quarantine/quarantine.js';
+import type {QuarantineState} from '../../common/quarantine/quarantine.js';
+import type {
+	Block, PartId, QuarantineEffect, QuarantineEvent, ServerId,
+} from '../../common/quarantine/types.js';
+import type {Metrics} from '../../common/services/metrics.js';
+import type {PeerNetwork} from '../../common/services/peer-network.js';
+import {DeadlineTimer} from '../deadline-timer.js';
+import {ReducerRuntime} from '../runtime.js';
+
+/** Number of members that news is sent to at once. Each of them sends it on, so that it reaches all members within a few steps. */
+const pushFanout = 3;
+
+/** One attempt of a request on a server, from its sending to its end. */
+export type TrackedAttempt = {
+	/** Records that the server produced output. Calls after the first have no effect. */
+	recordOutput: () => void;
+	/** Records that the server has been silent for longer than usual. */
+	recordStall: () => void;
+	/** Records how the attempt ended. Calls after the first have no effect. */
+	end: (outcome: 'completed' | 'broken' | 'stopped') => void;
+};
+
+/** An attempt that is not tracked, since its prompt shares no part with others. */
+const untrackedAttempt: TrackedAttempt = {
+	recordOutput() {
+		// Intentionally empty.
+	},
+	recordStall() {
+		// Intentionally empty.
+	},
+	end() {
+		// Intentionally empty.
+	},
+};
+
+export type PromptQuarantineOptions = {
+	readonly self: VmIdentity;
+	readonly network: PeerNetwork;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	/** Members that are alive, without this process. */
+	readonly liveMembers: () => readonly VmId[];
+};
+
+/** Runs the quarantine of prompt parts that crash servers, and shares it with the other processes. */
+export class PromptQuarantine implements Disposable {
+	private readonly _state: QuarantineState;
+	private readonly _runtime: ReducerRuntime<QuarantineEvent, QuarantineEffect>;
+	private readonly _timer: DeadlineTimer;
+	private readonly _random: SeededRandom;
+	private _nextAttempt = 1;
+	/** Number of blocks that the metric shows. */
+	private _reportedBlocks = 0;
+
+	constructor(private readonly _options: PromptQuarantineOptions) {
+		const {self: {vm, incarnation}, clock, network} = _options;
+		this._random = new SeededRandom(incarnation);
+		this._state = createQuarantine({self: vm, idPrefix: `${vm}.${incarnation}`, seed: incarnation});
+		this._runtime = new ReducerRuntime(event => reduceQuarantine(this._state, event), clock);
+		this._timer = new DeadlineTimer(clock, () => nextTickMs(this._state), () => {
+			this._runtime.dispatch({type: 'quarantine/tick'});
+			this._updateGauge();
+		});
+		this._registerEffects();
+		network.registerHandler('quarantine.news', quarantineNewsSchema, (from, news) => {
+			this._dispatch({type: 'quarantine/news', from: from.vm, news});
+		});
+	}
+
+	/** Tracks an attempt that is about to be sent to a server. `parts` are the parts of its prompt that other requests may share. */
+	track(server: ServerId, requestId: string, parts: readonly PartId[]): TrackedAttempt {
+		if (parts.length === 0) {
+			return untrackedAttempt;
+		}
+
+		const attempt = this._nextAttempt++;
+		let hasOutput = false;
+		this._runtime.dispatch({
+			type: 'quarantine/attempt-started', attempt, server, requestId, parts,
+		});
+		return {
+			recordOutput: () => {
+				if (!hasOutput) {
+					hasOutput = true;
+					this._runtime.dispatch({type: 'quarantine/attempt-produced', attempt});
+				}
+			},
+			recordStall: () => {
+				this._runtime.dispatch({type: 'quarantine/attempt-stalled', attempt});
+			},
+			end: outcome => {
+				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome});
+			},
+		};
+	}
+
+	/** Returns the block that applies to a prompt, or undefined. */
+	findBlock(parts: readonly PartId[]): Block | undefined {
+		return this._state.blocks.size === 0 ? undefined : findBlock(this._state, parts, this._options.clock.nowMs());
+	}
+
+	/** Records that a request was refused because of a block. Returns the time until the block ends, in milliseconds. */
+	recordRefusal({parts, decidedBy, untilMs}: Block, requestId: string): number {
+		const {logger, metrics, clock} = this._options;
+		const remainingMs = Math.max(0, Math.ceil(untilMs - clock.nowMs()));
+		metrics.count('quarantine_refusals_total');
+		logger.log('info', 'request with blocked prompt parts refused', {
+			requestId, parts, decidedBy, remainingMs,
+		});
+		return remainingMs;
+	}
+
+	/** Records that a server cannot be reached, or is no longer listed. */
+	recordServerLost(server: ServerId): void {
+		this._dispatch({type: 'quarantine/server-lost', server});
+	}
+
+	/** Sends news along with a gossip message to a member. `isFull` if the member may have missed earlier news. */
+	accompanyGossip(to: VmId, isFull: boolean): void {
+		this._runtime.dispatch({
+			type: 'quarantine/gossip', to, memberCount: this._options.liveMembers().length, isFull,
+		});
+	}
+
+	dump(): unknown {
+		const {blocks, reports, probations, pending} = this._state;
+		return {
+			blocks: [...blocks.values()], reports: [...reports.values()], probations: Object.fromEntries(probations), pending,
+		};
+	}
+
+	dispose(): void {
+		this._timer.dispose();
+	}
+
+	private _dispatch(event: Parameters<typeof this._runtime.dispatch>[0]): void {
+		this._runtime.dispatch(event);
+		this._timer.rearmIfEarlier();
+		this._updateGauge();
+	}
+
+	private _updateGauge(): void {
+		const {size} = this._state.blocks;
+		if (size !== this._reportedBlocks) {
+			this._reportedBlocks = size;
+			this._options.metrics.gauge('quarantine_blocks', size);
+		}
+	}
+
+	private _registerEffects(): void {
+		const {network, logger, metrics, liveMembers} = this._options;
+		this._runtime.on('send', ({to, message}) => {
+			network.send(to, message);
+		});
+		this._runtime.on('log', ({level, message, fields}) => {
+			logger.log(level, message, fields);
+		});
+		this._runtime.on('count', ({metric, labels, by}) => {
+			metrics.count(metric, labels, by);
+		});
+		this._runtime.on('quarantine/push', ({news}) => {
+			const members = [...liveMembers()];
+			for (let i = 0; i < pushFanout && members.length > 0; i++) {
+				const [vm] = members.splice(this._random.integer(0, members.length), 1);
+				network.send(vm!, news);
+			}
+		});
+	}
+}
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -46,6 +46,7 @@
 import {ServerFleet} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {StageBalancer} from './forwarding/stage-balancer.js';
+import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
 import {ReducerRuntime} from './runtime.js';
 import {LeaseHolder} from './scheduler/lease-holder.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
@@ -72,6 +73,7 @@
 	readonly leaderClient: ControlLeaderClient;
 	readonly adminClient: ControlAdminClient;
 	readonly membership: MembershipHost;
+	readonly quarantine: PromptQuarantine;
 	readonly disposables: DisposableStore;
 };
 
@@ -204,9 +206,20 @@
 		randomSeed: self.incarnation,
 		...(cluster.rejoinIntervalMs !== undefined && {rejoinIntervalMs: cluster.rejoinIntervalMs}),
 	}));
+	const quarantine = disposables.add(new PromptQuarantine({
+		self,
+		network,
+		clock,
+		logger,
+		metrics,
+		liveMembers: () => membership.liveMembers,
+	}));
+	membership.setGossipCompanion((to, isPage) => {
+		quarantine.accompanyGossip(to, isPage);
+	});
 	membership.start();
 	return {
-		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient: new ControlAdminClient(leaderClient), membership, disposables,
+		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient: new ControlAdminClient(leaderClient), membership, quarantine, disposables,
 	};
 }
 
@@ -465,7 +478,7 @@
 
 async function startForwarding(core: CoreComponents, fleetSettings: FleetSettings, protocol: FleetProtocol): Promise<FleetComponents> {
 	const {
-		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, disposables,
+		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
 	} = core;
 	const client = createControlClient(core);
 	const processCount = () => Math.max(1, membership.entries.live.length);
@@ -485,6 +498,9 @@
 		announceLeaving(key) {
 			statusBroadcaster.announceLeaving(key);
 		},
+		onServerLost(key) {
+			quarantine.recordServerLost(key);
+		},
 	}));
 	const statusBroadcaster = new ServerStatusBroadcaster({
 		self: self.vm,
@@ -505,6 +521,7 @@
 	const server = disposables.add(new ForwardServer({
 		protocol,
 		fleet,
+		quarantine,
 		metrics,
 		logger,
 		clock,
