Refuse prompts that crash engines on the product's own interface as well

Callers of /v1/chat/completions had the same fault: a request crashes an engine, is placed again and crashes the next, and whoever asks again starts anew.

The parts of a prompt are its messages. Decode attempts are tracked by the same quarantine, which the process shares with the others in its gossip; blocked prompts get the problem prompt-blocked (503, Retry-After) before they take rate or a slot, and running requests end before their next attempt. Test: the second caller reached the prefill engine before; now it is refused as not run.

--- a/src/common/requests/model-lifecycle.ts
+++ b/src/common/requests/model-lifecycle.ts
@@ -58,10 +58,12 @@
 	| (BaseEvent<'request/replaced'> & {readonly reply: PlacementReply})
 	| (BaseEvent<'request/decode-event'> & {readonly event: DecodeEvent})
 	| (BaseEvent<'request/decode-broken'> & {readonly failure: CallFailure})
+	/** The prompt contains parts that crash engines; the block of these parts ends after `retryAfterMs` milliseconds. */
+	| (BaseEvent<'request/blocked'> & {readonly retryAfterMs: number})
 	| (BaseEvent<'request/stopped'> & {readonly reason: StopReason});
 
 /** Problem code reported to the caller of a refused model request. */
-export type ModelRefusalCode = 'overloaded' | 'deadline' | 'no-upstream' | 'engine-failed' | 'timeout' | 'key-withdrawn' | 'control-unreachable';
+export type ModelRefusalCode = 'overloaded' | 'deadline' | 'no-upstream' | 'engine-failed' | 'timeout' | 'key-withdrawn' | 'control-unreachable' | 'prompt-blocked';
 
 /** Action that the entry process carries out for a request. `attemptId` identifies the current attempt on the engines. */
 export type ModelRequestEffect =
@@ -390,7 +392,7 @@
 	return [...endEffects, ...refuse(state, refusalCodeByStopReason[reason])];
 }
 
-type PlacementDependentEvent = Exclude<ModelRequestEvent, {type: 'request/start' | 'request/placed' | 'request/stopped'}>;
+type PlacementDependentEvent = Exclude<ModelRequestEvent, {type: 'request/start' | 'request/placed' | 'request/blocked' | 'request/stopped'}>;
 
 function reduceWithPlacement(state: ModelRequestState, event: PlacementDependentEvent, placement: Placement): ModelRequestEffect[] {
 	switch (event.type) {
@@ -438,6 +440,10 @@
 		return onStopped(state, event.reason);
 	}
 
+	if (event.type === 'request/blocked') {
+		return [...endAttempt(state, 'failed'), ...refuse(state, 'prompt-blocked', event.retryAfterMs)];
+	}
+
 	if (event.type === 'request/placed') {
 		return state.phase === 'placing' ? onPlaced(state, event.reply, event.nowMs) : [];
 	}
--- a/src/node/entry/chat-completions.ts
+++ b/src/node/entry/chat-completions.ts
@@ -1,5 +1,7 @@
 /* eslint-disable @typescript-eslint/naming-convention -- the published API uses snake case */
 import {z} from 'zod';
+import {hashText} from '../../common/core/fnv.js';
+import {normalizeParts} from '../../common/quarantine/quarantine.js';
 import type {Usage} from '../../common/upstreams/engine-api.js';
 import {ProblemError} from './problems.js';
 
@@ -30,6 +32,8 @@
 export type ChatRequest = {
 	readonly service: string;
 	readonly prompt: string;
+	/** Ids of the prompt's parts, one for each message, by which a part that crashes engines is recognized. */
+	readonly parts: readonly string[];
 	readonly isStreaming: boolean;
 	readonly includeUsage: boolean;
 	/** Largest number of output tokens; undefined if the caller set no limit. */
@@ -45,9 +49,11 @@
 	}
 
 	const {data} = result;
+	const lines = data.messages.map(message => formatMessage(message));
 	return {
 		service: data.model,
-		prompt: buildPrompt(data.messages),
+		prompt: buildPrompt(lines),
+		parts: normalizeParts(lines.map(line => hashText(line))),
 		isStreaming: data.stream ?? false,
 		includeUsage: data.stream_options?.include_usage ?? false,
 		maxTokens: data.max_completion_tokens ?? data.max_tokens ?? undefined,
@@ -64,12 +70,13 @@
 
 type Message = z.infer<typeof chatRequestSchema>['messages'][number];
 
-/** Joins the messages to one prompt. Conversations with the same leading messages get prompts with the same prefix, so that engines can reuse the KV cache of that prefix. */
-function buildPrompt(messages: readonly Message[]): string {
-	const lines = messages.map(({role, content}) => {
-		const text = typeof content === 'string' ? content : (content ?? []).map(part => part.text).join('');
-		return `${role}: ${text}\n`;
-	});
+function formatMessage({role, content}: Message): string {
+	const text = typeof content === 'string' ? content : (content ?? []).map(part => part.text).join('');
+	return `${role}: ${text}\n`;
+}
+
+/** Joins the formatted messages to one prompt. Conversations with the same leading messages get prompts with the same prefix, so that engines can reuse the KV cache of that prefix. */
+function buildPrompt(lines: readonly string[]): string {
 	return lines.join('') + 'assistant: ';
 }
 
--- a/src/node/entry/chat-handler.ts
+++ b/src/node/entry/chat-handler.ts
@@ -44,6 +44,12 @@
 		});
 		const request = this._route(configuration, body);
 		exchange.serviceName = request.chat.service;
+		const {quarantine} = this._services;
+		const block = quarantine.findBlock(request.chat.parts);
+		if (block) {
+			throw new ProblemError('prompt-blocked', {run: 'not-run', retryAfterMs: quarantine.recordRefusal(block, exchange.traceIds.requestId)});
+		}
+
 		await this._admitAndRun(exchange, tenant, request);
 	}
 
--- a/src/node/entry/model-request-runner.test.ts
+++ b/src/node/entry/model-request-runner.test.ts
@@ -2,7 +2,9 @@
 import type {ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {hashText} from '../../common/core/fnv.js';
 import {SeededRandom} from '../../common/core/random.js';
+import {normalizeParts} from '../../common/quarantine/quarantine.js';
 import {
 	bearerHeaders, chatRequestInit, parseEvents, startHarness, parseStreamText, waitUntil,
 } from './testing/harness.js';
@@ -382,3 +384,31 @@
 	// After one request, the estimate is the mean of its time to first text, which is at least `prefillMs`, and the initial estimate of 0.
 	assert.ok(second! <= firstTokenMs - (prefillMs / 2), 'the estimated time to the first token is subtracted from the target');
 });
+
+// Guards against a prompt that crashes one engine after the other, because each caller that asks again is served anew.
+test('a prompt on which two engines crashed is refused as not run before it reaches an engine, and other prompts are not', async t => {
+	const {url, services, prefill, decode1, decode2} = await startHarness(t);
+	for (const engine of [decode1, decode2]) {
+		engine.script.overrides.decode = res => {
+			services.scheduler.decodeEngines = ['decode-2'];
+			res.destroy();
+			engine.server.close();
+			return true;
+		};
+	}
+
+	const crashing = [{role: 'system', content: 'The rules'}, {role: 'user', content: 'Crash'}];
+	const first = await fetch(`${url}/v1/chat/completions`, chatRequestInit({messages: crashing}));
+	assert.equal((await first.json() as {run: string}).run, 'unknown');
+	await waitUntil(() => services.quarantine.findBlock(normalizeParts([hashText('system: The rules\n'), hashText('user: Crash\n')])) !== undefined);
+	const prefills = prefill.server.requests.length;
+	const second = await fetch(`${url}/v1/chat/completions`, chatRequestInit({messages: [...crashing, {role: 'user', content: 'Again'}]}));
+	assert.equal(second.status, 503);
+	assert.ok(Number(second.headers.get('retry-after')) > 0);
+	const {type, run} = await second.json() as {type: string; run: string};
+	assert.match(type, /prompt-blocked/);
+	assert.equal(run, 'not-run');
+	assert.equal(prefill.server.requests.length, prefills);
+	await fetch(`${url}/v1/chat/completions`, chatRequestInit({messages: [crashing[0], {role: 'user', content: 'Hello'}]}));
+	assert.ok(prefill.server.requests.length > prefills);
+});
--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -204,6 +204,10 @@
 
 	private async _requestPlacement(attemptId: string): Promise<void> {
 		const signal = this._startCall();
+		if (this._endIfBlocked(signal)) {
+			return;
+		}
+
 		const {
 			serviceName, tenant, profile, chat, maxTokens, maxWaitMs, exchange,
 		} = this._request;
@@ -237,6 +241,21 @@
 		this._report(signal, {type: 'request/placed', reply});
 	}
 
+	/** Ends the request if its prompt contains blocked parts. Returns whether it does. */
+	private _endIfBlocked(signal: AbortSignal): boolean {
+		const {quarantine} = this._services;
+		const {chat, engineRequestId} = this._request;
+		const block = quarantine.findBlock(chat.parts);
+		if (block) {
+			const retryAfterMs = quarantine.recordRefusal(block, engineRequestId);
+			queueMicrotask(() => {
+				this._report(signal, {type: 'request/blocked', retryAfterMs});
+			});
+		}
+
+		return block !== undefined;
+	}
+
 	private async _askScheduler(ask: () => Promise<PlacementReply>): Promise<PlacementReply> {
 		try {
 			return await ask();
@@ -300,18 +319,32 @@
 			await sleep(effect.delayMs);
 		}
 
+		if (this._endIfBlocked(signal)) {
+			return;
+		}
+
+		const {quarantine} = this._services;
+		const trackedDecode = quarantine.track(effect.upstream, effect.attemptId, this._request.chat.parts);
 		try {
 			const events = this._engineAdapter(effect.upstream).decode({
 				requestId: effect.attemptId, owner: this._options.identity, maxTokens: this._request.maxTokens, after: effect.after,
 			}, {signal, isNewConnection: effect.isResume, headers: this._traceHeaders});
 			for await (const event of events) {
+				trackedDecode.recordOutput();
 				this._report(signal, {type: 'request/decode-event', event});
 				await this._pendingWrite;
 			}
 
+			trackedDecode.end(this._state.assembler.isComplete ? 'completed' : 'broken');
 			this._report(signal, {type: 'request/decode-broken', failure: {kind: 'broken', mayHaveBeenSent: true}});
 		} catch (err) {
-			this._report(signal, {type: 'request/decode-broken', failure: failureOf(err)});
+			const failure = failureOf(err);
+			trackedDecode.end(!signal.aborted && failure.kind === 'broken' ? 'broken' : 'stopped');
+			if (failure.kind === 'unreachable') {
+				quarantine.recordServerLost(effect.upstream);
+			}
+
+			this._report(signal, {type: 'request/decode-broken', failure});
 		}
 	}
 
--- a/src/node/entry/testing/services.ts
+++ b/src/node/entry/testing/services.ts
@@ -17,6 +17,8 @@
 } from '../../../common/services/scheduler-client.js';
 import {SchedulerClient} from '../../../common/services/scheduler-client.js';
 import {SystemClock} from '../../clock.js';
+import {PromptQuarantine} from '../../quarantine/prompt-quarantine.js';
+import {InMemoryNetwork, InMemoryNetworkHub} from '../../scheduler/fixtures.js';
 import type {EntryServices} from '../types.js';
 
 /** In-memory fake of the access service; tests set its fields. */
@@ -162,14 +164,19 @@
 
 /** Creates fakes of all services that the entry process depends on. */
 export function createFakeServices() {
+	const self = {vm: 'entry-1', incarnation: 7};
+	const [metrics, logger, clock] = [new CountingMetrics(), new NullLogger(), new SystemClock()];
 	return {
 		access: new FakeAccessService(),
 		claims: new FakeClaimService(),
 		scheduler: new FakeSchedulerClient(),
 		entryPoints: new FakeEntryPoints(),
-		metrics: new CountingMetrics(),
-		logger: new NullLogger(),
-		clock: new SystemClock(),
+		metrics,
+		logger,
+		clock,
+		quarantine: new PromptQuarantine({
+			self, network: new InMemoryNetwork(new InMemoryNetworkHub(), self), clock, logger, metrics, liveMembers: () => [],
+		}),
 	} satisfies EntryServices;
 }
 
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -277,7 +277,7 @@
 
 async function startEntry(core: CoreComponents): Promise<EntryComponents> {
 	const {
-		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, disposables,
+		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
 	} = core;
 	const client = createControlClient(core);
 	const schedulerOptions = {
@@ -299,6 +299,7 @@
 		metrics,
 		logger,
 		clock,
+		quarantine,
 	}, {
 		host, port, identity: self, zone: settings.zone, seed: self.incarnation,
 	}));
