Stop prompts that crash engines while these read them

Prefill calls are tracked like sends, under part ids of their own, since a decode engine may read and answer the same prompt: while the part is blocked there, decode engines read it themselves and the callers are served.

--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -38,6 +38,8 @@
 	overrideHandler: RequestHandler | undefined;
 	/** Id of a prompt part on which an engine crashes when it begins to write the output; it starts again under another id a short time later. */
 	crashingPart: string | undefined;
+	/** Stage whose engines crash on the part. */
+	crashingStage: 'prefill' | 'decode' = 'decode';
 	readonly crashes: ServerCrash[] = [];
 	private readonly _servers: Server[] = [];
 	private readonly _restartTimers = new Set<NodeJS.Timeout>();
@@ -82,7 +84,7 @@
 			service, id, stage, state = 'ready',
 		} = options;
 		const server = await this._listen((req, res) => {
-			if (stage === 'decode' && req.headers.stage !== 'prefill' && this._isCrashing(req.headers)) {
+			if (stage === this.crashingStage && (stage === 'prefill') === (req.headers.stage === 'prefill') && this._isCrashing(req.headers)) {
 				this._recordRequest(id, req, res);
 				this._crash(options, server, born);
 			} else {
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -114,6 +114,11 @@
 	return [...new Set(ids)].slice(0, maxPartsPerReport).map(id => id.length > maxPartLength ? hashText(id) : id);
 }
 
+/** Returns the ids under which the quarantine keeps parts that crash engines while these read a prompt, apart from those that crash engines while these write. */
+export function prefillParts(parts: readonly PartId[]): PartId[] {
+	return normalizeParts(parts.map(part => `prefill ${part}`));
+}
+
 /** Returns the block that applies to a prompt, or undefined. */
 export function findBlock({blocks}: QuarantineState, parts: readonly PartId[], nowMs: number): Block | undefined {
 	return [...blocks.values()].find(block => block.untilMs > nowMs && block.parts.every(part => parts.includes(part)));
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -4,7 +4,7 @@
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
-import {blockedReason} from '../../common/quarantine/quarantine.js';
+import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
@@ -252,10 +252,22 @@
 			return;
 		}
 
-		const {fleet, protocol, clock, logger} = this._dependencies;
-		const {route, service, caller, requestId} = this._request;
-		const server = fleet.directory.choosePrefillEngine(this._selectionCriteria(exclude, this._resources.reservation!.server.record.zone));
+		const {
+			fleet, protocol, clock, logger, quarantine,
+		} = this._dependencies;
+		const {
+			route, service, caller, requestId, sharedParts,
+		} = this._request;
+		const parts = prefillParts(sharedParts);
+		const block = quarantine.findBlock(parts);
+		const server = block ? undefined : fleet.directory.choosePrefillEngine(this._selectionCriteria(exclude, this._resources.reservation!.server.record.zone));
 		if (!server) {
+			if (block) {
+				logger.log('info', 'prompt with blocked parts is read by the decode engine', {
+					requestId, attempt, parts: block.parts, decidedBy: block.decidedBy,
+				});
+			}
+
 			this._dispatchLater({type: 'forward/prefill-failed', attempt, server: undefined});
 			return;
 		}
@@ -263,10 +275,12 @@
 		const {signal} = this._abort;
 		const tokens = caller.prompt?.promptTokens ?? 0;
 		const startedMs = clock.nowMs();
+		const trackedPrefill = quarantine.track(server.key, requestId, parts);
 		fleet.directory.beginWork(server, tokens);
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body} = await bufferAnswer(response, prefillAnswerLimitBytes);
+			trackedPrefill.end(status === 200 ? 'completed' : 'stopped');
 			const result = status === 200 ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
 			if (!result) {
 				const isRejected = protocol.readServerAnswer(headers).isNotRun;
@@ -296,6 +310,7 @@
 			this._resources.prefilledCache = prefilledCache;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
+			trackedPrefill.end(!signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
 			this._recordFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).mayHaveBeenSent});
 			if (!signal.aborted && clock.nowMs() - startedMs >= route.targetMs) {
 				fleet.recordPrefillDuration(service.name, clock.nowMs() - startedMs, route.targetMs);
