--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -111,7 +111,7 @@
 /** Record of what an engine did, as returned by `GET /control/record`. */
 export type EngineRecord = {
 	readonly kind: 'engine';
-	/** Number of requests that carried an `Authorization` header. It must be 0, because keys of tenants must not reach an upstream. */
+	/** Number of requests that carried an `Authorization` header. It must be 0, because keys of customers must not reach an upstream. */
 	readonly keysSeen: number;
 	readonly prefills: readonly PrefillRecord[];
 	readonly decodes: ReadonlyArray<{readonly requestId: string; readonly answerId: string; readonly isComplete: boolean}>;
--- a/fakes/plain-service.ts
+++ b/fakes/plain-service.ts
@@ -30,7 +30,7 @@
 /** Record of what a plain service did, as returned by `GET /control/record`. */
 export type PlainServiceRecord = {
 	readonly kind: 'plain';
-	/** Number of requests that carried an `Authorization` header. It must be 0, because keys of tenants must not reach an upstream. */
+	/** Number of requests that carried an `Authorization` header. It must be 0, because keys of customers must not reach an upstream. */
 	readonly keysSeen: number;
 	readonly calls: readonly PlainServiceCall[];
 };
--- a/src/cli/keys.ts
+++ b/src/cli/keys.ts
@@ -10,8 +10,8 @@
 		.requiredOption('--tenant <name>', 'tenant of the shared configuration')
 		.addHelpText('after', '\nExample:\n  $ jasminehead keys issue --operators 127.0.0.1:9100 --token "$TOKEN" --tenant kennel-club')
 		.action(async (options: OperatorOptions & {tenant: string}) => {
-			const {changeId, tenant} = options;
-			const reply = await callOperatorApi(options, 'POST', '/v1/keys', {changeId, tenant});
+			const {changeId, tenant: customer} = options;
+			const reply = await callOperatorApi(options, 'POST', '/v1/keys', {changeId, tenant: customer});
 			printReply(options, reply, body => {
 				const {keyId, key} = body as {keyId: string; key: string};
 				return `key id: ${keyId}\nkey:    ${key}`;
--- a/src/common/access/access.ts
+++ b/src/common/access/access.ts
@@ -1,5 +1,5 @@
 /**
-The access slice of an entry process: its view of the shared state, the time of the last confirmed sync, and the rate tokens that it may spend for each tenant.
+The access slice of an entry process: its view of the shared state, the time of the last confirmed sync, and the rate tokens that it may spend for each customer.
 
 Events come from the platform layer and the request path, never from consensus. The slice returns these effects:
 - `access/request`: asks the platform layer to send a sync and to dispatch `access/reply` or `access/failed` afterwards.
@@ -16,7 +16,7 @@
 import {GrantHolder} from '../limits/grant-holder.js';
 import type {WaiterResult, Settlement} from '../limits/grant-holder.js';
 import {onDemandGrantValidityMs} from '../limits/types.js';
-import type {TenantLimit} from '../limits/types.js';
+import type {CustomerLimit} from '../limits/types.js';
 import type {KeyIdentity, SharedStateView} from '../services/access-service.js';
 import {
 	addViewPage, applyChange, createMutableView, copyView,
@@ -27,7 +27,7 @@
 export const freshnessLimitMs = 3000;
 /** Interval between regular syncs, in milliseconds. */
 export const syncIntervalMs = 500;
-/** Minimum time between sending a sync and sending an urgent sync (for waiting requests or an early report of rate tokens), in milliseconds. Bounds the number of syncs that a tenant far over its rate causes at the leader. */
+/** Minimum time between sending a sync and sending an urgent sync (for waiting requests or an early report of rate tokens), in milliseconds. Bounds the number of syncs that a customer far over its rate causes at the leader. */
 const minUrgentSyncGapMs = 10;
 /** Timeout of a sync, in milliseconds. A later reply would be useless to waiting requests, since its on-demand grants would have expired. */
 const syncTimeoutMs = onDemandGrantValidityMs;
@@ -78,7 +78,7 @@
 export type AccessEvent =
 	/** Refuses requests whose wait for rate tokens has expired, and sends a sync if one is due. It is dispatched at the time that `nextTickMs` returns; additional ticks are harmless. */
 	| BaseEvent<'access/tick'>
-	/** Takes `tokens` rate tokens of the tenant, waiting at most `maxWaitMs` for them; the reply effect for `token` carries the result. */
+	/** Takes `tokens` rate tokens of the customer, waiting at most `maxWaitMs` for them; the reply effect for `token` carries the result. */
 	| (BaseEvent<'access/acquire'> & {readonly token: ReplyToken; readonly tenant: string; readonly tokens: number; readonly maxWaitMs: number})
 	/** Settles an acquisition of rate tokens after its request has ended. */
 	| (BaseEvent<'access/settle'> & Omit<Settlement, 'nowMs'>)
@@ -122,7 +122,7 @@
 	return publishedView !== undefined && confirmedMs !== undefined && nowMs - confirmedMs <= freshnessLimitMs;
 }
 
-/** Returns the identity of the key with this SHA-256 digest; undefined if the key is unknown or its tenant is not configured. */
+/** Returns the identity of the key with this SHA-256 digest; undefined if the key is unknown or its customer is not configured. */
 export function findIdentity({publishedView, view}: AccessState, digest: string): KeyIdentity | undefined {
 	const identity = view.keysByDigest.get(digest);
 	return identity && limitOf(publishedView, identity.tenant) && identity;
@@ -172,9 +172,9 @@
 	}
 }
 
-function limitOf(view: SharedStateView | undefined, tenant: string): TenantLimit | undefined {
-	const tenants = view?.configuration.tenants;
-	return tenants && Object.hasOwn(tenants, tenant) ? tenants[tenant] : undefined;
+function limitOf(view: SharedStateView | undefined, customer: string): CustomerLimit | undefined {
+	const customers = view?.configuration.tenants;
+	return customers && Object.hasOwn(customers, customer) ? customers[customer] : undefined;
 }
 
 function toReplyEffects(results: readonly WaiterResult[]): AccessEffect[] {
@@ -182,14 +182,14 @@
 }
 
 function acquire(state: AccessState, event: Extract<AccessEvent, {type: 'access/acquire'}>): AccessEffect[] {
-	const {token, tenant, tokens, maxWaitMs, nowMs} = event;
-	const limit = limitOf(state.publishedView, tenant);
+	const {token, tenant: customer, tokens, maxWaitMs, nowMs} = event;
+	const limit = limitOf(state.publishedView, customer);
 	if (!limit) {
 		return [{type: 'reply', token, body: {ok: false, code: 'control-unreachable', retryAfterMs: syncIntervalMs}}];
 	}
 
 	const result = state.grantHolder.acquire({
-		tenant, tokens, maxWaitMs, token, limit, nowMs,
+		tenant: customer, tokens, maxWaitMs, token, limit, nowMs,
 	});
 	return result ? [{type: 'reply', token, body: result}] : syncIfDue(state, nowMs);
 }
@@ -324,5 +324,5 @@
 function applyAllowances(state: AccessState, {grants, shortages, stamp, takenMs}: SyncedReply, sentMs: number, nowMs: number): AccessEffect[] {
 	return toReplyEffects(state.grantHolder.processAnswer({
 		sentMs, grants, shortages, stamp, takenMs,
-	}, tenant => limitOf(state.publishedView, tenant), nowMs));
+	}, customer => limitOf(state.publishedView, customer), nowMs));
 }
--- a/src/common/access/view.ts
+++ b/src/common/access/view.ts
@@ -15,7 +15,7 @@
 	version: number;
 	/** The shared configuration; undefined if there is none. */
 	configuration: SharedConfiguration | undefined;
-	/** Tenants and key ids by the SHA-256 digest of the key, in hexadecimal. */
+	/** Customers and key ids by the SHA-256 digest of the key, in hexadecimal. */
 	readonly keysByDigest: Map<string, KeyIdentity>;
 	/** SHA-256 digests of the keys, in hexadecimal, by key id. */
 	readonly digestsByKeyId: Map<string, string>;
@@ -50,8 +50,8 @@
 		}
 
 		case 'key': {
-			const {keyId, tenant, digest} = change;
-			view.keysByDigest.set(digest, {keyId, tenant});
+			const {keyId, tenant: customer, digest} = change;
+			view.keysByDigest.set(digest, {keyId, tenant: customer});
 			view.digestsByKeyId.set(keyId, digest);
 			return undefined;
 		}
--- a/src/common/configuration/document.ts
+++ b/src/common/configuration/document.ts
@@ -62,7 +62,7 @@
 /** Parses a YAML document and validates it against `schema`. Returns the validated value or the errors found; duplicate keys are errors, as are keys that a strict schema does not know. */
 export function checkDocument<S extends z.ZodType>(text: string, schema: S): DocumentResult<z.output<S>> {
 	const lines = new LineCounter();
-	// The parser's own check for duplicate keys is off, and `findDuplicateKeys` replaces it: the parser compares every pair of keys, which takes seconds for 20,000 tenants.
+	// The parser's own check for duplicate keys is off, and `findDuplicateKeys` replaces it: the parser compares every pair of keys, which takes seconds for 20,000 customers.
 	const document = parseDocument(text, {lineCounter: lines, uniqueKeys: false});
 	if (document.errors.length > 0) {
 		const issues = document.errors.map(err => ({line: err.linePos?.[0].line ?? 1, path: '', message: err.message.split('\n')[0] ?? err.code}));
--- a/src/common/configuration/forwarding.ts
+++ b/src/common/configuration/forwarding.ts
@@ -48,13 +48,13 @@
 	engine: forwardEngineSchema.optional(),
 });
 
-export const forwardTenantSchema = z.strictObject({
+export const forwardCustomerSchema = z.strictObject({
 	name: z.string(),
-	/** API keys of the tenant. */
+	/** API keys of the customer. */
 	keys: z.array(z.string()),
-	/** Priority of the tenant's requests, in place of the priority of the route; the route's priority applies if absent. */
+	/** Priority of the customer's requests, in place of the priority of the route; the route's priority applies if absent. */
 	priority: z.int().optional(),
-	/** What the tenant's rate limit counts: requests, or prompt and output tokens. */
+	/** What the customer's rate limit counts: requests, or prompt and output tokens. */
 	unit: z.enum(['requests', 'tokens']),
 	/** Tokens that a request without token counts takes from the rate limit, if the unit is tokens. */
 	defaultCost: z.number().nonnegative(),
@@ -74,18 +74,18 @@
 export const forwardingSchema = z.strictObject({
 	routes: z.array(forwardRouteSchema),
 	services: z.array(forwardServiceSchema),
-	tenants: z.array(forwardTenantSchema),
+	tenants: z.array(forwardCustomerSchema),
 	limits: callerLimitsSchema,
 });
 
 export type ForwardRoute = z.infer<typeof forwardRouteSchema>;
 export type ForwardService = z.infer<typeof forwardServiceSchema>;
-export type ForwardTenant = z.infer<typeof forwardTenantSchema>;
+export type ForwardCustomer = z.infer<typeof forwardCustomerSchema>;
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 export type Forwarding = z.infer<typeof forwardingSchema>;
 
 /** Returns a description of the first inconsistency in the section, or undefined if there is none. */
-export function findForwardingInconsistency({routes, services, tenants}: Forwarding): string | undefined {
+export function findForwardingInconsistency({routes, services, tenants: customers}: Forwarding): string | undefined {
 	const serviceNames = new Set(services.map(({name}) => name));
 	const routeKeys = new Set<string>();
 	for (const {name, host, pathPrefix, targets} of routes) {
@@ -105,14 +105,14 @@
 		}
 	}
 
-	const tenantsByKey = new Map<string, string>();
-	for (const {name, keys} of tenants) {
+	const customersByKey = new Map<string, string>();
+	for (const {name, keys} of customers) {
 		for (const key of keys) {
-			if (tenantsByKey.has(key) && tenantsByKey.get(key) !== name) {
-				return `tenants "${tenantsByKey.get(key)}" and "${name}" share a key`;
+			if (customersByKey.has(key) && customersByKey.get(key) !== name) {
+				return `tenants "${customersByKey.get(key)}" and "${name}" share a key`;
 			}
 
-			tenantsByKey.set(key, name);
+			customersByKey.set(key, name);
 		}
 	}
 
--- a/src/common/configuration/shared.ts
+++ b/src/common/configuration/shared.ts
@@ -36,12 +36,12 @@
 });
 
 /** A customer, with a rate limit that all entry processes enforce together. */
-export const tenantSchema = z.strictObject({
-	/** Refill rate of the tenant's token bucket, in rate tokens per second. */
+export const customerSchema = z.strictObject({
+	/** Refill rate of the customer's token bucket, in rate tokens per second. */
 	rate: tokenRateSchema,
-	/** Capacity of the tenant's token bucket, in rate tokens. */
+	/** Capacity of the customer's token bucket, in rate tokens. */
 	burst: z.int().min(1),
-	/** Weight of the tenant's share of a contended pool, relative to other tenants. */
+	/** Weight of the customer's share of a contended pool, relative to other customers. */
 	weight: z.number().positive().default(1),
 });
 
@@ -53,7 +53,7 @@
 	idempotent: z.boolean(),
 	/** Whether the route can be called without an API key. */
 	open: z.boolean().default(false),
-	/** Rate tokens that a request takes from the tenant's token bucket. */
+	/** Rate tokens that a request takes from the customer's token bucket. */
 	cost: z.int().min(0).default(1),
 });
 
@@ -92,7 +92,7 @@
 /** Configuration of the whole cluster, which operators change at runtime. */
 export const sharedConfigurationSchema = z.strictObject({
 	profiles: z.record(nameSchema, profileSchema),
-	tenants: z.record(nameSchema, tenantSchema),
+	tenants: z.record(nameSchema, customerSchema),
 	services: z.record(nameSchema, serviceSchema),
 	upstreams: z.record(nameSchema, upstreamSchema),
 	/** Store from which engines load model weights, and its bandwidth in bytes per second, within which model loads are scheduled. */
@@ -124,7 +124,7 @@
 });
 
 export type Profile = z.infer<typeof profileSchema>;
-export type Tenant = z.infer<typeof tenantSchema>;
+export type Customer = z.infer<typeof customerSchema>;
 export type Route = z.infer<typeof routeSchema>;
 export type Service = z.infer<typeof serviceSchema>;
 export type ModelService = Extract<Service, {kind: 'model'}>;
--- a/src/common/control/apply.test.ts
+++ b/src/common/control/apply.test.ts
@@ -23,15 +23,15 @@
 	};
 }
 
-function claimOpen(claimId: string, idempotencyKey = 'i-1', requestDigest = 'a', tenant = 'acme'): Command {
+function claimOpen(claimId: string, idempotencyKey = 'i-1', requestDigest = 'a', customer = 'acme'): Command {
 	return {
-		type: 'claim.open', claimId, tenant, service: 'desk', idempotencyKey, requestDigest,
+		type: 'claim.open', claimId, tenant: customer, service: 'desk', idempotencyKey, requestDigest,
 	};
 }
 
-function claimSettle(claimId: string, outcome: CommandOf<'claim.settle'>['outcome'], idempotencyKey = 'i-1', tenant = 'acme'): Command {
+function claimSettle(claimId: string, outcome: CommandOf<'claim.settle'>['outcome'], idempotencyKey = 'i-1', customer = 'acme'): Command {
 	return {
-		type: 'claim.settle', claimId, tenant, service: 'desk', idempotencyKey, outcome,
+		type: 'claim.settle', claimId, tenant: customer, service: 'desk', idempotencyKey, outcome,
 	};
 }
 
--- a/src/common/control/apply.ts
+++ b/src/common/control/apply.ts
@@ -77,7 +77,7 @@
 	}
 }
 
-function issueKey(state: ReplicatedState, {keyId, digest, tenant}: CommandOf<'key.issue'>, limits: ControlLimits): Outcome {
+function issueKey(state: ReplicatedState, {keyId, digest, tenant: customer}: CommandOf<'key.issue'>, limits: ControlLimits): Outcome {
 	if (state.keys.has(keyId)) {
 		return refuse('exists');
 	}
@@ -87,10 +87,10 @@
 	}
 
 	const revision = appendChange(state, {
-		kind: 'key', keyId, digest, tenant,
+		kind: 'key', keyId, digest, tenant: customer,
 	}, limits);
 	state.keys.set(keyId, {
-		keyId, digest, tenant, revision,
+		keyId, digest, tenant: customer, revision,
 	});
 	return {
 		kind: 'issued', revision, keyId, digest,
@@ -163,8 +163,8 @@
 }
 
 /** Returns the key of a claim in the replicated state. JSON quotes the parts, so that different claims have different keys. */
-export function claimKey({tenant, service, idempotencyKey}: {readonly tenant: string; readonly service: string; readonly idempotencyKey: string}): string {
-	return JSON.stringify([tenant, service, idempotencyKey]);
+export function claimKey({tenant: customer, service, idempotencyKey}: {readonly tenant: string; readonly service: string; readonly idempotencyKey: string}): string {
+	return JSON.stringify([customer, service, idempotencyKey]);
 }
 
 /** Returns the outcome that tells a claimant the status of a claim. `requestDigest` is the digest of the claimant's request, and `claim` is undefined if there is no claim for its idempotency key. */
@@ -185,29 +185,29 @@
 }
 
 function openClaim(state: ReplicatedState, command: CommandOf<'claim.open'>, limits: ControlLimits): Outcome {
-	const {claimId, tenant, requestDigest} = command;
+	const {claimId, tenant: customer, requestDigest} = command;
 	const key = claimKey(command);
 	const existing = state.claims.get(key);
 	if (existing) {
 		return existing.claimId === claimId && existing.status === 'open' ? {kind: 'claim-granted'} : claimStatus(existing, requestDigest);
 	}
 
-	const count = state.claimsPerTenant.get(tenant) ?? 0;
+	const count = state.claimsPerTenant.get(customer) ?? 0;
 	if (count >= limits.claimsPerTenant || state.claims.size >= limits.claims) {
-		return {kind: 'claim-too-many', retryAfterMs: timeToFirstExpiryMs(state, count >= limits.claimsPerTenant ? tenant : undefined)};
+		return {kind: 'claim-too-many', retryAfterMs: timeToFirstExpiryMs(state, count >= limits.claimsPerTenant ? customer : undefined)};
 	}
 
-	state.claimsPerTenant.set(tenant, count + 1);
+	state.claimsPerTenant.set(customer, count + 1);
 	state.claims.set(key, {
-		claimId, tenant, requestDigest, expiresMs: state.logTimeMs + limits.claimTtlMs, status: 'open',
+		claimId, tenant: customer, requestDigest, expiresMs: state.logTimeMs + limits.claimTtlMs, status: 'open',
 	});
 	return {kind: 'claim-granted'};
 }
 
 /** Returns the log time until the next claim expires, in milliseconds, or 0 if there is no claim. Considers only claims of `tenant` if it is given. */
-function timeToFirstExpiryMs(state: ReplicatedState, tenant: string | undefined): number {
+function timeToFirstExpiryMs(state: ReplicatedState, customer: string | undefined): number {
 	for (const claim of state.claims.values()) {
-		if (tenant === undefined || claim.tenant === tenant) {
+		if (customer === undefined || claim.tenant === customer) {
 			return Math.max(0, claim.expiresMs - state.logTimeMs);
 		}
 	}
--- a/src/common/control/control.test.ts
+++ b/src/common/control/control.test.ts
@@ -152,7 +152,7 @@
 	assert.equal(setDrain(6, true).length, 1);
 });
 
-test('a proposal that advances the log clock or names an unknown tenant is refused', () => {
+test('a proposal that advances the log clock or names an unknown customer is refused', () => {
 	const {propose} = makeLeader();
 	const refusals = [
 		propose(10, 2, {type: 'clock.advance', elapsedMs: 1e9}),
--- a/src/common/control/control.ts
+++ b/src/common/control/control.ts
@@ -291,8 +291,8 @@
 	}
 
 	const isResend = 'changeId' in command && state.data.outcomes.has(command.changeId);
-	const tenants = command.type === 'key.issue' && !isResend ? currentConfiguration(state)?.tenants ?? {} : undefined;
-	return tenants && command.type === 'key.issue' && !Object.hasOwn(tenants, command.tenant) ? 'unknown-tenant' : undefined;
+	const customers = command.type === 'key.issue' && !isResend ? currentConfiguration(state)?.tenants ?? {} : undefined;
+	return customers && command.type === 'key.issue' && !Object.hasOwn(customers, command.tenant) ? 'unknown-tenant' : undefined;
 }
 
 function currentConfiguration(state: ControlSlice): SharedConfiguration | undefined {
@@ -428,7 +428,7 @@
 	const version = currentVersion(state.data);
 	const outcome = applyCommand(state.data, command, state.limits);
 	if (state.owner && currentVersion(state.data) !== version) {
-		updateTenantLimits(state, nowMs);
+		updateCustomerLimits(state, nowMs);
 	}
 
 	const hasWaitingCaller = token !== undefined && state.pendingRequests.delete(token);
@@ -462,7 +462,7 @@
 	return effects;
 }
 
-function updateTenantLimits(state: ControlSlice, nowMs: number): void {
+function updateCustomerLimits(state: ControlSlice, nowMs: number): void {
 	state.owner?.setLimits(Object.entries(currentConfiguration(state)?.tenants ?? {}), nowMs);
 }
 
@@ -481,7 +481,7 @@
 			state.owner = new BucketOwner(term, nowMs, (state.options.minElectionTimeoutMs ?? 0) * minClockRateRatio);
 			state.sessions.clear();
 			state.proposedClockMs = nowMs;
-			updateTenantLimits(state, nowMs);
+			updateCustomerLimits(state, nowMs);
 			// A handover is used only if its sender led the preceding term: no other leader can have granted tokens since then.
 			if (state.receivedHandover?.term === term - 1) {
 				state.owner.applyHandover(state.receivedHandover, nowMs);
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -164,7 +164,7 @@
 	next: z.int().optional(),
 });
 
-/** Tokens of a tenant's bucket that an entry process may spend. */
+/** Tokens of a customer's bucket that an entry process may spend. */
 export const grantSchema = z.strictObject({
 	/** Id of the grant; unique across all leaders. */
 	id: z.int(),
@@ -174,15 +174,15 @@
 	isAdvance: z.boolean(),
 });
 
-/** Reports that the tenant's bucket cannot cover a waiting request within the next `waitMs` milliseconds. */
+/** Reports that the customer's bucket cannot cover a waiting request within the next `waitMs` milliseconds. */
 export const tokenShortageSchema = z.strictObject({
 	tenant: idSchema,
 	waitMs: z.number().nonnegative(),
-	/** Whether the reason is that the leader is new, and grants nothing to any tenant until the previous leader's grants have expired. */
+	/** Whether the reason is that the leader is new, and grants nothing to any customer until the previous leader's grants have expired. */
 	isPause: z.boolean(),
 });
 
-/** Tokens of a tenant that an entry process asks for. */
+/** Tokens of a customer that an entry process asks for. */
 export const tokenRequestSchema = z.strictObject({
 	tenant: idSchema,
 	tokens: tokensSchema,
@@ -198,7 +198,7 @@
 /** Rate tokens that were spent for a request but not used by it; the bucket owner counted them as spent at `stamp` or later. */
 export const refundSchema = z.strictObject({tenant: idSchema, stamp: ownerTimestampSchema, tokens: tokensSchema});
 
-/** Rate tokens that requests of a tenant used in excess of what they had acquired. */
+/** Rate tokens that requests of a customer used in excess of what they had acquired. */
 export const chargeSchema = z.strictObject({tenant: idSchema, tokens: tokensSchema});
 
 /** Token usage reported by an entry process, and the tokens that it asks for. */
--- a/src/common/control/queries.ts
+++ b/src/common/control/queries.ts
@@ -44,7 +44,7 @@
 	const items: Change[] = page ? [] : readViewWithoutKeys(state);
 	let next: number | undefined;
 	let count = 0;
-	for (const {keyId, digest, tenant, revision} of state.keys.values()) {
+	for (const {keyId, digest, tenant: customer, revision} of state.keys.values()) {
 		if (revision <= (page?.cursor ?? 0)) {
 			continue;
 		}
@@ -56,7 +56,7 @@
 
 		count++;
 		items.push({
-			kind: 'key', revision, keyId, digest, tenant,
+			kind: 'key', revision, keyId, digest, tenant: customer,
 		});
 	}
 
@@ -104,7 +104,7 @@
 
 		case 'keys': {
 			const remaining = [...state.keys.values()].filter(({revision}) => revision > query.after);
-			const keys = remaining.slice(0, keysPerPage).map(({keyId, tenant, revision}) => ({keyId, tenant, revision}));
+			const keys = remaining.slice(0, keysPerPage).map(({keyId, tenant: customer, revision}) => ({keyId, tenant: customer, revision}));
 			return {what: 'keys', keys, ...(keys.length < remaining.length && {next: keys.at(-1)!.revision})};
 		}
 
--- a/src/common/control/state.ts
+++ b/src/common/control/state.ts
@@ -16,7 +16,7 @@
 	drains: 10_000,
 	leases: 2000,
 	orders: 1000,
-	/** Claims of all tenants together. */
+	/** Claims of all customers together. */
 	claims: 50_000,
 	claimsPerTenant: 10_000,
 	/** Total size of the response bodies recorded for all claims, in bytes; a response that would exceed it is recorded without its body. */
@@ -90,7 +90,7 @@
 	readonly orders: Map<string, OrderRecord>;
 	/** Claims, keyed by the result of `claimKey` and in order of expiry. */
 	readonly claims: Map<string, Claim>;
-	/** Number of claims of each tenant that has any. */
+	/** Number of claims of each customer that has any. */
 	readonly claimsPerTenant: Map<string, number>;
 	/** Total size of the response bodies recorded for claims, in bytes. */
 	recordedBytes: number;
@@ -160,10 +160,10 @@
 		throw new TypeError(`unknown control snapshot format ${String(data.format)}`);
 	}
 
-	const claimsPerTenant = new Map<string, number>();
+	const claimsPerCustomer = new Map<string, number>();
 	let recordedBytes = 0;
 	for (const [, claim] of data.claims) {
-		claimsPerTenant.set(claim.tenant, (claimsPerTenant.get(claim.tenant) ?? 0) + 1);
+		claimsPerCustomer.set(claim.tenant, (claimsPerCustomer.get(claim.tenant) ?? 0) + 1);
 		recordedBytes += claim.outcome?.body?.length ?? 0;
 	}
 
@@ -177,7 +177,7 @@
 		leases: new Map(data.leases.map(([name, lease]) => [name, {holder: lease.holder, epoch: lease.epoch, expiresMs: lease.expiresMs}])),
 		orders: new Map(data.orders.map(order => [order.orderId, order])),
 		claims: new Map(data.claims.map(([key, claim]) => [key, {...claim}])),
-		claimsPerTenant,
+		claimsPerTenant: claimsPerCustomer,
 		recordedBytes,
 		changes: [...data.changes],
 	};
--- a/src/common/forwarding/memory-wait.test.ts
+++ b/src/common/forwarding/memory-wait.test.ts
@@ -22,7 +22,7 @@
 	assert.ok(retryAfterMs.every(afterMs => afterMs >= 3000 && afterMs <= 4500));
 });
 
-test('callers refused because the tenants\' rates are unconfirmed are told to retry only after an election and the new leader\'s pause, at different times', () => {
+test('callers refused because the customers\' rates are unconfirmed are told to retry only after an election and the new leader\'s pause, at different times', () => {
 	const electionAndPauseMs = 1200;
 	assert.ok(unconfirmedStateRetryAfterMs(0) >= electionAndPauseMs);
 	assert.ok(unconfirmedStateRetryAfterMs(0.99) - unconfirmedStateRetryAfterMs(0) >= 1000);
--- a/src/common/forwarding/route-table.ts
+++ b/src/common/forwarding/route-table.ts
@@ -1,11 +1,11 @@
 import type {
-	ForwardRoute, ForwardService, ForwardTenant, Forwarding,
+	ForwardRoute, ForwardService, ForwardCustomer, Forwarding,
 } from '../configuration/forwarding.js';
 
 /** Lookup tables for the forwarding section of the configuration; built once per configuration version. */
 export class RouteTable {
 	private readonly _routesByHost = new Map<string, ForwardRoute[]>();
-	private readonly _tenantsByKey = new Map<string, ForwardTenant>();
+	private readonly _customersByKey = new Map<string, ForwardCustomer>();
 	private readonly _services = new Map<string, ForwardService>();
 
 	constructor(readonly forwarding: Forwarding) {
@@ -20,9 +20,9 @@
 			routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
 		}
 
-		for (const tenant of forwarding.tenants) {
-			for (const key of tenant.keys) {
-				this._tenantsByKey.set(key, tenant);
+		for (const customer of forwarding.tenants) {
+			for (const key of customer.keys) {
+				this._customersByKey.set(key, customer);
 			}
 		}
 
@@ -31,8 +31,8 @@
 		}
 	}
 
-	/** Whether any tenants are configured, so that requests need a key except on open routes. */
-	get hasTenants(): boolean {
+	/** Whether any customers are configured, so that requests need a key except on open routes. */
+	get hasCustomers(): boolean {
 		return this.forwarding.tenants.length > 0;
 	}
 
@@ -45,9 +45,9 @@
 		return routes?.find(({pathPrefix}) => pathname.startsWith(pathPrefix));
 	}
 
-	/** Returns the tenant that owns an API key; undefined for an unknown key. */
-	tenantForKey(key: string): ForwardTenant | undefined {
-		return this._tenantsByKey.get(key);
+	/** Returns the customer that owns an API key; undefined for an unknown key. */
+	customerForKey(key: string): ForwardCustomer | undefined {
+		return this._customersByKey.get(key);
 	}
 
 	service(name: string): ForwardService | undefined {
--- a/src/common/limits/bucket-owner.test.ts
+++ b/src/common/limits/bucket-owner.test.ts
@@ -184,7 +184,7 @@
 	assert.equal(holder.buildReport(20).wanted[0]?.atLeast, 1);
 });
 
-test('a tenant is not told that it exceeds its rate while a new leader grants nothing', () => {
+test('a customer is not told that it exceeds its rate while a new leader grants nothing', () => {
 	const owner = makeOwner(100, 1000);
 	const holder = new GrantHolder();
 	acquireFrom(holder, 1, 10, 0);
@@ -224,7 +224,7 @@
 	assertTakesExactly(successor, 100, 500, {returned: [{grant: first!.id, tokens: 500}]});
 });
 
-test('a tenant that is removed and added again just before a handover does not get a second full bucket from the successor', () => {
+test('a customer that is removed and added again just before a handover does not get a second full bucket from the successor', () => {
 	const owner = makeOwner(100, 1000);
 	assertTakesExactly(owner, 20_000, 1000);
 	owner.setLimits([], 20_100);
@@ -273,7 +273,7 @@
 	assertTakesExactly(owner, 6000, 500);
 });
 
-test('a change of its limit does not give a tenant a full bucket', () => {
+test('a change of its limit does not give a customer a full bucket', () => {
 	const owner = makeOwner(100, 1000);
 	const before = sync(owner, 'a', 20_000, {wanted: waitingTokenRequests(1000)});
 	assert.equal(totalTokens(before), 1000);
@@ -285,7 +285,7 @@
 	assertTakesExactly(owner, 21_700, 100);
 });
 
-test('the buckets of idle tenants are removed', () => {
+test('the buckets of idle customers are removed', () => {
 	const owner = makeOwner(1000, 1000);
 	sync(owner, 'a', 5000, {wanted: advanceTokenRequests(1000)});
 	owner.trim(6000);
--- a/src/common/limits/bucket-owner.ts
+++ b/src/common/limits/bucket-owner.ts
@@ -1,5 +1,5 @@
 /**
-Token buckets of all tenants, owned by the leader of the control VMs.
+Token buckets of all customers, owned by the leader of the control VMs.
 The sum of a bucket's level, its outstanding grants and the tokens that an earlier leader may have granted never exceeds the burst,
 so all entry processes together consume at most burst + rate * t tokens in any window of length t.
 */
@@ -14,7 +14,7 @@
 import {
 	demandTtlMs, maxAdvanceShare, ownerAdvanceGrantValidityMs, ownerOnDemandGrantValidityMs,
 } from './types.js';
-import type {OwnedGrant, TenantLimit} from './types.js';
+import type {OwnedGrant, CustomerLimit} from './types.js';
 
 /** Number of grant ids per term. Each term has its own range of ids, so a holder's report never matches a grant of another leader. */
 const grantIdsPerTerm = 2 ** 32;
@@ -28,8 +28,8 @@
 
 const noGrants: GrantAmounts = {onDemand: 0, advance: 0};
 
-/** A tenant's limit, and the time from which its bucket fills, starting empty. */
-type LimitRecord = {readonly limit: TenantLimit; readonly sinceMs: number};
+/** A customer's limit, and the time from which its bucket fills, starting empty. */
+type LimitRecord = {readonly limit: CustomerLimit; readonly sinceMs: number};
 
 /** Grants and shortages for the answer to a sync. The grants count as outstanding at once, and their validity starts at `confirm`. */
 export type SyncGrants = {
@@ -48,8 +48,8 @@
 	/** Confirmed advance grants in the order of their expiry. */
 	private _advanceExpiryQueue: OwnedGrant[] = [];
 	private _nextGrantIndex = 1;
-	/** Tenants with a waiting request, by the holder that reported the request. */
-	private readonly _waitingTenants = new Map<VmId, Set<string>>();
+	/** Customers with a waiting request, by the holder that reported the request. */
+	private readonly _waitingCustomers = new Map<VmId, Set<string>>();
 
 	/**
 	@param startMs - when this term's leadership began
@@ -61,29 +61,29 @@
 		return this._buckets.size;
 	}
 
-	/** Sets the limits of all tenants. A tenant that had no limit before starts with an empty bucket. */
-	setLimits(limits: Iterable<readonly [string, TenantLimit]>, nowMs: number): void {
+	/** Sets the limits of all customers. A customer that had no limit before starts with an empty bucket. */
+	setLimits(limits: Iterable<readonly [string, CustomerLimit]>, nowMs: number): void {
 		const isFirst = !this._hasHadLimits;
 		const next = new Map<string, LimitRecord>();
-		for (const [tenant, {rate, burst}] of limits) {
-			const known = this._limits.get(tenant);
+		for (const [customer, {rate, burst}] of limits) {
+			const known = this._limits.get(customer);
 			const isSame = known?.limit.rate === rate && known.limit.burst === burst;
-			next.set(tenant, isSame ? known : {limit: {rate, burst}, sinceMs: known?.sinceMs ?? (isFirst ? this._grantingStartMs : nowMs)});
+			next.set(customer, isSame ? known : {limit: {rate, burst}, sinceMs: known?.sinceMs ?? (isFirst ? this._grantingStartMs : nowMs)});
 			if (known && !isSame) {
-				this._changeLimit(tenant, {rate, burst}, nowMs);
+				this._changeLimit(customer, {rate, burst}, nowMs);
 			}
 		}
 
 		this._hasHadLimits ||= next.size > 0;
 		this._limits = next;
-		for (const tenant of this._buckets.keys()) {
-			if (!next.has(tenant)) {
-				this._buckets.delete(tenant);
+		for (const customer of this._buckets.keys()) {
+			if (!next.has(customer)) {
+				this._buckets.delete(customer);
 			}
 		}
 
-		for (const {id, tenant} of this._grants.values()) {
-			if (!next.has(tenant)) {
+		for (const {id, tenant: customer} of this._grants.values()) {
+			if (!next.has(customer)) {
 				this._grants.delete(id);
 			}
 		}
@@ -151,9 +151,9 @@
 			type: 'control/handover',
 			term: this.term,
 			pauseMs: Math.max(0, this._predecessorExpiryMs - nowMs),
-			buckets: [...this._buckets.keys()].map(tenant => {
-				const {level} = this._refilledBucket(tenant, nowMs)!;
-				return {tenant, level};
+			buckets: [...this._buckets.keys()].map(customer => {
+				const {level} = this._refilledBucket(customer, nowMs)!;
+				return {tenant: customer, level};
 			}),
 			grants: [...this._grants.values()].map(({vm, incarnation, expiresMs, ...grant}) => ({...grant, holder: {vm, incarnation}, expiresInMs: expiresMs! - nowMs})),
 		};
@@ -162,9 +162,9 @@
 	/** Continues from the state of the former leader, instead of waiting until the former leader's grants have expired. Limits must be set before this call. */
 	applyHandover({pauseMs, buckets, grants}: Handover, nowMs: number): void {
 		this._predecessorSilenceMs = ownerAdvanceGrantValidityMs - pauseMs;
-		for (const [tenant, {limit, sinceMs}] of this._limits) {
-			// A tenant that the handover does not name may have been added just before the handover, so its bucket fills from the start of this term at the earliest.
-			this._limits.set(tenant, {limit, sinceMs: Math.min(sinceMs, Math.max(this._startMs, this._grantingStartMs))});
+		for (const [customer, {limit, sinceMs}] of this._limits) {
+			// A customer that the handover does not name may have been added just before the handover, so its bucket fills from the start of this term at the earliest.
+			this._limits.set(customer, {limit, sinceMs: Math.min(sinceMs, Math.max(this._startMs, this._grantingStartMs))});
 		}
 
 		for (const {holder, expiresInMs, ...grant} of grants) {
@@ -182,8 +182,8 @@
 			queue.sort((a, b) => a.expiresMs! - b.expiresMs!);
 		}
 
-		for (const {tenant, level} of buckets) {
-			const bucket = this._refilledBucket(tenant, nowMs);
+		for (const {tenant: customer, level} of buckets) {
+			const bucket = this._refilledBucket(customer, nowMs);
 			if (bucket) {
 				bucket.level = Math.min(level, levelCap(bucket));
 				recordHeadroom(bucket, nowMs);
@@ -194,13 +194,13 @@
 	/** Closes expired grants and removes buckets that are full and unused. A removed bucket is created again from its limit when it is needed. */
 	trim(nowMs: number): void {
 		this._expireGrants(nowMs);
-		for (const tenant of this._buckets.keys()) {
-			const bucket = this._refilledBucket(tenant, nowMs)!;
-			const {sinceMs, limit} = this._limits.get(tenant)!;
+		for (const customer of this._buckets.keys()) {
+			const bucket = this._refilledBucket(customer, nowMs)!;
+			const {sinceMs, limit} = this._limits.get(customer)!;
 			expireDemands(bucket, nowMs);
 			const isFull = bucket.outstanding === 0 && bucket.level >= limit.burst && levelAfterRefill(limit, nowMs - sinceMs) >= limit.burst;
 			if (isFull && bucket.demands.size === 0) {
-				this._buckets.delete(tenant);
+				this._buckets.delete(customer);
 			}
 		}
 	}
@@ -223,15 +223,15 @@
 		return isAdvance ? this._advanceExpiryQueue : this._onDemandExpiryQueue;
 	}
 
-	/** Returns the bucket, refilled until `nowMs`; undefined for an unknown tenant. */
-	private _refilledBucket(tenant: string, nowMs: number): Bucket | undefined {
-		const bucket = this._buckets.get(tenant);
+	/** Returns the bucket, refilled until `nowMs`; undefined for an unknown customer. */
+	private _refilledBucket(customer: string, nowMs: number): Bucket | undefined {
+		const bucket = this._buckets.get(customer);
 		if (bucket) {
 			refill(bucket, nowMs);
 			return bucket;
 		}
 
-		const record = this._limits.get(tenant);
+		const record = this._limits.get(customer);
 		if (!record) {
 			return undefined;
 		}
@@ -239,13 +239,13 @@
 		const {limit, sinceMs} = record;
 		const created = createBucket(limit, Math.min(nowMs, sinceMs), this._predecessorExpiryMs);
 		refill(created, nowMs);
-		this._buckets.set(tenant, created);
+		this._buckets.set(customer, created);
 		return created;
 	}
 
-	private _changeLimit(tenant: string, limit: TenantLimit, nowMs: number): void {
+	private _changeLimit(customer: string, limit: CustomerLimit, nowMs: number): void {
 		// `_limits` still has the old limit here, with which a missing bucket is created, so that its level does not jump to the new burst.
-		const bucket = this._refilledBucket(tenant, nowMs)!;
+		const bucket = this._refilledBucket(customer, nowMs)!;
 		bucket.limit = limit;
 		bucket.level = Math.min(bucket.level, levelCap(bucket));
 		recordHeadroom(bucket, nowMs);
@@ -253,19 +253,19 @@
 
 	/** Releases the reservations for requests that the holder no longer reports as waiting, since those requests were served or refused. */
 	private _releaseReservations(vm: VmId, wanted: readonly TokenRequest[]): void {
-		const tenants = this._waitingTenants.get(vm) ?? new Set();
-		const waitingTenants = new Set(wanted.filter(({atLeast}) => atLeast > 0).map(({tenant}) => tenant));
-		for (const tenant of tenants) {
-			const demand = waitingTenants.has(tenant) ? undefined : this._buckets.get(tenant)?.demands.get(vm);
+		const customers = this._waitingCustomers.get(vm) ?? new Set();
+		const waitingCustomers = new Set(wanted.filter(({atLeast}) => atLeast > 0).map(({tenant: customer}) => customer));
+		for (const customer of customers) {
+			const demand = waitingCustomers.has(customer) ? undefined : this._buckets.get(customer)?.demands.get(vm);
 			if (demand) {
 				demand.reservedTokens = 0;
 			}
 		}
 
-		if (waitingTenants.size > 0) {
-			this._waitingTenants.set(vm, waitingTenants);
+		if (waitingCustomers.size > 0) {
+			this._waitingCustomers.set(vm, waitingCustomers);
 		} else {
-			this._waitingTenants.delete(vm);
+			this._waitingCustomers.delete(vm);
 		}
 	}
 
@@ -284,15 +284,15 @@
 			}
 		}
 
-		for (const {tenant, tokens} of charges) {
-			const bucket = this._refilledBucket(tenant, nowMs);
+		for (const {tenant: customer, tokens} of charges) {
+			const bucket = this._refilledBucket(customer, nowMs);
 			if (bucket) {
 				bucket.level -= tokens;
 			}
 		}
 
-		for (const {tenant, stamp, tokens} of refunds) {
-			const bucket = stamp.term === this.term ? this._refilledBucket(tenant, nowMs) : undefined;
+		for (const {tenant: customer, stamp, tokens} of refunds) {
+			const bucket = stamp.term === this.term ? this._refilledBucket(customer, nowMs) : undefined;
 			if (bucket) {
 				bucket.level += bucket.headroom.consume(stamp.atMs, tokens);
 				recordHeadroom(bucket, nowMs);
@@ -351,16 +351,16 @@
 		return count > 0 ? queue.slice(count) : queue;
 	}
 
-	private _createGrant(bucket: Bucket, {vm, incarnation}: VmIdentity, {tenant, tokens, isAdvance}: Omit<Grant, 'id'>): Grant {
+	private _createGrant(bucket: Bucket, {vm, incarnation}: VmIdentity, {tenant: customer, tokens, isAdvance}: Omit<Grant, 'id'>): Grant {
 		const id = (this.term * grantIdsPerTerm) + this._nextGrantIndex++;
 		bucket.level -= tokens;
 		bucket.outstanding += tokens;
 		bucket.outstandingAdvance += isAdvance ? tokens : 0;
 		this._grants.set(id, {
-			id, tenant, vm, incarnation, left: tokens, isAdvance, tokens, expiresMs: undefined,
+			id, tenant: customer, vm, incarnation, left: tokens, isAdvance, tokens, expiresMs: undefined,
 		});
 		return {
-			id, tenant, tokens, isAdvance,
+			id, tenant: customer, tokens, isAdvance,
 		};
 	}
 
--- a/src/common/limits/bucket.ts
+++ b/src/common/limits/bucket.ts
@@ -1,10 +1,10 @@
-/** Token bucket of one tenant, with start-time fair queueing between the entry processes that hold its grants. */
+/** Token bucket of one customer, with start-time fair queueing between the entry processes that hold its grants. */
 import type {VmId} from '../core/types.js';
 import {HeadroomHistory} from './headroom.js';
 import {demandTtlMs, maxAdvanceShare, overtakeFactor} from './types.js';
-import type {TenantLimit} from './types.js';
+import type {CustomerLimit} from './types.js';
 
-/** Time for which the size of a tenant's largest request is remembered, in milliseconds. Tenants with large prompts send one every few seconds, so the size stays known between two of these prompts. */
+/** Time for which the size of a customer's largest request is remembered, in milliseconds. Customers with large prompts send one every few seconds, so the size stays known between two of these prompts. */
 const largestRequestTtlMs = 10_000;
 
 /** Demand of one holder (an entry process) on a bucket, and the holder's state in the fair queue. Kept for as long as it may affect other holders. */
@@ -31,7 +31,7 @@
 };
 
 export type Bucket = {
-	limit: TenantLimit;
+	limit: CustomerLimit;
 	/** Tokens available; negative after a charge that the bucket could not cover. */
 	level: number;
 	/** Granted tokens that holders may still spend. */
@@ -52,7 +52,7 @@
 };
 
 /** Creates an empty bucket that fills from `sinceMs` on; advance grants of an earlier leader may be spent until `predecessorExpiryMs`. */
-export function createBucket(limit: TenantLimit, sinceMs: number, predecessorExpiryMs: number): Bucket {
+export function createBucket(limit: CustomerLimit, sinceMs: number, predecessorExpiryMs: number): Bucket {
 	const bucket: Bucket = {
 		limit,
 		level: 0,
@@ -71,7 +71,7 @@
 }
 
 /** Returns the level of a bucket that was empty `elapsedMs` ago and has granted nothing since. */
-export function levelAfterRefill({rate, burst}: TenantLimit, elapsedMs: number): number {
+export function levelAfterRefill({rate, burst}: CustomerLimit, elapsedMs: number): number {
 	return Math.min(burst, rate * Math.max(0, elapsedMs) / 1000);
 }
 
--- a/src/common/limits/central-bucket.ts
+++ b/src/common/limits/central-bucket.ts
@@ -1,5 +1,5 @@
 import {overtakeFactor} from './types.js';
-import type {TenantLimit} from './types.js';
+import type {CustomerLimit} from './types.js';
 
 type WaitingRequest = {readonly tokens: number; readonly deadlineMs: number};
 
@@ -9,7 +9,7 @@
 	private _level: number;
 	private readonly _queue: WaitingRequest[] = [];
 
-	constructor(private readonly _limit: TenantLimit, private _updatedMs: number) {
+	constructor(private readonly _limit: CustomerLimit, private _updatedMs: number) {
 		this._level = _limit.burst;
 	}
 
--- a/src/common/limits/grant-holder.ts
+++ b/src/common/limits/grant-holder.ts
@@ -1,4 +1,4 @@
-/** Grants from the tenants' token buckets that an entry process holds, and the requests that wait for tokens. */
+/** Grants from the customers' token buckets that an entry process holds, and the requests that wait for tokens. */
 import type {
 	AllowanceReport, Grant, OwnerTimestamp, Refund, TokenShortage, TokenRequest,
 } from '../control/messages.js';
@@ -8,19 +8,19 @@
 import {
 	advanceGrantValidityMs, onDemandGrantValidityMs, overtakeFactor, ownerAdvanceGrantValidityMs, ownerOnDemandGrantValidityMs,
 } from './types.js';
-import type {TenantLimit} from './types.js';
+import type {CustomerLimit} from './types.js';
 
 /** Remaining validity below which a grant's unspent tokens are returned at a sync, in milliseconds, since the grant would expire before the next sync. */
 const returnThresholdMs = 650;
-/** Time constant of the exponential decay of a tenant's demand, in milliseconds. */
+/** Time constant of the exponential decay of a customer's demand, in milliseconds. */
 const demandDecayMs = 1000;
-/** Maximum number of waiting requests per tenant. */
+/** Maximum number of waiting requests per customer. */
 const waiterLimit = 1000;
-/** Maximum number of acquisitions tracked until they are settled, over all tenants; acquisitions beyond this number get no refund. */
+/** Maximum number of acquisitions tracked until they are settled, over all customers; acquisitions beyond this number get no refund. */
 const acquisitionLimit = 20_000;
 /** Time after which an acquisition that has not been settled is no longer tracked and gets no refund, in milliseconds. */
 const acquisitionTtlMs = 600_000;
-/** Spent tokens that trigger an early report, as a share of the tenant's burst, since the owner does not refill the bucket for granted tokens until they are reported as spent. */
+/** Spent tokens that trigger an early report, as a share of the customer's burst, since the owner does not refill the bucket for granted tokens until they are reported as spent. */
 const earlyReportShare = 0.02;
 /** Delay of an early report, in milliseconds, so that it also covers tokens spent shortly after the report was triggered. */
 const earlyReportDelayMs = 5;
@@ -47,8 +47,8 @@
 	readonly acquiredMs: number;
 };
 
-/** Grants, waiting requests and unsettled acquisitions of one tenant. */
-type TenantState = {
+/** Grants, waiting requests and unsettled acquisitions of one customer. */
+type CustomerState = {
 	grants: HeldGrant[];
 	waiters: Waiter[];
 	/** Tokens acquired recently, decaying exponentially with the time constant `demandDecayMs`. */
@@ -65,7 +65,7 @@
 	readyTokens: number;
 	/** Time at which the owner last reported a shortage; `-Infinity` if it has reported none since a waiting request was last served. */
 	lastShortageMs: number;
-	/** Whether the last reported shortage was due to the pause of a new leader, not to the tenant's use. */
+	/** Whether the last reported shortage was due to the pause of a new leader, not to the customer's use. */
 	isLeaderPaused: boolean;
 };
 
@@ -78,7 +78,7 @@
 	readonly tokens: number;
 	readonly maxWaitMs: number;
 	readonly token: ReplyToken;
-	readonly limit: TenantLimit;
+	readonly limit: CustomerLimit;
 	readonly nowMs: number;
 };
 
@@ -104,7 +104,7 @@
 
 /** Holds the grants, waiting requests and unsettled acquisitions of one entry process. */
 export class GrantHolder {
-	private readonly _tenants = new Map<string, TenantState>();
+	private readonly _customers = new Map<string, CustomerState>();
 	private _refunds: Refund[] = [];
 	private _charges = new Map<string, number>();
 	private _acquisitionCount = 0;
@@ -115,14 +115,14 @@
 	private _stamp: OwnerTimestamp = {term: 0, atMs: 0};
 	private _earlyReportAtMs: number | undefined;
 
-	get tenantCount(): number {
-		return this._tenants.size;
+	get customerCount(): number {
+		return this._customers.size;
 	}
 
 	/** Returns the earliest time at which a sync may get tokens for a waiting request; undefined while no request waits. */
 	waitersReadyMs(): number | undefined {
 		let earliest: number | undefined;
-		for (const {waiters, readyMs} of this._tenants.values()) {
+		for (const {waiters, readyMs} of this._customers.values()) {
 			if (waiters.length > 0) {
 				earliest = Math.min(earliest ?? readyMs, readyMs);
 			}
@@ -139,7 +139,7 @@
 	/** Returns the earliest deadline of the waiting requests; undefined while no request waits. */
 	earliestDeadlineMs(): number | undefined {
 		let earliest: number | undefined;
-		for (const {waiters} of this._tenants.values()) {
+		for (const {waiters} of this._customers.values()) {
 			for (const {deadlineMs} of waiters) {
 				earliest = Math.min(earliest ?? deadlineMs, deadlineMs);
 			}
@@ -151,13 +151,13 @@
 	/** Takes tokens for a request or refuses it; returns undefined if the request waits instead. */
 	acquire(req: AcquireRequest): AllowanceResult | undefined {
 		const {
-			tenant, tokens, maxWaitMs, token, limit, nowMs,
+			tenant: customer, tokens, maxWaitMs, token, limit, nowMs,
 		} = req;
 		if (tokens > limit.burst) {
 			return {ok: false, code: 'exceeds-burst'};
 		}
 
-		const state = this._getOrCreateState(tenant, nowMs);
+		const state = this._getOrCreateState(customer, nowMs);
 		const position = state.waiters.findIndex(waiter => tokens * overtakeFactor <= waiter.tokens);
 		const isFirst = position === 0 || state.waiters.length === 0;
 		if (isFirst && this._tryTake(state, req, nowMs)) {
@@ -192,17 +192,17 @@
 	}
 
 	/** Settles an acquisition: unused tokens are refunded to the bucket, tokens used beyond the acquired ones are charged to it. */
-	settle({tenant, acquired, used, acquisition, nowMs}: Settlement): void {
+	settle({tenant: customer, acquired, used, acquisition, nowMs}: Settlement): void {
 		if (used > acquired) {
-			this._charges.set(tenant, (this._charges.get(tenant) ?? 0) + used - acquired);
+			this._charges.set(customer, (this._charges.get(customer) ?? 0) + used - acquired);
 		}
 
-		const stamp = this._removeAcquisition(tenant, acquired, acquisition);
+		const stamp = this._removeAcquisition(customer, acquired, acquisition);
 		if (stamp && used < acquired && this._refunds.length < maxSyncListEntries) {
-			this._refunds.push({tenant, stamp, tokens: acquired - Math.max(0, used)});
+			this._refunds.push({tenant: customer, stamp, tokens: acquired - Math.max(0, used)});
 		}
 
-		this._trim(tenant, nowMs);
+		this._trim(customer, nowMs);
 	}
 
 	/** Builds the report for the next sync. The contents of a lost report are not sent again: the owner counts its granted tokens as spent when the grants expire, and its refunds and charges are dropped. */
@@ -211,7 +211,7 @@
 			spent: [] as AllowanceReport['spent'],
 			returned: [] as AllowanceReport['returned'],
 			refunds: this._refunds,
-			charges: [...this._charges].slice(0, maxSyncListEntries).map(([tenant, tokens]) => ({tenant, tokens})),
+			charges: [...this._charges].slice(0, maxSyncListEntries).map(([customer, tokens]) => ({tenant: customer, tokens})),
 			wanted: [] as TokenRequest[],
 		};
 		this._refunds = [];
@@ -219,15 +219,15 @@
 		this._reportedAcquisitions = this._unreportedAcquisitions;
 		this._unreportedAcquisitions = [];
 		this._charges = new Map([...this._charges].slice(maxSyncListEntries));
-		for (const [tenant, state] of this._tenants) {
+		for (const [customer, state] of this._customers) {
 			state.unreportedTokens = 0;
 			this._reportGrants(state, report, nowMs);
-			const tokenRequest = buildTokenRequest(state, tenant, nowMs);
+			const tokenRequest = buildTokenRequest(state, customer, nowMs);
 			if (tokenRequest) {
 				report.wanted.push(tokenRequest);
 			}
 
-			this._trim(tenant, nowMs);
+			this._trim(customer, nowMs);
 		}
 
 		report.wanted.sort((a, b) => Number(b.atLeast > 0) - Number(a.atLeast > 0));
@@ -236,12 +236,12 @@
 	}
 
 	/** Processes the owner's answer to a report; returns results for the waiting requests that are served or refused. */
-	processAnswer(answer: OwnerAnswer, limitOf: (tenant: string) => TenantLimit | undefined, nowMs: number): WaiterResult[] {
+	processAnswer(answer: OwnerAnswer, limitOf: (customer: string) => CustomerLimit | undefined, nowMs: number): WaiterResult[] {
 		const answers: WaiterResult[] = [];
 		this._stamp = answer.stamp;
 		this._updateReportedStamps(answer);
-		for (const {id, tenant, tokens, isAdvance} of answer.grants) {
-			const state = this._getOrCreateState(tenant, nowMs);
+		for (const {id, tenant: customer, tokens, isAdvance} of answer.grants) {
+			const state = this._getOrCreateState(customer, nowMs);
 			const grant: HeldGrant = {
 				id,
 				left: tokens,
@@ -251,16 +251,16 @@
 			};
 			state.grants.push(grant);
 			this._serveWaiters(state, nowMs, answers);
-			this._scheduleEarlyReport(state, limitOf(tenant), nowMs);
+			this._scheduleEarlyReport(state, limitOf(customer), nowMs);
 			if (!isAdvance && grant.left > 0) {
 				// The request for which these tokens were granted is no longer waiting, so an early report returns the tokens before they expire.
 				this._earlyReportAtMs ??= nowMs + earlyReportDelayMs;
 			}
 		}
 
-		for (const {tenant, waitMs, isPause} of answer.shortages) {
-			const state = this._tenants.get(tenant);
-			const limit = limitOf(tenant);
+		for (const {tenant: customer, waitMs, isPause} of answer.shortages) {
+			const state = this._customers.get(customer);
+			const limit = limitOf(customer);
 			if (state && limit && state.waiters.length > 0) {
 				state.readyMs = nowMs + waitMs;
 				state.readyTokens = state.waiters[0]!.tokens;
@@ -276,7 +276,7 @@
 	/** Refuses waiting requests whose deadline has passed and serves those behind them that the held grants cover; returns the results. */
 	expireWaiters(nowMs: number): WaiterResult[] {
 		const answers: WaiterResult[] = [];
-		for (const state of this._tenants.values()) {
+		for (const state of this._customers.values()) {
 			if (state.waiters.length === 0) {
 				continue;
 			}
@@ -288,7 +288,7 @@
 					continue;
 				}
 
-				// Without an answer of the owner it is unknown whether the tenant exceeds its rate, so the refusal must not say that it does.
+				// Without an answer of the owner it is unknown whether the customer exceeds its rate, so the refusal must not say that it does.
 				const code = waiter.hasOwnerAnswer ? shortageCode(state) : 'control-unreachable';
 				const retryAfterMs = waiter.hasOwnerAnswer ? Math.max(1, state.readyMs - nowMs) : defaultRetryAfterMs;
 				answers.push({token: waiter.token, result: {ok: false, code, retryAfterMs}});
@@ -303,8 +303,8 @@
 		return answers;
 	}
 
-	private _getOrCreateState(tenant: string, nowMs: number): TenantState {
-		let state = this._tenants.get(tenant);
+	private _getOrCreateState(customer: string, nowMs: number): CustomerState {
+		let state = this._customers.get(customer);
 		if (!state) {
 			state = {
 				grants: [],
@@ -319,13 +319,13 @@
 				lastShortageMs: Number.NEGATIVE_INFINITY,
 				isLeaderPaused: false,
 			};
-			this._tenants.set(tenant, state);
+			this._customers.set(customer, state);
 		}
 
 		return state;
 	}
 
-	private _tryTake(state: TenantState, {token, tokens}: Pick<Waiter, 'token' | 'tokens'>, nowMs: number): boolean {
+	private _tryTake(state: CustomerState, {token, tokens}: Pick<Waiter, 'token' | 'tokens'>, nowMs: number): boolean {
 		const usable = state.grants.filter(grant => grant.expiresMs > nowMs);
 		if (usable.reduce((total, {left}) => total + left, 0) < tokens) {
 			return false;
@@ -357,7 +357,7 @@
 		return true;
 	}
 
-	private _scheduleEarlyReport({unreportedTokens}: TenantState, limit: TenantLimit | undefined, nowMs: number): void {
+	private _scheduleEarlyReport({unreportedTokens}: CustomerState, limit: CustomerLimit | undefined, nowMs: number): void {
 		if (limit && unreportedTokens >= limit.burst * earlyReportShare) {
 			this._earlyReportAtMs ??= nowMs + earlyReportDelayMs;
 		}
@@ -374,7 +374,7 @@
 		this._reportedAcquisitions = [];
 	}
 
-	private _serveWaiters(state: TenantState, nowMs: number, answers: WaiterResult[]): void {
+	private _serveWaiters(state: CustomerState, nowMs: number, answers: WaiterResult[]): void {
 		while (state.waiters.length > 0 && this._tryTake(state, state.waiters[0]!, nowMs)) {
 			answers.push({token: state.waiters.shift()!.token, result: {ok: true}});
 			state.readyMs = nowMs;
@@ -387,8 +387,8 @@
 	Without the request's reply token, acquisitions of the same size cannot be told apart: the stamp of the oldest is returned
 	and the youngest is removed, so that no refund is stamped later than its acquisition.
 	*/
-	private _removeAcquisition(tenant: string, tokens: number, acquisition: ReplyToken | undefined): OwnerTimestamp | undefined {
-		const acquisitions = this._tenants.get(tenant)?.acquisitions ?? new Map<ReplyToken, Acquisition>();
+	private _removeAcquisition(customer: string, tokens: number, acquisition: ReplyToken | undefined): OwnerTimestamp | undefined {
+		const acquisitions = this._customers.get(customer)?.acquisitions ?? new Map<ReplyToken, Acquisition>();
 		const candidates = [...acquisitions.keys()].filter(token => acquisition === undefined ? acquisitions.get(token)!.tokens === tokens : token === acquisition);
 		const stamp = acquisitions.get(candidates[0] ?? Number.NaN)?.stamp;
 		if (acquisitions.delete(candidates.at(-1) ?? Number.NaN)) {
@@ -398,7 +398,7 @@
 		return stamp;
 	}
 
-	private _reportGrants(state: TenantState, {spent, returned}: AllowanceReport, nowMs: number): void {
+	private _reportGrants(state: CustomerState, {spent, returned}: AllowanceReport, nowMs: number): void {
 		const kept: HeldGrant[] = [];
 		for (const grant of state.grants) {
 			if (grant.expiresMs <= nowMs) {
@@ -423,9 +423,9 @@
 		state.grants = kept;
 	}
 
-	/** Removes the tenant's expired acquisitions, and its whole state if that is not in use. */
-	private _trim(tenant: string, nowMs: number): void {
-		const state = this._tenants.get(tenant);
+	/** Removes the customer's expired acquisitions, and its whole state if that is not in use. */
+	private _trim(customer: string, nowMs: number): void {
+		const state = this._customers.get(customer);
 		if (!state) {
 			return;
 		}
@@ -441,20 +441,20 @@
 
 		const isIdle = state.grants.length === 0 && state.waiters.length === 0 && state.acquisitions.size === 0;
 		if (isIdle && decayedDemand(state, nowMs) < 1) {
-			this._tenants.delete(tenant);
+			this._customers.delete(customer);
 		}
 	}
 }
 
-function decayedDemand({demand, demandUpdatedMs}: TenantState, nowMs: number): number {
+function decayedDemand({demand, demandUpdatedMs}: CustomerState, nowMs: number): number {
 	return demand * Math.exp((demandUpdatedMs - nowMs) / demandDecayMs);
 }
 
 /**
-Returns a request to the owner for the tokens of the waiting requests plus about a second of the tenant's recent demand, less the tokens held;
+Returns a request to the owner for the tokens of the waiting requests plus about a second of the customer's recent demand, less the tokens held;
 undefined if no tokens are needed. The last request is left out of the demand, since a single request does not predict another.
 */
-function buildTokenRequest(state: TenantState, tenant: string, nowMs: number): TokenRequest | undefined {
+function buildTokenRequest(state: CustomerState, customer: string, nowMs: number): TokenRequest | undefined {
 	const heldTokens = state.grants.reduce((total, {left}) => total + left, 0);
 	const waitingTokens = state.waiters.reduce((total, {tokens}) => total + tokens, 0);
 	const expectedTokens = Math.max(0, decayedDemand(state, nowMs) - state.lastRequestTokens);
@@ -463,23 +463,23 @@
 	const waitMs = Math.max(0, (state.waiters[0]?.deadlineMs ?? nowMs) - nowMs);
 	return tokens > 0 || atLeast > 0
 		? {
-			tenant, tokens: Math.max(tokens, atLeast), atLeast, waitMs,
+			tenant: customer, tokens: Math.max(tokens, atLeast), atLeast, waitMs,
 		}
 		: undefined;
 }
 
 /** Returns the time at which the bucket may cover `tokens`, as estimated from the shortage that the owner last reported; `nowMs` at the earliest. */
-function estimateReadyMs({readyMs, readyTokens}: TenantState, tokens: number, {rate}: TenantLimit, nowMs: number): number {
+function estimateReadyMs({readyMs, readyTokens}: CustomerState, tokens: number, {rate}: CustomerLimit, nowMs: number): number {
 	return Math.max(nowMs, readyMs + ((tokens - readyTokens) / rate * 1000));
 }
 
-/** Returns the code for a refusal due to a shortage. A tenant within its rate must not be told that it exceeds it while a new leader pauses. */
-function shortageCode({isLeaderPaused}: TenantState): 'rate-exceeded' | 'control-unreachable' {
+/** Returns the code for a refusal due to a shortage. A customer within its rate must not be told that it exceeds it while a new leader pauses. */
+function shortageCode({isLeaderPaused}: CustomerState): 'rate-exceeded' | 'control-unreachable' {
 	return isLeaderPaused ? 'control-unreachable' : 'rate-exceeded';
 }
 
 /** Refuses waiting requests that, by the owner's estimate, the bucket cannot cover before their deadline. */
-function refuseUnservable(state: TenantState, limit: TenantLimit, nowMs: number, answers: WaiterResult[]): void {
+function refuseUnservable(state: CustomerState, limit: CustomerLimit, nowMs: number, answers: WaiterResult[]): void {
 	const kept: Waiter[] = [];
 	let tokensAhead = 0;
 	for (const waiter of state.waiters) {
--- a/src/common/limits/limits.test.ts
+++ b/src/common/limits/limits.test.ts
@@ -26,7 +26,7 @@
 });
 
 type Load = {
-	/** Offered tokens per second, as a multiple of the tenant's rate. */
+	/** Offered tokens per second, as a multiple of the customer's rate. */
 	readonly loadFactor: number;
 	/** Whether requests use all tokens that they acquire; if false, the unused tokens are refunded. */
 	readonly isFullyUsed: boolean;
@@ -63,7 +63,7 @@
 	}
 }
 
-test('a tenant gets at most burst + rate * t in any window, over all entry processes', () => {
+test('a customer gets at most burst + rate * t in any window, over all entry processes', () => {
 	fc.assert(fc.property(simulationOptions, loads, (settings, load) => {
 		const simulation = new Simulation(settings);
 		offerRandomLoad(simulation, settings, load);
@@ -94,7 +94,7 @@
 	return refusals.length / (refusals.length + consumed.length);
 }
 
-test('a tenant within its rate is not refused when its requests spread over entry processes', () => {
+test('a customer within its rate is not refused when its requests spread over entry processes', () => {
 	let refused = 0;
 	let total = 0;
 	fc.assert(fc.property(fc.integer(), limits, fc.integer({min: 1, max: 6}), fc.constantFrom(10, 50), (seed, limit, entryCount, requestsPerBurst) => {
@@ -116,7 +116,7 @@
 	assert.ok(refused <= total * 0.0001, `${refused} of ${total} refused`);
 });
 
-test('prompts nearly as large as the burst are not refused among lookups of the same tenant at many entry processes', () => {
+test('prompts nearly as large as the burst are not refused among lookups of the same customer at many entry processes', () => {
 	const limit = {rate: 27_000, burst: 27_000};
 	const lookupTokens = 200;
 	const meanTokens = (0.9 * lookupTokens) + (0.1 * 11_000);
@@ -180,7 +180,7 @@
 	assert.ok(total >= limit.rate * 28, `${total} tokens of ${limit.rate * 30} used`);
 });
 
-test('a planned stop of the leader causes no refusals for a tenant within its rate', () => {
+test('a planned stop of the leader causes no refusals for a customer within its rate', () => {
 	const settings = {
 		seed: 5, limit: {rate: 1000, burst: 2000}, entryCount: 4, clockDrift: 0,
 	};
--- a/src/common/limits/simulation.ts
+++ b/src/common/limits/simulation.ts
@@ -9,7 +9,7 @@
 import {SeededRandom} from '../core/random.js';
 import type {ReplyToken, UntimedEvent} from '../core/types.js';
 import type {AllowanceResult} from '../services/access-service.js';
-import type {TenantLimit} from './types.js';
+import type {CustomerLimit} from './types.js';
 
 /** Faults to inject; a value of 0 disables the fault. */
 export type SimulationFaults = {
@@ -28,7 +28,7 @@
 
 export type SimulationOptions = {
 	readonly seed: number;
-	readonly limit: TenantLimit;
+	readonly limit: CustomerLimit;
 	readonly entryCount: number;
 	readonly faults: SimulationFaults;
 	/** Largest deviation of an entry process's clock rate from true time, as a share. */
@@ -55,7 +55,7 @@
 	lostShare: 0, delayedShare: 0, maxDelayMs: 0, failureIntervalMs: 0, restartIntervalMs: 0, handoverIntervalMs: 0,
 };
 
-/** A simulated cluster with one tenant, `acme`. */
+/** A simulated cluster with one customer, `acme`. */
 export class Simulation {
 	nowMs = 0;
 	readonly consumed: Consumption[] = [];
--- a/src/common/limits/types.ts
+++ b/src/common/limits/types.ts
@@ -1,7 +1,7 @@
 import type {VmId} from '../core/types.js';
 
-/** Fleet-wide rate limit of a tenant. */
-export type TenantLimit = {
+/** Fleet-wide rate limit of a customer. */
+export type CustomerLimit = {
 	/** Refill rate of the token bucket, in tokens per second. */
 	readonly rate: number;
 	/** Capacity of the token bucket, in tokens. */
--- a/src/common/membership/entry-points.test.ts
+++ b/src/common/membership/entry-points.test.ts
@@ -14,13 +14,13 @@
 
 const addressesOf = (key: string, zone: string | undefined, candidates: readonly MemberRecord[]) => chooseEntryPoints({key, zone, candidates}).map(({address}) => address);
 
-test('a tenant keeps its other entry VMs when one of them is removed, and the tenants together use all entry VMs', () => {
+test('a customer keeps its other entry VMs when one of them is removed, and the customers together use all entry VMs', () => {
 	const members = makeMembers(12);
 	const before = new Map(Array.from({length: 60}, (_, i) => [`t${i}`, addressesOf(`t${i}`, undefined, members)]));
 	const removed = members[4]!;
-	for (const [tenant, subset] of before) {
+	for (const [customer, subset] of before) {
 		assert.equal(new Set(subset).size, 3);
-		const after = addressesOf(tenant, undefined, members.filter(member => member !== removed));
+		const after = addressesOf(customer, undefined, members.filter(member => member !== removed));
 		const kept = subset.filter(address => address !== removed.callerAddress);
 		assert.deepEqual(after.filter(address => kept.includes(address)).sort(), kept.sort());
 	}
--- a/src/common/membership/entry-points.ts
+++ b/src/common/membership/entry-points.ts
@@ -2,7 +2,7 @@
 import {rankByRendezvous} from './rendezvous.js';
 import type {MemberRecord} from './types.js';
 
-/** Maximum number of entry VMs in an answer; kept small so that a tenant's traffic reaches only a few VMs. */
+/** Maximum number of entry VMs in an answer; kept small so that a customer's traffic reaches only a few VMs. */
 const subsetSize = 3;
 /** Maximum number of entry VMs in an answer that are in the caller's zone, if other zones have enough entry VMs for the rest of the answer. The caller then still has an entry VM when its zone fails. */
 const sameZoneCount = 2;
--- a/src/common/requests/body-memory.ts
+++ b/src/common/requests/body-memory.ts
@@ -1,38 +1,38 @@
-/** Largest fraction (0 to 1) of the memory for request bodies that one tenant may occupy. */
-const maxTenantShare = 0.25;
+/** Largest fraction (0 to 1) of the memory for request bodies that one customer may occupy. */
+const maxCustomerShare = 0.25;
 
-/** Limits the memory that request bodies occupy in this process, in total and per tenant. */
+/** Limits the memory that request bodies occupy in this process, in total and per customer. */
 export class BodyMemoryBudget {
 	private _usedBytes = 0;
-	private readonly _usedBytesByTenant = new Map<string, number>();
+	private readonly _usedBytesByCustomer = new Map<string, number>();
 
 	constructor(private readonly _limitBytes: number) {}
 
-	/** Memory reserved by all tenants, in bytes. */
+	/** Memory reserved by all customers, in bytes. */
 	get usedBytes(): number {
 		return this._usedBytes;
 	}
 
-	/** Reserves memory for a request body and returns true; reserves nothing and returns false if the process or the tenant would exceed its limit. */
-	tryReserve(tenant: string, bytes: number): boolean {
-		const tenantBytes = (this._usedBytesByTenant.get(tenant) ?? 0) + bytes;
-		if (this._usedBytes + bytes > this._limitBytes || tenantBytes > this._limitBytes * maxTenantShare) {
+	/** Reserves memory for a request body and returns true; reserves nothing and returns false if the process or the customer would exceed its limit. */
+	tryReserve(customer: string, bytes: number): boolean {
+		const customerBytes = (this._usedBytesByCustomer.get(customer) ?? 0) + bytes;
+		if (this._usedBytes + bytes > this._limitBytes || customerBytes > this._limitBytes * maxCustomerShare) {
 			return false;
 		}
 
 		this._usedBytes += bytes;
-		this._usedBytesByTenant.set(tenant, tenantBytes);
+		this._usedBytesByCustomer.set(customer, customerBytes);
 		return true;
 	}
 
 	/** Releases memory reserved by `tryReserve`. */
-	release(tenant: string, bytes: number): void {
+	release(customer: string, bytes: number): void {
 		this._usedBytes -= bytes;
-		const remainingBytes = (this._usedBytesByTenant.get(tenant) ?? 0) - bytes;
+		const remainingBytes = (this._usedBytesByCustomer.get(customer) ?? 0) - bytes;
 		if (remainingBytes > 0) {
-			this._usedBytesByTenant.set(tenant, remainingBytes);
+			this._usedBytesByCustomer.set(customer, remainingBytes);
 		} else {
-			this._usedBytesByTenant.delete(tenant);
+			this._usedBytesByCustomer.delete(customer);
 		}
 	}
 }
--- a/src/common/requests/concurrency-limit.ts
+++ b/src/common/requests/concurrency-limit.ts
@@ -4,11 +4,11 @@
 /** Called with the function that frees the granted slot, or with undefined if the waiter was displaced from the queue. */
 type Waiter = (release: ReleaseSlot | undefined) => void;
 
-/** Limits the requests that run at the same time on one service or upstream. Queued requests are admitted round robin by tenant. */
+/** Limits the requests that run at the same time on one service or upstream. Queued requests are admitted round robin by customer. */
 export class ConcurrencyLimit {
 	private _inFlight = 0;
 	private _waitingCount = 0;
-	/** Waiters by tenant in order of arrival; the map's insertion order is the round-robin order of the tenants. */
+	/** Waiters by customer in order of arrival; the map's insertion order is the round-robin order of the customers. */
 	private readonly _queues = new Map<string, Waiter[]>();
 
 	constructor(private _limit: number) {}
@@ -41,20 +41,20 @@
 	/**
 	Queues a request for a slot; `waiter` is called at most once. Returns a function that removes it from the queue, or
 	undefined if the request was not queued. The queue holds at most as many requests as may run at the same time, since a
-	longer queue would only delay refusals. If the queue is full, the newest request of the tenant with the most queued
-	requests is displaced, provided that this tenant has at least two more requests queued than `tenant`.
+	longer queue would only delay refusals. If the queue is full, the newest request of the customer with the most queued
+	requests is displaced, provided that this customer has at least two more requests queued than `tenant`.
 	*/
-	enqueue(tenant: string, waiter: Waiter): (() => void) | undefined {
-		if (this._waitingCount >= this._limit && !this._displaceWaiter(this._queues.get(tenant)?.length ?? 0)) {
+	enqueue(customer: string, waiter: Waiter): (() => void) | undefined {
+		if (this._waitingCount >= this._limit && !this._displaceWaiter(this._queues.get(customer)?.length ?? 0)) {
 			return undefined;
 		}
 
-		const queue = this._queues.get(tenant) ?? [];
+		const queue = this._queues.get(customer) ?? [];
 		queue.push(waiter);
-		this._queues.set(tenant, queue);
+		this._queues.set(customer, queue);
 		this._waitingCount++;
 		return () => {
-			this._removeWaiter(tenant, waiter);
+			this._removeWaiter(customer, waiter);
 		};
 	}
 
@@ -73,9 +73,9 @@
 	/** Displaces the newest waiter of the longest queue if that queue has at least two waiters more than `ownQueueLength`; returns whether a waiter was displaced. */
 	private _displaceWaiter(ownQueueLength: number): boolean {
 		let longest: {tenant: string; queue: Waiter[]} | undefined;
-		for (const [tenant, queue] of this._queues) {
+		for (const [customer, queue] of this._queues) {
 			if (queue.length > (longest?.queue.length ?? ownQueueLength + 1)) {
-				longest = {tenant, queue};
+				longest = {tenant: customer, queue};
 			}
 		}
 
@@ -91,21 +91,21 @@
 
 	private _admitWaiters(): void {
 		while (this._waitingCount > 0 && this._inFlight < this._limit) {
-			const [tenant, queue] = this._queues.entries().next().value!;
+			const [customer, queue] = this._queues.entries().next().value!;
 			const waiter = queue.shift()!;
 			this._waitingCount--;
-			// Deleting and reinserting the tenant moves it to the end of the round-robin order.
-			this._queues.delete(tenant);
+			// Deleting and reinserting the customer moves it to the end of the round-robin order.
+			this._queues.delete(customer);
 			if (queue.length > 0) {
-				this._queues.set(tenant, queue);
+				this._queues.set(customer, queue);
 			}
 
 			waiter(this._grant());
 		}
 	}
 
-	private _removeWaiter(tenant: string, waiter: Waiter): void {
-		const queue = this._queues.get(tenant);
+	private _removeWaiter(customer: string, waiter: Waiter): void {
+		const queue = this._queues.get(customer);
 		const index = queue?.indexOf(waiter) ?? -1;
 		if (!queue || index < 0) {
 			return;
@@ -114,7 +114,7 @@
 		queue.splice(index, 1);
 		this._waitingCount--;
 		if (queue.length === 0) {
-			this._queues.delete(tenant);
+			this._queues.delete(customer);
 		}
 	}
 }
--- a/src/common/requests/fault-isolation.test.ts
+++ b/src/common/requests/fault-isolation.test.ts
@@ -33,28 +33,28 @@
 	assert.deepEqual(observedChoices([candidate('a', {isUsable: false})]), new Set(['no-upstream']));
 });
 
-test('a tenant that queued many requests first does not delay the first request of another tenant', () => {
+test('a customer that queued many requests first does not delay the first request of another customer', () => {
 	const limit = new ConcurrencyLimit(6);
 	const releases = Array.from({length: 6}, () => limit.tryAcquire()!);
-	const servedTenants: string[] = [];
-	for (const tenant of ['big', 'big', 'big', 'small']) {
-		limit.enqueue(tenant, release => {
-			servedTenants.push(tenant);
+	const servedCustomers: string[] = [];
+	for (const customer of ['big', 'big', 'big', 'small']) {
+		limit.enqueue(customer, release => {
+			servedCustomers.push(customer);
 			release!();
 		});
 	}
 
 	releases[0]!();
 	releases[0]!();
-	assert.deepEqual(servedTenants, ['big', 'small', 'big', 'big']);
+	assert.deepEqual(servedCustomers, ['big', 'small', 'big', 'big']);
 	assert.equal(limit.inFlight, 5, 'a second release of the same slot has no effect');
 });
 
-test('a tenant that fills the queue cannot keep out a tenant with fewer queued requests', () => {
+test('a customer that fills the queue cannot keep out a customer with fewer queued requests', () => {
 	const limit = new ConcurrencyLimit(3);
 	const releases = [1, 2, 3].map(() => limit.tryAcquire()!);
 	const outcomes: string[] = [];
-	const enqueue = (name: string, tenant: string) => limit.enqueue(tenant, release => outcomes.push(`${name} ${release ? 'runs' : 'displaced'}`));
+	const enqueue = (name: string, customer: string) => limit.enqueue(customer, release => outcomes.push(`${name} ${release ? 'runs' : 'displaced'}`));
 	for (const name of ['big1', 'big2', 'big3']) {
 		enqueue(name, 'big');
 	}
@@ -109,7 +109,7 @@
 	assert.equal(ejection.isEjected, false);
 });
 
-test('one tenant cannot exhaust the memory for request bodies', () => {
+test('one customer cannot exhaust the memory for request bodies', () => {
 	const bodyMemory = new BodyMemoryBudget(100);
 	assert.equal(bodyMemory.tryReserve('big', 25), true);
 	assert.equal(bodyMemory.tryReserve('big', 1), false);
--- a/src/common/requests/model-lifecycle.ts
+++ b/src/common/requests/model-lifecycle.ts
@@ -43,7 +43,7 @@
 	assembler: AssemblerState;
 	/** Estimated number of prompt tokens, used until a prefill engine has counted them. */
 	readonly estimatedPromptTokens: number;
-	/** Number of prompt and output tokens charged to the tenant if the request ends without usage figures from an engine. */
+	/** Number of prompt and output tokens charged to the customer if the request ends without usage figures from an engine. */
 	tokensToCharge: number;
 };
 
@@ -88,7 +88,7 @@
 	| {readonly type: 'request/cancel'; readonly attemptId: string; readonly upstreams: readonly string[]; readonly mayBeInFlight: boolean}
 	/** Reports progress to the scheduler. */
 	| {readonly type: 'request/progress'; readonly progress: Progress}
-	/** Settles what the request took from the tenant's rate limit; `tokens` is the number of tokens to charge. */
+	/** Settles what the request took from the customer's rate limit; `tokens` is the number of tokens to charge. */
 	| {readonly type: 'request/settle'; readonly tokens: number}
 	/** Counts `tokens`, the computed prompt tokens of a discarded prefill result, as wasted prefill. */
 	| {readonly type: 'request/wasted-prefill'; readonly tokens: number};
@@ -164,7 +164,7 @@
 		});
 	}
 
-	// Cancelled work is charged to the tenant; work lost to a failed engine is not.
+	// Cancelled work is charged to the customer; work lost to a failed engine is not.
 	if (reason === 'cancelled' && state.placement) {
 		state.tokensToCharge = (state.prefill?.promptTokens ?? state.estimatedPromptTokens) + outputTokenCount(state);
 	}
--- a/src/common/scheduler/fair-queue.ts
+++ b/src/common/scheduler/fair-queue.ts
@@ -12,7 +12,7 @@
 	readonly serviceMs: number;
 };
 
-type TenantQueue = {
+type CustomerQueue = {
 	weight: number;
 	/** Prompt and output tokens served, divided by the weight, on the scale of the queue's virtual time. */
 	virtualTime: number;
@@ -22,7 +22,7 @@
 	length: number;
 };
 
-type Candidate = {readonly item: QueuedRequest; readonly tenant: TenantQueue; readonly band: number};
+type Candidate = {readonly item: QueuedRequest; readonly customer: CustomerQueue; readonly band: number};
 
 /** Number of queued requests that would be served before a given request, and the sum of their prompt tokens. */
 export type WorkAhead = {readonly requests: number; readonly promptTokens: number};
@@ -34,18 +34,18 @@
 	return nowMs - arrivedMs >= req.maxWaitMs / 2;
 }
 
-/** Returns the number of tokens charged to the tenant for a request: the prompt tokens and the maximum output tokens of the request. */
+/** Returns the number of tokens charged to the customer for a request: the prompt tokens and the maximum output tokens of the request. */
 export function tokenCost({promptTokens, maxTokens}: PlacementRequest): number {
 	return promptTokens + maxTokens;
 }
 
 /**
-Start-time fair queue: within a priority band, the tenant with the least service relative to its weight is served first.
-A request that has waited half of its maximum wait is promoted ahead of all bands, but only while its tenant is within its fair share.
-Without this condition, the backlog of a tenant that exceeds its share would overtake all other tenants just by waiting.
+Start-time fair queue: within a priority band, the customer with the least service relative to its weight is served first.
+A request that has waited half of its maximum wait is promoted ahead of all bands, but only while its customer is within its fair share.
+Without this condition, the backlog of a customer that exceeds its share would overtake all other customers just by waiting.
 */
 export class FairQueue {
-	private readonly _tenants = new Map<string, TenantQueue>();
+	private readonly _customers = new Map<string, CustomerQueue>();
 	/** Highest virtual time at which a dequeued request was served. */
 	private _virtualTime = 0;
 	private _length = 0;
@@ -54,23 +54,23 @@
 		return this._length;
 	}
 
-	/** Number of tenants with state, including tenants without queued requests that `removeIdleTenants` has not removed. */
-	get tenantCount(): number {
-		return this._tenants.size;
+	/** Number of customers with state, including customers without queued requests that `removeIdleCustomers` has not removed. */
+	get customerCount(): number {
+		return this._customers.size;
 	}
 
-	/** Adds a request and sets the weight of its tenant. A tenant without queued requests starts no earlier than at the queue's virtual time, so that it has no credit from its idle time. */
+	/** Adds a request and sets the weight of its customer. A customer without queued requests starts no earlier than at the queue's virtual time, so that it has no credit from its idle time. */
 	push(item: QueuedRequest, weight: number): void {
-		const tenant = this._getOrCreateTenant(item.req.tenant);
-		tenant.weight = weight;
-		if (tenant.length === 0) {
-			tenant.virtualTime = Math.max(tenant.virtualTime, this._virtualTime);
+		const customer = this._getOrCreateCustomer(item.req.tenant);
+		customer.weight = weight;
+		if (customer.length === 0) {
+			customer.virtualTime = Math.max(customer.virtualTime, this._virtualTime);
 		}
 
-		const band = tenant.bands.get(item.req.priority) ?? [];
+		const band = customer.bands.get(item.req.priority) ?? [];
 		band.push(item);
-		tenant.bands.set(item.req.priority, band);
-		tenant.length++;
+		customer.bands.set(item.req.priority, band);
+		customer.length++;
 		this._length++;
 	}
 
@@ -78,10 +78,10 @@
 	peek(nowMs: number): QueuedRequest | undefined {
 		const fairVirtualTime = this._fairVirtualTime();
 		let best: Candidate | undefined;
-		for (const tenant of this._tenants.values()) {
-			for (const [priority, [item]] of tenant.bands) {
-				const isPromoted = tenant.virtualTime <= fairVirtualTime && isDueForPromotion(item!, nowMs);
-				const candidate = {item: item!, tenant, band: isPromoted ? promotedBand : priority};
+		for (const customer of this._customers.values()) {
+			for (const [priority, [item]] of customer.bands) {
+				const isPromoted = customer.virtualTime <= fairVirtualTime && isDueForPromotion(item!, nowMs);
+				const candidate = {item: item!, customer, band: isPromoted ? promotedBand : priority};
 				best = best && !this._isBefore(candidate, best) ? best : candidate;
 			}
 		}
@@ -89,51 +89,51 @@
 		return best?.item;
 	}
 
-	/** Removes a request that was placed, and charges its cost to its tenant. */
+	/** Removes a request that was placed, and charges its cost to its customer. */
 	dequeue(item: QueuedRequest): void {
-		const tenant = this._getOrCreateTenant(item.req.tenant);
+		const customer = this._getOrCreateCustomer(item.req.tenant);
 		this.remove(item);
-		this._virtualTime = Math.max(this._virtualTime, tenant.virtualTime);
-		tenant.virtualTime += tokenCost(item.req) / tenant.weight;
+		this._virtualTime = Math.max(this._virtualTime, customer.virtualTime);
+		customer.virtualTime += tokenCost(item.req) / customer.weight;
 	}
 
-	/** Removes a request without charging its tenant. */
+	/** Removes a request without charging its customer. */
 	remove(item: QueuedRequest): void {
-		const tenant = this._tenants.get(item.req.tenant);
-		const band = tenant?.bands.get(item.req.priority);
+		const customer = this._customers.get(item.req.tenant);
+		const band = customer?.bands.get(item.req.priority);
 		const index = band?.indexOf(item) ?? -1;
-		if (!tenant || !band || index < 0) {
+		if (!customer || !band || index < 0) {
 			return;
 		}
 
 		band.splice(index, 1);
-		tenant.length--;
+		customer.length--;
 		this._length--;
 		if (band.length === 0) {
-			tenant.bands.delete(item.req.priority);
+			customer.bands.delete(item.req.priority);
 		}
 	}
 
-	/** Credits tokens that were charged to the tenant but not used. Does nothing if the tenant has no state. */
-	refund(tenantName: string, tokens: number): void {
-		const tenant = this._tenants.get(tenantName);
-		if (tenant) {
-			tenant.virtualTime -= tokens / tenant.weight;
+	/** Credits tokens that were charged to the customer but not used. Does nothing if the customer has no state. */
+	refund(customerName: string, tokens: number): void {
+		const customer = this._customers.get(customerName);
+		if (customer) {
+			customer.virtualTime -= tokens / customer.weight;
 		}
 	}
 
 	/**
-	Estimates the work that would be served before one more request of the tenant with this priority. The work consists of all
-	earlier bands, the tenant's own requests in the band, and of every other tenant as many requests in the band as the tenant
+	Estimates the work that would be served before one more request of the customer with this priority. The work consists of all
+	earlier bands, the customer's own requests in the band, and of every other customer as many requests in the band as the customer
 	would have with the new request. Does not count requests whose shed order is above `maxShedOrder`; by default, counts all.
 	*/
-	workAhead({tenant: tenantName, priority}: Pick<PlacementRequest, 'tenant' | 'priority'>, maxShedOrder = Infinity): WorkAhead {
-		const ownTurns = this._tenants.get(tenantName)?.bands.get(priority)?.length ?? 0;
+	workAhead({tenant: customerName, priority}: Pick<PlacementRequest, 'tenant' | 'priority'>, maxShedOrder = Infinity): WorkAhead {
+		const ownTurns = this._customers.get(customerName)?.bands.get(priority)?.length ?? 0;
 		let requests = 0;
 		let promptTokens = 0;
-		for (const [name, tenant] of this._tenants) {
-			for (const [band, items] of tenant.bands) {
-				const isEarlier = band < priority || (band === priority && name === tenantName);
+		for (const [name, customer] of this._customers) {
+			for (const [band, items] of customer.bands) {
+				const isEarlier = band < priority || (band === priority && name === customerName);
 				const count = isEarlier ? items.length : (band === priority ? ownTurns + 1 : 0);
 				for (const {req} of items.slice(0, count)) {
 					if (req.shedOrder <= maxShedOrder) {
@@ -147,12 +147,12 @@
 		return {requests, promptTokens};
 	}
 
-	/** Returns the request to shed first, or undefined if the queue is empty: the highest shed order, then the tenant with the most service relative to its weight, then the latest arrival. */
+	/** Returns the request to shed first, or undefined if the queue is empty: the highest shed order, then the customer with the most service relative to its weight, then the latest arrival. */
 	peekLeastValuable(): QueuedRequest | undefined {
 		let worst: Candidate | undefined;
-		for (const tenant of this._tenants.values()) {
-			for (const items of tenant.bands.values()) {
-				const candidate = {item: items.at(-1)!, tenant, band: 0};
+		for (const customer of this._customers.values()) {
+			for (const items of customer.bands.values()) {
+				const candidate = {item: items.at(-1)!, customer, band: 0};
 				worst = worst && !this._isLessValuable(candidate, worst) ? worst : candidate;
 			}
 		}
@@ -162,34 +162,34 @@
 
 	/** Returns a copy of the list of queued requests, so that requests can be removed while iterating over it. */
 	queuedRequests(): QueuedRequest[] {
-		return [...this._tenants.values()].flatMap(({bands}) => [...bands.values()].flat());
+		return [...this._customers.values()].flatMap(({bands}) => [...bands.values()].flat());
 	}
 
-	/** Removes the state of idle tenants that virtual time has passed, since a new tenant would get the same state. Removes all tenants if the queue is empty, since no tenant then competes with another. */
-	removeIdleTenants(): void {
-		for (const [name, tenant] of this._tenants) {
-			if (this._length === 0 || (tenant.length === 0 && tenant.virtualTime <= this._virtualTime)) {
-				this._tenants.delete(name);
+	/** Removes the state of idle customers that virtual time has passed, since a new customer would get the same state. Removes all customers if the queue is empty, since no customer then competes with another. */
+	removeIdleCustomers(): void {
+		for (const [name, customer] of this._customers) {
+			if (this._length === 0 || (customer.length === 0 && customer.virtualTime <= this._virtualTime)) {
+				this._customers.delete(name);
 			}
 		}
 	}
 
-	private _getOrCreateTenant(name: string): TenantQueue {
-		let tenant = this._tenants.get(name);
-		if (!tenant) {
-			tenant = {
+	private _getOrCreateCustomer(name: string): CustomerQueue {
+		let customer = this._customers.get(name);
+		if (!customer) {
+			customer = {
 				weight: 1, virtualTime: this._virtualTime, bands: new Map(), length: 0,
 			};
-			this._tenants.set(name, tenant);
+			this._customers.set(name, customer);
 		}
 
-		return tenant;
+		return customer;
 	}
 
-	/** Returns the virtual time up to which a tenant is within its fair share: the virtual time of the least-served tenant with queued requests, but at least the queue's virtual time. */
+	/** Returns the virtual time up to which a customer is within its fair share: the virtual time of the least-served customer with queued requests, but at least the queue's virtual time. */
 	private _fairVirtualTime(): number {
 		let least = Infinity;
-		for (const {length, virtualTime} of this._tenants.values()) {
+		for (const {length, virtualTime} of this._customers.values()) {
 			least = length > 0 ? Math.min(least, virtualTime) : least;
 		}
 
@@ -202,8 +202,8 @@
 			return a.band < b.band;
 		}
 
-		if (a.tenant.virtualTime !== b.tenant.virtualTime) {
-			return a.tenant.virtualTime < b.tenant.virtualTime;
+		if (a.customer.virtualTime !== b.customer.virtualTime) {
+			return a.customer.virtualTime < b.customer.virtualTime;
 		}
 
 		return a.item.arrivedMs < b.item.arrivedMs;
@@ -215,8 +215,8 @@
 			return a.item.req.shedOrder > b.item.req.shedOrder;
 		}
 
-		if (a.tenant.virtualTime !== b.tenant.virtualTime) {
-			return a.tenant.virtualTime > b.tenant.virtualTime;
+		if (a.customer.virtualTime !== b.customer.virtualTime) {
+			return a.customer.virtualTime > b.customer.virtualTime;
 		}
 
 		return a.item.arrivedMs > b.item.arrivedMs;
--- a/src/common/scheduler/reservation-owners.ts
+++ b/src/common/scheduler/reservation-owners.ts
@@ -165,13 +165,13 @@
 	}
 
 	const {
-		reservation: id, requestId, tenant, promptTokens, maxTokens, decode, phase,
+		reservation: id, requestId, tenant: customer, promptTokens, maxTokens, decode, phase,
 	} = running;
 	const reservation: Reservation = {
 		id,
 		requestId,
 		owner,
-		tenant,
+		tenant: customer,
 		promptTokens,
 		maxTokens,
 		prefill: running.prefill,
--- a/src/common/scheduler/scheduler.property.test.ts
+++ b/src/common/scheduler/scheduler.property.test.ts
@@ -195,7 +195,7 @@
 const maxHoldMs = 100;
 const slots = 8;
 
-/** Measures the waiting times of four tenants that together use 60% of the pool, while a fifth tenant sends `floodFactor` times its 20% share. */
+/** Measures the waiting times of four customers that together use 60% of the pool, while a fifth customer sends `floodFactor` times its 20% share. */
 function measureWaitsBeside(floodFactor: number, seed: number): WaitTimes {
 	const harness = new SchedulerHarness([makeEngine('p1', 'prefill'), makeEngine('d1', 'decode', {slots})]).acquireLease();
 	const random = new SeededRandom(seed);
@@ -210,21 +210,21 @@
 		}
 
 		ends.splice(0, ends.length, ...ends.filter(({atMs}) => atMs > harness.nowMs));
-		for (const tenant of ['a', 'b', 'c', 'd', 'flood']) {
-			const share = tenant === 'flood' ? 0.2 * floodFactor : 0.15;
+		for (const customer of ['a', 'b', 'c', 'd', 'flood']) {
+			const share = customer === 'flood' ? 0.2 * floodFactor : 0.15;
 			for (let due = share * requestsPerMs * 5; random.next() < due; due--) {
-				pending.set(harness.place(`${i}-${tenant}-${due}`, {
-					tenant, promptTokens: 1, maxTokens: 200, maxWaitMs: 1000,
-				}), {atMs: harness.nowMs, tenant});
+				pending.set(harness.place(`${i}-${customer}-${due}`, {
+					tenant: customer, promptTokens: 1, maxTokens: 200, maxWaitMs: 1000,
+				}), {atMs: harness.nowMs, tenant: customer});
 			}
 		}
 
-		for (const [token, {atMs, tenant}] of pending) {
+		for (const [token, {atMs, tenant: customer}] of pending) {
 			const reply = harness.replies.get(token);
 			if (reply) {
 				pending.delete(token);
-				waits.push(...(tenant === 'flood' ? [] : [reply.atMs - atMs]));
-				assert.ok(tenant === 'flood' || reply.body.kind === 'placed', `${tenant} was refused`);
+				waits.push(...(customer === 'flood' ? [] : [reply.atMs - atMs]));
+				assert.ok(customer === 'flood' || reply.body.kind === 'placed', `${customer} was refused`);
 				if (reply.body.kind === 'placed') {
 					harness.startDecode(reply.body.placement.reservation);
 					ends.push({atMs: harness.nowMs + random.integer(maxHoldMs / 2, maxHoldMs), id: reply.body.placement.reservation});
@@ -241,11 +241,11 @@
 	return {meanMs: total / waits.length, worstMs: Math.max(...waits)};
 }
 
-test('a tenant that sends eight times its share increases the mean wait of other tenants by at most one turn of all tenants', () => {
+test('a customer that sends eight times its share increases the mean wait of other customers by at most one turn of all customers', () => {
 	for (const seed of [1, 2, 3]) {
 		const alone = measureWaitsBeside(1, seed);
 		const flooded = measureWaitsBeside(8, seed);
-		// Five tenants take turns on `slots` slots, so at most 5 requests are served before a tenant's next request.
+		// Five customers take turns on `slots` slots, so at most 5 requests are served before a customer's next request.
 		const turnMs = maxHoldMs * 5 / slots;
 		assert.ok(flooded.meanMs <= alone.meanMs + turnMs, `mean ${alone.meanMs} became ${flooded.meanMs}`);
 		assert.ok(flooded.worstMs <= alone.worstMs + (2 * maxHoldMs), `worst ${alone.worstMs} became ${flooded.worstMs}`);
--- a/src/common/scheduler/scheduler.scenarios.test.ts
+++ b/src/common/scheduler/scheduler.scenarios.test.ts
@@ -43,7 +43,7 @@
 	assert.equal(busy.endRunning([low, busy.harness.place('high', {priority: 0})]), low);
 });
 
-test('requests of a tenant that exceeds its share are not promoted for waiting', () => {
+test('requests of a customer that exceeds its share are not promoted for waiting', () => {
 	const busy = makeFullPool();
 	const flood = Array.from({length: 6}, (_, i) => busy.harness.place(`flood-${i}`, {tenant: 'flood', priority: 5, maxWaitMs: 3000}));
 	busy.endRunning(flood);
@@ -53,7 +53,7 @@
 	assert.equal(busy.endRunning([...flood, other]), other);
 });
 
-test('a low-priority request that has waited long is served before requests of higher priority of its own tenant', () => {
+test('a low-priority request that has waited long is served before requests of higher priority of its own customer', () => {
 	const busy = makeFullPool();
 	const flood = Array.from({length: 3}, (_, i) => busy.harness.place(`h${i}`, {tenant: 'b', priority: 0}));
 	busy.endRunning(flood);
@@ -62,7 +62,7 @@
 	assert.equal(busy.endRunning([...flood, low]), low);
 });
 
-test('a tenant does not accumulate credit while it is idle', () => {
+test('a customer does not accumulate credit while it is idle', () => {
 	const busy = makeFullPool();
 	const {harness} = busy;
 	const early = harness.place('early', {tenant: 'idle'});
@@ -77,11 +77,11 @@
 	assert.ok(served.some(i => i >= 0 && i < before.length), `the returning tenant took every turn: ${served.join(',')}`);
 });
 
-test('the fair queue removes the state of tenants that have no queued requests once virtual time has passed them', () => {
+test('the fair queue removes the state of customers that have no queued requests once virtual time has passed them', () => {
 	const queue = new FairQueue();
-	const push = (tenant: string) => {
+	const push = (customer: string) => {
 		const item = {
-			req: makeRequest(tenant, {tenant}), owner: entry1, token: 1, arrivedMs: 0, serviceMs: 0,
+			req: makeRequest(customer, {tenant: customer}), owner: entry1, token: 1, arrivedMs: 0, serviceMs: 0,
 		};
 		queue.push(item, 1);
 		return item;
@@ -94,14 +94,14 @@
 	const waiting = [push('a'), push('a'), push('a')];
 	queue.dequeue(waiting[0]!);
 	queue.dequeue(waiting[1]!);
-	queue.removeIdleTenants();
-	assert.equal(queue.tenantCount, 1, 'tenants that virtual time has passed are removed');
+	queue.removeIdleCustomers();
+	assert.equal(queue.customerCount, 1, 'tenants that virtual time has passed are removed');
 	queue.remove(waiting[2]!);
-	queue.removeIdleTenants();
-	assert.equal(queue.tenantCount, 0, 'an empty queue keeps no tenants');
+	queue.removeIdleCustomers();
+	assert.equal(queue.customerCount, 0, 'an empty queue keeps no tenants');
 });
 
-test('tenants are served in proportion to their weight, and unused output tokens are refunded', () => {
+test('customers are served in proportion to their weight, and unused output tokens are refunded', () => {
 	const weighted = makeFullPool({}, new Map([['heavy', 3]]));
 	const heavy = ['h1', 'h2', 'h3', 'h4'].map(id => weighted.harness.place(id, {tenant: 'heavy'}));
 	const light = ['l1', 'l2', 'l3', 'l4'].map(id => weighted.harness.place(id, {tenant: 'light'}));
--- a/src/common/scheduler/scheduler.ts
+++ b/src/common/scheduler/scheduler.ts
@@ -337,7 +337,7 @@
 	}
 
 	const effects = [...endRebuild(state, nowMs), ...pollOwners(state, nowMs), ...dispatch(state, nowMs), ...refuseOverdue(state, nowMs)];
-	state.queue.removeIdleTenants();
+	state.queue.removeIdleCustomers();
 	return effects;
 }
 
--- a/src/common/scheduler/shards.test.ts
+++ b/src/common/scheduler/shards.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {sharedConfigurationSchema} from '../configuration/shared.js';
 import {
-	allShards, shardCount, shardEngines, shardForRequest, tenantWeights,
+	allShards, shardCount, shardEngines, shardForRequest, customerWeights,
 } from './shards.js';
 
 function makeConfiguration(engines: number) {
@@ -33,6 +33,6 @@
 	assert.equal(usedShards.size, shards.length);
 });
 
-test('tenant weights list only tenants whose weight is not 1', () => {
-	assert.deepEqual([...tenantWeights(makeConfiguration(2))], [['heavy', 4]]);
+test('customer weights list only customers whose weight is not 1', () => {
+	assert.deepEqual([...customerWeights(makeConfiguration(2))], [['heavy', 4]]);
 });
--- a/src/common/scheduler/shards.ts
+++ b/src/common/scheduler/shards.ts
@@ -35,7 +35,7 @@
 		.flatMap(([service]) => Array.from({length: shardCount(cfg, service)}, (_, shard) => ({service, shard})));
 }
 
-/** Returns the shard that places a request. The hash of the request id spreads requests evenly, so each shard gets the same mix of tenants. */
+/** Returns the shard that places a request. The hash of the request id spreads requests evenly, so each shard gets the same mix of customers. */
 export function shardForRequest(cfg: SharedConfiguration, service: string, requestId: string): Shard {
 	return {service, shard: hashString(requestId) % shardCount(cfg, service)};
 }
@@ -56,7 +56,7 @@
 	return specs;
 }
 
-/** Returns the weights of the tenants whose weight is not 1. */
-export function tenantWeights(cfg: SharedConfiguration): ReadonlyMap<string, number> {
+/** Returns the weights of the customers whose weight is not 1. */
+export function customerWeights(cfg: SharedConfiguration): ReadonlyMap<string, number> {
 	return new Map(Object.entries(cfg.tenants).filter(([, {weight}]) => weight !== 1).map(([name, {weight}]) => [name, weight]));
 }
--- a/src/common/scheduler/state.ts
+++ b/src/common/scheduler/state.ts
@@ -67,7 +67,7 @@
 	readonly reservations: Map<string, Reservation>;
 	/** Reservation id by `requestKey`, so that a repeated placement request gets the same reply. */
 	readonly reservationIdsByRequest: Map<string, string>;
-	/** Fair-queue weight by tenant; tenants that are not listed have weight 1. */
+	/** Fair-queue weight by customer; customers that are not listed have weight 1. */
 	weights: ReadonlyMap<string, number>;
 	/** Lease epoch; undefined while this process does not hold the lease. */
 	epoch: number | undefined;
--- a/src/common/scheduler/types.ts
+++ b/src/common/scheduler/types.ts
@@ -37,10 +37,10 @@
 
 export type SchedulerEvent =
 	| BaseEvent<'scheduler/tick'>
-	/** Replaces the engines of the shard and the tenant weights. */
+	/** Replaces the engines of the shard and the customer weights. */
 	| (BaseEvent<'scheduler/configure'> & {
 		readonly engines: readonly EngineSpec[];
-		/** Fair-queue weight by tenant; tenants that are not listed have weight 1. */
+		/** Fair-queue weight by customer; customers that are not listed have weight 1. */
 		readonly weights: ReadonlyMap<string, number>;
 	})
 	/** The lease was acquired with `epoch`, or lost if `epoch` is undefined. Epoch 0 denotes local placement without a lease; it starts no rebuild. */
--- a/src/common/services/access-service.ts
+++ b/src/common/services/access-service.ts
@@ -25,7 +25,7 @@
 	readonly leases: ReadonlyMap<string, LeaseView>;
 };
 
-/** Tenant and id of the API key that a request was sent with. */
+/** Customer and id of the API key that a request was sent with. */
 export type KeyIdentity = {
 	readonly tenant: string;
 	readonly keyId: string;
@@ -67,8 +67,8 @@
 	abstract isFresh(): boolean;
 	/** Returns the identity that an API key belongs to, or undefined if the key is not valid. */
 	abstract authenticate(key: string): KeyIdentity | undefined;
-	/** Takes `tokens` rate tokens of the tenant; waits for them at most `maxWaitMs` milliseconds. */
-	abstract acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AcquireResult>;
+	/** Takes `tokens` rate tokens of the customer; waits for them at most `maxWaitMs` milliseconds. */
+	abstract acquire(customer: string, tokens: number, maxWaitMs: number): Promise<AcquireResult>;
 	/** Settles an acquisition of which the request used `used` rate tokens: refunds those that it did not use, or charges those that it used in excess. */
 	abstract settle(acquisition: Acquisition, used: number): void;
 }
--- a/src/common/services/claim-service.ts
+++ b/src/common/services/claim-service.ts
@@ -25,7 +25,7 @@
 	| {readonly kind: 'unknown'}
 	/** The idempotency key was used for a different request. */
 	| {readonly kind: 'conflict'}
-	/** No claim was made, since the tenant has too many unexpired claims. */
+	/** No claim was made, since the customer has too many unexpired claims. */
 	| {readonly kind: 'too-many'; readonly retryAfterMs: number}
 	/** No quorum answered. The claim may or may not have been made; the request must not be sent to an upstream. */
 	| {readonly kind: 'unavailable'};
--- a/src/common/services/entry-point-service.ts
+++ b/src/common/services/entry-point-service.ts
@@ -12,5 +12,5 @@
 /** Chooses the entry VMs that callers should send requests to. */
 export abstract class EntryPointService {
 	/** Returns the entry points for a caller. `tenant` and the availability zone `zone` of the caller are undefined if they are not known. */
-	abstract chooseEntryPoints(tenant: string | undefined, zone: string | undefined): EntryPointAnswer;
+	abstract chooseEntryPoints(customer: string | undefined, zone: string | undefined): EntryPointAnswer;
 }
--- a/src/common/services/operator-service.ts
+++ b/src/common/services/operator-service.ts
@@ -11,7 +11,7 @@
 	/** YAML text of the shared configuration. */
 	source: z.string().max(4_194_304),
 });
-/** Issues an API key to a tenant. */
+/** Issues an API key to a customer. */
 export const keyIssueSchema = z.strictObject({changeId: changeIdSchema, tenant: z.string()});
 /** Withdraws an API key. */
 export const keyWithdrawSchema = z.strictObject({changeId: changeIdSchema, keyId: z.string()});
--- a/src/load/baseline.ts
+++ b/src/load/baseline.ts
@@ -18,7 +18,7 @@
 	entryPoints: z.array(z.strictObject({address: z.string(), zone: z.string()})).min(1),
 	/** Path of the shared configuration file. */
 	configuration: z.string(),
-	/** Tenants by API key. */
+	/** Customers by API key. */
 	keys: z.record(z.string(), z.string()),
 });
 
@@ -80,7 +80,7 @@
 
 /**
 Simple router used as a baseline. It selects upstreams round robin, serves requests in order of arrival and reserves neither decode
-slots nor link time. Each entry process enforces the rate and burst of every tenant, both divided by the number of entry processes.
+slots nor link time. Each entry process enforces the rate and burst of every customer, both divided by the number of entry processes.
 */
 export class BaselineRouter implements Disposable {
 	private readonly _agent = new Agent({connections: 512, pipelining: 1});
@@ -91,8 +91,8 @@
 
 	constructor(private readonly _settings: BaselineSettings, private readonly _configuration: SharedConfiguration) {
 		const share = 1 / _settings.entryPoints.length;
-		for (const [tenant, {rate, burst}] of Object.entries(_configuration.tenants)) {
-			this._buckets.set(tenant, new LocalTokenBucket(rate * share, burst * share));
+		for (const [customer, {rate, burst}] of Object.entries(_configuration.tenants)) {
+			this._buckets.set(customer, new LocalTokenBucket(rate * share, burst * share));
 		}
 	}
 
@@ -153,16 +153,16 @@
 	}
 
 	private _authenticate(req: IncomingMessage): string {
-		const tenant = this._settings.keys[(req.headers.authorization ?? '').replace('Bearer ', '')];
-		if (tenant === undefined) {
+		const customer = this._settings.keys[(req.headers.authorization ?? '').replace('Bearer ', '')];
+		if (customer === undefined) {
 			throw new RefusalError(401, 'unknown-key');
 		}
 
-		return tenant;
+		return customer;
 	}
 
-	private _takeTokens(tenant: string, cost: number): void {
-		if (!this._buckets.get(tenant)?.tryTake(cost)) {
+	private _takeTokens(customer: string, cost: number): void {
+		if (!this._buckets.get(customer)?.tryTake(cost)) {
 			throw new RefusalError(429, 'rate-exceeded');
 		}
 	}
--- a/src/load/bench-capacity.ts
+++ b/src/load/bench-capacity.ts
@@ -18,16 +18,16 @@
 import {compressText, decodeConfiguration, encodeConfiguration} from '../node/control/configuration-codec.js';
 import {FrameCodec} from '../node/transport/frame.js';
 
-/** Number of tenants in the two-year plan. */
-const tenantCount = 20_000;
+/** Number of customers in the two-year plan. */
+const customerCount = 20_000;
 /** Number of entry processes in the two-year plan. */
 const entryProcessCount = 400;
 /** Number of engines in the two-year plan. */
 const engineCount = 600;
 /** Number of engines in one scheduler shard. */
 const shardEngineCount = 32;
-/** Number of tenants for which an entry process requests rate-limit tokens in one sync request. */
-const activeTenantCount = 15;
+/** Number of customers for which an entry process requests rate-limit tokens in one sync request. */
+const activeCustomerCount = 15;
 const bytesPerMegabyte = 1e6;
 
 export type CapacityResult = {readonly [figure: string]: number | string; readonly scenario: string};
@@ -53,7 +53,7 @@
 	const zones = Array.from({length: 7}, (_, i) => `zone-${i}`);
 	return sharedConfigurationSchema.parse({
 		profiles: {batch: {}},
-		tenants: Object.fromEntries(Array.from({length: tenantCount}, (_, i) => [`tenant-${i}`, {rate: '1000 tokens/s', burst: 4000}])),
+		tenants: Object.fromEntries(Array.from({length: customerCount}, (_, i) => [`tenant-${i}`, {rate: '1000 tokens/s', burst: 4000}])),
 		services: Object.fromEntries(Array.from({length: 4}, (_, i) => [`model-${i}`, {kind: 'model', profile: 'batch', model: `m${i}`}])),
 		upstreams: Object.fromEntries(Array.from({length: engineCount}, (_, i) => [`engine-${i}`, {
 			service: `model-${i % 4}`, address: `10.0.${Math.floor(i / 200)}.${i % 200}:9000`, zone: zones[i % 7], role: i % 3 === 0 ? 'prefill' : 'decode',
@@ -109,7 +109,7 @@
 	leader.propose({
 		type: 'config.apply', changeId: 'c1', expectedVersion: 0, sourceDigest: '0'.repeat(64), source: compressText('x'), configuration,
 	});
-	for (let i = 0; i < tenantCount; i++) {
+	for (let i = 0; i < customerCount; i++) {
 		leader.propose({
 			type: 'key.issue', changeId: `k${i}`, keyId: `key-${i}`, digest: i.toString(16).padStart(64, '0'), tenant: `tenant-${i}`,
 		});
@@ -119,8 +119,8 @@
 }
 
 function makeSyncRequest(seq: number, entryIndex: number, revision: number): SyncRequest {
-	const wanted = Array.from({length: activeTenantCount}, (_, i) => ({
-		tenant: `tenant-${((entryIndex * 50) + i) % tenantCount}`, tokens: 500, atLeast: 100, waitMs: 500,
+	const wanted = Array.from({length: activeCustomerCount}, (_, i) => ({
+		tenant: `tenant-${((entryIndex * 50) + i) % customerCount}`, tokens: 500, atLeast: 100, waitMs: 500,
 	}));
 	return {
 		type: 'control/sync', seq, revision, load: 5, allowances: {
@@ -147,7 +147,7 @@
 		replyBytes += replies.seal(reply).length;
 	});
 	return {
-		scenario: 'capacity/leader-sync', microsecondsPerSync: micros, requestBytes: requestBytes / frames.length, replyBytes: replyBytes / frames.length, tenantsPerSync: activeTenantCount,
+		scenario: 'capacity/leader-sync', microsecondsPerSync: micros, requestBytes: requestBytes / frames.length, replyBytes: replyBytes / frames.length, tenantsPerSync: activeCustomerCount,
 	};
 }
 
@@ -207,7 +207,7 @@
 	for (let i = 0; i < 200; i++) {
 		// The tokens granted to an entry process follow the demand, so acquire tokens for some time before the measurement.
 		answerSyncs(reduceAccess(access, {
-			type: 'access/acquire', nowMs, token: 1_000_000 + i, tenant: `tenant-${i % activeTenantCount}`, tokens: 5, maxWaitMs: 100,
+			type: 'access/acquire', nowMs, token: 1_000_000 + i, tenant: `tenant-${i % activeCustomerCount}`, tokens: 5, maxWaitMs: 100,
 		}));
 		advance();
 	}
@@ -219,7 +219,7 @@
 		}
 
 		const effects = reduceAccess(access, {
-			type: 'access/acquire', nowMs, token: i + 1, tenant: `tenant-${i % activeTenantCount}`, tokens: 1, maxWaitMs: 0,
+			type: 'access/acquire', nowMs, token: i + 1, tenant: `tenant-${i % activeCustomerCount}`, tokens: 1, maxWaitMs: 0,
 		});
 		answerSyncs(effects);
 		granted += effects.some(effect => effect.type === 'reply' && (effect.body as {ok: boolean}).ok) ? 1 : 0;
@@ -282,7 +282,7 @@
 	const heapBytesBefore = heapBytes();
 	const {leader, configurationBytes} = createPopulatedLeader();
 	const state: CapacityResult = {
-		scenario: 'capacity/leader-state', tenants: tenantCount, keys: tenantCount, heapMegabytes: (heapBytes() - heapBytesBefore) / bytesPerMegabyte, configurationBytes,
+		scenario: 'capacity/leader-state', tenants: customerCount, keys: customerCount, heapMegabytes: (heapBytes() - heapBytesBefore) / bytesPerMegabyte, configurationBytes,
 	};
 	return [state, benchSync(leader), benchView(leader), benchAllowance(leader), benchPlacement()];
 }
--- a/src/load/bench-control.ts
+++ b/src/load/bench-control.ts
@@ -26,13 +26,13 @@
 const changeTimeoutMs = 8000;
 /** Number of consecutive refusals after which a key counts as withdrawn on an entry process. */
 const refusalsUntilWithdrawn = 10;
-/** Initial rate of the tenant `caller`, in tokens per second. Each configuration change raises this rate. */
+/** Initial rate of the customer `caller`, in tokens per second. Each configuration change raises this rate. */
 const callerTokensPerSecond = 1_000_000;
-/** Rate in tokens per second and burst in tokens of the steady tenant and of the greedy tenant. */
-const tenantLimit = {rate: 2000, burst: 2000};
-/** Traffic of the steady tenant, with the cost of a request in tokens and the number of requests per second. It is 70% of the tenant's rate, so that it stays within this rate even if the tokens granted to the killed entry process are lost. */
+/** Rate in tokens per second and burst in tokens of the steady customer and of the greedy customer. */
+const customerLimit = {rate: 2000, burst: 2000};
+/** Traffic of the steady customer, with the cost of a request in tokens and the number of requests per second. It is 70% of the customer's rate, so that it stays within this rate even if the tokens granted to the killed entry process are lost. */
 const steadyTraffic = {path: '/small', cost: 2, perSecond: 700};
-/** Traffic of the greedy tenant, with the cost of a request in tokens and the number of requests per second. It is three times the tenant's rate. */
+/** Traffic of the greedy customer, with the cost of a request in tokens and the number of requests per second. It is three times the customer's rate. */
 const greedyTraffic = {path: '/large', cost: 20, perSecond: 300};
 /** Refusal codes for a key that was withdrawn before or during the request. */
 const withdrawnCodes: ReadonlySet<string> = new Set(['unknown-key', 'key-withdrawn']);
@@ -40,7 +40,7 @@
 const targetMs = 3000;
 /** Target for the time from the end of the leader until a configuration change is accepted, in milliseconds. */
 const failoverTargetMs = 2000;
-/** Target for the share of the steady tenant's requests that are refused although the tenant stays within its rate. */
+/** Target for the share of the steady customer's requests that are refused although the customer stays within its rate. */
 const wrongfulShareTarget = 0.001;
 
 const configuration = `
@@ -48,8 +48,8 @@
   bench: {maxWait: 1s, latency: {firstToken: 2s}, timeout: 10s, concurrency: 10000, upstreamConcurrency: 10000}
 tenants:
   caller: {rate: ${callerTokensPerSecond} tokens/s, burst: 1000000}
-  steady: {rate: ${tenantLimit.rate} tokens/s, burst: ${tenantLimit.burst}}
-  greedy: {rate: ${tenantLimit.rate} tokens/s, burst: ${tenantLimit.burst}}
+  steady: {rate: ${customerLimit.rate} tokens/s, burst: ${customerLimit.burst}}
+  greedy: {rate: ${customerLimit.rate} tokens/s, burst: ${customerLimit.burst}}
 services:
   desk:
     kind: plain
@@ -193,7 +193,10 @@
 			await this._waitReady(killedVm);
 		}
 
-		const excessPerRun = runs.map(run => Math.max(excessTokens(toAdmitted(run.steady, steadyTraffic.cost), tenantLimit), excessTokens(toAdmitted(run.greedy, greedyTraffic.cost), tenantLimit)));
+		const excessPerRun = runs.map(run => Math.max(
+			excessTokens(toAdmitted(run.steady, steadyTraffic.cost), customerLimit),
+			excessTokens(toAdmitted(run.greedy, greedyTraffic.cost), customerLimit),
+		));
 		const wrongfulShares = runs.map(run => run.steady.filter(({outcome}) => outcome === 'refused').length / run.steady.length);
 		return {
 			overAdmittedTokens: summarize(excessPerRun),
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -12,7 +12,7 @@
 
 export type CallerOptions = {
 	readonly tenant: string;
-	/** API key of the tenant. */
+	/** API key of the customer. */
 	readonly key: string;
 	/** Addresses from which the caller fetches the list of entry points. It sends its requests to these addresses if it cannot fetch a list. */
 	readonly bootstrapAddresses: readonly string[];
@@ -52,7 +52,7 @@
 	return new ConnectionBrokenError(code, code !== 'ECONNREFUSED' && code !== 'UND_ERR_CONNECT_TIMEOUT');
 }
 
-/** Client of one tenant: fetches the list of entry points, sends requests to them directly and verifies the content of every answer. */
+/** Client of one customer: fetches the list of entry points, sends requests to them directly and verifies the content of every answer. */
 export class Caller implements Disposable {
 	private readonly _agent = new Agent({connections: 256, pipelining: 1, connectTimeout: 2000});
 	private readonly _random: SeededRandom;
--- a/src/load/compare-placement.ts
+++ b/src/load/compare-placement.ts
@@ -35,7 +35,7 @@
 	readonly goodputPerSecond: number;
 	/** Share of prefill time spent on requests that missed a latency target or failed. */
 	readonly wastedPrefill: number;
-	/** Lowest share, over all tenants, of requests that met both latency targets. If the load is above 1, the tenant that exceeds its rate is excluded. */
+	/** Lowest share, over all customers, of requests that met both latency targets. If the load is above 1, the customer that exceeds its rate is excluded. */
 	readonly worstTenant: number;
 	/** Number of requests that were refused or failed. */
 	readonly refused: number;
@@ -68,12 +68,12 @@
 const meanSlotHoldMs = 6200;
 /** Maximum number of blocks in the prefix of a placement request. */
 const maxPrefixBlocks = 16;
-/** Tenants with their shares of the arriving requests. */
-const tenants = [
+/** Customers with their shares of the arriving requests. */
+const customers = [
 	{name: 'a', share: 0.4}, {name: 'b', share: 0.3}, {name: 'c', share: 0.1}, {name: 'd', share: 0.1}, {name: 'e', share: 0.1},
 ];
-/** Tenant that exceeds its rate when the load exceeds the capacity. */
-const overRateTenant = 'a';
+/** Customer that exceeds its rate when the load exceeds the capacity. */
+const overRateCustomer = 'a';
 const zones = ['z1', 'z2', 'z3'];
 
 /** Runs a scheduler reducer on virtual time. The scheduler belongs to one entry VM, or serves all entry VMs under the policy `shard`. */
@@ -132,8 +132,8 @@
 	private readonly _random: SeededRandom;
 	private readonly _engines = new Map<string, SimulatedEngine>();
 	private readonly _schedulers: SchedulerInstance[];
-	private readonly _offeredByTenant = new Map<string, number>();
-	private readonly _goodByTenant = new Map<string, number>();
+	private readonly _offeredByCustomer = new Map<string, number>();
+	private readonly _goodByCustomer = new Map<string, number>();
 	private _refused = 0;
 	private _usefulPrefillMs = 0;
 	private _prefillMs = 0;
@@ -199,18 +199,18 @@
 
 	private _makeRequest(requestId: string, atMs: number): SimulatedRequest {
 		let draw = this._random.next();
-		const tenant = tenants.find(({share}) => {
+		const customer = customers.find(({share}) => {
 			draw -= share;
 			return draw < 0;
-		}) ?? tenants[0]!;
+		}) ?? customers[0]!;
 		const promptTokens = Math.round(200 + (this._random.next() * 2 * (meanPromptTokens - 200)));
 		const outputTokens = Math.round(50 + (this._random.next() * 2 * (meanOutputTokens - 50)));
-		// Each prompt starts with one of the four prefixes of its tenant, so that prompts of a tenant share cached blocks.
+		// Each prompt starts with one of the four prefixes of its customer, so that prompts of a customer share cached blocks.
 		const prefixNumber = this._random.integer(0, 4);
 		const blocks = Math.min(maxPrefixBlocks, Math.floor(promptTokens / 64));
 		const placeRequest: PlacementRequest = {
-			requestId, service: 'model', tenant: tenant.name, priority: 5, shedOrder: 5, promptTokens, maxTokens: 256,
-			prefix: Array.from({length: blocks}, (_, i) => `${tenant.name}/${prefixNumber}/${i}`),
+			requestId, service: 'model', tenant: customer.name, priority: 5, shedOrder: 5, promptTokens, maxTokens: 256,
+			prefix: Array.from({length: blocks}, (_, i) => `${customer.name}/${prefixNumber}/${i}`),
 			maxWaitMs: 1000, budgetMs: firstTokenTargetMs, zone: this._random.pick(zones),
 		};
 		return {
@@ -219,8 +219,8 @@
 	}
 
 	private _handleArrival(request: SimulatedRequest): void {
-		const {tenant} = request.placeRequest;
-		this._offeredByTenant.set(tenant, (this._offeredByTenant.get(tenant) ?? 0) + 1);
+		const {tenant: customer} = request.placeRequest;
+		this._offeredByCustomer.set(customer, (this._offeredByCustomer.get(customer) ?? 0) + 1);
 		const owner = this._ownerOf(request);
 		this.timeline.scheduleAfter(this._policy === 'shard' ? networkDelayMs : 0, () => {
 			request.scheduler.place(owner, request.placeRequest, reply => {
@@ -295,7 +295,7 @@
 				});
 				if (isFirstTokenOnTime && tokenMs <= betweenTokensTargetMs) {
 					this._usefulPrefillMs += request.prefillMs;
-					this._goodByTenant.set(request.placeRequest.tenant, (this._goodByTenant.get(request.placeRequest.tenant) ?? 0) + 1);
+					this._goodByCustomer.set(request.placeRequest.tenant, (this._goodByCustomer.get(request.placeRequest.tenant) ?? 0) + 1);
 				}
 			});
 		});
@@ -311,13 +311,13 @@
 	private _summarize(): ComparisonResult {
 		let offered = 0;
 		let good = 0;
-		let worstTenant = 1;
-		for (const [tenant, count] of this._offeredByTenant) {
-			const goodCount = this._goodByTenant.get(tenant) ?? 0;
+		let worstCustomer = 1;
+		for (const [customer, count] of this._offeredByCustomer) {
+			const goodCount = this._goodByCustomer.get(customer) ?? 0;
 			offered += count;
 			good += goodCount;
-			if (tenant !== overRateTenant || this._scenario.load <= 1) {
-				worstTenant = Math.min(worstTenant, goodCount / count);
+			if (customer !== overRateCustomer || this._scenario.load <= 1) {
+				worstCustomer = Math.min(worstCustomer, goodCount / count);
 			}
 		}
 
@@ -326,7 +326,7 @@
 			offered,
 			goodputPerSecond: good * 1000 / this._scenario.durationMs,
 			wastedPrefill: this._prefillMs === 0 ? 0 : Math.max(0, 1 - (this._usefulPrefillMs / this._prefillMs)),
-			worstTenant,
+			worstTenant: worstCustomer,
 			refused: this._refused,
 		};
 	}
@@ -356,12 +356,12 @@
 function printScenario(scenario: Scenario): void {
 	const {engines, entryVms, load, seed} = scenario;
 	console.log(`${engines} engines, ${entryVms} entry VMs, load ${load}, seed ${seed}`);
-	for (const {policy, offered, goodputPerSecond, wastedPrefill, worstTenant, refused} of comparePlacement(scenario)) {
+	for (const {policy, offered, goodputPerSecond, wastedPrefill, worstTenant: worstCustomer, refused} of comparePlacement(scenario)) {
 		const figures = [
 			policy.padEnd(8),
 			`goodput ${goodputPerSecond.toFixed(2)}/s`,
 			`wasted prefill ${(wastedPrefill * 100).toFixed(1)}%`,
-			`worst tenant ${(worstTenant * 100).toFixed(1)}%`,
+			`worst tenant ${(worstCustomer * 100).toFixed(1)}%`,
 			`refused or failed ${refused} of ${offered}`,
 		];
 		console.log(`  ${figures.join('  ')}`);
--- a/src/load/replay.ts
+++ b/src/load/replay.ts
@@ -49,7 +49,7 @@
 /** A router under test that is ready to accept requests. */
 export type Target = {
 	readonly cluster: Cluster;
-	/** API keys by tenant. */
+	/** API keys by customer. */
 	readonly keys: Readonly<Record<string, string>>;
 };
 
@@ -73,7 +73,7 @@
 	return [...new Set(Object.values(upstreams).map(({zone}) => zone))];
 }
 
-/** Starts the system with test doubles as upstreams, applies the example configuration and issues a key to each tenant. */
+/** Starts the system with test doubles as upstreams, applies the example configuration and issues a key to each customer. */
 export async function startSystem(workload: WorkloadName): Promise<Target> {
 	const {text, value} = loadExample(workload);
 	const system = await System.start({
@@ -81,9 +81,9 @@
 	});
 	try {
 		const keys: Record<string, string> = {};
-		for (const tenant of Object.keys(value.tenants)) {
-			const {key} = await system.issueKey(tenant);
-			keys[tenant] = key;
+		for (const customer of Object.keys(value.tenants)) {
+			const {key} = await system.issueKey(customer);
+			keys[customer] = key;
 		}
 
 		return {cluster: system.cluster, keys};
@@ -96,8 +96,8 @@
 /** Starts the baseline router with test doubles as upstreams and the example configuration. */
 export async function startBaseline(workload: WorkloadName): Promise<Target> {
 	const example = loadExample(workload);
-	const keys = Object.fromEntries(Object.keys(example.value.tenants).map(tenant => [tenant, `key-of-${tenant}`]));
-	const tenantsByKey = Object.fromEntries(Object.entries(keys).map(([tenant, key]) => [key, tenant]));
+	const keys = Object.fromEntries(Object.keys(example.value.tenants).map(customer => [customer, `key-of-${customer}`]));
+	const customersByKey = Object.fromEntries(Object.entries(keys).map(([customer, key]) => [key, customer]));
 	const cluster: Cluster = new Cluster({
 		controls: 0,
 		entries: entryCount,
@@ -109,7 +109,7 @@
 			operators: plan.listen.operators,
 			entryPoints: cluster.plans.map(({listen, zone}) => ({address: listen.callers, zone})),
 			configuration: path.join(cluster.folder, 'configuration.yaml'),
-			keys: tenantsByKey,
+			keys: customersByKey,
 		}),
 	});
 	try {
@@ -184,8 +184,8 @@
 	const startedMs = Date.now();
 	const nowMs = (): number => performance.now() - startMs;
 	const bootstrapAddresses = target.cluster.addresses('entry', 'callers');
-	const callers = new Map(Object.entries(target.keys).map(([tenant, key], index) => [tenant, new Caller({
-		tenant, key, bootstrapAddresses, seed: trace.header.seed + index, nowMs,
+	const callers = new Map(Object.entries(target.keys).map(([customer, key], index) => [customer, new Caller({
+		tenant: customer, key, bootstrapAddresses, seed: trace.header.seed + index, nowMs,
 	})]));
 	const faults = options.faults ? injectFaults(target.cluster, trace.header.durationMs, nowMs) : Promise.resolve();
 	const pendingOutcomes: Array<Promise<Outcome>> = [];
--- a/src/load/scoring.test.ts
+++ b/src/load/scoring.test.ts
@@ -47,11 +47,11 @@
 }
 
 function makeResult(outcomes: readonly Outcome[], fields: Partial<ReplayResult> = {}): ReplayResult {
-	const tenants = {a: {rate: 100, burst: 200}, b: {rate: 100, burst: 200}};
+	const customers = {a: {rate: 100, burst: 200}, b: {rate: 100, burst: 200}};
 	return {
 		trace: {
 			header: {
-				kind: 'header', format: 1, workload: 'bereket', seed: 1, durationMs: 1000, tenants,
+				kind: 'header', format: 1, workload: 'bereket', seed: 1, durationMs: 1000, tenants: customers,
 			},
 			requests: outcomes.map(({request}) => request),
 		},
@@ -88,8 +88,8 @@
 	assert.equal(wastedRatio([makePrefill('1'), makePrefill('2', 'transferred', 100)]), 0);
 });
 
-test('the goodput of the worst tenant is reported relative to the mean of all tenants', () => {
-	const makeGood = (tenant: string): Outcome => makeOutcome(modelRequest(tenant, {tenant}));
+test('the goodput of the worst customer is reported relative to the mean of all customers', () => {
+	const makeGood = (customer: string): Outcome => makeOutcome(modelRequest(customer, {tenant: customer}));
 	const bad = makeOutcome(modelRequest('x', {tenant: 'b', ownTokens: 1}), {kind: 'unknown'});
 	assert.equal(score(makeResult([makeGood('a'), makeGood('b')])).worstTenantGoodput, 1);
 	assert.equal(score(makeResult([makeGood('a'), makeGood('b'), bad])).worstTenantGoodput, 0.5 / 0.75);
--- a/src/load/scoring.ts
+++ b/src/load/scoring.ts
@@ -12,7 +12,7 @@
 	readonly refused: number;
 	readonly unknown: number;
 	readonly cancelled: number;
-	/** Share of the requests answered completely within both latency targets. Cancelled requests and those beyond the tenant's rate limit are excluded. */
+	/** Share of the requests answered completely within both latency targets. Cancelled requests and those beyond the customer's rate limit are excluded. */
 	readonly goodput: number;
 	/** Requests answered completely within both latency targets, per second of trace time. */
 	readonly goodputPerSecond: number;
@@ -20,11 +20,11 @@
 	readonly wastedPrefillRatio: number;
 	/** Share of the prompt tokens that engines served from their prefix cache. */
 	readonly cachedPromptRatio: number;
-	/** Lowest goodput of any tenant divided by the mean of the goodputs of all tenants. */
+	/** Lowest goodput of any customer divided by the mean of the goodputs of all customers. */
 	readonly worstTenantGoodput: number;
-	/** Refused requests that the tenant's token bucket could have covered at the time of the refusal. */
+	/** Refused requests that the customer's token bucket could have covered at the time of the refusal. */
 	readonly wrongfulRefusals: number;
-	/** Number of rate-limit tokens admitted beyond `burst + rate * t` in the worst time window of each tenant, summed over the tenants; `t` is the length of the window in seconds. */
+	/** Number of rate-limit tokens admitted beyond `burst + rate * t` in the worst time window of each customer, summed over the customers; `t` is the length of the window in seconds. */
 	readonly overAdmitted: number;
 	/** Executions of non-idempotent calls beyond the first execution of each call. */
 	readonly duplicateRuns: number;
@@ -34,7 +34,7 @@
 	readonly leakedEngineRequests: number;
 	/** Requests in which a caller's API key reached an upstream. */
 	readonly keysSeenByUpstreams: number;
-	/** Goodput by tenant, without tenants that have no eligible request. */
+	/** Goodput by customer, without customers that have no eligible request. */
 	readonly tenantGoodput: Readonly<Record<string, number>>;
 	/** Number of outcomes by their problem code or connection error code. */
 	readonly refusalCodes: Readonly<Record<string, number>>;
@@ -73,21 +73,21 @@
 	return request.kind === 'plain' ? request.cost : requestCost(request) - request.maxTokens + outputTokens;
 }
 
-function selectTenantOutcomes(outcomes: readonly Outcome[], tenant: string): Outcome[] {
-	return outcomes.filter(({request}) => request.tenant === tenant).sort((a, b) => a.sentMs - b.sentMs);
+function selectCustomerOutcomes(outcomes: readonly Outcome[], customer: string): Outcome[] {
+	return outcomes.filter(({request}) => request.tenant === customer).sort((a, b) => a.sentMs - b.sentMs);
 }
 
 /**
-Returns the ids of the requests that are within their tenant's rate limit. A request is within the limit if it is covered by a
+Returns the ids of the requests that are within their customer's rate limit. A request is within the limit if it is covered by a
 token bucket from which every covered request of the trace takes its cost. A refused request must also be covered by a second
 bucket, which is charged only for the tokens that admitted requests actually used.
 */
 export function idsWithinLimit({trace, outcomes}: Pick<ReplayResult, 'trace' | 'outcomes'>): Set<string> {
 	const idsWithin = new Set<string>();
-	for (const [tenant, {rate, burst}] of Object.entries(trace.header.tenants)) {
+	for (const [customer, {rate, burst}] of Object.entries(trace.header.tenants)) {
 		const reference = new ReferenceTokenBucket(rate, burst);
 		const granted = new ReferenceTokenBucket(rate, burst);
-		for (const outcome of selectTenantOutcomes(outcomes, tenant)) {
+		for (const outcome of selectCustomerOutcomes(outcomes, customer)) {
 			const cost = requestCost(outcome.request);
 			const isCovered = reference.canCover(outcome.sentMs, cost);
 			const isCoveredByGranted = granted.canCover(outcome.sentMs, cost);
@@ -156,12 +156,12 @@
 	return denominator === 0 ? 1 : numerator / denominator;
 }
 
-function goodputByTenant(eligible: readonly Outcome[], tenants: readonly string[]): Record<string, number> {
+function goodputByCustomer(eligible: readonly Outcome[], customers: readonly string[]): Record<string, number> {
 	const goodputs: Record<string, number> = {};
-	for (const tenant of tenants) {
-		const ownOutcomes = eligible.filter(({request}) => request.tenant === tenant);
+	for (const customer of customers) {
+		const ownOutcomes = eligible.filter(({request}) => request.tenant === customer);
 		if (ownOutcomes.length > 0) {
-			goodputs[tenant] = ratio(ownOutcomes.filter(outcome => meetsTargets(outcome)).length, ownOutcomes.length);
+			goodputs[customer] = ratio(ownOutcomes.filter(outcome => meetsTargets(outcome)).length, ownOutcomes.length);
 		}
 	}
 
@@ -210,12 +210,12 @@
 /** Computes goodput, latency, and fault counts from the outcomes and upstream records of a replay. */
 export function score(result: ReplayResult): Measures {
 	const {trace, outcomes, engines, plain} = result;
-	const {durationMs, tenants} = trace.header;
+	const {durationMs, tenants: customers} = trace.header;
 	const count = (kind: Outcome['kind']): number => outcomes.filter(outcome => outcome.kind === kind).length;
 	const withinLimit = idsWithinLimit(result);
 	const eligible = outcomes.filter(({request, kind}) => kind !== 'cancelled' && withinLimit.has(request.id));
 	const good = outcomes.filter(outcome => meetsTargets(outcome));
-	const goodputs = goodputByTenant(eligible, Object.keys(tenants));
+	const goodputs = goodputByCustomer(eligible, Object.keys(customers));
 	const answered = outcomes.filter(({kind, firstMs}) => kind === 'complete' && firstMs !== undefined);
 	const firstByteLatenciesMs = (kind: TraceRequest['kind']): number[] => answered.filter(({request}) => request.kind === kind).map(({firstMs, sentMs}) => firstMs! - sentMs);
 	return {
@@ -229,7 +229,7 @@
 		...measurePrefill(result),
 		worstTenantGoodput: worstToMeanRatio(Object.values(goodputs)),
 		wrongfulRefusals: findWrongfulRefusals(result).length,
-		overAdmitted: Math.round(Object.entries(tenants).reduce((sum, [tenant, {rate, burst}]) => sum + excessTokens(selectTenantOutcomes(outcomes, tenant), rate, burst), 0)),
+		overAdmitted: Math.round(Object.entries(customers).reduce((sum, [customer, {rate, burst}]) => sum + excessTokens(selectCustomerOutcomes(outcomes, customer), rate, burst), 0)),
 		duplicateRuns: countDuplicateRuns(result),
 		crossedAnswers: count('crossed'),
 		incompleteAnswers: count('incomplete'),
--- a/src/load/system.ts
+++ b/src/load/system.ts
@@ -96,8 +96,8 @@
 	}
 
 	/** Issues a key and waits until every running entry process accepts it. */
-	async issueKey(tenant: string): Promise<{keyId: string; key: string}> {
-		const issued = await this.operate(['keys', 'issue', '--tenant', tenant]) as {keyId: string; key: string};
+	async issueKey(customer: string): Promise<{keyId: string; key: string}> {
+		const issued = await this.operate(['keys', 'issue', '--tenant', customer]) as {keyId: string; key: string};
 		for (const {vm, role} of this.cluster.plans) {
 			if (role === 'entry' && this.cluster.isRunning(vm)) {
 				await this.until(async () => await this.probe(vm, issued.key) === 404);
--- a/src/load/trace.ts
+++ b/src/load/trace.ts
@@ -8,7 +8,7 @@
 	seed: z.int(),
 	/** Duration of the trace, in milliseconds. */
 	durationMs: z.number().positive(),
-	/** Rate limit by tenant: `rate` in tokens per second and `burst` in tokens. */
+	/** Rate limit by customer: `rate` in tokens per second and `burst` in tokens. */
 	tenants: z.record(z.string(), z.strictObject({rate: z.number(), burst: z.number()})),
 });
 
@@ -51,7 +51,7 @@
 	idempotencyKey: z.string().optional(),
 	/** Call id that the service echoes in its answer; a resend carries the `ref` of the original request. */
 	ref: z.string(),
-	/** Number of tokens that the call charges to the tenant's rate limit. */
+	/** Number of tokens that the call charges to the customer's rate limit. */
 	cost: z.int(),
 });
 
--- a/src/load/workload.test.ts
+++ b/src/load/workload.test.ts
@@ -27,7 +27,7 @@
 	assert.throws(() => readTrace('{"kind":"header","format":2}'));
 });
 
-test('a trace contains shared prefixes, uneven tenants, a burst, cancellations, repeated lookups and resent calls', () => {
+test('a trace contains shared prefixes, uneven customers, a burst, cancellations, repeated lookups and resent calls', () => {
 	const {requests, header} = makeTrace('bereket');
 	const models = requests.filter((req): req is ModelTraceRequest => req.kind === 'model');
 	const plain = requests.filter((req): req is PlainTraceRequest => req.kind === 'plain');
@@ -45,8 +45,8 @@
 		assert.equal(resend.path, original.path);
 	}
 
-	const countIn = (tenant: string, from: number, to: number): number =>
-		requests.filter(({tenant: other, atMs}) => other === tenant && atMs >= from * header.durationMs && atMs < to * header.durationMs).length;
+	const countIn = (customer: string, from: number, to: number): number =>
+		requests.filter(({tenant: other, atMs}) => other === customer && atMs >= from * header.durationMs && atMs < to * header.durationMs).length;
 	assert.ok(countIn('sled-league', 0.4, 0.6) > 2 * countIn('sled-league', 0.6, 0.8), 'one tenant bursts');
 	assert.ok(countIn('trials-board', 0, 1) > 3 * countIn('agility-circle', 0, 1), 'tenants with a higher rate send more');
 });
--- a/src/load/workload.ts
+++ b/src/load/workload.ts
@@ -7,7 +7,7 @@
 export type WorkloadOptions = {
 	readonly workload: WorkloadName;
 	readonly seed: number;
-	/** Shared configuration of the deployment; its tenants, services and profiles shape the traffic. */
+	/** Shared configuration of the deployment; its customers, services and profiles shape the traffic. */
 	readonly configuration: SharedConfiguration;
 	/** Duration of the trace, in milliseconds. */
 	readonly durationMs: number;
@@ -18,9 +18,9 @@
 type WorkloadParameters = {
 	readonly modelService: string;
 	readonly plainService: string;
-	/** Peak rate of model requests over all tenants, without the burst. */
+	/** Peak rate of model requests over all customers, without the burst. */
 	readonly modelPeakPerSecond: number;
-	/** Peak rate of plain requests over all tenants, without the burst. */
+	/** Peak rate of plain requests over all customers, without the burst. */
 	readonly plainPeakPerSecond: number;
 	/** Number of different rule sections. Each prompt contains the standard rules and one section, and prompts with the same section share it as a prefix. */
 	readonly sectionCount: number;
@@ -48,11 +48,11 @@
 	},
 };
 
-/** Share of the traffic per tenant, in descending order of the tenants' rates. */
-const tenantShares = [0.4, 0.3, 0.14, 0.09, 0.07];
-/** Index of the tenant that sends `burstFactor` times its usual traffic in the middle fifth of the trace. */
-const burstingTenantIndex = 3;
-/** Factor by which the traffic of the bursting tenant rises. */
+/** Share of the traffic per customer, in descending order of the customers' rates. */
+const customerShares = [0.4, 0.3, 0.14, 0.09, 0.07];
+/** Index of the customer that sends `burstFactor` times its usual traffic in the middle fifth of the trace. */
+const burstingCustomerIndex = 3;
+/** Factor by which the traffic of the bursting customer rises. */
 const burstFactor = 5;
 /** Request rate at the start and end of the trace as a share of the peak rate in the middle. */
 const troughShare = 0.5;
@@ -75,7 +75,7 @@
 class TraceGenerator {
 	private readonly _random: SeededRandom;
 	private readonly _parameters: WorkloadParameters;
-	private readonly _tenants: readonly string[];
+	private readonly _customers: readonly string[];
 	private readonly _requests: TraceRequest[] = [];
 	private readonly _recentLookups: string[] = [];
 	private _nextId = 1;
@@ -83,44 +83,44 @@
 	constructor(private readonly _options: WorkloadOptions) {
 		this._random = new SeededRandom(_options.seed);
 		this._parameters = parametersByWorkload[_options.workload];
-		this._tenants = Object.entries(_options.configuration.tenants).sort(([, a], [, b]) => b.rate - a.rate).map(([name]) => name);
+		this._customers = Object.entries(_options.configuration.tenants).sort(([, a], [, b]) => b.rate - a.rate).map(([name]) => name);
 	}
 
 	generate(): Trace {
 		const {workload, seed, durationMs, configuration} = this._options;
-		this._generateArrivals(this._parameters.modelPeakPerSecond, (atMs, tenant) => {
-			this._addModel(atMs, tenant);
+		this._generateArrivals(this._parameters.modelPeakPerSecond, (atMs, customer) => {
+			this._addModel(atMs, customer);
 		});
-		this._generateArrivals(this._parameters.plainPeakPerSecond, (atMs, tenant) => {
-			this._addPlain(atMs, tenant);
+		this._generateArrivals(this._parameters.plainPeakPerSecond, (atMs, customer) => {
+			this._addPlain(atMs, customer);
 		});
-		const tenants = Object.fromEntries(Object.entries(configuration.tenants).map(([name, {rate, burst}]) => [name, {rate, burst}]));
+		const customers = Object.fromEntries(Object.entries(configuration.tenants).map(([name, {rate, burst}]) => [name, {rate, burst}]));
 		return {
 			header: {
-				kind: 'header', format: 1, workload, seed, durationMs, tenants,
+				kind: 'header', format: 1, workload, seed, durationMs, tenants: customers,
 			},
 			requests: this._requests.sort((a, b) => a.atMs - b.atMs || (a.id < b.id ? -1 : 1)),
 		};
 	}
 
-	/** Calls `onArrival` for each request arrival. The arrivals of each tenant are an inhomogeneous Poisson process, sampled by thinning, whose rate rises to a peak and falls again. */
-	private _generateArrivals(peakPerSecond: number, onArrival: (atMs: number, tenant: string) => void): void {
+	/** Calls `onArrival` for each request arrival. The arrivals of each customer are an inhomogeneous Poisson process, sampled by thinning, whose rate rises to a peak and falls again. */
+	private _generateArrivals(peakPerSecond: number, onArrival: (atMs: number, customer: string) => void): void {
 		const {durationMs, load = 1} = this._options;
-		for (const [index, tenant] of this._tenants.entries()) {
-			const share = tenantShares[index] ?? 0;
-			const highestPerSecond = peakPerSecond * load * share * (index === burstingTenantIndex ? burstFactor : 1);
+		for (const [index, customer] of this._customers.entries()) {
+			const share = customerShares[index] ?? 0;
+			const highestPerSecond = peakPerSecond * load * share * (index === burstingCustomerIndex ? burstFactor : 1);
 			for (let atMs = this._drawInterarrivalMs(highestPerSecond); atMs < durationMs; atMs += this._drawInterarrivalMs(highestPerSecond)) {
 				const currentPerSecond = peakPerSecond * load * share * this._rateFactorAt(atMs / durationMs, index);
 				if (this._random.next() < currentPerSecond / highestPerSecond) {
-					onArrival(Math.round(atMs), tenant);
+					onArrival(Math.round(atMs), customer);
 				}
 			}
 		}
 	}
 
 	/** Returns the factor applied to the peak rate at a position in the trace, from 0 at its start to 1 at its end. */
-	private _rateFactorAt(position: number, tenantIndex: number): number {
-		const isBurst = tenantIndex === burstingTenantIndex && position >= 0.4 && position < 0.6;
+	private _rateFactorAt(position: number, customerIndex: number): number {
+		const isBurst = customerIndex === burstingCustomerIndex && position >= 0.4 && position < 0.6;
 		const baseFactor = troughShare + ((1 - troughShare) * Math.sin(Math.PI * position));
 		return isBurst ? burstFactor * baseFactor : baseFactor;
 	}
@@ -129,16 +129,16 @@
 		return perSecond > 0 ? -Math.log(1 - this._random.next()) * 1000 / perSecond : Infinity;
 	}
 
-	private _makeCommonFields(atMs: number, tenant: string, service: string) {
+	private _makeCommonFields(atMs: number, customer: string, service: string) {
 		const cfg = this._options.configuration;
 		const profile = cfg.profiles[cfg.services[service]!.profile]!;
 		const id = `${this._options.workload}-${this._options.seed}-${this._nextId++}`;
 		return {
-			id, atMs, tenant, service, firstTokenTargetMs: profile.latency.firstToken,
+			id, atMs, tenant: customer, service, firstTokenTargetMs: profile.latency.firstToken,
 		};
 	}
 
-	private _addModel(atMs: number, tenant: string): void {
+	private _addModel(atMs: number, customer: string): void {
 		const {modelService, sectionCount, sectionTokens, ruleTokens} = this._parameters;
 		const cfg = this._options.configuration;
 		const profile = cfg.profiles[cfg.services[modelService]!.profile]!;
@@ -146,7 +146,7 @@
 		const section = Math.floor(sectionCount * (this._random.next() ** 2));
 		this._requests.push({
 			kind: 'model',
-			...this._makeCommonFields(atMs, tenant, modelService),
+			...this._makeCommonFields(atMs, customer, modelService),
 			...(this._random.next() < cancelShare && {cancelAfterMs: this._random.integer(50, 2000)}),
 			betweenTokensTargetMs: profile.latency.betweenTokens,
 			maxTokens: this._random.integer(64, 129),
@@ -155,8 +155,8 @@
 		});
 	}
 
-	private _addPlain(atMs: number, tenant: string): void {
-		const common = this._makeCommonFields(atMs, tenant, this._parameters.plainService);
+	private _addPlain(atMs: number, customer: string): void {
+		const common = this._makeCommonFields(atMs, customer, this._parameters.plainService);
 		const draw = this._random.next();
 		if (draw < lookupShare) {
 			this._requests.push({
@@ -205,7 +205,7 @@
 	}
 }
 
-/** Generates a trace with model and plain requests, distributed unevenly over the tenants and with a peak in the middle. */
+/** Generates a trace with model and plain requests, distributed unevenly over the customers and with a peak in the middle. */
 export function generateTrace(options: WorkloadOptions): Trace {
 	return new TraceGenerator(options).generate();
 }
--- a/src/load/wrongful-refusals.ts
+++ b/src/load/wrongful-refusals.ts
@@ -1,9 +1,9 @@
-/** Finds requests that were refused although the tenant's token bucket had enough tokens at the time of the refusal. */
+/** Finds requests that were refused although the customer's token bucket had enough tokens at the time of the refusal. */
 import type {Attempt, Outcome, ReplayResult} from './outcome.js';
 import {requestCost} from './request-cost.js';
 import type {TraceRequest} from './trace.js';
 
-/** Rate-limit tokens taken from a tenant's token bucket, or returned to it if `tokens` is negative. `atMs` is in milliseconds from the start of the replay. */
+/** Rate-limit tokens taken from a customer's token bucket, or returned to it if `tokens` is negative. `atMs` is in milliseconds from the start of the replay. */
 type TokenDebit = {readonly atMs: number; readonly tokens: number};
 
 /** Start times of upstream runs by recorded id, in milliseconds from the start of the replay. */
@@ -74,14 +74,14 @@
 }
 
 /**
-Returns the refused requests that the tenant's token bucket could have covered at the time of the refusal. The bucket level is
+Returns the refused requests that the customer's token bucket could have covered at the time of the refusal. The bucket level is
 reconstructed from the attempts that upstreams actually ran, in order of time.
 */
 export function findWrongfulRefusals(result: ReplayResult): Outcome[] {
 	const startsById = collectRunStarts(result);
 	const wrongful: Outcome[] = [];
-	for (const [tenant, {rate, burst}] of Object.entries(result.trace.header.tenants)) {
-		const ownOutcomes = result.outcomes.filter(({request}) => request.tenant === tenant);
+	for (const [customer, {rate, burst}] of Object.entries(result.trace.header.tenants)) {
+		const ownOutcomes = result.outcomes.filter(({request}) => request.tenant === customer);
 		const debits = ownOutcomes.flatMap(outcome => debitsOf(outcome, startsById)).sort((a, b) => a.atMs - b.atMs);
 		const refused = ownOutcomes.filter(({kind}) => kind === 'refused').sort((a, b) => a.endMs - b.endMs);
 		const bucket = new TokenBucket(rate, burst);
--- a/src/node/control/access-client.ts
+++ b/src/node/control/access-client.ts
@@ -126,26 +126,26 @@
 		return storedDigest !== undefined && areDigestsEqual(storedDigest, digest) ? identity : undefined;
 	}
 
-	override async acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AcquireResult> {
+	override async acquire(customer: string, tokens: number, maxWaitMs: number): Promise<AcquireResult> {
 		let id = 0;
 		try {
 			const pendingResult = this._options.host.request<AllowanceResult>(token => {
 				id = token;
 				return {
-					type: 'access/acquire', token, tenant, tokens, maxWaitMs,
+					type: 'access/acquire', token, tenant: customer, tokens, maxWaitMs,
 				};
 			}, maxWaitMs + replyMarginMs);
 			this._timer.rearmIfEarlier();
 			const result = await pendingResult;
-			return result.ok ? {ok: true, acquisition: {id, tenant, tokens}} : result;
+			return result.ok ? {ok: true, acquisition: {id, tenant: customer, tokens}} : result;
 		} catch {
 			return {ok: false, code: 'control-unreachable'};
 		}
 	}
 
-	override settle({id, tenant, tokens}: Acquisition, used: number): void {
+	override settle({id, tenant: customer, tokens}: Acquisition, used: number): void {
 		this._dispatch({
-			type: 'access/settle', tenant, acquired: tokens, used, acquisition: id,
+			type: 'access/settle', tenant: customer, acquired: tokens, used, acquisition: id,
 		});
 	}
 
--- a/src/node/control/claim-client.ts
+++ b/src/node/control/claim-client.ts
@@ -85,9 +85,9 @@
 		}
 	}
 
-	private async _settle(claimId: string, {tenant, service, idempotencyKey}: ClaimRequest, outcome: ClaimSettlement): Promise<void> {
+	private async _settle(claimId: string, {tenant: customer, service, idempotencyKey}: ClaimRequest, outcome: ClaimSettlement): Promise<void> {
 		await this._options.leaderClient.propose({
-			type: 'claim.settle', claimId, tenant, service, idempotencyKey, outcome,
+			type: 'claim.settle', claimId, tenant: customer, service, idempotencyKey, outcome,
 		}, settleTimeoutMs);
 	}
 
--- a/src/node/control/configuration-codec.ts
+++ b/src/node/control/configuration-codec.ts
@@ -1,10 +1,10 @@
 import {gunzipSync, gzipSync} from 'node:zlib';
 import type {SharedConfiguration} from '../../common/configuration/types.js';
 
-/** Maximum size of a decompressed document, in bytes; a configuration of 20,000 tenants takes about 2 MB. */
+/** Maximum size of a decompressed document, in bytes; a configuration of 20,000 customers takes about 2 MB. */
 const maxDecompressedBytes = 16 * 1024 * 1024;
 
-/** Compresses text with gzip, so that the configuration of 20,000 tenants fits in one frame between processes. */
+/** Compresses text with gzip, so that the configuration of 20,000 customers fits in one frame between processes. */
 export function compressText(text: string): Uint8Array {
 	return gzipSync(text);
 }
--- a/src/node/control/control-admin-client.ts
+++ b/src/node/control/control-admin-client.ts
@@ -112,11 +112,11 @@
 		return {version, versions: versions.map(entry => ({version: entry.version, changeId: entry.changeId, ageMs: logTimeMs - entry.appliedMs}))};
 	}
 
-	async issueKey(tenant: string, keyId: string, changeId: string = randomUUID()): Promise<IssueResult> {
+	async issueKey(customer: string, keyId: string, changeId: string = randomUUID()): Promise<IssueResult> {
 		const key = generateKey();
 		const digest = digestKey(key);
 		const outcome = await this._propose({
-			type: 'key.issue', changeId, keyId, digest, tenant,
+			type: 'key.issue', changeId, keyId, digest, tenant: customer,
 		});
 		if (outcome.kind !== 'issued') {
 			return toRefusal(outcome);
@@ -134,7 +134,7 @@
 		return toChangeResult(await this._propose({type: 'key.withdraw', changeId, keyId}));
 	}
 
-	/** Lists the ids and tenants of the valid keys, in the order in which they were issued. */
+	/** Lists the ids and customers of the valid keys, in the order in which they were issued. */
 	async listKeys(): Promise<KeyEntry[]> {
 		const keys: KeyEntry[] = [];
 		for (let after: number | undefined = 0; after !== undefined;) {
--- a/src/node/control/control-client.test.ts
+++ b/src/node/control/control-client.test.ts
@@ -52,7 +52,7 @@
 	await waitUntil(() => access.isFresh());
 });
 
-test('a waiting request receives its rate tokens, and a request that the tenant\'s bucket cannot cover in time is refused', async context => {
+test('a waiting request receives its rate tokens, and a request that the customer\'s bucket cannot cover in time is refused', async context => {
 	const {cluster} = await startCluster(context);
 	const {client: {access}} = cluster.addEntry('entry-1');
 	await waitUntil(() => access.view !== undefined);
@@ -196,7 +196,7 @@
 	assert.deepEqual([keys.length, drains], [149, [{target: 'upstream', name: 'engine-1'}]]);
 });
 
-test('with 20,000 tenants and keys, every message fits in a frame and the view is complete', async context => {
+test('with 20,000 customers and keys, every message fits in a frame and the view is complete', async context => {
 	const {cluster, controls: [control], adminClient} = await startCluster(context);
 	const applied = await adminClient.applyConfiguration(makeConfigurationDocument({tenants: 20_000}), 1);
 	assert.equal(applied.kind, 'applied');
--- a/src/node/control/test-helper.ts
+++ b/src/node/control/test-helper.ts
@@ -257,9 +257,9 @@
 	}
 }
 
-/** Returns a configuration document with `tenants` tenants, the first of which is `acme`. */
-export function makeConfigurationDocument({tenants = 1, rate = 1000, burst = 1000} = {}): string {
-	const lines = Array.from({length: tenants}, (_, i) => `  ${i === 0 ? 'acme' : `customer-${i}`}: {rate: ${rate} tokens/s, burst: ${burst}}`);
+/** Returns a configuration document with `tenants` customers, the first of which is `acme`. */
+export function makeConfigurationDocument({tenants: customers = 1, rate = 1000, burst = 1000} = {}): string {
+	const lines = Array.from({length: customers}, (_, i) => `  ${i === 0 ? 'acme' : `customer-${i}`}: {rate: ${rate} tokens/s, burst: ${burst}}`);
 	return `profiles:
   batch: {}
 tenants:
--- a/src/node/entry/admission-controller.ts
+++ b/src/node/entry/admission-controller.ts
@@ -9,8 +9,8 @@
 import type {ActiveRequests} from './active-requests.js';
 import type {EntryServices} from './types.js';
 
-/** Tenant name that stands for callers of open routes, which need no key. No configured tenant can have this name. */
-export const openRouteTenant = '(open)';
+/** Customer name that stands for callers of open routes, which need no key. No configured customer can have this name. */
+export const openRouteCustomer = '(open)';
 
 /** Tracks how much longer a request may wait before it starts. */
 export class WaitBudget {
@@ -46,7 +46,7 @@
 	}
 
 	/**
-	Returns the identity (tenant and key id) of the request's key and records it in the exchange. Throws if the key is missing
+	Returns the identity (customer and key id) of the request's key and records it in the exchange. Throws if the key is missing
 	or unknown, or if no quorum has confirmed the view recently, since the key may have been withdrawn in the meantime.
 	*/
 	authenticate(exchange: Exchange): KeyIdentity {
@@ -69,14 +69,14 @@
 		return identity;
 	}
 
-	/** Takes `tokens` from the tenant's rate limit, waiting up to `maxWaitMs`; throws if they are not granted. Returns undefined for an open route or a request without cost. */
+	/** Takes `tokens` from the customer's rate limit, waiting up to `maxWaitMs`; throws if they are not granted. Returns undefined for an open route or a request without cost. */
 	async acquireTokens(exchange: Exchange, tokens: number, maxWaitMs: number): Promise<Acquisition | undefined> {
-		const tenant = exchange.identity?.tenant;
-		if (tenant === undefined || tokens === 0) {
+		const customer = exchange.identity?.tenant;
+		if (customer === undefined || tokens === 0) {
 			return undefined;
 		}
 
-		const result = await this._services.access.acquire(tenant, tokens, maxWaitMs);
+		const result = await this._services.access.acquire(customer, tokens, maxWaitMs);
 		if (!result.ok) {
 			const options = result.retryAfterMs === undefined ? {} : {retryAfterMs: result.retryAfterMs};
 			throw result.code === 'control-unreachable' ? this.controlUnreachableError(result.retryAfterMs) : new ProblemError(result.code, options);
@@ -132,7 +132,7 @@
 		}
 
 		return new Promise(resolve => {
-			const cancel = concurrency.enqueue(exchange.identity?.tenant ?? openRouteTenant, release => {
+			const cancel = concurrency.enqueue(exchange.identity?.tenant ?? openRouteCustomer, release => {
 				clearTimeout(timer);
 				resolve(release);
 			});
--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -206,7 +206,7 @@
 	assert.deepEqual(client.statuses, ['200', '200']);
 });
 
-test('the memory for the request bodies of a tenant is limited across all its requests, and freed when a request ends', async t => {
+test('the memory for the request bodies of a customer is limited across all its requests, and freed when a request ends', async t => {
 	const {url, address} = await startHarness(t, {
 		limits: {bodyMemoryBytes: 4000}, deskHandlers: [(_req, res) => {
 			res.end();
--- a/src/node/entry/chat-completions.ts
+++ b/src/node/entry/chat-completions.ts
@@ -5,7 +5,7 @@
 import type {Usage} from '../../common/upstreams/engine-api.js';
 import {ProblemError} from './problems.js';
 
-/** Largest number of output tokens that a caller may set as the limit of a request; the tenant's burst usually allows fewer. */
+/** Largest number of output tokens that a caller may set as the limit of a request; the customer's burst usually allows fewer. */
 const maxOutputTokens = 1_000_000;
 
 const textPartSchema = z.looseObject({type: z.literal('text'), text: z.string()});
--- a/src/node/entry/chat-handler.ts
+++ b/src/node/entry/chat-handler.ts
@@ -14,7 +14,7 @@
 import {ProblemError} from './problems.js';
 import type {EntryLimits, EntryOptions, EntryServices} from './types.js';
 
-/** Time, in milliseconds, that a request may wait for its tenant's rate limit even if its time-to-first-token target leaves less. It leaves room for a reply from the leader, which takes some tens of milliseconds. */
+/** Time, in milliseconds, that a request may wait for its customer's rate limit even if its time-to-first-token target leaves less. It leaves room for a reply from the leader, which takes some tens of milliseconds. */
 const minRateWaitMs = 250;
 
 type RoutedChatRequest = {
@@ -38,9 +38,9 @@
 
 	async handle(exchange: Exchange): Promise<void> {
 		const {configuration} = this._admission.requireView();
-		const {tenant} = this._admission.authenticate(exchange);
+		const {tenant: customer} = this._admission.authenticate(exchange);
 		const body = await readBody(exchange, {
-			maxBytes: largestBodyLimitBytes(configuration), timeoutMs: this._options.limits.bodyTimeoutMs, bodyMemory: this._options.bodyMemory, tenant,
+			maxBytes: largestBodyLimitBytes(configuration), timeoutMs: this._options.limits.bodyTimeoutMs, bodyMemory: this._options.bodyMemory, customer,
 		});
 		const request = this._route(configuration, body);
 		exchange.serviceName = request.chat.service;
@@ -50,7 +50,7 @@
 			throw new ProblemError('prompt-blocked', {run: 'not-run', retryAfterMs: quarantine.recordRefusal(block, exchange.traceIds.requestId)});
 		}
 
-		await this._admitAndRun(exchange, tenant, request);
+		await this._admitAndRun(exchange, customer, request);
 	}
 
 	private _route(configuration: SharedConfiguration, body: Uint8Array): RoutedChatRequest {
@@ -68,7 +68,7 @@
 		return {chat, service, profile};
 	}
 
-	private async _admitAndRun(exchange: Exchange, tenant: string, request: RoutedChatRequest): Promise<void> {
+	private async _admitAndRun(exchange: Exchange, customer: string, request: RoutedChatRequest): Promise<void> {
 		const {chat, service, profile} = request;
 		const maxTokens = chat.maxTokens ?? service.maxTokens;
 		const waitBudget = new WaitBudget(this._services, profile.maxWait);
@@ -87,7 +87,7 @@
 		const runner = new ModelRequestRunner(this._services, this._options, this._upstreams, {
 			exchange,
 			engineRequestId,
-			tenant,
+			customer,
 			...request,
 			serviceName: chat.service,
 			maxTokens,
@@ -106,7 +106,7 @@
 		}
 	}
 
-	/** Returns how long the request may wait for its tenant's rate limit and still meet its time-to-first-token target. */
+	/** Returns how long the request may wait for its customer's rate limit and still meet its time-to-first-token target. */
 	private _rateWaitMs(exchange: Exchange, {chat, profile}: RoutedChatRequest, waitBudget: WaitBudget): number {
 		const elapsedMs = this._services.clock.nowMs() - exchange.startedAtMs;
 		const usableMs = profile.latency.firstToken - elapsedMs - this._firstTextEstimator(chat.service).value;
--- a/src/node/entry/exchange.ts
+++ b/src/node/entry/exchange.ts
@@ -26,7 +26,7 @@
 export class Exchange {
 	readonly traceIds: TraceIds;
 	readonly startedAtMs: number;
-	/** Tenant and key id of the request; undefined until its key has been authenticated, and always on open routes. */
+	/** Customer and key id of the request; undefined until its key has been authenticated, and always on open routes. */
 	identity: KeyIdentity | undefined;
 	/** Name of the requested service; undefined until the request is routed. */
 	serviceName: string | undefined;
--- a/src/node/entry/headers.ts
+++ b/src/node/entry/headers.ts
@@ -48,9 +48,9 @@
 
 /**
 Returns the headers for the upstream as alternating names and values: the caller's end-to-end headers, the trace ids and the
-tenant. A header whose value contains the caller's key is dropped, so that the key does not leave this process.
+customer. A header whose value contains the caller's key is dropped, so that the key does not leave this process.
 */
-export function buildUpstreamHeaders(req: IncomingMessage, ids: TraceIds, tenant: string | undefined): string[] {
+export function buildUpstreamHeaders(req: IncomingMessage, ids: TraceIds, customer: string | undefined): string[] {
 	const connectionOptions = parseConnectionOptions(req.headers.connection);
 	const key = readBearerKey(req);
 	const forwarded: string[] = [];
@@ -65,8 +65,8 @@
 	}
 
 	forwarded.push('x-request-id', ids.requestId, 'traceparent', ids.traceparent);
-	if (tenant !== undefined) {
-		forwarded.push('x-tenant', tenant);
+	if (customer !== undefined) {
+		forwarded.push('x-tenant', customer);
 	}
 
 	return forwarded;
--- a/src/node/entry/model-request-runner.test.ts
+++ b/src/node/entry/model-request-runner.test.ts
@@ -365,7 +365,7 @@
 	await waitUntil(() => prefill.heldRequestIds.size === 0);
 });
 
-test('a request waits for its tenant\'s rate limit only as long as it can still meet its time-to-first-token target', async t => {
+test('a request waits for its customer\'s rate limit only as long as it can still meet its time-to-first-token target', async t => {
 	const firstTokenMs = 1500;
 	const prefillMs = 400;
 	const {url, services, prefill} = await startHarness(t, {profile: {maxWait: '3s', latency: {firstToken: `${firstTokenMs}ms`, betweenTokens: '69ms'}}});
--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -31,13 +31,13 @@
 	readonly exchange: Exchange;
 	/** Request id sent to engines; unique in the cluster, unlike the request id that callers choose. */
 	readonly engineRequestId: string;
-	readonly tenant: string;
+	readonly customer: string;
 	readonly serviceName: string;
 	readonly service: ModelService;
 	readonly profile: Profile;
 	readonly chat: ChatRequest;
 	readonly maxTokens: number;
-	/** Tokens taken from the tenant's rate limit; undefined if none were taken. */
+	/** Tokens taken from the customer's rate limit; undefined if none were taken. */
 	readonly acquisition: Acquisition | undefined;
 	/** Remaining time that the request may wait before it starts, in milliseconds. */
 	readonly maxWaitMs: number;
@@ -209,13 +209,13 @@
 		}
 
 		const {
-			serviceName, tenant, profile, chat, maxTokens, maxWaitMs, exchange,
+			serviceName, customer, profile, chat, maxTokens, maxWaitMs, exchange,
 		} = this._request;
 		const elapsedMs = this._services.clock.nowMs() - exchange.startedAtMs;
 		const reply = await this._askScheduler(async () => this._services.scheduler.place({
 			requestId: attemptId,
 			service: serviceName,
-			tenant,
+			tenant: customer,
 			priority: profile.priority,
 			shedOrder: profile.shedOrder,
 			promptTokens: this._promptTokens,
@@ -371,17 +371,17 @@
 
 	/** Records the metrics of a complete request. The request counts towards goodput if its time to first token and its mean time between tokens met the targets of the profile. */
 	private _recordCompletion(usage: Usage): void {
-		const {exchange, profile, tenant} = this._request;
+		const {exchange, profile, customer} = this._request;
 		const {metrics} = this._services;
 		const firstTokenMs = (this._firstTextAtMs ?? this._services.clock.nowMs()) - exchange.startedAtMs;
 		const gapCount = Math.max(1, usage.outputTokens - 1);
 		const meanGapMs = ((this._lastTextAtMs ?? 0) - (this._firstTextAtMs ?? 0)) / gapCount;
 		metrics.observe('first_token_ms', firstTokenMs, this._metricLabels);
 		metrics.count('output_tokens_total', this._metricLabels, usage.outputTokens);
-		metrics.count('tenant_complete_total', {tenant});
+		metrics.count('tenant_complete_total', {tenant: customer});
 		if (firstTokenMs <= profile.latency.firstToken && meanGapMs <= profile.latency.betweenTokens) {
 			this._countMetric('requests_within_targets_total');
-			metrics.count('tenant_within_targets_total', {tenant});
+			metrics.count('tenant_within_targets_total', {tenant: customer});
 		}
 	}
 
--- a/src/node/entry/plain-handler.ts
+++ b/src/node/entry/plain-handler.ts
@@ -7,7 +7,7 @@
 import {readBody} from './request-body.js';
 import type {Exchange} from './exchange.js';
 import type {AdmissionController} from './admission-controller.js';
-import {openRouteTenant, WaitBudget} from './admission-controller.js';
+import {openRouteCustomer, WaitBudget} from './admission-controller.js';
 import {PlainRequestRunner, sendRecordedOutcome} from './plain-request-runner.js';
 import {ProblemError} from './problems.js';
 import type {EntryLimits, EntryServices} from './types.js';
@@ -49,7 +49,7 @@
 		exchange.serviceName = serviceName;
 		const profile = configuration.profiles[configuration.services[serviceName]!.profile]!;
 		const body = await readBody(exchange, {
-			maxBytes: profile.bodyLimit, timeoutMs: this._options.limits.bodyTimeoutMs, bodyMemory: this._options.bodyMemory, tenant: tenantOf(exchange),
+			maxBytes: profile.bodyLimit, timeoutMs: this._options.limits.bodyTimeoutMs, bodyMemory: this._options.bodyMemory, customer: customerOf(exchange),
 		});
 		await this._admitAndRun(exchange, {
 			serviceName, profile, route, upstreamTarget, body,
@@ -95,7 +95,7 @@
 
 		const requestDigest = createHash('sha256').update(`${exchange.req.method} ${upstreamTarget}\n`).update(body).digest('hex');
 		const result = await this._services.claims.claim({
-			tenant: tenantOf(exchange), service: serviceName, idempotencyKey, requestDigest,
+			tenant: customerOf(exchange), service: serviceName, idempotencyKey, requestDigest,
 		}, waitBudget.remainingMs);
 		switch (result.kind) {
 			case 'granted': {
@@ -137,8 +137,8 @@
 	}
 }
 
-function tenantOf(exchange: Exchange): string {
-	return exchange.identity?.tenant ?? openRouteTenant;
+function customerOf(exchange: Exchange): string {
+	return exchange.identity?.tenant ?? openRouteCustomer;
 }
 
 /** Matches a request against the routes of a plain service; returns undefined if there is no plain service with this name. */
--- a/src/node/entry/plain-request-runner.test.ts
+++ b/src/node/entry/plain-request-runner.test.ts
@@ -76,8 +76,8 @@
 	assert.deepEqual([first.body, resent.body], ['ran dog', 'ran dog']);
 	const conflict = await readAnswer(await fetch(`${url}/s/desk/entries`, postInit('k1', 'cat')));
 	assert.deepEqual([conflict.status, conflict.code], [422, 'idempotency-conflict']);
-	const otherTenant = await fetch(`${url}/s/desk/entries`, {...postInit('k1'), headers: {authorization: 'Bearer key-b', 'idempotency-key': 'k1'}});
-	assert.equal(otherTenant.status, 200, 'the same idempotency key of another tenant is a separate claim');
+	const otherCustomer = await fetch(`${url}/s/desk/entries`, {...postInit('k1'), headers: {authorization: 'Bearer key-b', 'idempotency-key': 'k1'}});
+	assert.equal(otherCustomer.status, 200, 'the same idempotency key of another tenant is a separate claim');
 	assert.equal(countRequests(deskServers), 2);
 });
 
--- a/src/node/entry/request-body.ts
+++ b/src/node/entry/request-body.ts
@@ -9,8 +9,8 @@
 	/** Time in which the whole body must arrive, in milliseconds. */
 	readonly timeoutMs: number;
 	readonly bodyMemory: BodyMemoryBudget;
-	/** Tenant whose share of the memory the body counts against. */
-	readonly tenant: string;
+	/** Customer whose share of the memory the body counts against. */
+	readonly customer: string;
 };
 
 /**
@@ -27,7 +27,7 @@
 	const chunks: Uint8Array[] = [];
 	let receivedBytes = 0;
 	exchange.res.once('close', () => {
-		limits.bodyMemory.release(limits.tenant, receivedBytes);
+		limits.bodyMemory.release(limits.customer, receivedBytes);
 	});
 	await new Promise<void>((resolve, reject) => {
 		const finish = (err?: ProblemError) => {
@@ -47,7 +47,7 @@
 		const onData = (chunk: Uint8Array) => {
 			if (receivedBytes + chunk.length > limits.maxBytes) {
 				finish(bodyTooLargeError(limits.maxBytes));
-			} else if (limits.bodyMemory.tryReserve(limits.tenant, chunk.length)) {
+			} else if (limits.bodyMemory.tryReserve(limits.customer, chunk.length)) {
 				receivedBytes += chunk.length;
 				chunks.push(chunk);
 			} else {
--- a/src/node/entry/testing/services.ts
+++ b/src/node/entry/testing/services.ts
@@ -45,15 +45,15 @@
 		return this.keys.get(key);
 	}
 
-	override async acquire(tenant: string, tokens: number, maxWaitMs: number): Promise<AcquireResult> {
+	override async acquire(customer: string, tokens: number, maxWaitMs: number): Promise<AcquireResult> {
 		const id = this.acquisitionCount++;
 		this.maxWaitsMs.push(maxWaitMs);
 		const result = await this.nextAcquireResult;
-		return result.ok ? {ok: true, acquisition: {id, tenant, tokens}} : result;
+		return result.ok ? {ok: true, acquisition: {id, tenant: customer, tokens}} : result;
 	}
 
-	override settle({tenant, tokens}: Acquisition, used: number): void {
-		this.settlements.push({tenant, acquired: tokens, used});
+	override settle({tenant: customer, tokens}: Acquisition, used: number): void {
+		this.settlements.push({tenant: customer, acquired: tokens, used});
 	}
 
 	async setConfiguration(configuration: SharedConfiguration, drainedUpstreams: readonly string[] = []): Promise<void> {
@@ -77,12 +77,12 @@
 	isAvailable = true;
 	private readonly _claims = new Map<string, {digest: string; outcome?: ClaimSettlement}>();
 
-	override async claim({tenant, service, idempotencyKey, requestDigest}: ClaimRequest): Promise<ClaimResult> {
+	override async claim({tenant: customer, service, idempotencyKey, requestDigest}: ClaimRequest): Promise<ClaimResult> {
 		if (!this.isAvailable) {
 			return {kind: 'unavailable'};
 		}
 
-		const claimId = [tenant, service, idempotencyKey].join('/');
+		const claimId = [customer, service, idempotencyKey].join('/');
 		const existing = this._claims.get(claimId);
 		if (!existing || existing.outcome?.kind === 'not-run') {
 			this._claims.set(claimId, {digest: requestDigest});
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -22,7 +22,7 @@
 	readonly waitMs: number;
 	/** Incarnation of the server that the request is meant for; any other incarnation rejects it. */
 	readonly serverId: string;
-	readonly tenant: string | undefined;
+	readonly customer: string | undefined;
 	readonly lastEventId: string | undefined;
 	/** Whether the server is asked to prefill the prompt only and not to generate a reply. */
 	readonly isPrefill?: boolean;
@@ -108,7 +108,7 @@
 	/** Reads the headers of a caller's request. `headers` contains names and values, alternating. */
 	abstract readCallerRequest(headers: readonly string[]): CallerRequest;
 	/**
-	Headers of a request to a server: the caller's end-to-end headers, without the tenant's key and the headers that only the
+	Headers of a request to a server: the caller's end-to-end headers, without the customer's key and the headers that only the
 	router may set, followed by the headers with which the router states `facts`.
 	*/
 	abstract serverHeaders(headers: readonly string[], facts: ServerRequestFacts): string[];
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage} from 'node:http';
-import type {ForwardTenant} from '../../common/configuration/forwarding.js';
+import type {ForwardCustomer} from '../../common/configuration/forwarding.js';
 import {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
@@ -17,9 +17,9 @@
 
 /** Memory limit for all request bodies together, in bytes. */
 const bodyMemoryLimitBytes = 32 * 1024 * 1024;
-/** Maximum time that a request waits for rate tokens of its tenant, in milliseconds; half the latency objective of a model request. */
+/** Maximum time that a request waits for rate tokens of its customer, in milliseconds; half the latency objective of a model request. */
 const maxAllowanceWaitMs = 450;
-/** Retry delay that a refusal advises, in milliseconds, when the tenant has used up its rate and it is not known when its bucket will cover the request. */
+/** Retry delay that a refusal advises, in milliseconds, when the customer has used up its rate and it is not known when its bucket will cover the request. */
 const rateLimitRetryMs = 1000;
 /** Retry delay that a stopping process advises when it refuses a request, in milliseconds; short, since other processes accept the request at once. */
 const stoppingRetryMs = 50;
@@ -76,7 +76,7 @@
 			return;
 		}
 
-		const {route, service, tenant} = this._admit(req, caller);
+		const {route, service, tenant: customer} = this._admit(req, caller);
 		exchange.serviceName = service.name;
 		const isModel = service.engine !== undefined;
 		if (!this._options.hasTimeFor(isModel ? 'model' : 'plain')) {
@@ -92,14 +92,14 @@
 		const {limits} = this._routeTable!.forwarding;
 		const version = this._version;
 		const body = await readBody(exchange, {
-			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, bodyMemory: this._bodyMemory, tenant: tenant?.name ?? '',
+			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, bodyMemory: this._bodyMemory, customer: customer?.name ?? '',
 		});
 		const waitMs = Math.min(caller.waitMs ?? route.timeoutMs, route.timeoutMs);
 		const request: ForwardRequest = {
 			exchange,
 			caller,
 			requestId: caller.requestId!,
-			tenant: tenant?.name,
+			customer: customer?.name,
 			route,
 			service,
 			body,
@@ -107,7 +107,7 @@
 			deadlineMs: exchange.startedAtMs + waitMs,
 			callerDeadlineMs: exchange.startedAtMs + (caller.waitMs ?? route.timeoutMs),
 		};
-		const acquisition = await this._acquireAllowance(request, tenant, req);
+		const acquisition = await this._acquireAllowance(request, customer, req);
 		if (exchange.stopReason !== undefined) {
 			this._settleAllowance(acquisition, false);
 			return;
@@ -129,9 +129,9 @@
 			throw new ForwardRefusal(404, 'no route matches');
 		}
 
-		const isKeyRequired = table.hasTenants && !route.isOpen;
-		const tenant = isKeyRequired && caller.key !== undefined ? table.tenantForKey(caller.key) : undefined;
-		if (isKeyRequired && !tenant) {
+		const isKeyRequired = table.hasCustomers && !route.isOpen;
+		const customer = isKeyRequired && caller.key !== undefined ? table.customerForKey(caller.key) : undefined;
+		if (isKeyRequired && !customer) {
 			throw new ForwardRefusal(401, 'the key is not known');
 		}
 
@@ -140,30 +140,30 @@
 		}
 
 		const service = table.service(chooseTarget(route, this._options.fleet.random.next()))!;
-		return {route, service, tenant};
+		return {route, service, tenant: customer};
 	}
 
 	/**
-	Takes the cost of the request from the tenant's token bucket; a request that costs more than the burst takes the whole
+	Takes the cost of the request from the customer's token bucket; a request that costs more than the burst takes the whole
 	burst. Returns undefined if no rate limit applies. Throws `ForwardRefusal` if the tokens are not granted.
 	*/
-	private async _acquireAllowance({caller, requestId}: ForwardRequest, tenant: ForwardTenant | undefined, req: IncomingMessage): Promise<Acquisition | undefined> {
+	private async _acquireAllowance({caller, requestId}: ForwardRequest, customer: ForwardCustomer | undefined, req: IncomingMessage): Promise<Acquisition | undefined> {
 		const {access, logger} = this._options;
-		const limit = tenant && access.view?.configuration.tenants[tenant.name];
-		if (!tenant || !limit) {
+		const limit = customer && access.view?.configuration.tenants[customer.name];
+		if (!customer || !limit) {
 			return undefined;
 		}
 
 		const {prompt} = caller;
-		const tokens = prompt ? prompt.promptTokens + prompt.maxOutputTokens : tenant.defaultCost;
-		const cost = Math.min(limit.burst, tenant.unit === 'tokens' ? tokens : 1);
-		const result = await access.acquire(tenant.name, cost, maxAllowanceWaitMs);
+		const tokens = prompt ? prompt.promptTokens + prompt.maxOutputTokens : customer.defaultCost;
+		const cost = Math.min(limit.burst, customer.unit === 'tokens' ? tokens : 1);
+		const result = await access.acquire(customer.name, cost, maxAllowanceWaitMs);
 		if (result.ok) {
 			return result.acquisition;
 		}
 
 		logger.log('info', 'request not within its tenant\'s rate', {
-			requestId, tenant: tenant.name, cost, rate: limit.rate, burst: limit.burst, code: result.code, method: req.method,
+			requestId, tenant: customer.name, cost, rate: limit.rate, burst: limit.burst, code: result.code, method: req.method,
 		});
 		if (result.code === 'control-unreachable') {
 			throw new ForwardRefusal(503, 'the tenant\'s rate cannot be confirmed', unconfirmedStateRetryAfterMs(this._options.fleet.random.next(), result.retryAfterMs));
@@ -178,14 +178,14 @@
 		}
 	}
 
-	private _reportEnd({exchange, requestId, route, tenant, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
+	private _reportEnd({exchange, requestId, route, customer, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
 		const {logger, metrics, clock} = this._options;
 		const elapsedMs = Math.round(clock.nowMs() - exchange.startedAtMs);
 		const status = exchange.outcome?.status;
 		metrics.count('forward_requests_total', {route: route.name, status: String(status ?? 0)});
 		metrics.observe('forward_request_ms', elapsedMs, {route: route.name});
 		logger.log('info', 'request ended', {
-			requestId, route: route.name, service: service.name, tenant, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
+			requestId, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
 		});
 	}
 }
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -24,7 +24,7 @@
 	readonly exchange: Exchange;
 	readonly caller: CallerRequest;
 	readonly requestId: string;
-	readonly tenant: string | undefined;
+	readonly customer: string | undefined;
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
 	readonly body: Uint8Array;
@@ -36,7 +36,7 @@
 	readonly callerDeadlineMs: number;
 };
 
-/** How a forwarded request ended, for its log line and for the settlement of the tenant's allowance. */
+/** How a forwarded request ended, for its log line and for the settlement of the customer's allowance. */
 export type ForwardResult = {
 	/** Whether a server may have run the request. */
 	readonly mayHaveRun: boolean;
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -323,12 +323,12 @@
 	}
 
 	private _serverRequest(server: Server, facts: Partial<ServerRequestFacts>, headersTimeoutMs: number, signal: AbortSignal) {
-		const {exchange: {req}, body, callerDeadlineMs, tenant, caller} = this._request;
+		const {exchange: {req}, body, callerDeadlineMs, customer, caller} = this._request;
 		return {
 			method: req.method as HttpMethod,
 			path: req.url!,
 			headers: this._dependencies.protocol.serverHeaders(req.rawHeaders, {
-				waitMs: callerDeadlineMs - this._dependencies.clock.nowMs(), serverId: server.record.id, tenant, lastEventId: this._eventTracker.lastEventId ?? caller.lastEventId, ...facts,
+				waitMs: callerDeadlineMs - this._dependencies.clock.nowMs(), serverId: server.record.id, customer, lastEventId: this._eventTracker.lastEventId ?? caller.lastEventId, ...facts,
 			}),
 			...(body.length > 0 && {body}),
 			headersTimeoutMs,
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -136,12 +136,12 @@
 
 	private async _sendAndBuffer(server: Server, signal: AbortSignal, sentMs: number): Promise<UntimedEvent<PlainForwardEvent>> {
 		const {fleet, clock, protocol} = this._dependencies;
-		const {exchange: {req}, body, callerDeadlineMs, deadlineMs, tenant, caller, requestId} = this._request;
+		const {exchange: {req}, body, callerDeadlineMs, deadlineMs, customer, caller, requestId} = this._request;
 		const response = await fleet.adapterFor(server).send({
 			method: req.method as HttpMethod,
 			path: req.url!,
 			headers: protocol.serverHeaders(req.rawHeaders, {
-				waitMs: callerDeadlineMs - sentMs, serverId: server.record.id, tenant, lastEventId: caller.lastEventId,
+				waitMs: callerDeadlineMs - sentMs, serverId: server.record.id, customer, lastEventId: caller.lastEventId,
 			}),
 			...(body.length > 0 && {body}),
 			headersTimeoutMs: Math.max(1, deadlineMs - sentMs + 100),
--- a/src/node/membership/gossip-entry-point-service.ts
+++ b/src/node/membership/gossip-entry-point-service.ts
@@ -6,7 +6,7 @@
 
 /** How long callers may cache an answer, in milliseconds. A VM that shuts down keeps serving for at least this long. */
 export const entryPointValidityMs = 5000;
-/** Number of hash keys that requests without a tenant use in turn, so that these requests are spread over the entry VMs. */
+/** Number of hash keys that requests without a customer use in turn, so that these requests are spread over the entry VMs. */
 const anonymousKeyCount = 64;
 
 export type EntryPointSources = {
@@ -26,8 +26,8 @@
 		super();
 	}
 
-	override chooseEntryPoints(tenant: string | undefined, zone: string | undefined): EntryPointAnswer {
-		const key = tenant === undefined ? `anonymous/${this._nextAnonymousKey++ % anonymousKeyCount}` : `tenant/${tenant}`;
+	override chooseEntryPoints(customer: string | undefined, zone: string | undefined): EntryPointAnswer {
+		const key = customer === undefined ? `anonymous/${this._nextAnonymousKey++ % anonymousKeyCount}` : `tenant/${customer}`;
 		return {entryPoints: chooseEntryPoints({key, zone, candidates: this._candidates()}), validForMs: entryPointValidityMs};
 	}
 
--- a/src/node/operators/control-operator-service.ts
+++ b/src/node/operators/control-operator-service.ts
@@ -87,8 +87,8 @@
 		return okResult({keys: await this._adminClient.listKeys()});
 	}
 
-	override async issueKey({tenant, changeId}: z.infer<typeof keyIssueSchema>): Promise<OperatorResult> {
-		const result = await this._adminClient.issueKey(tenant, deriveId('key', changeId), changeId);
+	override async issueKey({tenant: customer, changeId}: z.infer<typeof keyIssueSchema>): Promise<OperatorResult> {
+		const result = await this._adminClient.issueKey(customer, deriveId('key', changeId), changeId);
 		if (result.kind === 'already-issued') {
 			const detail = `key ${result.keyId} was issued by an earlier attempt and cannot be shown again; withdraw it and issue another`;
 			return {ok: false, problem: {status: 409, code: 'already-issued', detail}};
--- a/src/node/scheduler/fixtures.ts
+++ b/src/node/scheduler/fixtures.ts
@@ -101,8 +101,8 @@
 		return undefined;
 	}
 
-	override async acquire(tenant: string, tokens: number): Promise<AcquireResult> {
-		return {ok: true, acquisition: {id: 1, tenant, tokens}};
+	override async acquire(customer: string, tokens: number): Promise<AcquireResult> {
+		return {ok: true, acquisition: {id: 1, tenant: customer, tokens}};
 	}
 
 	override settle(): void {
--- a/src/node/scheduler/peer-scheduler-client.ts
+++ b/src/node/scheduler/peer-scheduler-client.ts
@@ -5,7 +5,7 @@
 import {reportMessageSchema} from '../../common/scheduler/messages.js';
 import {SlotSharePolicy} from '../../common/scheduler/placement-policy.js';
 import {
-	leaseName, shardEngines, shardForRequest, tenantWeights,
+	leaseName, shardEngines, shardForRequest, customerWeights,
 } from '../../common/scheduler/shards.js';
 import type {
 	NotHolder, ReportReply, RunningReservation, SchedulerReply, Shard,
@@ -254,9 +254,9 @@
 	}
 }
 
-function createRunningReservation({requestId, tenant, promptTokens, maxTokens}: PlacementRequest, {reservation, prefill, decode}: Placement): RunningReservation {
+function createRunningReservation({requestId, tenant: customer, promptTokens, maxTokens}: PlacementRequest, {reservation, prefill, decode}: Placement): RunningReservation {
 	return {
-		reservation, requestId, tenant, prefill, decode, promptTokens, maxTokens, phase: 'prefill',
+		reservation, requestId, tenant: customer, prefill, decode, promptTokens, maxTokens, phase: 'prefill',
 	};
 }
 
@@ -279,7 +279,7 @@
 
 	configure({configuration, drainedUpstreams}: SharedStateView): void {
 		const engines = shardEngines(configuration, this._pool, drainedUpstreams);
-		this._runner.runtime.dispatch({type: 'scheduler/configure', engines, weights: tenantWeights(configuration)});
+		this._runner.runtime.dispatch({type: 'scheduler/configure', engines, weights: customerWeights(configuration)});
 	}
 
 	/** Updates this process's share of the slots, and adds the reservations that this process runs to the scheduler's state. */
--- a/src/node/scheduler/shard-host.ts
+++ b/src/node/scheduler/shard-host.ts
@@ -2,7 +2,7 @@
 import type {Disposable} from '../../common/core/disposable.js';
 import type {VmIdentity} from '../../common/core/types.js';
 import {reportReplySchema} from '../../common/scheduler/messages.js';
-import {leaseName, shardEngines, tenantWeights} from '../../common/scheduler/shards.js';
+import {leaseName, shardEngines, customerWeights} from '../../common/scheduler/shards.js';
 import type {EntryProcesses, Shard} from '../../common/scheduler/types.js';
 import type {SharedStateView} from '../../common/services/access-service.js';
 import type {PeerNetwork} from '../../common/services/peer-network.js';
@@ -57,10 +57,10 @@
 		return leaseName(this._options.pool);
 	}
 
-	/** Applies the engines, drained upstreams and tenant weights of a view of the shared state. */
+	/** Applies the engines, drained upstreams and customer weights of a view of the shared state. */
 	configure({configuration, drainedUpstreams}: SharedStateView): void {
 		const engines = shardEngines(configuration, this._options.pool, drainedUpstreams);
-		this.runner.runtime.dispatch({type: 'scheduler/configure', engines, weights: tenantWeights(configuration)});
+		this.runner.runtime.dispatch({type: 'scheduler/configure', engines, weights: customerWeights(configuration)});
 		this._schedulePolls(engines.map(({name}) => name), configuration);
 	}
 
