Tell the crashing request from others that ran on the same two servers

A request that had got output weighs half. Where two crashes leave several parts with the same evidence, none is blocked before the next crash.

--- a/src/common/quarantine/crash-analysis.ts
+++ b/src/common/quarantine/crash-analysis.ts
@@ -7,6 +7,13 @@
 /** Time between two reports about a server from which on they are about two crashes, in milliseconds; shorter than any restart of a server. */
 const minCrashIntervalMs = 2000;
 
+/** Number of crashes from which on one of several parts with the same evidence is held responsible; with fewer, the next crash decides. */
+const minCrashesOfTiedParts = 3;
+/** Weight of a request for which the server had begun to produce output, relative to one without output. */
+const outputWeight = 0.5;
+/** Difference of two sums of weights that may be due to rounding. */
+const weightTolerance = 1e-9;
+
 /** Parts that are held responsible for crashes: every report in `reports` names all of them. */
 export type Culprit = {readonly parts: readonly PartId[]; readonly reports: readonly CrashReport[]};
 
@@ -65,10 +72,10 @@
 
 function findCandidate(reports: readonly CrashReport[], crashOf: ReadonlyMap<CrashReport, CrashKey>, soundMs: SoundTime): Candidate | undefined {
 	const byPart = new Map<PartId, CrashReport[]>();
-	const suspectsByCrash = new Map<CrashKey, number>();
+	const suspicionByCrash = new Map<CrashKey, number>();
 	for (const report of reports) {
 		const crash = crashOf.get(report)!;
-		suspectsByCrash.set(crash, (suspectsByCrash.get(crash) ?? 0) + 1);
+		suspicionByCrash.set(crash, (suspicionByCrash.get(crash) ?? 0) + suspicionOf(report));
 		for (const part of new Set(report.parts)) {
 			if (report.atMs > (soundMs(part) ?? -Infinity)) {
 				byPart.set(part, [...byPart.get(part) ?? [], report]);
@@ -76,24 +83,37 @@
 		}
 	}
 
-	let best: Candidate | undefined;
+	const candidates: Candidate[] = [];
 	for (const [part, evidence] of byPart) {
-		const crashes = [...new Set(evidence.map(report => crashOf.get(report)!))];
-		const candidate = {
-			part, reports: evidence, crashes: crashes.length,
+		const crashes = new Set(evidence.map(report => crashOf.get(report))).size;
+		if (crashes >= (soundMs(part) === undefined ? minCrashes : minCrashesOfSoundPart)) {
 			// A crash that few requests may have caused weighs more against each of them.
-			weight: crashes.reduce((sum, crash) => sum + (1 / suspectsByCrash.get(crash)!), 0),
-		};
-		const isSuspect = candidate.crashes >= (soundMs(part) === undefined ? minCrashes : minCrashesOfSoundPart);
-		if (isSuspect && (!best || compareCandidates(candidate, best) > 0)) {
-			best = candidate;
+			const weight = evidence.reduce((sum, report) => sum + (suspicionOf(report) / suspicionByCrash.get(crashOf.get(report)!)!), 0);
+			candidates.push({
+				part, reports: evidence, crashes, weight,
+			});
 		}
 	}
 
-	return best;
+	const [best, ...others] = candidates.sort((a, b) => compareCandidates(b, a));
+	const isTied = others.some(other => compareEvidence(other, best!) === 0 && !isSameEvidence(other, best!));
+	return isTied && best!.crashes < minCrashesOfTiedParts ? undefined : best;
+}
+
+function suspicionOf({hasOutput}: CrashReport): number {
+	return hasOutput ? outputWeight : 1;
+}
+
+function isSameEvidence(a: Candidate, b: Candidate): boolean {
+	return a.reports.length === b.reports.length && a.reports.every((report, i) => report === b.reports[i]);
+}
+
+/** Returns a positive number if the evidence against `a` is stronger. */
+function compareEvidence(a: Candidate, b: Candidate): number {
+	const difference = a.crashes - b.crashes || a.weight - b.weight;
+	return Math.abs(difference) < weightTolerance ? 0 : difference;
 }
 
-/** Returns a positive number if `a` is the more likely culprit. */
 function compareCandidates(a: Candidate, b: Candidate): number {
-	return a.crashes - b.crashes || a.weight - b.weight || compareText(b.part, a.part);
+	return compareEvidence(a, b) || compareText(b.part, a.part);
 }
--- a/src/common/quarantine/messages.ts
+++ b/src/common/quarantine/messages.ts
@@ -16,9 +16,16 @@
 /** Time since the described fact, in milliseconds; the sender's clock is not comparable to the receiver's. */
 const ageSchema = z.number().min(0);
 
-/** States that a server crashed before a request that was sent to it produced output. */
+/** States that a server crashed before it produced output for a request, or shortly after the first output. */
 const crashReportSchema = z.strictObject({
-	id: idSchema, server: serverSchema, requestId: z.string().max(128), vm: vmSchema, parts: z.array(partSchema).max(maxPartsPerReport), ageMs: ageSchema,
+	id: idSchema,
+	server: serverSchema,
+	requestId: z.string().max(128),
+	vm: vmSchema,
+	parts: z.array(partSchema).max(maxPartsPerReport),
+	/** Whether the server had just begun to produce output for the request. */
+	hasOutput: z.boolean(),
+	ageMs: ageSchema,
 });
 
 /** States that a server produced output on a prompt with the part. */
--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -104,7 +104,7 @@
 	});
 	model.dispatch('vm0', {type: 'quarantine/server-lost', server: 's1'});
 	model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt: 1, outcome: 'broken'});
-	assert.equal(logsOf(model, 'server crashed before it produced output').length, 1);
+	assert.equal(logsOf(model, 'server crashed at the start of an answer').length, 1);
 });
 
 // Guards against suspicions that never end, and against crashing requests that come back again and again after a block has ended.
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -195,7 +195,7 @@
 	} else if (outcome === 'broken' || attempt.isStalled) {
 		const {server, requestId, parts} = attempt;
 		state.pending = [...state.pending.filter(({atMs}) => nowMs - atMs < confirmationTimeoutMs), {
-			server, requestId, parts, atMs: nowMs,
+			server, requestId, parts, hasOutput: attempt.producedMs !== undefined, atMs: nowMs,
 		}].slice(-maxPending);
 		// The connections to a server may break after the server was found to be lost.
 		return nowMs - (state.lostMs.get(server) ?? -Infinity) < confirmationTimeoutMs ? reportCrash(state, server, nowMs) : [];
@@ -240,7 +240,9 @@
 }
 
 function addReport(state: QuarantineState, report: CrashReport, from: VmId, nowMs: number): QuarantineEffect[] {
-	const {id, server, requestId, vm, parts} = report;
+	const {
+		id, server, requestId, vm, parts, hasOutput,
+	} = report;
 	if (state.reports.has(id) || nowMs - report.atMs >= reportValidityMs) {
 		return [];
 	}
@@ -255,8 +257,8 @@
 	scheduleStatements(state, parts, nowMs);
 	return [
 		{
-			type: 'log', level: 'warn', message: 'server crashed before it produced output', fields: {
-				report: id, server, requestId, parts, reportedBy: vm, from, ageMs: Math.round(nowMs - report.atMs),
+			type: 'log', level: 'warn', message: 'server crashed at the start of an answer', fields: {
+				report: id, server, requestId, parts, hasOutput, reportedBy: vm, from, ageMs: Math.round(nowMs - report.atMs),
 			},
 		},
 		{type: 'count', metric: 'quarantine_crash_reports_total', labels: {source: vm === state.self ? 'own' : 'peer'}},
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -12,7 +12,7 @@
 /** Number that identifies one attempt of a request on a server, unique in the process. */
 export type AttemptId = number;
 
-/** Report of a crash of a server that had not produced output for a request. */
+/** Report of a crash of a server that had not, or just begun to, produce output for a request. */
 export type CrashReport = {
 	readonly id: string;
 	readonly server: ServerId;
@@ -20,6 +20,8 @@
 	/** VM whose request it was. */
 	readonly vm: VmId;
 	readonly parts: readonly PartId[];
+	/** Whether the server had just begun to produce output for the request. */
+	readonly hasOutput: boolean;
 	/** Time at which the request broke, in milliseconds. */
 	readonly atMs: number;
 };
