--- a/src/common/quarantine/crash-analysis.ts
+++ b/src/common/quarantine/crash-analysis.ts
@@ -7,8 +7,6 @@
 /** Time between two reports about a server from which on they are about two crashes, in milliseconds; shorter than any restart of a server. */
 const minCrashIntervalMs = 2000;
 
-/** Number of crashes from which on one of several parts with the same evidence is held responsible; with fewer, the next crash decides. */
-const minCrashesOfTiedParts = 3;
 /** Weight of a request for which the server had begun to produce output, relative to one without output. */
 const outputWeight = 0.5;
 /** Difference of two sums of weights that may be due to rounding. */
@@ -95,25 +93,15 @@
 		}
 	}
 
-	const [best, ...others] = candidates.sort((a, b) => compareCandidates(b, a));
-	const isTied = others.some(other => compareEvidence(other, best!) === 0 && !isSameEvidence(other, best!));
-	return isTied && best!.crashes < minCrashesOfTiedParts ? undefined : best;
+	return candidates.sort((a, b) => compareCandidates(b, a))[0];
 }
 
 function suspicionOf({hasOutput}: CrashReport): number {
 	return hasOutput ? outputWeight : 1;
 }
 
-function isSameEvidence(a: Candidate, b: Candidate): boolean {
-	return a.reports.length === b.reports.length && a.reports.every((report, i) => report === b.reports[i]);
-}
-
-/** Returns a positive number if the evidence against `a` is stronger. */
-function compareEvidence(a: Candidate, b: Candidate): number {
-	const difference = a.crashes - b.crashes || a.weight - b.weight;
-	return Math.abs(difference) < weightTolerance ? 0 : difference;
-}
-
+/** Returns a positive number if `a` is the more likely culprit; the result does not depend on the order of the reports. */
 function compareCandidates(a: Candidate, b: Candidate): number {
-	return compareEvidence(a, b) || compareText(b.part, a.part);
+	const difference = a.crashes - b.crashes || a.weight - b.weight;
+	return Math.abs(difference) < weightTolerance ? compareText(b.part, a.part) : difference;
 }
