Send blocks with each gossip message in turn

A process behind a cut misses the news, which stop after some transmissions; it then learned of a block only with a page of the member list, up to 5 s after it was in touch again, and could send crashing requests until then. Up to four blocks go with each ping and acknowledgement while there are any, so that it learns of them with its next ping.

--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -39,6 +39,8 @@
 	readonly logs: Array<{readonly process: VmId; readonly message: string; readonly fields: Readonly<Record<string, unknown>>}> = [];
 	readonly processes = new Map<VmId, QuarantineState>();
 	sentMessages = 0;
+	/** Processes that no message leaves or reaches. */
+	readonly cutOff = new Set<VmId>();
 	readonly random: SeededRandom;
 	private readonly _servers: ModelServer[];
 	private readonly _timers: Array<{readonly atMs: number; readonly run: () => void}> = [];
@@ -204,7 +206,7 @@
 
 	private _deliver(from: VmId, to: VmId, news: QuarantineNews): void {
 		this.sentMessages++;
-		if (this.random.next() < (this._options.lossShare ?? 0)) {
+		if (this.cutOff.has(from) || this.cutOff.has(to) || this.random.next() < (this._options.lossShare ?? 0)) {
 			return;
 		}
 
@@ -222,7 +224,10 @@
 
 		const others = [...this.processes.keys()].filter(other => other !== vm);
 		if (others.length > 0) {
-			this._gossip(vm, this.random.pick(others), round % 10 === 0);
+			// A ping and its acknowledgement, and now and then a page of the member list.
+			const other = this.random.pick(others);
+			this._gossip(vm, other, false);
+			this._gossip(other, vm, round % 10 === 0);
 		}
 
 		this._schedule(delaysMs.gossip, () => {
--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -148,6 +148,20 @@
 	assert.equal(findBlock(model.processes.get('vm2')!, ['x'], model.nowMs), undefined);
 });
 
+// Guards against a process that missed the news behind a cut, and goes on crashing servers once it is in touch again.
+test('a process that was cut off while the others blocked a part refuses it within the contact time', () => {
+	for (const seed of seeds) {
+		const model = createModel({processes: 12, seed});
+		model.cutOff.add('vm3');
+		model.send({name: 'deadly', parts: ['deadly']}, {process: 'vm0'});
+		model.run(21_000);
+		assert.equal(findBlock(model.processes.get('vm3')!, ['deadly'], model.nowMs), undefined);
+		model.cutOff.clear();
+		model.run(contactMs);
+		assert.ok(findBlock(model.processes.get('vm3')!, ['deadly'], model.nowMs), `seed ${seed}`);
+	}
+});
+
 // Guards against a state that grows with the number of prompts, reports or blocks.
 test('the state stays bounded whatever the number of parts, reports and blocks', () => {
 	const model = createModel({processes: 2});
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -39,6 +39,8 @@
 const blockToleranceMs = 1000;
 /** Number of times that an item is sent along with gossip, for each doubling of the member count. */
 const transmissionsPerDoubling = 3;
+/** Number of blocks that go with each gossip message, in turn, so that a process that missed one learns of it. */
+const blocksPerGossip = 4;
 const maxReports = 256;
 const maxPending = 256;
 const maxLostServers = 256;
@@ -86,6 +88,8 @@
 	readonly releasedMs: Map<string, number>;
 	readonly probations: Map<string, Probation>;
 	readonly newsItems: Map<string, NewsItem>;
+	/** Position among the blocks of the next one to send with gossip. */
+	nextBlock: number;
 };
 
 export function createQuarantine({self, idPrefix, seed}: {readonly self: VmId; readonly idPrefix: string; readonly seed: number}): QuarantineState {
@@ -106,6 +110,7 @@
 		releasedMs: new Map(),
 		probations: new Map(),
 		newsItems: new Map(),
+		nextBlock: 0,
 	};
 }
 
@@ -470,10 +475,10 @@
 	return news ? [{type: 'quarantine/push', news}] : [];
 }
 
-/** Returns the queued items that were sent least often, and removes those that have reached the transmission limit. */
+/** Returns the queued items that were sent least often, and the next few blocks. Removes items that have reached the transmission limit. */
 function takeNews(state: QuarantineState, memberCount: number, nowMs: number): QuarantineNews | undefined {
 	const transmissionLimit = transmissionsPerDoubling * Math.ceil(Math.log2(memberCount + 2));
-	const chosen = [...state.newsItems].sort(([, a], [, b]) => a.sends - b.sends).slice(0, maxItemsPerMessage);
+	const chosen = [...state.newsItems].sort(([, a], [, b]) => a.sends - b.sends).slice(0, maxItemsPerMessage - blocksPerGossip);
 	for (const [key, item] of chosen) {
 		item.sends++;
 		if (item.sends > transmissionLimit) {
@@ -481,7 +486,21 @@
 		}
 	}
 
-	return createNews(state, chosen.map(([, item]) => item), nowMs);
+	const items = new Map(chosen);
+	for (const key of nextBlocks(state)) {
+		items.set(`block ${key}`, {kind: 'block', key, sends: 0});
+	}
+
+	return createNews(state, [...items.values()], nowMs);
+}
+
+/** Returns the keys of the next `blocksPerGossip` blocks, in turn. */
+function nextBlocks(state: QuarantineState): string[] {
+	const keys = [...state.blocks.keys()];
+	const count = Math.min(blocksPerGossip, keys.length);
+	const start = state.nextBlock;
+	state.nextBlock = keys.length === 0 ? 0 : (start + count) % keys.length;
+	return Array.from({length: count}, (_, i) => keys[(start + i) % keys.length]!);
 }
 
 /** Returns all blocks and the newest reports, for a process that may have missed the news. */
