--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -177,6 +177,9 @@
 		model.run(20);
 	}
 
+	assert.ok(model.processes.get('vm0')!.reports.size <= 256);
+	model.run(61_000);
+	assert.equal(model.processes.get('vm0')!.reports.size, 0);
 	for (let i = 0; i < 10_000; i++) {
 		model.dispatch('vm0', {
 			type: 'quarantine/attempt-started', attempt: i, server: 's', requestId: 'r', parts: [`q${i}`],
@@ -187,7 +190,6 @@
 	const state = model.processes.get('vm0')!;
 	for (const [name, size, limit] of [
 		['blocks', state.blocks.size, 64],
-		['reports', state.reports.size, 256],
 		['sound parts', state.soundMs.size, 4096],
 		['pending', state.pending.length, 256],
 		['news', state.newsItems.size, 512],
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -32,6 +32,7 @@
 const minStatementIntervalMs = 300;
 /** Duration of the first block of some parts, in milliseconds. It doubles with each further block, up to `maxBlockMs`. */
 const initialBlockMs = 60_000;
+/** Longest duration of a block, in milliseconds. */
 const maxBlockMs = 3_600_000;
 /** Time after the end of a block in which one crash renews it, in milliseconds. */
 const probationMs = 3_600_000;
@@ -41,6 +42,7 @@
 const transmissionsPerDoubling = 3;
 /** Number of blocks that go with each gossip message, in turn, so that a process that missed one learns of it. */
 const blocksPerGossip = 4;
+/** Limits of the state, in entries; beyond them the oldest entry goes. */
 const maxReports = 256;
 const maxPending = 256;
 const maxLostServers = 256;
@@ -131,7 +133,13 @@
 
 /** Returns the time at which the next tick is due, in milliseconds; Infinity if there is nothing to do. */
 export function nextTickMs(state: QuarantineState): number {
-	return Math.min(state.evaluationDueMs, ...state.statementsDueMs.values(), ...[...state.blocks.values()].map(({untilMs}) => untilMs));
+	const [oldestReport] = state.reports.values();
+	return Math.min(
+		state.evaluationDueMs,
+		oldestReport ? oldestReport.atMs + reportValidityMs : Infinity,
+		...state.statementsDueMs.values(),
+		...[...state.blocks.values()].map(({untilMs}) => untilMs),
+	);
 }
 
 export function reduceQuarantine(state: QuarantineState, event: QuarantineEvent): QuarantineEffect[] {
@@ -303,6 +311,7 @@
 	}
 
 	effects.push(...releaseExpired(state, nowMs));
+	removeExpired(state, nowMs);
 	if (state.evaluationDueMs <= nowMs) {
 		state.evaluationDueMs = Infinity;
 		effects.push(...evaluate(state, nowMs));
@@ -311,14 +320,22 @@
 	return [...effects, ...push(state, nowMs)];
 }
 
-/** Derives the blocks from the reports: adds those that the reports demand, and releases those that they no longer support. */
-function evaluate(state: QuarantineState, nowMs: number): QuarantineEffect[] {
+function removeExpired(state: QuarantineState, nowMs: number): void {
 	for (const [id, {atMs}] of state.reports) {
 		if (nowMs - atMs >= reportValidityMs) {
 			state.reports.delete(id);
 		}
 	}
 
+	for (const [key, {untilMs}] of state.probations) {
+		if (untilMs <= nowMs) {
+			state.probations.delete(key);
+		}
+	}
+}
+
+/** Derives the blocks from the reports: adds those that the reports demand, and releases those that they no longer support. */
+function evaluate(state: QuarantineState, nowMs: number): QuarantineEffect[] {
 	const reports = [...state.reports.values()];
 	const settledBlocks = [...state.blocks.values()].filter(({evidence}) => !evidence.every(id => state.reports.has(id)));
 	const effects = reports.flatMap(report => renewBlocks(state, report, nowMs));
