Clear an ended block when a server produces output on its parts

A block that rested on a wrong suspicion ended after its minute, but one crash within an hour renewed it, whatever had been answered meanwhile. Output on a part of an ended block is now shared like that on a blocked one, and clears it everywhere. Test fails before: the part is blocked again.

--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -156,6 +156,13 @@
 		}
 	}
 
+	/** Ends every server on which a request runs. */
+	crashRunning(): void {
+		for (const server of this._servers.filter(({running}) => running.size > 0)) {
+			this.crashServer(server);
+		}
+	}
+
 	/** Advances the time, and calls `onStep` every `stepMs` milliseconds. */
 	run(durationMs: number, stepMs = durationMs, onStep?: () => void): void {
 		const endMs = this.nowMs + durationMs;
--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -124,6 +124,27 @@
 	assert.deepEqual(blockedParts(model), []);
 });
 
+// Guards against a wrong suspicion that outlives its block: the next server that crashes by itself would renew it.
+test('output on a part after its block has ended clears the part at all processes', () => {
+	const model = createModel({crashingParts: []});
+	const request = {name: 'bystander', parts: ['part']};
+	for (let i = 0; i < 2; i++) {
+		model.send(request, {tries: 1});
+		model.crashRunning();
+		model.run(100);
+	}
+
+	model.run(1000);
+	assert.deepEqual(blockedParts(model), ['part']);
+	model.run(61_000);
+	model.send(request);
+	model.run(5000);
+	model.send(request, {tries: 1});
+	model.crashRunning();
+	model.run(1000);
+	assert.deepEqual(blockedParts(model), []);
+});
+
 // Guards against refusals of a part that only came with the crashing one: it is told apart as soon as it appears without it.
 test('parts that always came together are blocked together, and a part that is then seen alone is released', () => {
 	const model = createModel();
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -62,7 +62,7 @@
 /** A request that broke before its server produced output. It becomes a report if the server proves to have crashed. */
 type PendingReport = Omit<CrashReport, 'id' | 'vm'>;
 /** An ended block: until `untilMs`, one crash renews it. */
-type Probation = {readonly strikes: number; readonly untilMs: number};
+type Probation = Pick<Block, 'parts' | 'strikes'> & {readonly untilMs: number};
 /** Item to gossip: the key of a report, sound part or block. */
 type NewsItem = {readonly kind: 'crash' | 'sound' | 'block'; readonly key: string; sends: number};
 
@@ -224,13 +224,17 @@
 function recordSound(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
 	for (const part of parts) {
 		setNewest(state.soundMs, part, nowMs, maxSoundParts);
-		const isBlocked = [...state.blocks.values()].some(block => block.parts.includes(part));
-		if (isBlocked && nowMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
+		if (isSuspected(state, part) && nowMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
 			state.statementsDueMs.set(part, nowMs);
 		}
 	}
 }
 
+/** Whether a block, or one that has ended and would be renewed, names the part. */
+function isSuspected({blocks, probations}: QuarantineState, part: PartId): boolean {
+	return [...blocks.values(), ...probations.values()].some(({parts}) => parts.includes(part));
+}
+
 /** Sets the time of a key and makes the key the newest of the map; evicts the oldest keys beyond `maxSize`. */
 function setNewest(map: Map<string, number>, key: string, timeMs: number, maxSize: number): void {
 	map.delete(key);
@@ -367,8 +371,7 @@
 
 /** Renews an ended block if a crash that is newer than the block's end is due to the same parts. */
 function renewBlocks(state: QuarantineState, report: CrashReport, nowMs: number): QuarantineEffect[] {
-	return [...state.probations].flatMap(([key, {strikes, untilMs}]) => {
-		const parts = key.split(',');
+	return [...state.probations].flatMap(([key, {parts, strikes, untilMs}]) => {
 		const isRenewed = untilMs > nowMs && report.atMs > untilMs - probationMs && !state.blocks.has(key) && isCovered(parts, report.parts);
 		return isRenewed ? startBlock(state, {parts, strikes: strikes + 1, evidence: [report]}, nowMs) : [];
 	});
@@ -418,9 +421,9 @@
 }
 
 function releaseExpired(state: QuarantineState, nowMs: number): QuarantineEffect[] {
-	return [...state.blocks].filter(([, {untilMs}]) => untilMs <= nowMs).flatMap(([key, {strikes, untilMs}]) => {
+	return [...state.blocks].filter(([, {untilMs}]) => untilMs <= nowMs).flatMap(([key, {parts, strikes, untilMs}]) => {
 		state.probations.delete(key);
-		state.probations.set(key, {strikes, untilMs: untilMs + probationMs});
+		state.probations.set(key, {parts, strikes, untilMs: untilMs + probationMs});
 		if (state.probations.size > maxBlocks) {
 			state.probations.delete(state.probations.keys().next().value!);
 		}
@@ -429,8 +432,18 @@
 	});
 }
 
-/** Releases blocks whose only part a server has produced output on since the block started, and removes such a part from the others. */
+/** Releases blocks whose only part a server has produced output on since the block started, and removes such a part from the others; the same for ended blocks. */
 function clearSoundBlocks(state: QuarantineState, part: PartId, nowMs: number): QuarantineEffect[] {
+	for (const [key, probation] of state.probations) {
+		if (probation.parts.includes(part)) {
+			const parts = probation.parts.filter(other => other !== part);
+			state.probations.delete(key);
+			if (parts.length > 0) {
+				state.probations.set(keyOf(parts), {...probation, parts});
+			}
+		}
+	}
+
 	const affected = [...state.blocks].filter(([, block]) => block.parts.includes(part) && state.soundMs.get(part)! > block.startedMs);
 	return affected.flatMap(([key, block]) => {
 		const parts = block.parts.filter(other => other !== part);
