Count only an answer with output as a sign that a part is sound

An error that an engine answered and the router relayed cleared the part of its prompt: with engines that fail part of their requests, a crashing part would have needed four crashes instead of two. Test: not blocked after two crashes before.

--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -335,7 +335,12 @@
 				await this._pendingWrite;
 			}
 
-			trackedDecode.end(this._state.assembler.isComplete ? 'completed' : 'broken');
+			if (this._state.assembler.isComplete) {
+				trackedDecode.endWithAnswer(200);
+			} else {
+				trackedDecode.end('broken');
+			}
+
 			this._report(signal, {type: 'request/decode-broken', failure: {kind: 'broken', mayHaveBeenSent: true}});
 		} catch (err) {
 			const failure = failureOf(err);
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -280,7 +280,7 @@
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body} = await bufferAnswer(response, prefillAnswerLimitBytes);
-			trackedPrefill.end(status === 200 ? 'completed' : 'stopped');
+			trackedPrefill.endWithAnswer(status);
 			const result = status === 200 ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
 			if (!result) {
 				const isRejected = protocol.readServerAnswer(headers).isNotRun;
@@ -484,7 +484,7 @@
 			return;
 		}
 
-		this._trackedSend?.end('completed');
+		this._trackedSend?.endWithAnswer(response.status);
 		this._outcome = 'relayed';
 		exchange.res.end();
 		this._dispatch({type: 'forward/completed', attempt});
--- a/src/node/quarantine/prompt-quarantine.ts
+++ b/src/node/quarantine/prompt-quarantine.ts
@@ -19,14 +19,19 @@
 /** Number of members that news is sent to at once. Each of them sends it on, so that it reaches all members within a few steps. */
 const pushFanout = 3;
 
+/** Status of an answer with output (HTTP 200, OK). */
+const successStatus = 200;
+
 /** One attempt of a request on a server, from its sending to its end. */
 export type TrackedAttempt = {
 	/** Records that the server produced output. Calls after the first have no effect. */
 	recordOutput: () => void;
 	/** Records that the server has been silent for longer than usual. */
 	recordStall: () => void;
-	/** Records how the attempt ended. Calls after the first have no effect. */
-	end: (outcome: 'completed' | 'broken' | 'stopped') => void;
+	/** Records that the answer, which had the given status, is complete. Only with status 200 has the server produced output on the prompt. */
+	endWithAnswer: (status: number) => void;
+	/** Records that the attempt ended without a complete answer. Calls after the end have no effect. */
+	end: (outcome: 'broken' | 'stopped') => void;
 };
 
 /** An attempt that is not tracked, since its prompt shares no part with others. */
@@ -37,6 +42,9 @@
 	recordStall() {
 		// Intentionally empty.
 	},
+	endWithAnswer() {
+		// Intentionally empty.
+	},
 	end() {
 		// Intentionally empty.
 	},
@@ -98,6 +106,9 @@
 			recordStall: () => {
 				this._runtime.dispatch({type: 'quarantine/attempt-stalled', attempt});
 			},
+			endWithAnswer: status => {
+				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: status === successStatus ? 'completed' : 'stopped'});
+			},
 			end: outcome => {
 				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome});
 			},
