--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -2,9 +2,10 @@
 import {SeededRandom} from '../core/random.js';
 import type {UntimedEvent, VmId} from '../core/types.js';
 import {
-	createQuarantine, findBlock, nextTickMs, reduceQuarantine,
+	findBlock, nextTickMs, reduceQuarantine,
 } from './quarantine.js';
-import type {QuarantineState} from './quarantine.js';
+import {createQuarantine} from './state.js';
+import type {QuarantineState} from './state.js';
 import type {
 	PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
 } from './types.js';
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -3,13 +3,17 @@
 requests. Processes exchange the reports, hold the parts that they have in common responsible, and refuse requests with these parts.
 */
 import {hashText} from '../core/fnv.js';
-import {SeededRandom} from '../core/random.js';
 import type {VmId} from '../core/types.js';
 import {findCulprits} from './crash-analysis.js';
 import type {Culprit} from './crash-analysis.js';
+import {maxEvidence, maxPartLength, maxPartsPerReport} from './messages.js';
 import {
-	maxEvidence, maxItemsPerMessage, maxPartLength, maxPartsPerReport,
-} from './messages.js';
+	fullNews, pushNews, queueNews, takeNews,
+} from './news.js';
+import {
+	isCovered, keyOf, reportValidityMs, setNewest,
+} from './state.js';
+import type {Attempt, QuarantineState} from './state.js';
 import type {
 	AttemptId, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
 } from './types.js';
@@ -20,8 +24,6 @@
 const startupWindowMs = 300;
 /** Time for which a broken request waits for the confirmation that its server has crashed, in milliseconds; the platform's list shows a crash within some seconds. */
 const confirmationTimeoutMs = 6000;
-/** Time for which a crash report counts, in milliseconds. */
-const reportValidityMs = 60_000;
 /** Time for which output on a prompt with a part shows that the part is sound, in milliseconds. */
 const soundValidityMs = 60_000;
 /** Time between a report and its evaluation, in milliseconds, in which other processes can state that its parts are sound. */
@@ -38,83 +40,12 @@
 const probationMs = 3_600_000;
 /** Difference in the end of a block, in milliseconds, up to which two processes agree on it. */
 const blockToleranceMs = 1000;
-/** Number of times that an item is sent along with gossip, for each doubling of the member count. */
-const transmissionsPerDoubling = 3;
-/** Number of blocks that go with each gossip message, in turn, so that a process that missed one learns of it. */
-const blocksPerGossip = 4;
 /** Limits of the state, in entries; beyond them the oldest entry goes. */
 const maxReports = 256;
 const maxPending = 256;
 const maxLostServers = 256;
 const maxSoundParts = 4096;
 const maxBlocks = 64;
-const maxNewsItems = 512;
-
-type Attempt = {
-	readonly server: ServerId;
-	readonly requestId: string;
-	readonly parts: readonly PartId[];
-	/** Time of the first output, in milliseconds. */
-	producedMs: number | undefined;
-	/** Whether the server has stalled since it last produced output. */
-	isStalled: boolean;
-};
-/** A request that broke before its server produced output. It becomes a report if the server proves to have crashed. */
-type PendingReport = Omit<CrashReport, 'id' | 'vm'>;
-/** An ended block: until `untilMs`, one crash renews it. */
-type Probation = Pick<Block, 'parts' | 'strikes'> & {readonly untilMs: number};
-/** Item to gossip: the key of a report, sound part or block. */
-type NewsItem = {readonly kind: 'crash' | 'sound' | 'block'; readonly key: string; sends: number};
-
-export type QuarantineState = {
-	readonly self: VmId;
-	/** Prefix of the ids of this process's reports; differs between the runs of a process. */
-	readonly idPrefix: string;
-	readonly random: SeededRandom;
-	nextReport: number;
-	readonly attempts: Map<AttemptId, Attempt>;
-	pending: PendingReport[];
-	/** Times at which servers were last found to be lost. */
-	readonly lostMs: Map<ServerId, number>;
-	readonly reports: Map<string, CrashReport>;
-	/** Time at which a server was last known to produce output on a prompt with a part, least recent first. */
-	readonly soundMs: Map<PartId, number>;
-	/** Newest of these times that was sent to or received from other processes, for parts of reports and blocks. */
-	readonly statedSoundMs: Map<PartId, number>;
-	/** Times at which this process states that a part is sound unless another process does. */
-	readonly statementsDueMs: Map<PartId, number>;
-	/** Time at which the reports are evaluated next; Infinity if they are evaluated. */
-	evaluationDueMs: number;
-	readonly blocks: Map<string, Block>;
-	/** Start times of released blocks, so that a process that still has such a block does not bring it back. */
-	readonly releasedMs: Map<string, number>;
-	readonly probations: Map<string, Probation>;
-	readonly newsItems: Map<string, NewsItem>;
-	/** Position among the blocks of the next one to send with gossip. */
-	nextBlock: number;
-};
-
-export function createQuarantine({self, idPrefix, seed}: {readonly self: VmId; readonly idPrefix: string; readonly seed: number}): QuarantineState {
-	return {
-		self,
-		idPrefix,
-		random: new SeededRandom(seed),
-		nextReport: 1,
-		attempts: new Map(),
-		pending: [],
-		lostMs: new Map(),
-		reports: new Map(),
-		soundMs: new Map(),
-		statedSoundMs: new Map(),
-		statementsDueMs: new Map(),
-		evaluationDueMs: Infinity,
-		blocks: new Map(),
-		releasedMs: new Map(),
-		probations: new Map(),
-		newsItems: new Map(),
-		nextBlock: 0,
-	};
-}
 
 /** Returns the part ids in the form in which reports name them: bounded in number and length, without duplicates. */
 export function normalizeParts(ids: readonly string[]): PartId[] {
@@ -235,15 +166,6 @@
 	return [...blocks.values(), ...probations.values()].some(({parts}) => parts.includes(part));
 }
 
-/** Sets the time of a key and makes the key the newest of the map; evicts the oldest keys beyond `maxSize`. */
-function setNewest(map: Map<string, number>, key: string, timeMs: number, maxSize: number): void {
-	map.delete(key);
-	map.set(key, timeMs);
-	if (map.size > maxSize) {
-		map.delete(map.keys().next().value!);
-	}
-}
-
 /** Turns the requests that broke on the server into reports, and shares these. */
 function reportCrash(state: QuarantineState, server: ServerId, nowMs: number): QuarantineEffect[] {
 	const confirmed = state.pending.filter(report => report.server === server && nowMs - report.atMs < confirmationTimeoutMs);
@@ -253,7 +175,7 @@
 
 	state.pending = state.pending.filter(report => report.server !== server);
 	const effects = confirmed.flatMap(report => addReport(state, {...report, id: `${state.idPrefix}.${state.nextReport++}`, vm: state.self}, state.self, nowMs));
-	return [...effects, ...push(state, nowMs)];
+	return [...effects, ...pushNews(state, nowMs)];
 }
 
 function addReport(state: QuarantineState, report: CrashReport, from: VmId, nowMs: number): QuarantineEffect[] {
@@ -321,7 +243,7 @@
 		effects.push(...evaluate(state, nowMs));
 	}
 
-	return [...effects, ...push(state, nowMs)];
+	return [...effects, ...pushNews(state, nowMs)];
 }
 
 function removeExpired(state: QuarantineState, nowMs: number): void {
@@ -473,7 +395,7 @@
 		effects.push(...receiveBlock(state, {...block, startedMs: nowMs - ageMs, untilMs: nowMs + Math.min(remainingMs, maxBlockMs)}, nowMs));
 	}
 
-	return [...effects, ...push(state, nowMs)];
+	return [...effects, ...pushNews(state, nowMs)];
 }
 
 function receiveBlock(state: QuarantineState, block: Block, nowMs: number): QuarantineEffect[] {
@@ -484,89 +406,3 @@
 	const isNewer = !known || block.untilMs > known.untilMs + blockToleranceMs;
 	return block.untilMs > nowMs && isNewer && !isReleased && !isRefuted ? addBlock(state, block, nowMs) : [];
 }
-
-function queueNews(state: QuarantineState, kind: NewsItem['kind'], key: string): void {
-	const item = `${kind} ${key}`;
-	state.newsItems.delete(item);
-	state.newsItems.set(item, {kind, key, sends: 0});
-	if (state.newsItems.size > maxNewsItems) {
-		state.newsItems.delete(state.newsItems.keys().next().value!);
-	}
-}
-
-/** Sends what was queued and not yet sent to some members at once. */
-function push(state: QuarantineState, nowMs: number): QuarantineEffect[] {
-	const unsent = [...state.newsItems.values()].filter(({sends}) => sends === 0).slice(0, maxItemsPerMessage);
-	for (const item of unsent) {
-		item.sends++;
-	}
-
-	const news = createNews(state, unsent, nowMs);
-	return news ? [{type: 'quarantine/push', news}] : [];
-}
-
-/** Returns the queued items that were sent least often, and the next few blocks. Removes items that have reached the transmission limit. */
-function takeNews(state: QuarantineState, memberCount: number, nowMs: number): QuarantineNews | undefined {
-	const transmissionLimit = transmissionsPerDoubling * Math.ceil(Math.log2(memberCount + 2));
-	const chosen = [...state.newsItems].sort(([, a], [, b]) => a.sends - b.sends).slice(0, maxItemsPerMessage - blocksPerGossip);
-	for (const [key, item] of chosen) {
-		item.sends++;
-		if (item.sends > transmissionLimit) {
-			state.newsItems.delete(key);
-		}
-	}
-
-	const items = new Map(chosen);
-	for (const key of nextBlocks(state)) {
-		items.set(`block ${key}`, {kind: 'block', key, sends: 0});
-	}
-
-	return createNews(state, [...items.values()], nowMs);
-}
-
-/** Returns the keys of the next `blocksPerGossip` blocks, in turn. */
-function nextBlocks(state: QuarantineState): string[] {
-	const keys = [...state.blocks.keys()];
-	const count = Math.min(blocksPerGossip, keys.length);
-	const start = state.nextBlock;
-	state.nextBlock = keys.length === 0 ? 0 : (start + count) % keys.length;
-	return Array.from({length: count}, (_, i) => keys[(start + i) % keys.length]!);
-}
-
-/** Returns all blocks and the newest reports, for a process that may have missed the news. */
-function fullNews(state: QuarantineState, nowMs: number): QuarantineNews | undefined {
-	const reports = [...state.reports.values()].filter(({atMs}) => nowMs - atMs < reportValidityMs).slice(-maxItemsPerMessage);
-	const soundParts = new Set(reports.flatMap(({parts}) => parts).filter(part => state.statedSoundMs.has(part)));
-	return createNews(state, [
-		...reports.map(({id}) => ({kind: 'crash' as const, key: id})),
-		...[...soundParts].slice(-maxItemsPerMessage).map(key => ({kind: 'sound' as const, key})),
-		...[...state.blocks.keys()].slice(-maxItemsPerMessage).map(key => ({kind: 'block' as const, key})),
-	], nowMs);
-}
-
-function createNews(state: QuarantineState, items: ReadonlyArray<Pick<NewsItem, 'kind' | 'key'>>, nowMs: number): QuarantineNews | undefined {
-	const keysOf = (kind: NewsItem['kind']) => items.filter(item => item.kind === kind).map(({key}) => key);
-	const crashes = keysOf('crash').flatMap(id => state.reports.get(id) ?? []).map(({atMs, ...report}) => ({...report, parts: [...report.parts], ageMs: Math.max(0, nowMs - atMs)}));
-	const sound = keysOf('sound').filter(part => state.statedSoundMs.has(part)).map(part => ({part, ageMs: Math.max(0, nowMs - state.statedSoundMs.get(part)!)}));
-	const blocks = keysOf('block').flatMap(key => state.blocks.get(key) ?? []).map(({
-		parts, strikes, startedMs, untilMs, decidedBy, evidence,
-	}) => ({
-		parts: [...parts], strikes, ageMs: Math.max(0, nowMs - startedMs), remainingMs: Math.max(0, untilMs - nowMs), decidedBy, evidence: [...evidence],
-	}));
-	if (crashes.length + sound.length + blocks.length === 0) {
-		return undefined;
-	}
-
-	return {
-		type: 'quarantine.news', crashes, sound, blocks,
-	};
-}
-
-function isCovered(parts: readonly PartId[], by: readonly PartId[]): boolean {
-	return parts.every(part => by.includes(part));
-}
-
-/** Returns the key of a set of parts. Part ids contain no commas: the platform separates them by commas, and hashes have none. */
-function keyOf(parts: readonly PartId[]): string {
-	return parts.join(',');
-}
--- a/src/node/quarantine/prompt-quarantine.ts
+++ b/src/node/quarantine/prompt-quarantine.ts
@@ -5,9 +5,10 @@
 import type {VmId, VmIdentity} from '../../common/core/types.js';
 import {quarantineNewsSchema} from '../../common/quarantine/messages.js';
 import {
-	createQuarantine, findBlock, nextTickMs, reduceQuarantine,
+	findBlock, nextTickMs, reduceQuarantine,
 } from '../../common/quarantine/quarantine.js';
-import type {QuarantineState} from '../../common/quarantine/quarantine.js';
+import {createQuarantine} from '../../common/quarantine/state.js';
+import type {QuarantineState} from '../../common/quarantine/state.js';
 import type {
 	Block, PartId, QuarantineEffect, QuarantineEvent, ServerId,
 } from '../../common/quarantine/types.js';
