--- a/review/stand-ins/plain-server.mjs
+++ b/review/stand-ins/plain-server.mjs
@@ -27,6 +27,11 @@
 		this.copies = 0;
 	}
 
+	/** Number of requests that the server works on. */
+	get running() {
+		return this._running;
+	}
+
 	get entry() {
 		const {service, zone, slots} = this._options;
 		return {
--- a/review/stand-ins/routers.mjs
+++ b/review/stand-ins/routers.mjs
@@ -87,15 +87,37 @@
 		this._folder = mkdtempSync(path.join(os.tmpdir(), 'review-'));
 		this._processes = new Map();
 		this._isFirstStart = true;
+		/** Hosts whose control addresses the settings name. */
+		this.seeds = hosts.slice(0, 3);
 	}
 
-	/** Starts all processes and waits until they listen. */
-	async start() {
-		await Promise.all(this.hosts.map(async host => this.startProcess(host)));
-		await Promise.all(this.hosts.map(async host => this._waitUntilListening(host)));
+	/** Starts the processes for the first time and waits until they listen. */
+	async start(hosts = this.hosts) {
+		for (const host of hosts) {
+			this.startProcess(host);
+		}
+
+		await Promise.all(hosts.map(async host => this._waitUntilListening(host)));
 		this._isFirstStart = false;
 	}
 
+	/** Adds a process with an empty disk and waits until it listens. */
+	async addProcess(host) {
+		this.startProcess(host);
+		await this._waitUntilListening(host);
+	}
+
+	/** Stops a process for good: SIGTERM, and SIGKILL after `graceMs`. */
+	async removeProcess(host, graceMs) {
+		const child = this._processes.get(host);
+		const exited = once(child, 'exit');
+		child.kill('SIGTERM');
+		const timer = setTimeout(() => child.kill('SIGKILL'), graceMs);
+		await exited;
+		clearTimeout(timer);
+		this._processes.delete(host);
+	}
+
 	/** Starts the process of a host without waiting for it. */
 	startProcess(host) {
 		const file = path.join(this._folder, `${host}.conf`);
@@ -133,8 +155,8 @@
 	}
 
 	/** Waits until every process reports that it is ready. */
-	async waitUntilReady() {
-		for (const host of this.hosts) {
+	async waitUntilReady(hosts = this.hosts) {
+		for (const host of hosts) {
 			for (let attempt = 0; ; attempt++) {
 				const {status} = await call({host, port: this.ports.ready, path: '/v1/ready'});
 				if (status === 200) {
@@ -185,7 +207,7 @@
 		const index = hosts.indexOf(host);
 		const zones = ['et-central-a', 'et-central-b', 'et-central-c'];
 		const values = {
-			graceS: 8, contactMs: 3000, ackMs: 4000, drainMs: 3000, configApplyMs: 2000, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 62, leaseMs: 3000, ttl_max_s: 5, ...bounds, // eslint-disable-line camelcase -- field of the settings
+			graceS: 8, catchUpS: 4, contactMs: 3000, ackMs: 4000, drainMs: 3000, configApplyMs: 2000, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 62, leaseMs: 3000, ttl_max_s: 5, ...bounds, // eslint-disable-line camelcase -- field of the settings
 		};
 		return [
 			`node=front-${index + 1}`,
@@ -200,7 +222,7 @@
 			`listen.control=${host}:${ports.control}`,
 			`listen.directory=${host}:${ports.directory}`,
 			`internalPorts=${ports.peers},${ports.peers}`,
-			`seeds=${hosts.slice(0, 3).map(seed => `${seed}:${ports.control}`).join(',')}`,
+			`seeds=${this.seeds.map(seed => `${seed}:${ports.control}`).join(',')}`,
 			`bootstrap=${this._isFirstStart}`,
 			...(index < disks ? [`dataDir=${dataFolder}`] : []),
 			'discovery=cloud',
