--- a/review/stand-ins/routers.mjs
+++ b/review/stand-ins/routers.mjs
@@ -87,6 +87,16 @@
 		this._folder = mkdtempSync(path.join(os.tmpdir(), 'review-'));
 		this._processes = new Map();
 		this._isFirstStart = true;
+		// Also if the script fails or is ended, no process that it started stays.
+		process.once('exit', () => {
+			for (const child of this._processes.values()) {
+				child.kill('SIGKILL');
+			}
+		});
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => process.exit(2));
+		}
+
 		/** Hosts whose control addresses the settings name. */
 		this.seeds = hosts.slice(0, 3);
 	}
