review: case 4 with one disruption, drawn at random

Cause: the earlier script chose which answers to double and slowed transfers as well. Change: the two prefill servers double 0.03 of their answers at random; nothing is slow.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -12,10 +12,6 @@
 const isTroubled = process.env.TROUBLE !== '0';
 /** Share of the answers of a server that have a second copy; the site file's largest. */
 const copyShare = 0.03;
-/** Factor by which transfers of memory are slower at two of the six decode servers. */
-const slowTransferFactor = 8;
-/** Time for which the memory of a doubled prefill answer still waits to be fetched when the copy is sent, in milliseconds. */
-const minWaitMs = 10;
 const durationMs = 90_000;
 const waveIntervalMs = 300;
 const requestsPerWave = 7;
@@ -70,10 +66,8 @@
 	const zones = ['et-central-a', 'et-central-b', 'et-central-c'];
 	const engines = ['prefill', 'prefill', 'decode', 'decode', 'decode', 'decode', 'decode', 'decode'].map((stage, i) => new Engine({
 		id: `i-lm-${i + 1}`, zone: zones[i % zones.length], stage, record,
-		// The copies that are sent are those of prefill answers whose memory waits to be fetched, up to the share.
-		isDoubled: (engine, {handle}) => isTroubled && i < 2 && engine.copies < engine.answers * copyShare && handle !== undefined && engine.transferWaitMs(handle) > minWaitMs,
-		// The two decode servers of zone c, where no prefill server is.
-		transferFactor: isTroubled && stage === 'decode' && i % zones.length === 2 ? slowTransferFactor : 1,
+		// The two prefill servers double answers that are drawn at random.
+		isDoubled: () => isTroubled && stage === 'prefill' && Math.random() < copyShare,
 	}));
 	await Promise.all(engines.map(async engine => engine.start()));
 	list.publish(engines.map(({entry}) => entry));
--- a/review/stand-ins/engine.mjs
+++ b/review/stand-ins/engine.mjs
@@ -193,12 +193,6 @@
 		});
 	}
 
-	/** Time for which the transfer of a handle's memory still waits for other transfers, in milliseconds; 0 if it does not wait. */
-	transferWaitMs(handle) {
-		const known = this._handles.get(handle);
-		return Math.max(0, Math.min(known?.transferMs ?? 0, known?.untilMs ?? 0) - performance.now());
-	}
-
 	/** Fetches the memory of a handle. Returns the id of the request whose prompt it holds; undefined if it is gone. */
 	async _fetch(source) {
 		const slash = source.lastIndexOf('/');
@@ -213,7 +207,6 @@
 
 		const durationMs = known.tokens * tokenBits / linkBitsPerMs * this._options.transferFactor * (engine.zone === this.zone ? 1 : 2);
 		this._transferEndsMs = nowMs + waitMs + durationMs;
-		known.transferMs ??= nowMs + waitMs;
 		// The transfers of a server run one after another; the memory is taken when its transfer begins.
 		await sleep(waitMs);
 		const taken = engine._handles.get(handle);
