--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -12,7 +12,7 @@
 const isTroubled = process.env.TROUBLE !== '0';
 /** Share of the answers of a server that have a second copy; the site file's largest. */
 const copyShare = 0.03;
-const durationMs = 40_000;
+const durationMs = 90_000;
 /** Callers press in waves, so that the servers are full now and then. */
 const waveIntervalMs = 500;
 const requestsPerWave = 75;
--- a/review/stand-ins/plain-server.mjs
+++ b/review/stand-ins/plain-server.mjs
@@ -10,13 +10,13 @@
 /**
 Stand-in of a server of an application service. It runs `slots` requests at once, lets `queue` more wait and rejects others with 503 and
 `Not-Run`. `isDoubled` decides for each answer whether a second copy of it follows late, at the point where the next answer on the
-connection is expected.
+connection is expected. `isAnnounced` decides for each request whether the head of an interim response (102) goes ahead of its answer.
 */
 export class PlainServer {
-	constructor({id, service, zone, slots, queue, workMs, record, isDoubled = () => false}) {
+	constructor({id, service, zone, slots, queue, workMs, record, isDoubled = () => false, isAnnounced = () => false}) {
 		this.id = id;
 		this._options = {
-			service, zone, slots, queue, workMs, record, isDoubled,
+			service, zone, slots, queue, workMs, record, isDoubled, isAnnounced,
 		};
 		this._running = 0;
 		this._waiting = [];
@@ -25,6 +25,7 @@
 		this.born = Date.now();
 		this.answers = 0;
 		this.copies = 0;
+		this.announcements = 0;
 	}
 
 	/** Number of requests that the server works on. */
@@ -55,7 +56,7 @@
 
 	async _handle(req, res) {
 		req.on('error', () => undefined);
-		const {record, slots, queue, workMs} = this._options;
+		const {record, slots, queue, workMs, isAnnounced} = this._options;
 		const requestId = req.headers['request-id'];
 		const copy = this._lateCopies.get(req.socket);
 		if (copy) {
@@ -101,6 +102,12 @@
 
 		this._running++;
 		record.run(requestId, this.id);
+		if (isAnnounced()) {
+			this.announcements++;
+			record.add(`${this.id} sends the head of an interim response to ${requestId}`);
+			res.writeProcessing();
+		}
+
 		await sleep(workMs());
 		this._running--;
 		this._waiting.shift()?.();
