review: case, a resumed stream keeps the length of its first answer

Cause: the head of a stream's first answer is forwarded with its Content-Length, though the rest may come from another server.

--- a/review/stand-ins/engine.mjs
+++ b/review/stand-ins/engine.mjs
@@ -19,12 +19,17 @@
 - `isDoubled` decides for each answer, once the next request arrives on its connection, whether a second copy of it is sent there first.
 - `transferFactor` slows the transfers of memory to this server down.
 - `isDeadly` decides for each request to be decoded whether the server crashes when it begins to write the answer; it is back after `restartMs`.
+- `stride` is the number of tokens in one event of a stream. Each event carries the number of its last token as its id.
+- `isFramedByLength`: streams carry a `Content-Length`, not chunks.
+- `pauseOf` returns how long a run is preempted before it makes the given token, in milliseconds; 0 if it is not.
+- `isCutAt` decides whether the server resets the connection of a run right before it makes the given token.
+- `reservedTokens` returns the memory that requests of other callers occupy, in tokens.
 */
 export class Engine {
 	/** Engines by their address, for transfers between them. */
 	static byAddress = new Map();
 
-	constructor({id, zone, stage, record, isDoubled = () => false, transferFactor = 1, isDeadly = () => false, events = 10, eventMs = 10, restartMs = 3000, onChange = () => undefined}) {
+	constructor({id, zone, stage, record, isDoubled = () => false, transferFactor = 1, isDeadly = () => false, events = 10, eventMs = 10, restartMs = 3000, onChange = () => undefined, stride = 1, isFramedByLength = false, pauseOf = () => 0, isCutAt = () => false, reservedTokens = () => 0}) {
 		this.id = id;
 		this.name = id;
 		this.zone = zone;
@@ -34,7 +39,7 @@
 		this.crashes = 0;
 		this.isUp = false;
 		this._options = {
-			record, isDoubled, transferFactor, isDeadly, events, eventMs, restartMs, onChange,
+			record, isDoubled, transferFactor, isDeadly, events, eventMs, restartMs, onChange, stride, isFramedByLength, pauseOf, isCutAt, reservedTokens,
 		};
 		this._port = 0;
 		this._reset();
@@ -147,7 +152,7 @@
 
 	_takeHold(req, res, {tokens, ttl_ms: ttlMs}) {
 		const nowMs = performance.now();
-		let used = 0;
+		let used = this._options.reservedTokens();
 		for (const [id, hold] of this._holds) {
 			if (hold.untilMs <= nowMs) {
 				this._holds.delete(id);
@@ -220,7 +225,7 @@
 	}
 
 	async _decode(req, res) {
-		const {record, isDeadly, events, eventMs} = this._options;
+		const {record, isDeadly} = this._options;
 		const {headers} = req;
 		const requestId = headers['request-id'];
 		record.arrived?.(requestId, this.id, headers);
@@ -258,11 +263,44 @@
 			return;
 		}
 
-		res.writeHead(200, {'Request-Id': requestId, 'Server-Stamp': `${this.id}.${requestId}`, 'Content-Type': 'text/event-stream'});
-		const first = Number(headers['last-event-id'] ?? 0) + 1;
-		for (let i = first; i <= events && !res.destroyed; i++) {
-			await sleep(eventMs);
-			res.write(`id: ${i}\ndata: text ${i} on the prompt of ${owner}\n\n`);
+		await this._stream(req, res, owner);
+	}
+
+	/** Sends the events of a stream, after `Last-Event-Id` if the request has one. */
+	async _stream(req, res, owner) {
+		const {record, events, eventMs, stride, isFramedByLength, pauseOf, isCutAt} = this._options;
+		const requestId = req.headers['request-id'];
+		const pieces = [];
+		for (let first = Number(req.headers['last-event-id'] ?? 0) + 1; first <= events; first += stride) {
+			const last = Math.min(events, first + stride - 1);
+			const text = Array.from({length: last - first + 1}, (_, i) => `text ${first + i}`).join(' ');
+			pieces.push({first, last, bytes: `id: ${last}\ndata: ${text} on the prompt of ${owner}\n\n`});
+		}
+
+		res.writeHead(200, {
+			'Request-Id': requestId, 'Server-Stamp': `${this.id}.${requestId}`, 'Content-Type': 'text/event-stream',
+			...(isFramedByLength && {'Content-Length': pieces.reduce((sum, {bytes}) => sum + Buffer.byteLength(bytes), 0)}),
+		});
+		res.flushHeaders();
+		for (const {first, last, bytes} of pieces) {
+			if (isCutAt(first, requestId)) {
+				record.add(`${this.id} resets the connection of ${requestId} before token ${first}`);
+				req.socket.resetAndDestroy();
+			}
+
+			const pauseMs = pauseOf(first, requestId);
+			if (pauseMs > 0) {
+				record.add(`${this.id} preempts ${requestId} before token ${first} for ${pauseMs} ms`);
+				await sleep(pauseMs);
+				record.add(`${this.id} goes on with ${requestId}${res.destroyed ? ', whose connection was closed meanwhile' : ''}`);
+			}
+
+			await sleep(eventMs * (last - first + 1));
+			if (res.destroyed) {
+				return;
+			}
+
+			res.write(bytes);
 		}
 
 		record.add(`${this.id} has answered ${requestId}`);
