review: case 4 shows its fault within seconds

Change: prompts of 500 tokens at about 200 streams a second; servers double at most 0.03 of their answers, while another prompt is at them; the script ends when three requests are mixed.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -12,9 +12,12 @@
 const isTroubled = process.env.TROUBLE !== '0';
 /** Share of the answers of a server that have a second copy; the site file's largest. */
 const copyShare = 0.03;
-const durationMs = 90_000;
-const waveIntervalMs = 300;
-const requestsPerWave = 7;
+/** A server doubles answers while so many prompts are at it. */
+const minQueued = 1;
+const durationMs = 80_000;
+/** Number of mixed requests after which the script ends early. */
+const enoughMixed = 3;
+const maxIntervalMs = 9;
 
 class RunRecord extends Record {
 	runs = [];
@@ -23,6 +26,11 @@
 		this.add(`${server} runs ${requestId} on the memory of the prompt of ${owner}`);
 		this.runs.push({requestId, server, owner});
 	}
+
+	/** Runs on the memory of another request's prompt. */
+	get mixed() {
+		return this.runs.filter(({requestId, owner}) => requestId !== owner);
+	}
 }
 
 const record = new RunRecord(path.join(import.meta.dirname, 'record.txt'));
@@ -37,7 +45,7 @@
 		const req = request({
 			host, port, agent, method: 'POST', path: `/note/${requestId}`,
 			headers: {
-				host: 'desk.example', 'request-id': requestId, key: 'key-1', 'deadline-ms': '14000', model: 'm', 'token-count': '5000,70', 'prompt-prefix': `aa01:200,${requestId}:4800`, 'content-length': 100,
+				host: 'desk.example', 'request-id': requestId, key: 'key-1', 'deadline-ms': '14000', model: 'm', 'token-count': '500,70', 'prompt-prefix': `aa01:200,${requestId}:300`, 'content-length': 100,
 			},
 		}, res => {
 			let text = '';
@@ -66,8 +74,8 @@
 	const zones = ['et-central-a', 'et-central-b', 'et-central-c'];
 	const engines = ['prefill', 'prefill', 'decode', 'decode', 'decode', 'decode', 'decode', 'decode'].map((stage, i) => new Engine({
 		id: `i-lm-${i + 1}`, zone: zones[i % zones.length], stage, record,
-		// The two prefill servers double answers that are drawn at random.
-		isDoubled: () => isTroubled && stage === 'prefill' && Math.random() < copyShare,
+		// The two prefill servers double answers while they are busy.
+		isDoubled: ({queued, copies, answers: count}) => isTroubled && stage === 'prefill' && queued >= minQueued && copies + 1 <= count * copyShare,
 	}));
 	await Promise.all(engines.map(async engine => engine.start()));
 	list.publish(engines.map(({entry}) => entry));
@@ -79,12 +87,9 @@
 		await sleep(3000);
 		const endMs = record.elapsedMs + durationMs;
 		const pending = [];
-		while (record.elapsedMs < endMs) {
-			for (let i = 0; i < requestsPerWave; i++) {
-				pending.push(stream(routers.hosts[i % routers.hosts.length], routers.ports.front));
-			}
-
-			await sleep(waveIntervalMs);
+		while (record.elapsedMs < endMs && record.mixed.length < enoughMixed) {
+			pending.push(stream(routers.hosts[nextRequest % routers.hosts.length], routers.ports.front));
+			await sleep(Math.random() * maxIntervalMs);
 		}
 
 		await Promise.all(pending);
@@ -103,7 +108,7 @@
 	}
 
 	record.report(`sent ${nextRequest - 1}, answered ${JSON.stringify(statuses)}, second copies ${engines[0].copies} of ${engines[0].answers} and ${engines[1].copies} of ${engines[1].answers} answers`);
-	const mixed = record.runs.filter(({requestId, owner}) => requestId !== owner);
+	const {mixed} = record;
 	for (const {requestId, server, owner} of mixed) {
 		const answer = answers.get(requestId);
 		record.report(`MIXED: ${server} ran ${requestId} on the memory of the prompt of ${owner}; its client got ${answer?.status}: ${JSON.stringify(answer?.text.slice(0, 60))}`);
--- a/review/stand-ins/engine.mjs
+++ b/review/stand-ins/engine.mjs
@@ -77,6 +77,8 @@
 		this._holds = new Map();
 		this._running = new Map();
 		this._prefillQueue = Promise.resolve();
+		/** Number of prompts that wait or are being read. */
+		this.queued = 0;
 		this._transferEndsMs = 0;
 		this._lateCopies = new WeakMap();
 		this._next = 1;
@@ -185,9 +187,11 @@
 		const requestId = req.headers['request-id'];
 		const tokens = Number(req.headers['token-count'].split(',')[0]);
 		const before = this._prefillQueue;
+		this.queued++;
 		this._prefillQueue = (async () => {
 			await before;
 			await sleep(tokens / prefillTokensPerMs);
+			this.queued--;
 		})();
 		await this._prefillQueue;
 		const handle = `h${this.id.replaceAll(/\W/g, '')}x${this._next++}`;
