consensus: log each proposed and committed change of the members

A leader logs each proposal with its cause, and each member logs the memberships that it sees committed.

--- a/src/common/consensus/membership.ts
+++ b/src/common/consensus/membership.ts
@@ -40,7 +40,7 @@
 			type: 'consensus/members-committed', index: current.index, members, token,
 		});
 	} else {
-		proposeMembers(context, members, token);
+		proposeMembers(context, members, {cause: 'operator', change: change.kind, member: change.vm}, token);
 	}
 }
 
@@ -83,7 +83,19 @@
 	return reachableVoters.length > newVoters.length / 2;
 }
 
-function proposeMembers(context: Context, members: readonly Member[], token: ReplyToken | undefined): void {
+/** Fields of the log line for a proposed membership: what changes for which member, why, and since when it has been silent. */
+type ProposalFields = {
+	readonly cause: string;
+	readonly change: 'add' | 'promote' | 'remove';
+	readonly member: VmId;
+	readonly silentForMs?: number;
+};
+
+function proposeMembers(context: Context, members: readonly Member[], fields: ProposalFields, token?: ReplyToken): void {
+	const {state: {hardState: {term}}, effects} = context;
+	effects.push({
+		type: 'log', level: 'info', message: 'membership change proposed', fields: {...fields, term, voters: members.filter(({role}) => role === 'voter').length},
+	});
 	appendAsLeader(context, {kind: 'members', members}, token);
 	trackMembers(context);
 	broadcastAppend(context, true);
@@ -94,7 +106,7 @@
 	const {state} = context;
 	const isCaughtUp = match >= state.termStartIndex && match + promotionLagEntries >= state.hardState.commit;
 	if (findMember(state, vm)?.role === 'learner' && isCaughtUp && !isChangePending(state)) {
-		proposeMembers(context, currentMembers(state).map(member => member.vm === vm ? {...member, role: 'voter'} : member), undefined);
+		proposeMembers(context, currentMembers(state).map(member => member.vm === vm ? {...member, role: 'voter'} : member), {cause: 'caught up', change: 'promote', member: vm});
 	}
 }
 
@@ -129,6 +141,8 @@
 	const members = mayAdmit && !isChangePending(state) ? membersAfterChange(state, {kind: 'add', vm: from, diskId: disk}) : undefined;
 	if (members && isQuorumReachable(context, members)) {
 		state.joinRequests.delete(from);
-		proposeMembers(context, members, undefined);
+		proposeMembers(context, members, {
+			cause: 'asked for admission', change: 'add', member: from, ...(currentMember && {silentForMs: nowMs - contactMs}),
+		});
 	}
 }
--- a/src/common/reducer.ts
+++ b/src/common/reducer.ts
@@ -98,7 +98,13 @@
 		}
 
 		case 'consensus/members-committed': {
-			effects.push({type: 'notify', topic: 'consensus/members', value: effect.members});
+			const {index, members} = effect;
+			effects.push(
+				{type: 'notify', topic: 'consensus/members', value: members},
+				{
+					type: 'log', level: 'info', message: 'members of the replicated log changed', fields: {index, members: members.map(({vm, diskId, role}) => `${vm} ${diskId} ${role}`)},
+				},
+			);
 			replyToMemberChange(replica, effect.token, {kind: 'changed', members: effect.members}, effects);
 			break;
 		}
