consensus: replaced VMs leave the voters of the replicated log

Cause: the leader admits new VMs by itself, but nothing removes the VM that a new one replaces; three of six voters were gone. Ruled out: new VMs are admitted (all three were promoted), and VMs do look for a leader. Change: a member whose process stops asks to be removed; the leader removes a member that has been silent for 2.5 s while it ran without a pause and with a quorum; both only while minVoters (2 x tolerated losses + 1) remain. A member that hears no leader asks for admission, since a removed one can't tell from its own log.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -756,13 +756,13 @@
 });
 
 test('a new VM becomes a voter without an operator only if the cluster admits new VMs', () => {
-	for (const admitsNewVms of [true, false]) {
-		const {cluster, leader} = electedCluster(3, {admitsNewVms});
+	for (const managesMembers of [true, false]) {
+		const {cluster, leader} = electedCluster(3, {managesMembers});
 		commitCommands(cluster, leader, 3);
 		cluster.restart('vm4');
 		cluster.run(5000);
 		const added = cluster.members().find(({vm}) => vm === 'vm4');
-		assert.equal(added?.role, admitsNewVms ? 'voter' : undefined);
+		assert.equal(added?.role, managesMembers ? 'voter' : undefined);
 	}
 });
 
--- a/src/common/consensus/election.ts
+++ b/src/common/consensus/election.ts
@@ -183,6 +183,8 @@
 	state.termStartIndex = state.log.lastIndex + 1;
 	appendEntry(context, {index: state.termStartIndex, term: state.hardState.term, payload: {kind: 'noop'}});
 	state.nextHeartbeatMs = nowMs + state.timings.heartbeatMs;
+	state.lastTickMs = nowMs;
+	state.watchingSinceMs = nowMs;
 	broadcastAppend(context, true);
 }
 
--- a/src/common/consensus/formation.ts
+++ b/src/common/consensus/formation.ts
@@ -16,7 +16,7 @@
 */
 export function tickFormation(context: Context): void {
 	const {state, nowMs} = context;
-	if (isAdmitted(state) || nowMs < state.nextJoinRequestMs) {
+	if (!needsAdmission(context) || nowMs < state.nextJoinRequestMs) {
 		return;
 	}
 
@@ -25,7 +25,7 @@
 		formIfAllAccepted(context);
 	}
 
-	if (isAdmitted(state)) {
+	if (!needsAdmission(context)) {
 		return;
 	}
 
@@ -39,6 +39,15 @@
 	}
 }
 
+/**
+Returns whether this member must ask for admission. That includes a member that hears no leader: it may have been removed while
+it was cut off, in which case its own log does not tell.
+*/
+function needsAdmission({state, nowMs}: Context): boolean {
+	const hearsNoLeader = state.role !== 'leader' && nowMs - state.lastLeaderContactMs > 2 * state.timings.electionTimeoutMaxMs;
+	return !state.isLeaving && (!isAdmitted(state) || (state.managesMembers && hearsNoLeader));
+}
+
 function isFounder(state: ConsensusState): boolean {
 	return isBlank(state) && state.initialVms[0] === state.vm && (state.hardState.cluster ?? state.diskId) === state.diskId;
 }
--- a/src/common/consensus/membership.ts
+++ b/src/common/consensus/membership.ts
@@ -4,7 +4,9 @@
 import type {ConsensusEvent, Member} from './types.js';
 import {becomeFollower} from './election.js';
 import {appendAsLeader, broadcastAppend, trackMembers} from './replication.js';
-import {currentMembers, findMember, isVoter} from './state.js';
+import {
+	currentMembers, findMember, isAdmitted, isVoter, sendNow, voters,
+} from './state.js';
 
 /** Maximum lag behind the commit index, in entries, at which a learner counts as caught up. One append message closes such a gap. */
 const promotionLagEntries = 64;
@@ -12,6 +14,8 @@
 const maxJoinRequests = 16;
 /** Number of members up to which the leader admits new VMs by itself. More members would slow down every commit. */
 const maxMembersForAutoAdmission = 7;
+/** Number of members above `minVoters` for which there is always room, so that a new VM can take the place of a lost one. */
+const replacementMembers = 2;
 
 type Change = Extract<ConsensusEvent, {type: 'consensus/change-members'}>['change'];
 
@@ -137,7 +141,8 @@
 
 	const contactMs = state.progress.get(from)?.lastContactMs ?? nowMs;
 	const isSilent = nowMs - contactMs > state.timings.electionTimeoutMaxMs;
-	const mayAdmit = currentMember ? isSilent : state.admitsNewVms && currentMembers(state).length < maxMembersForAutoAdmission;
+	const maxMembers = Math.max(maxMembersForAutoAdmission, state.minVoters + replacementMembers);
+	const mayAdmit = currentMember ? isSilent : state.managesMembers && currentMembers(state).length < maxMembers;
 	const members = mayAdmit && !isChangePending(state) ? membersAfterChange(state, {kind: 'add', vm: from, diskId: disk}) : undefined;
 	if (members && isQuorumReachable(context, members)) {
 		state.joinRequests.delete(from);
@@ -146,3 +151,74 @@
 		});
 	}
 }
+
+/** Removes a member that asked for it because its process is about to end. */
+export function handleLeave(context: Context, from: VmId, {disk}: MessageOf<'consensus/leave'>): void {
+	const {state} = context;
+	if (state.role === 'leader' && findMember(state, from)?.diskId === disk) {
+		removeIfDispensable(context, from, {cause: 'leaving', change: 'remove', member: from});
+	}
+}
+
+/**
+Removes a silent member if this member is the leader, and asks the leader to remove this member if its process is about to end.
+Only a leader that has been in contact with a quorum for all of the silence removes a member. A VM that was cut off or paused does
+not lead any more by then, or starts to count anew.
+*/
+export function tickMembership(context: Context): void {
+	const {state, nowMs} = context;
+	if (!state.managesMembers) {
+		return;
+	}
+
+	if (state.role !== 'leader') {
+		requestRemoval(context);
+		return;
+	}
+
+	if (nowMs - state.lastTickMs > state.timings.electionTimeoutMinMs) {
+		state.watchingSinceMs = nowMs;
+	}
+
+	state.lastTickMs = nowMs;
+	if (state.isLeaving) {
+		removeIfDispensable(context, state.vm, {cause: 'leaving', change: 'remove', member: state.vm});
+	} else {
+		removeSilentMember(context);
+	}
+}
+
+function requestRemoval(context: Context): void {
+	const {state, nowMs} = context;
+	if (state.isLeaving && state.leader !== undefined && isAdmitted(state) && nowMs >= state.nextJoinRequestMs) {
+		state.nextJoinRequestMs = nowMs + state.timings.electionTimeoutMinMs;
+		sendNow(context, state.leader, undefined, {type: 'consensus/leave'});
+	}
+}
+
+function removeSilentMember(context: Context): void {
+	const {state, nowMs} = context;
+	const silences = [...state.progress].map(([vm, {lastContactMs}]) => ({vm, silentForMs: nowMs - Math.max(lastContactMs, state.watchingSinceMs)}));
+	const overdue = silences.filter(({silentForMs}) => silentForMs > state.timings.removalSilenceMs).sort((a, b) => b.silentForMs - a.silentForMs);
+	for (const {vm, silentForMs} of overdue) {
+		const isRemoved = removeIfDispensable(context, vm, {
+			cause: 'silent', change: 'remove', member: vm, silentForMs,
+		});
+		if (isRemoved) {
+			return;
+		}
+	}
+}
+
+/** Proposes to remove the member, provided that `minVoters` voters remain and a quorum of them is reachable. Returns whether it did. */
+function removeIfDispensable(context: Context, vm: VmId, fields: ProposalFields): boolean {
+	const {state} = context;
+	const members = currentMembers(state).filter(member => member.vm !== vm);
+	const isDispensable = findMember(state, vm)?.role === 'learner' || voters(state).length > state.minVoters;
+	if (!state.managesMembers || !isDispensable || isChangePending(state) || !isQuorumReachable(context, members)) {
+		return false;
+	}
+
+	proposeMembers(context, members, fields);
+	return true;
+}
--- a/src/common/consensus/messages.ts
+++ b/src/common/consensus/messages.ts
@@ -90,6 +90,9 @@
 /** Sent by a VM whose disk is not admitted to the cluster, to ask the leader for admission. */
 const joinSchema = z.object({type: z.literal('consensus/join'), ...envelopeFields});
 
+/** Sent by a member whose process is about to end, to ask the leader to remove it. */
+const leaveSchema = z.object({type: z.literal('consensus/leave'), ...envelopeFields});
+
 /** Messages of the replicated log. Each message takes less than 1 MiB when encoded. */
 export const consensusMessageSchema = z.discriminatedUnion('type', [
 	preVoteSchema,
@@ -103,6 +106,7 @@
 	introduceSchema,
 	introduceReplySchema,
 	joinSchema,
+	leaveSchema,
 ]);
 
 export type ConsensusMessage = z.output<typeof consensusMessageSchema>;
--- a/src/common/consensus/reducer.ts
+++ b/src/common/consensus/reducer.ts
@@ -8,7 +8,9 @@
 	resetElectionTimer, stepDown, tickElection,
 } from './election.js';
 import {handleIntroduce, handleIntroduceReply, tickFormation} from './formation.js';
-import {changeMembers, handleJoin} from './membership.js';
+import {
+	changeMembers, handleJoin, handleLeave, tickMembership,
+} from './membership.js';
 import {consensusMessageSchema} from './messages.js';
 import {requestRead, sendHeartbeat} from './read-index.js';
 import {
@@ -117,6 +119,11 @@
 			break;
 		}
 
+		case 'consensus/leave': {
+			context.state.isLeaving = true;
+			break;
+		}
+
 		case 'consensus/persisted': {
 			handlePersisted(context, event.sequence);
 			break;
@@ -143,6 +150,7 @@
 	const {state, nowMs} = context;
 	tickElection(context);
 	tickFormation(context);
+	tickMembership(context);
 	if (state.role === 'leader' && nowMs >= state.nextHeartbeatMs) {
 		state.nextHeartbeatMs = nowMs + state.timings.heartbeatMs;
 		sendHeartbeat(context);
@@ -182,6 +190,11 @@
 			break;
 		}
 
+		case 'consensus/leave': {
+			handleLeave(context, from, message);
+			break;
+		}
+
 		case 'consensus/introduce': {
 			handleIntroduce(context, from, message);
 			break;
@@ -235,7 +248,7 @@
 	return isFormationMessage && (cluster === undefined || state.hardState.cluster === undefined);
 }
 
-type InTermMessage = Exclude<ConsensusMessage, {type: 'consensus/join' | 'consensus/introduce' | 'consensus/introduce-reply' | 'consensus/pre-vote' | 'consensus/pre-vote-reply'}>;
+type InTermMessage = Exclude<ConsensusMessage, {type: 'consensus/join' | 'consensus/leave' | 'consensus/introduce' | 'consensus/introduce-reply' | 'consensus/pre-vote' | 'consensus/pre-vote-reply'}>;
 
 /** Handles a message that is valid only in its own term. If that term is newer, this member moves to it first. */
 function handleInTermMessage(context: Context, from: VmId, message: InTermMessage): void {
--- /dev/null
+++ b/src/common/consensus/replacement.test.ts
@@ -0,0 +1,318 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import type {VmId} from '../core/types.js';
+import {TestCluster} from './test-cluster.js';
+
+/** Time, in ms, after which a VM that took the place of another must be able to stand in for a further loss. */
+const catchUpMs = 4000;
+/** Time, in ms, for which a process runs on after it was asked to stop; longer than an election takes. */
+const stopMs = 2500;
+/** Time, in ms, from the loss of a VM to the start of the one that takes its place. */
+const replacementDelayMs = 1000;
+/** Time, in ms, in which a heartbeat tells all members what is committed. */
+const settleMs = 500;
+/** Interval between proposals and reads at the leader, in ms. */
+const loadIntervalMs = 30;
+/** Time, in ms, within which a command must be committed once a quorum is healthy. */
+const recoveryMs = 10_000;
+
+/** Starts a cluster that admits and removes members by itself, and that bears the loss of `losses` of its members. */
+function managedCluster({size = 3, losses = 1, seed = 7} = {}): TestCluster {
+	const cluster = new TestCluster({
+		size, seed, managesMembers: true, minVoters: (2 * losses) + 1,
+	});
+	cluster.elect();
+	cluster.run(300);
+	return cluster;
+}
+
+function voterNames(cluster: TestCluster): VmId[] {
+	return cluster.members().filter(({role}) => role === 'voter').map(({vm}) => vm).sort();
+}
+
+function runWithLoad(cluster: TestCluster, durationMs: number): void {
+	const endMs = cluster.nowMs + durationMs;
+	while (cluster.nowMs < endMs) {
+		for (const [vm, {isRunning, state}] of cluster.processes) {
+			if (isRunning && state.role === 'leader') {
+				cluster.propose(vm);
+				cluster.read(vm);
+			}
+		}
+
+		cluster.run(Math.min(loadIntervalMs, endMs - cluster.nowMs));
+	}
+}
+
+/** Runs until a new command is committed; throws if that takes longer than `recoveryMs`. */
+function commitCommand(cluster: TestCluster): void {
+	const tokens: number[] = [];
+	cluster.runUntil(() => {
+		const leader = cluster.leader();
+		tokens.push(...(leader === undefined ? [] : [cluster.propose(leader)]));
+		return tokens.some(token => cluster.acknowledgedTokens.has(token));
+	}, recoveryMs);
+}
+
+/** Loses the VM for good; another one starts with an empty disk a while later. */
+function replace(cluster: TestCluster, vm: VmId): void {
+	cluster.discard(vm);
+	runWithLoad(cluster, replacementDelayMs);
+	cluster.addVm();
+}
+
+/** Starts a VM with an empty disk for each of `vms`, then stops these for good. */
+function replaceAsPlanned(cluster: TestCluster, vms: readonly VmId[]): void {
+	for (const _ of vms) {
+		cluster.addVm();
+	}
+
+	runWithLoad(cluster, catchUpMs);
+	const stopping = vms.filter(vm => cluster.canDiscard(vm));
+	for (const vm of stopping) {
+		cluster.dispatch(vm, {type: 'consensus/leave'});
+		cluster.dispatch(vm, {type: 'consensus/step-down'});
+	}
+
+	runWithLoad(cluster, stopMs);
+	for (const vm of stopping) {
+		if (cluster.canDiscard(vm)) {
+			cluster.discard(vm);
+		}
+	}
+}
+
+// Guards against replaced VMs that stay voters until they are the majority, so that nothing is committed any more.
+for (const isPlanned of [true, false]) {
+	test(`the log outlives all of its first members when they are replaced one after another, ${isPlanned ? 'as planned' : 'without warning'}`, () => {
+		const cluster = managedCluster();
+		for (const vm of [...cluster.vms, 'vm4', 'vm5']) {
+			if (isPlanned) {
+				replaceAsPlanned(cluster, [vm]);
+			} else {
+				replace(cluster, vm);
+			}
+
+			runWithLoad(cluster, catchUpMs);
+			assert.equal(voterNames(cluster).length, 3);
+			assert.equal(voterNames(cluster).includes(vm), false);
+		}
+
+		commitCommand(cluster);
+	});
+}
+
+test('a planned replacement leaves a cluster that bears the loss of another member at once', () => {
+	const cluster = managedCluster();
+	const leader = cluster.leader()!;
+	replaceAsPlanned(cluster, [leader]);
+	assert.deepEqual(voterNames(cluster), cluster.vms);
+	cluster.replaceDisk(cluster.vms[0]!);
+	commitCommand(cluster);
+});
+
+test('two members that are replaced at once leave no voter behind', () => {
+	for (const isPlanned of [true, false]) {
+		const cluster = managedCluster({size: 6, losses: 2});
+		const lost = cluster.vms.slice(0, 2);
+		if (isPlanned) {
+			replaceAsPlanned(cluster, lost);
+		} else {
+			for (const vm of lost) {
+				cluster.discard(vm);
+			}
+
+			runWithLoad(cluster, replacementDelayMs);
+			cluster.addVm();
+			cluster.addVm();
+		}
+
+		runWithLoad(cluster, 2 * catchUpMs);
+		assert.deepEqual(voterNames(cluster), cluster.vms);
+	}
+});
+
+test('no voter is removed without a replacement, however long it is silent', () => {
+	const cluster = managedCluster();
+	const silent = cluster.vms.find(vm => vm !== cluster.leader())!;
+	cluster.isolate(silent);
+	runWithLoad(cluster, 20_000);
+	assert.equal(voterNames(cluster).length, 3);
+});
+
+test('a member that was removed while it was cut off becomes a voter again with its disk', () => {
+	const cluster = managedCluster();
+	cluster.addVm();
+	runWithLoad(cluster, catchUpMs);
+	const silent = cluster.vms.find(vm => vm !== cluster.leader())!;
+	const {diskId} = cluster.state(silent);
+	cluster.isolate(silent);
+	runWithLoad(cluster, catchUpMs);
+	assert.equal(voterNames(cluster).includes(silent), false);
+	cluster.heal();
+	runWithLoad(cluster, catchUpMs);
+	assert.equal(cluster.members().find(({vm}) => vm === silent)?.role, 'voter');
+	assert.equal(cluster.state(silent).diskId, diskId);
+});
+
+// Guards against a leader that takes its own pause for the silence of others.
+test('a leader that was paused removes no member, although the others have been silent to it for longer than the limit', () => {
+	const cluster = managedCluster();
+	cluster.addVm();
+	runWithLoad(cluster, catchUpMs);
+	const leader = cluster.leader()!;
+	const [first, ...others] = cluster.vms.filter(vm => vm !== leader);
+	// All pause, so that no other leader is elected: first one member, then the leader within a heartbeat, so that only the replies of
+	// the others wait for it.
+	cluster.pause(first!);
+	cluster.onSend = (from, _to, {type}) => {
+		if (from === leader && type === 'consensus/append') {
+			cluster.pause(leader);
+		}
+	};
+
+	cluster.run(150);
+	cluster.onSend = undefined;
+	for (const vm of others) {
+		cluster.pause(vm);
+	}
+
+	cluster.run(catchUpMs);
+	for (const vm of [leader, ...others, first!]) {
+		cluster.resume(vm);
+		cluster.run(50);
+	}
+
+	cluster.run(1000);
+	assert.equal(cluster.effects.some(({effect}) => effect.type === 'log' && effect.fields?.change === 'remove'), false);
+	assert.equal(voterNames(cluster).length, 4);
+});
+
+const stepKinds = ['replace', 'replace-planned', 'replace-two-planned', 'wipe', 'cut', 'cut-in', 'cut-out', 'crash', 'restart', 'pause', 'heal', 'leave'] as const;
+
+/** A disturbance, followed by `durationMs` of proposals and reads. `vm` and `other` select VMs by number. */
+type Step = {
+	readonly kind: (typeof stepKinds)[number];
+	readonly vm: number;
+	readonly other: number;
+	readonly durationMs: number;
+};
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+	kind: fc.constantFrom(...stepKinds),
+	vm: fc.nat(9),
+	other: fc.nat(9),
+	durationMs: fc.integer({min: 1, max: 4500}),
+});
+
+function performStep(cluster: TestCluster, step: Step): void {
+	const vm = cluster.vms[step.vm % cluster.vms.length]!;
+	const other = cluster.vms[step.other % cluster.vms.length]!;
+	switch (step.kind) {
+		case 'replace': {
+			if (cluster.canDiscard(vm)) {
+				replace(cluster, vm);
+			}
+
+			break;
+		}
+
+		case 'replace-planned': {
+			replaceAsPlanned(cluster, [vm]);
+			break;
+		}
+
+		case 'replace-two-planned': {
+			replaceAsPlanned(cluster, vm === other ? [vm] : [vm, other]);
+			break;
+		}
+
+		case 'wipe': {
+			if (cluster.canDiscard(vm)) {
+				cluster.replaceDisk(vm);
+			}
+
+			break;
+		}
+
+		case 'cut': {
+			cluster.isolate(vm);
+			break;
+		}
+
+		case 'cut-in': {
+			cluster.isolate(vm, 'in');
+			break;
+		}
+
+		case 'cut-out': {
+			cluster.isolate(vm, 'out');
+			break;
+		}
+
+		case 'crash': {
+			cluster.crash(vm);
+			break;
+		}
+
+		case 'restart': {
+			cluster.restart(vm);
+			break;
+		}
+
+		case 'pause': {
+			cluster.pause(vm);
+			break;
+		}
+
+		case 'leave': {
+			cluster.dispatch(vm, {type: 'consensus/leave'});
+			runWithLoad(cluster, stopMs);
+			cluster.restart(vm);
+			break;
+		}
+
+		case 'heal': {
+			cluster.heal();
+			break;
+		}
+	}
+}
+
+/** Ends all disturbances, then checks that exactly the VMs that exist are voters, and that the cluster bears the loss of `losses` of them. */
+function checkTolerance(cluster: TestCluster, losses: number): void {
+	cluster.heal();
+	commitCommand(cluster);
+	cluster.runUntil(() => {
+		const members = cluster.members();
+		const isIntact = members.every(({vm, diskId, role}) => role === 'voter' && cluster.disks.get(vm)?.diskId === diskId);
+		return isIntact && members.length >= (2 * losses) + 1;
+	}, recoveryMs);
+	// Lets every member learn that this membership is committed.
+	cluster.run(settleMs);
+	for (const vm of voterNames(cluster).slice(0, losses)) {
+		assert.equal(cluster.canDiscard(vm), true);
+		cluster.discard(vm);
+	}
+
+	commitCommand(cluster);
+}
+
+for (const {size, losses, seed, numRuns} of [{
+	size: 3, losses: 1, seed: 61, numRuns: 80,
+}, {
+	size: 6, losses: 2, seed: 62, numRuns: 40,
+}]) {
+	test(`${size} members are replaced, wiped, cut off, restarted and paused in any order without a loss, and bear ${losses} more loss(es) afterwards`, () => {
+		fc.assert(fc.property(fc.array(stepArbitrary, {minLength: 3, maxLength: 12}), fc.integer(), (steps, clusterSeed) => {
+			const cluster = managedCluster({size, losses, seed: clusterSeed});
+			for (const step of steps) {
+				performStep(cluster, step);
+				runWithLoad(cluster, step.durationMs);
+			}
+
+			checkTolerance(cluster, losses);
+		}), {seed, numRuns, includeErrorInReport: true});
+	});
+}
--- a/src/common/consensus/state.ts
+++ b/src/common/consensus/state.ts
@@ -11,8 +11,12 @@
 	electionTimeoutMinMs: 500,
 	electionTimeoutMaxMs: 1000,
 	storageTimeoutMs: 1000,
+	removalSilenceMs: 2500,
 };
 
+/** Default of `ConsensusOptions.minVoters`, which lets one of three members be lost. */
+const defaultMinVoters = 3;
+
 // A frame between processes holds at most 1 MiB, so a command, a batch of entries or a snapshot chunk takes at most 512 KiB.
 export const defaultLimits: ConsensusLimits = {
 	maxBatchEntries: 256,
@@ -116,7 +120,10 @@
 	initialVms: readonly VmId[];
 	/** VMs besides `initialVms` that receive requests for admission. */
 	knownVms: readonly VmId[];
-	readonly admitsNewVms: boolean;
+	readonly managesMembers: boolean;
+	readonly minVoters: number;
+	/** Whether the process of this member is about to end. */
+	isLeaving: boolean;
 	readonly timings: ConsensusTimings;
 	readonly limits: ConsensusLimits;
 	readonly random: SeededRandom;
@@ -150,8 +157,12 @@
 
 	/** Time of the leader's next regular heartbeat, in ms. */
 	nextHeartbeatMs: number;
-	/** Time of the next request for admission by a member that is not admitted, in ms. */
+	/** Time of the next request for admission or removal, in ms. */
 	nextJoinRequestMs: number;
+	/** Time of the leader's last tick, in ms. */
+	lastTickMs: number;
+	/** Time since which this leader has run without a pause, in ms. Silence of a member from before that time may be the leader's own. */
+	watchingSinceMs: number;
 	/** Replication state of the other members; empty unless this member is the leader. */
 	readonly progress: Map<VmId, Progress>;
 	/** Index of the `noop` entry with which this leader started its term. */
@@ -189,7 +200,7 @@
 
 /** Creates the state of a member from the contents of its disk. */
 export function createConsensusState({
-	vm, stored, initialVms, admitsNewVms = false, seed, timings, limits,
+	vm, stored, initialVms, managesMembers = false, minVoters = defaultMinVoters, seed, timings, limits,
 }: ConsensusOptions): ConsensusState {
 	const log = new EntryLog(stored.snapshot, stored.entries);
 	const commit = Math.max(stored.snapshot?.index ?? 0, Math.min(stored.hardState.commit, log.lastIndex));
@@ -199,7 +210,9 @@
 		diskId: stored.diskId,
 		initialVms: [...initialVms].sort(),
 		knownVms: [],
-		admitsNewVms,
+		managesMembers,
+		minVoters,
+		isLeaving: false,
 		timings: {...defaultTimings, ...timings},
 		limits: {...defaultLimits, ...limits},
 		random: new SeededRandom(seed),
@@ -232,6 +245,8 @@
 		verifiedIndex: 0,
 		nextHeartbeatMs: 0,
 		nextJoinRequestMs: 0,
+		lastTickMs: 0,
+		watchingSinceMs: 0,
 		progress: new Map(),
 		termStartIndex: 0,
 		proposals: new Map(),
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -26,6 +26,8 @@
 	stateMachine: StateMachine;
 	/** Whether the process is running; false after a crash. The outstanding writes of a stopped process never complete. */
 	isRunning: boolean;
+	/** Events that wait until the process continues; undefined while it is not paused. */
+	pausedEvents: Array<UntimedEvent<ConsensusEvent>> | undefined;
 };
 
 export type NetworkFaults = {
@@ -41,7 +43,8 @@
 	readonly seed: number;
 	readonly faults?: NetworkFaults;
 	readonly limits?: Partial<ConsensusLimits>;
-	readonly admitsNewVms?: boolean;
+	readonly managesMembers?: boolean;
+	readonly minVoters?: number;
 	/** Whether the VMs start with an empty list of initial VMs. */
 	readonly startsWithoutInitialVms?: boolean;
 };
@@ -81,11 +84,13 @@
 	private readonly _random: SeededRandom;
 	private readonly _limits: Partial<ConsensusLimits>;
 	private readonly _initialVms: readonly VmId[];
-	private readonly _admitsNewVms: boolean;
+	private readonly _managesMembers: boolean;
+	private readonly _minVoters: number | undefined;
 	private readonly _tasks: Task[] = [];
 	private _nextTaskOrder = 0;
 	private _nextToken = 1;
 	private _nextDisk = 1;
+	private _nextVm: number;
 	/** All disks of this run, including replaced ones, by disk id. */
 	private readonly _disksById = new Map<string, Disk>();
 	private readonly _leaderByTerm = new Map<number, string>();
@@ -97,14 +102,16 @@
 	private readonly _minReadIndexByToken = new Map<number, number>();
 
 	constructor({
-		size, seed, faults, limits, admitsNewVms = false, startsWithoutInitialVms = false,
+		size, seed, faults, limits, managesMembers = false, minVoters, startsWithoutInitialVms = false,
 	}: ClusterOptions) {
 		this._random = new SeededRandom(seed);
 		this._limits = {...testLimits, ...limits};
 		this.faults = faults ?? perfectNetwork;
 		this.vms = Array.from({length: size}, (_, i) => `vm${i + 1}`);
+		this._nextVm = size + 1;
 		this._initialVms = startsWithoutInitialVms ? [] : [...this.vms];
-		this._admitsNewVms = admitsNewVms;
+		this._managesMembers = managesMembers;
+		this._minVoters = minVoters;
 		for (const vm of this.vms) {
 			this.restart(vm);
 		}
@@ -197,13 +204,53 @@
 		const process: MemberProcess = {
 			vm,
 			isRunning: true,
+			pausedEvents: undefined,
 			stateMachine: initialStateMachine,
 			state: createConsensusState({
-				vm, stored, initialVms: this._initialVms, admitsNewVms: this._admitsNewVms, seed: this._random.integer(0, 1_000_000_000), limits: this._limits,
+				vm, stored, initialVms: this._initialVms, managesMembers: this._managesMembers, ...(this._minVoters !== undefined && {minVoters: this._minVoters}), seed: this._random.integer(0, 1_000_000_000), limits: this._limits,
 			}),
 		};
 		this.processes.set(vm, process);
 		this._scheduleTick(process, this._random.integer(0, tickMs));
+		if (this._managesMembers) {
+			this._announcePeers();
+		}
+	}
+
+	/** Takes the VM and its disk away for good. */
+	discard(vm: VmId): void {
+		this.crash(vm);
+		this.processes.delete(vm);
+		this.disks.delete(vm);
+		this.vms.splice(this.vms.indexOf(vm), 1);
+		this._announcePeers();
+	}
+
+	/** Starts a new VM with an empty disk and returns its name. */
+	addVm(): VmId {
+		const vm = `vm${this._nextVm++}`;
+		this.restart(vm);
+		return vm;
+	}
+
+	/** Pauses the process, as a suspended VM would be. What arrives meanwhile is handled at once when it continues, ahead of its next tick. */
+	pause(vm: VmId): void {
+		const process = this.processes.get(vm);
+		if (process) {
+			process.pausedEvents ??= [];
+		}
+	}
+
+	resume(vm: VmId): void {
+		const process = this.processes.get(vm);
+		const events = process?.pausedEvents ?? [];
+		if (process) {
+			process.pausedEvents = undefined;
+		}
+
+		for (const event of events) {
+			this._deliver(process!, event);
+		}
 	}
 
 	/** Replaces the disk by an empty one and restarts the process. */
@@ -231,6 +278,7 @@
 		this.faults = perfectNetwork;
 		for (const vm of this.vms) {
 			this.disks.get(vm)!.latencyMs = 1;
+			this.resume(vm);
 			const process = this.processes.get(vm)!;
 			if (!process.isRunning || process.state.role === 'halted') {
 				this.restart(vm);
@@ -254,10 +302,32 @@
 		});
 	}
 
+	/**
+	Returns whether a quorum of intact disks remains without the VM in the newest committed membership and in all later ones. A leader
+	has at least the newest committed one in its log.
+	*/
+	canDiscard(vm: VmId): boolean {
+		const states = [...this.processes.values()].map(({state}) => state);
+		const commit = Math.max(...states.map(({hardState}) => hardState.commit));
+		const configurations = states.flatMap(state => {
+			const committed = state.hardState.commit === commit ? state.configurations.filter(({index}) => index <= commit).slice(-1) : [];
+			return [...committed, ...state.configurations.filter(({index}) => index > commit)];
+		});
+		return configurations.every(({members}) => {
+			const currentVoters = members.filter(({role}) => role === 'voter');
+			const intactVoters = currentVoters.filter(member => member.vm !== vm && this.disks.get(member.vm)?.diskId === member.diskId);
+			return intactVoters.length > currentVoters.length / 2;
+		});
+	}
+
 	dispatch(vm: VmId, event: UntimedEvent<ConsensusEvent>): void {
 		const process = this.processes.get(vm)!;
-		if (process.isRunning) {
-			this._handle(process, event);
+		this._deliver(process, event);
+	}
+
+	private _announcePeers(): void {
+		for (const vm of this.processes.keys()) {
+			this.dispatch(vm, {type: 'consensus/peers', knownVms: [...this.vms]});
 		}
 	}
 
@@ -286,7 +356,10 @@
 	private _scheduleTick(process: MemberProcess, delayMs: number): void {
 		this._schedule(delayMs, () => {
 			if (process.isRunning) {
-				this._handle(process, {type: 'consensus/tick'});
+				if (!process.pausedEvents) {
+					this._handle(process, {type: 'consensus/tick'});
+				}
+
 				this._scheduleTick(process, tickMs);
 			}
 		});
@@ -366,7 +439,13 @@
 	}
 
 	private _deliver(process: MemberProcess, event: UntimedEvent<ConsensusEvent>): void {
-		if (process.isRunning) {
+		if (!process.isRunning) {
+			return;
+		}
+
+		if (process.pausedEvents) {
+			process.pausedEvents.push(event);
+		} else {
 			this._handle(process, event);
 		}
 	}
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -92,6 +92,8 @@
 	| (BaseEvent<'consensus/peers'> & {readonly initialVms?: readonly VmId[]; readonly knownVms: readonly VmId[]})
 	/** Makes a leader step down, for example before it shuts down, so that another member can become leader. */
 	| BaseEvent<'consensus/step-down'>
+	/** Announces that the process is about to end. From now on, this member asks the leader to remove it; see `handleLeave`. */
+	| BaseEvent<'consensus/leave'>
 	| (BaseEvent<'consensus/persisted'> & {readonly sequence: number})
 	/** A write failed, for example because the disk is full. The member halts until its process restarts. */
 	| (BaseEvent<'consensus/storage-failed'> & {readonly reason: string})
@@ -143,6 +145,8 @@
 	readonly electionTimeoutMaxMs: number;
 	/** Time, in ms, after which a write counts as slow. While a write is slow, the member neither leads, votes nor acknowledges entries. */
 	readonly storageTimeoutMs: number;
+	/** Time, in ms, without a reply after which the leader removes a member, if it removes members without an operator. */
+	readonly removalSilenceMs: number;
 };
 
 export type ConsensusLimits = {
@@ -175,8 +179,10 @@
 	readonly stored: StoredState;
 	/** VMs that form the cluster at its first start. Once the cluster exists, the list only names VMs that receive requests for admission. */
 	readonly initialVms: readonly VmId[];
-	/** Whether the leader adds a new VM as a learner without an operator. False by default. */
-	readonly admitsNewVms?: boolean;
+	/** Whether the leader adds new VMs, and removes leaving or silent members, without an operator. False by default. */
+	readonly managesMembers?: boolean;
+	/** Number of voters that must remain when the leader removes a voter without an operator: twice the number of members that may be lost at the same time, plus one. */
+	readonly minVoters?: number;
 	/** Seed of the random election timeouts. */
 	readonly seed: number;
 	readonly timings?: Partial<ConsensusTimings>;
--- a/src/node/forwarding/fleet-settings.ts
+++ b/src/node/forwarding/fleet-settings.ts
@@ -10,6 +10,8 @@
 	readonly isInitialClusterStart: boolean;
 	/** Address of the platform's server list, and the number of calls per second that the platform accepts from all processes together. */
 	readonly serverList?: {readonly address: string; readonly callsPerSecond: number};
+	/** Number of VMs with a disk that may be lost at the same time while the configuration can still be read and changed. */
+	readonly tolerableLosses: number;
 	/** Time from SIGTERM until the process is killed, in milliseconds. */
 	readonly stopWithinMs: number;
 	/** Minimum time between orders that two different processes give to engines, in milliseconds. */
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -134,8 +134,10 @@
 type ClusterOptions = {
 	/** VMs whose control processes form the replicated log when the cluster starts for the first time; empty if they are determined after the process has started. */
 	readonly initialVms: readonly VmId[];
-	/** Whether VMs outside the initial cluster may join the replicated log; false by default. */
-	readonly admitsNewVms?: boolean;
+	/** Whether the replicated log adds and removes members without an operator; false by default. */
+	readonly managesMembers?: boolean;
+	/** Number of voters that remain when it removes one; the default applies if absent. */
+	readonly minVoters?: number;
 	/** Timings of the replicated log, in milliseconds, that differ from the defaults. */
 	readonly timings?: Partial<ConsensusTimings>;
 	/** Interval between attempts to reach dead members and seeds that are not in the member list, in milliseconds; the default applies if absent. */
@@ -239,9 +241,9 @@
 	return new FileLogStorage({folder: path.join(settings.dataFolder!, 'log'), fileSystem: new NodeFileSystem()});
 }
 
-async function createReplica(settings: Settings, {initialVms, admitsNewVms = false, timings = {}}: ClusterOptions, storage: LogStorage): Promise<Replica> {
+async function createReplica(settings: Settings, {initialVms, managesMembers = false, minVoters, timings = {}}: ClusterOptions, storage: LogStorage): Promise<Replica> {
 	const consensus = createConsensusState({
-		vm: settings.vm, stored: await storage.load(), initialVms, admitsNewVms, timings, seed: Date.now() + process.pid,
+		vm: settings.vm, stored: await storage.load(), initialVms, managesMembers, timings, seed: Date.now() + process.pid, ...(minVoters !== undefined && {minVoters}),
 	});
 	return {consensus, control: createControl({decodeConfiguration, minElectionTimeoutMs: consensus.timings.electionTimeoutMinMs}), pendingMemberChangeTokens: new Set()};
 }
@@ -390,7 +392,9 @@
 		try {
 			const core = await createCoreComponents(settings, disposables, {
 				initialVms: [],
-				admitsNewVms: true,
+				managesMembers: true,
+				// Each loss that is to be borne takes one voter from the majority.
+				minVoters: (2 * fleetSettings.tolerableLosses) + 1,
 				timings: fleetConsensusTimings,
 				rejoinIntervalMs: fleetRejoinIntervalMs,
 				// The name of a VM is its IP address, and all VMs use the same port for peers.
@@ -423,9 +427,10 @@
 
 	/** Shuts down gracefully: withdraws this VM from new entry-point answers, then serves until every answer that still names the VM has expired and no request is running, or until the grace period (`stopWithinMs`) is over. */
 	async stop(): Promise<void> {
-		const {logger, membership, disposables} = this._core;
+		const {logger, membership, runtime, disposables} = this._core;
 		logger.log('info', 'stopping');
 		membership.setDraining(true);
+		runtime.dispatch({type: 'consensus/leave'});
 		handOverLeadership(this._core);
 		await this._fleet.server.drain();
 		membership.leave();
