forwarding: whose answer it is is decided once, before anything of it is believed

Cause: a server may write an answer once more, late, where the next answer on the connection is expected. Each call site evaluated the answer for itself: plain and model requests read Not-Run before they compared the request id, prefill calls never compared it, and the connection went back into the pool, so that each later call on it got the answer to the call before. Change: ForwardAdapter.send, through which all calls to servers go, compares the id before headers, notices or body are used. A call whose answer is not its own counts as possibly run, and its connection is closed, since the call's own answer may still follow.

--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -42,18 +42,39 @@
 	return {status, headers, body: Buffer.concat(chunks, length)};
 }
 
-/** Called with the status and headers of every answer of a server. */
-export type AnswerObserver = (answer: Pick<UpstreamResponse, 'status' | 'headers'>) => void;
+/** A request to a server, or a call that the router makes on its own behalf. */
+export type ForwardCall = Omit<UpstreamCall, 'isOwnAnswer'> & {
+	/** Id that the server repeats in its answer; undefined for a call without an id, whose answer bears none either. */
+	readonly requestId: string | undefined;
+};
+
+export type ForwardAdapterOptions = UpstreamOptions & {
+	/** Reads the request id that an answer bears; undefined if it bears none. */
+	readonly readRequestId: (headers: readonly string[]) => string | undefined;
+	/** Called with the status and headers of each answer that belongs to its call. */
+	readonly onAnswer: (answer: Pick<UpstreamResponse, 'status' | 'headers'>) => void;
+};
 
-/** HTTP client of one incarnation of a server that requests are forwarded to. */
+/**
+HTTP client of one incarnation of a server that requests are forwarded to. A faulty server may write an answer once more, late, at the
+point where the next answer on the connection is expected. No other code has to tell such an answer from the right one: `send`
+compares the ids before anything else of an answer is evaluated.
+*/
 export class ForwardAdapter extends UpstreamAdapter {
-	constructor(options: UpstreamOptions, clock: Clock, private readonly _onAnswer: AnswerObserver) {
+	private readonly _readRequestId: ForwardAdapterOptions['readRequestId'];
+	private readonly _onAnswer: ForwardAdapterOptions['onAnswer'];
+
+	constructor({readRequestId, onAnswer, ...options}: ForwardAdapterOptions, clock: Clock) {
 		super(options, clock);
+		this._readRequestId = readRequestId;
+		this._onAnswer = onAnswer;
 	}
 
-	/** Sends a request. Resolves when the headers of the answer have arrived; rejects with `CallError`. */
-	async send(call: UpstreamCall): Promise<UpstreamResponse> {
-		const response = await this._pool.call(call);
+	/** Sends a request. Resolves when the headers of its answer have arrived; rejects with `CallError`. */
+	async send({requestId, ...call}: ForwardCall): Promise<UpstreamResponse> {
+		const response = await this._pool.call({
+			...call, isOwnAnswer: headers => this._readRequestId(headers) === requestId,
+		});
 		this._onAnswer(response);
 		return response;
 	}
@@ -71,6 +92,7 @@
 		signal?.addEventListener('abort', stop, {once: true});
 		try {
 			const response = await this.send({
+				requestId: undefined,
 				method,
 				path,
 				headers: [...headers, ...(body === undefined ? [] : ['content-type', 'application/json'])],
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -6,7 +6,7 @@
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
-import {CallError, failureOf} from '../upstreams/call-error.js';
+import {failureOf} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
@@ -325,6 +325,7 @@
 	private _serverRequest(server: Server, facts: Partial<ServerRequestFacts>, headersTimeoutMs: number, signal: AbortSignal) {
 		const {exchange: {req}, body, callerDeadlineMs, customer, caller} = this._request;
 		return {
+			requestId: this._request.requestId,
 			method: req.method as HttpMethod,
 			path: req.url!,
 			headers: this._dependencies.protocol.serverHeaders(req.rawHeaders, {
@@ -376,19 +377,13 @@
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {
 				reservationId: reservation.id, ...(prefilledCache && {prefill: {address: prefilledCache.server.record.address, handle: prefilledCache.handle}}),
 			}, Math.max(1, deadlineMs - clock.nowMs() + headersSlackMs), signal));
-			const facts = protocol.readServerAnswer(response.headers);
-			if (facts.isNotRun) {
+			if (protocol.readServerAnswer(response.headers).isNotRun) {
 				trackedSend.end('stopped');
 				response.body.resume();
 				this._handleRejection(attempt, response.status, reservation, prefilledCache);
 				return;
 			}
 
-			if (facts.requestId !== requestId) {
-				response.body.destroy();
-				throw new CallError('broken', true, 'the answer belongs to another request');
-			}
-
 			fleet.directory.recordAnswer(server, response.status < 500, server.latencyMs, clock.nowMs());
 			this._response = response;
 			this._dispatch({
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -3,7 +3,7 @@
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import type {UntimedEvent} from '../../common/core/types.js';
-import {CallError, failureOf} from '../upstreams/call-error.js';
+import {failureOf} from '../upstreams/call-error.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
 import {sendLocalAnswer, watchForStop} from './forward-request.js';
@@ -138,6 +138,7 @@
 		const {fleet, clock, protocol} = this._dependencies;
 		const {exchange: {req}, body, callerDeadlineMs, deadlineMs, customer, caller, requestId} = this._request;
 		const response = await fleet.adapterFor(server).send({
+			requestId,
 			method: req.method as HttpMethod,
 			path: req.url!,
 			headers: protocol.serverHeaders(req.rawHeaders, {
@@ -148,15 +149,10 @@
 			signal,
 		});
 		const buffered = await bufferAnswer(response, answerLimitBytes);
-		const facts = protocol.readServerAnswer(buffered.headers);
-		if (facts.isNotRun) {
+		if (protocol.readServerAnswer(buffered.headers).isNotRun) {
 			return {type: 'forward/answered', status: buffered.status, isNotRun: true};
 		}
 
-		if (facts.requestId !== requestId) {
-			throw new CallError('broken', true, 'the answer belongs to another request');
-		}
-
 		this._answer = buffered;
 		fleet.directory.recordAnswer(server, buffered.status < 500, clock.nowMs() - sentMs, clock.nowMs());
 		return {type: 'forward/answered', status: buffered.status, isNotRun: false};
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -93,9 +93,15 @@
 	adapterFor({key, record}: Server): ForwardAdapter {
 		let adapter = this._adapters.get(key);
 		if (!adapter) {
-			adapter = new ForwardAdapter({name: key, address: record.address, zone: record.zone}, this._options.clock, answer => {
-				this._applyNotices(key, answer);
-			});
+			adapter = new ForwardAdapter({
+				name: key,
+				address: record.address,
+				zone: record.zone,
+				readRequestId: headers => this._options.protocol.readServerAnswer(headers).requestId,
+				onAnswer: answer => {
+					this._applyNotices(key, answer);
+				},
+			}, this._options.clock);
 			this._adapters.set(key, adapter);
 		}
 
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -29,6 +29,11 @@
 	readonly signal?: AbortSignal;
 	/** Whether to open a new connection instead of reusing an idle one. */
 	readonly isNewConnection?: boolean;
+	/**
+	Returns whether the answer with these headers, alternating names and values, belongs to the call. If it does not, the connection
+	is closed and the call rejects, as the call's own answer may still follow. Without this function, any answer does.
+	*/
+	readonly isOwnAnswer?: (headers: readonly string[]) => boolean;
 };
 
 /** Response of an upstream, available once its headers have arrived. */
@@ -106,12 +111,17 @@
 			// A discarded body has no reader, and an unhandled `error` event would end the process. Code that reads the body still
 			// gets its errors.
 			body.on('error', () => undefined);
+			const answerHeaders = flattenHeaders(headers);
+			if (call.isOwnAnswer?.(answerHeaders) === false) {
+				throw new CallError('broken', true, 'the answer belongs to another request');
+			}
+
 			body.once('close', () => {
 				call.signal?.removeEventListener('abort', discardConnection);
 				this._release(connection, body);
 			});
 			return {
-				status: statusCode, headers: flattenHeaders(headers), body, wasReset: () => connection.wasReset,
+				status: statusCode, headers: answerHeaders, body, wasReset: () => connection.wasReset,
 			};
 		} catch (err) {
 			call.signal?.removeEventListener('abort', discardConnection);
