upstreams: a connection carries each request id once

Fault: a late copy of the answer to an earlier attempt at a request bears the id of the later attempt, so comparing ids does not tell it from the right one: a prefill handle that was used up, or a rejection of a request that runs now, was believed. Change: the pool keeps the ids that a connection has carried (256 at most, then the connection is replaced) and takes another connection. Test: forward-adapter.test.ts; without the rule the second attempt gets the answer to the first.

--- a/src/node/entry/testing/upstreams.ts
+++ b/src/node/entry/testing/upstreams.ts
@@ -19,10 +19,14 @@
 
 	readonly requests: Array<{method: string; url: string; headers: IncomingMessage['headers']; body: string; port: number}> = [];
 	connectionCount = 0;
+	closedConnectionCount = 0;
 
 	private constructor(private readonly _server: Server, public handler: RequestHandler) {
-		_server.on('connection', () => {
+		_server.on('connection', socket => {
 			this.connectionCount++;
+			socket.once('close', () => {
+				this.closedConnectionCount++;
+			});
 		});
 		_server.on('request', (req: IncomingMessage, res: ServerResponse) => {
 			void this._handleRequest(req, res);
--- /dev/null
+++ b/src/node/forwarding/forward-adapter.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import type {TestContext} from 'node:test';
+import {test} from 'node:test';
+import {text} from 'node:stream/consumers';
+import {RepeatingWriter} from '../../../fakes/repeating-writer.js';
+import {ManualClock} from '../../common/core/clock.js';
+import {waitUntil} from '../entry/testing/harness.js';
+import {TestServer} from '../entry/testing/upstreams.js';
+import {CallError} from '../upstreams/call-error.js';
+import {ForwardAdapter} from './forward-adapter.js';
+
+/** Timeout of calls that are answered, in milliseconds. Long, since only a failing test waits for it. */
+const timeoutMs = 10_000;
+
+/** Starts a server that writes each answer once more ahead of the next one on its connection, and an adapter for it. */
+async function startRepeatingServer(t: TestContext, answerTo: (url: string) => {status: number; body: string}) {
+	const writer = new RepeatingWriter();
+	const server = await TestServer.start((req, res) => {
+		const requestId = req.headers['request-id'] as string | undefined;
+		const {status, body} = answerTo(req.url!);
+		writer.write(req, res, {status, headers: requestId === undefined ? {} : {'Request-Id': requestId}, body});
+	});
+	const clock = new ManualClock();
+	const observed: number[] = [];
+	const adapter = new ForwardAdapter({
+		name: 's',
+		address: server.address,
+		zone: 'z',
+		readRequestId: headers => headers.find((_, i) => i % 2 === 1 && headers[i - 1] === 'request-id'),
+		onAnswer({status}) {
+			observed.push(status);
+		},
+	}, clock);
+	t.after(() => {
+		adapter.destroy();
+		server.close();
+	});
+	const send = async (requestId: string, path = '/') => {
+		try {
+			const {status, body} = await adapter.send({
+				requestId, method: 'POST', path, headers: ['Request-Id', requestId], headersTimeoutMs: timeoutMs,
+			});
+			return `${status} ${await text(body)}`;
+		} catch (err) {
+			assert.ok(err instanceof CallError);
+			return err.mayHaveBeenSent ? 'broken' : 'not sent';
+		} finally {
+			await waitUntil(() => adapter.busy === 0);
+		}
+	};
+
+	return {
+		server, writer, observed, send,
+	};
+}
+
+test('an answer that bears another id is neither used nor observed, and its connection is closed', async t => {
+	const {server, writer, observed, send} = await startRepeatingServer(t, url => ({status: 200, body: url}));
+	assert.equal(await send('a', '/a'), '200 /a');
+	assert.equal(await send('b', '/b'), 'broken');
+	assert.equal(await send('c', '/c'), '200 /c');
+	assert.equal(writer.copies, 1);
+	assert.equal(server.connectionCount, 2);
+	assert.deepEqual(observed, [200, 200]);
+});
+
+// Guards against the answer to an earlier attempt at the same request, whose id can't tell it from the right one.
+test('a connection carries each id once, so that an answer to an earlier attempt at a request is not taken for the answer to a later one', async t => {
+	let attempts = 0;
+	const {writer, send} = await startRepeatingServer(t, () => ({status: 200, body: `attempt ${++attempts}`}));
+	assert.equal(await send('a'), '200 attempt 1');
+	assert.equal(await send('a'), '200 attempt 2');
+	assert.equal(writer.copies, 0);
+});
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -43,7 +43,7 @@
 }
 
 /** A request to a server, or a call that the router makes on its own behalf. */
-export type ForwardCall = Omit<UpstreamCall, 'isOwnAnswer'> & {
+export type ForwardCall = Omit<UpstreamCall, 'exchangeId' | 'isOwnAnswer'> & {
 	/** Id that the server repeats in its answer; undefined for a call without an id, whose answer bears none either. */
 	readonly requestId: string | undefined;
 };
@@ -73,7 +73,7 @@
 	/** Sends a request. Resolves when the headers of its answer have arrived; rejects with `CallError`. */
 	async send({requestId, ...call}: ForwardCall): Promise<UpstreamResponse> {
 		const response = await this._pool.call({
-			...call, isOwnAnswer: headers => this._readRequestId(headers) === requestId,
+			...call, exchangeId: requestId, isOwnAnswer: headers => this._readRequestId(headers) === requestId,
 		});
 		this._onAnswer(response);
 		return response;
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -17,6 +17,9 @@
 /** Largest number of idle connections kept per upstream. Connections beyond the upstream's concurrency limit would never be used. */
 const maxIdleConnections = 128;
 
+/** Number of exchange ids that a connection carries before it is replaced, which bounds the ids that are kept. */
+const maxExchangeIds = 256;
+
 /** One HTTP exchange with an upstream. */
 export type UpstreamCall = {
 	readonly method: Dispatcher.HttpMethod;
@@ -29,6 +32,8 @@
 	readonly signal?: AbortSignal;
 	/** Whether to open a new connection instead of reusing an idle one. */
 	readonly isNewConnection?: boolean;
+	/** Id that the answer repeats. A connection carries each id once, so that the answer to another call with the id is not taken for the answer to this one. */
+	readonly exchangeId?: string | undefined;
 	/**
 	Returns whether the answer with these headers, alternating names and values, belongs to the call. If it does not, the connection
 	is closed and the call rejects, as the call's own answer may still follow. Without this function, any answer does.
@@ -50,7 +55,13 @@
 	readonly wasReset: () => boolean;
 };
 
-type Connection = {readonly client: Client; lastUsedAtMs: number; wasReset: boolean};
+type Connection = {
+	readonly client: Client;
+	/** Ids of the exchanges that the connection has carried. */
+	readonly exchangeIds: Set<string>;
+	lastUsedAtMs: number;
+	wasReset: boolean;
+};
 
 /** Wraps an undici handler so that `onStart` is called when undici is about to write the request to its socket; before that, nothing can have been sent. */
 function notifyOnRequestStart(handler: Dispatcher.DispatchHandler, onStart: () => void): Dispatcher.DispatchHandler {
@@ -88,7 +99,7 @@
 			throw new CallError('broken', false, 'call aborted before it was sent');
 		}
 
-		const connection = this._acquire(call.isNewConnection ?? false);
+		const connection = this._acquire(call);
 		const callState = {mayHaveBeenSent: false, isTimeout: false};
 		// A timeout or abort destroys the client, which also ends a pending connection attempt; undici's own handling of
 		// signals would wait for that attempt to end.
@@ -148,25 +159,27 @@
 		}
 	}
 
-	private _acquire(isNewConnection: boolean): Connection {
-		const idleConnection = isNewConnection ? undefined : this._takeIdle();
+	private _acquire(call: UpstreamCall): Connection {
+		const idleConnection = call.isNewConnection ? undefined : this._takeIdle(call);
 		const connection = idleConnection ?? this._open();
+		if (call.exchangeId !== undefined) {
+			connection.exchangeIds.add(call.exchangeId);
+		}
+
 		this._busy.add(connection);
 		return connection;
 	}
 
-	/** Returns the most recently used idle connection, or undefined if there is none. If that connection has been idle for `maxIdleMs` or longer, closes all idle connections and returns undefined. */
-	private _takeIdle(): Connection | undefined {
-		const connection = this._idle.pop();
-		if (!connection || this._clock.nowMs() - connection.lastUsedAtMs < maxIdleMs) {
-			return connection;
-		}
-
-		for (const stale of [connection, ...this._idle.splice(0)]) {
+	/** Closes the connections that have been idle for `maxIdleMs` or longer. Of the others, returns the most recently used one that the call may use, or undefined if there is none. */
+	private _takeIdle({exchangeId}: UpstreamCall): Connection | undefined {
+		const nowMs = this._clock.nowMs();
+		const firstUsable = this._idle.findIndex(({lastUsedAtMs}) => nowMs - lastUsedAtMs < maxIdleMs);
+		for (const stale of this._idle.splice(0, firstUsable === -1 ? this._idle.length : firstUsable)) {
 			this._destroy(stale);
 		}
 
-		return undefined;
+		const index = this._idle.findLastIndex(({exchangeIds}) => exchangeId === undefined || !exchangeIds.has(exchangeId));
+		return index === -1 ? undefined : this._idle.splice(index, 1)[0];
 	}
 
 	private _open(): Connection {
@@ -190,13 +203,15 @@
 				});
 			},
 		});
-		const connection: Connection = {client, lastUsedAtMs: this._clock.nowMs(), wasReset: false};
+		const connection: Connection = {
+			client, exchangeIds: new Set(), lastUsedAtMs: this._clock.nowMs(), wasReset: false,
+		};
 		return connection;
 	}
 
 	private _release(connection: Connection, body: Readable): void {
 		const isReusable = this._busy.has(connection) && body.readableEnded && !body.errored;
-		if (!isReusable || this._isDisposed || this._idle.length >= maxIdleConnections) {
+		if (!isReusable || this._isDisposed || this._idle.length >= maxIdleConnections || connection.exchangeIds.size >= maxExchangeIds) {
 			this._discard(connection);
 			return;
 		}
