forwarding: answers to calls without an id can't be taken for others

A late copy made each later call on the connection get the answer to the call before: a reservation of another request was used or released, a report or an order's answer could be an old one. Change: such calls have connections of their own; one that carried a call rests for 50 ms, so that the right answer, which follows a wrong one, arrives while nothing waits for it and closes the connection; reports, orders and health checks use new connections; a reservation that is named twice is not used.

--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -37,8 +37,7 @@
 				return {kind: 'refused'};
 			}
 
-			const {status, text} = await fleet.adapterFor(server).call(protocol.buildReserveMemoryCall(tokens, ttlMs), reservationTimeoutMs);
-			const reservationId = status === 200 ? protocol.readReservationId(text) : undefined;
+			const {status, reservationId} = await this._requestReservation(server, tokens, ttlMs);
 			if (reservationId === undefined) {
 				fleet.directory.recordRefusal(server, clock.nowMs());
 				if (status === 503) {
@@ -91,8 +90,7 @@
 	/** Returns whether the engine has room for `tokens` tokens. Makes a trial reservation and releases it at once. */
 	private async _hasRoom(server: Server, tokens: number): Promise<boolean> {
 		const {fleet, protocol} = this._dependencies;
-		const {status, text} = await fleet.adapterFor(server).call(protocol.buildReserveMemoryCall(tokens, reservationTimeoutMs), reservationTimeoutMs);
-		const reservationId = status === 200 ? protocol.readReservationId(text) : undefined;
+		const {reservationId} = await this._requestReservation(server, tokens, reservationTimeoutMs);
 		if (reservationId !== undefined) {
 			await fleet.adapterFor(server).call(protocol.buildReleaseReservationCall(reservationId), reservationTimeoutMs);
 		}
@@ -100,6 +98,15 @@
 		return reservationId !== undefined;
 	}
 
+	/** Asks the engine for a reservation. The answer has no id unless the engine granted one to this call. */
+	private async _requestReservation(server: Server, tokens: number, ttlMs: number): Promise<{readonly status: number; readonly reservationId: string | undefined}> {
+		const {fleet, protocol} = this._dependencies;
+		const {status, text} = await fleet.adapterFor(server).call(protocol.buildReserveMemoryCall(tokens, ttlMs), reservationTimeoutMs);
+		const reservationId = status === 200 ? protocol.readReservationId(text) : undefined;
+		const isGranted = reservationId !== undefined && fleet.recordGrant(server, reservationId);
+		return {status, reservationId: isGranted ? reservationId : undefined};
+	}
+
 	private async _releaseOnEngine(server: Server, call: ServerCall): Promise<void> {
 		try {
 			await this._dependencies.fleet.adapterFor(server).call(call, releaseTimeoutMs);
--- a/src/node/forwarding/forward-adapter.test.ts
+++ b/src/node/forwarding/forward-adapter.test.ts
@@ -7,7 +7,7 @@
 import {waitUntil} from '../entry/testing/harness.js';
 import {TestServer} from '../entry/testing/upstreams.js';
 import {CallError} from '../upstreams/call-error.js';
-import {ForwardAdapter} from './forward-adapter.js';
+import {ForwardAdapter, minIdleMsOfCalls} from './forward-adapter.js';
 
 /** Timeout of calls that are answered, in milliseconds. Long, since only a failing test waits for it. */
 const timeoutMs = 10_000;
@@ -49,8 +49,19 @@
 		}
 	};
 
+	const call = async (path: string) => {
+		try {
+			const {status, text: body} = await adapter.call({method: 'POST', path}, timeoutMs);
+			return `${status} ${body}`;
+		} catch {
+			return 'broken';
+		} finally {
+			await waitUntil(() => adapter.busy === 0);
+		}
+	};
+
 	return {
-		server, writer, observed, send,
+		adapter, clock, server, writer, observed, send, call,
 	};
 }
 
@@ -72,3 +83,23 @@
 	assert.equal(await send('a'), '200 attempt 2');
 	assert.equal(writer.copies, 0);
 });
+
+test('a call without an id does not use the answer to a request', async t => {
+	const {observed, server, send, call} = await startRepeatingServer(t, url => ({status: 200, body: url}));
+	assert.equal(await send('a', '/a'), '200 /a');
+	assert.equal(await call('/reserve'), '200 /reserve');
+	assert.equal(server.connectionCount, 2, 'calls without an id have connections of their own');
+	assert.deepEqual(observed, [200, 200]);
+});
+
+// Guards against a chain of answers that are each one call late: without an id, only the right answer that follows shows the fault.
+test('after a wrong answer to a call without an id, the next call gets its own answer', async t => {
+	const {clock, server, writer, call} = await startRepeatingServer(t, url => ({status: 200, body: url}));
+	assert.equal(await call('/1'), '200 /1');
+	clock.advance(minIdleMsOfCalls);
+	assert.equal(await call('/2'), '200 /1');
+	assert.equal(await call('/3'), '200 /3', 'a connection that was in use just now is not reused');
+	// The right answer to the second call has arrived on its idle connection.
+	await waitUntil(() => server.closedConnectionCount === 1);
+	assert.equal(writer.copies, 1);
+});
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -1,12 +1,18 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {CallError} from '../upstreams/call-error.js';
+import {ConnectionPool} from '../upstreams/connection-pool.js';
 import type {UpstreamResponse, UpstreamCall} from '../upstreams/connection-pool.js';
 import {UpstreamAdapter} from '../upstreams/upstream-adapter.js';
 import type {UpstreamOptions} from '../upstreams/upstream-adapter.js';
 import type {Clock} from '../../common/core/clock.js';
 import type {ServerCall} from './fleet-protocol.js';
 
+/**
+Time for which a connection must have been idle before it carries another call without an id, in milliseconds; longer than an engine
+takes to answer one. If a call got a wrong answer, its own one arrives within this time, and the connection is closed.
+*/
+export const minIdleMsOfCalls = 50;
 /** Maximum size of the answer to a call that the router makes on its own behalf, in bytes. */
 const callAnswerLimitBytes = 65_536;
 
@@ -58,38 +64,57 @@
 /**
 HTTP client of one incarnation of a server that requests are forwarded to. A faulty server may write an answer once more, late, at the
 point where the next answer on the connection is expected. No other code has to tell such an answer from the right one: `send`
-compares the ids before anything else of an answer is evaluated.
+compares the ids before anything else of an answer is evaluated. Calls without an id have connections of their own, on which no
+answer to a request is expected and each call waits until the answer to the one before must have arrived.
 */
 export class ForwardAdapter extends UpstreamAdapter {
 	private readonly _readRequestId: ForwardAdapterOptions['readRequestId'];
 	private readonly _onAnswer: ForwardAdapterOptions['onAnswer'];
+	/** Connections for calls without an id. */
+	private readonly _callPool: ConnectionPool;
 
 	constructor({readRequestId, onAnswer, ...options}: ForwardAdapterOptions, clock: Clock) {
 		super(options, clock);
 		this._readRequestId = readRequestId;
 		this._onAnswer = onAnswer;
+		this._callPool = new ConnectionPool(options.address, clock);
+	}
+
+	override get busy(): number {
+		return super.busy + this._callPool.busyCount;
+	}
+
+	override dispose(): void {
+		super.dispose();
+		this._callPool.dispose();
+	}
+
+	override destroy(): void {
+		super.destroy();
+		this._callPool.destroy();
 	}
 
 	/** Sends a request. Resolves when the headers of its answer have arrived; rejects with `CallError`. */
 	async send({requestId, ...call}: ForwardCall): Promise<UpstreamResponse> {
-		const response = await this._pool.call({
+		const pool = requestId === undefined ? this._callPool : this._pool;
+		const response = await pool.call({
 			...call, exchangeId: requestId, isOwnAnswer: headers => this._readRequestId(headers) === requestId,
 		});
 		this._onAnswer(response);
 		return response;
 	}
 
-	/** Makes a call on the router's own behalf and reads the whole answer. Rejects with `CallError`. */
+	/**
+	Makes a call on the router's own behalf and reads the whole answer. Rejects with `CallError`. The answer bears no id; a call whose
+	answer must be its own uses a new connection (`isNewConnection`).
+	*/
 	async call({
 		method, path, headers = [], body,
-	}: ServerCall, timeoutMs: number, signal?: AbortSignal): Promise<{readonly status: number; readonly text: string}> {
+	}: ServerCall, timeoutMs: number, {isNewConnection = false}: {readonly isNewConnection?: boolean} = {}): Promise<{readonly status: number; readonly text: string}> {
 		const abort = new AbortController();
-		const stop = () => {
+		const timer = setTimeout(() => {
 			abort.abort();
-		};
-
-		const timer = setTimeout(stop, timeoutMs);
-		signal?.addEventListener('abort', stop, {once: true});
+		}, timeoutMs);
 		try {
 			const response = await this.send({
 				requestId: undefined,
@@ -99,19 +124,20 @@
 				...(body !== undefined && {body}),
 				headersTimeoutMs: timeoutMs,
 				signal: abort.signal,
+				minIdleMs: minIdleMsOfCalls,
+				isNewConnection,
 			});
 			const buffered = await bufferAnswer(response, callAnswerLimitBytes);
 			return {status: buffered.status, text: Buffer.from(buffered.body).toString('utf8')};
 		} finally {
 			clearTimeout(timer);
-			signal?.removeEventListener('abort', stop);
 		}
 	}
 
 	/** Returns whether the server answers within `timeoutMs`. An answer with any status shows that the server can be reached. */
 	override async probe(timeoutMs: number): Promise<boolean> {
 		try {
-			await this.call({method: 'GET', path: '/healthz'}, timeoutMs);
+			await this.call({method: 'GET', path: '/healthz'}, timeoutMs, {isNewConnection: true});
 			return true;
 		} catch {
 			// The failure is not logged here, since the code that probes the server logs its ejection and readmission.
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -37,6 +37,8 @@
 const misdirectedSuspensionMs = 3000;
 /** Status with which a server rejects requests for some time (HTTP 503, Service Unavailable). */
 const overloadedStatus = 503;
+/** Number of granted reservations that are remembered; far more than this process asks for while a connection may carry a late copy. */
+const maxGrants = 4096;
 /** Timeout of a probe, in milliseconds; the network round trip to a server takes only a few milliseconds. */
 const probeTimeoutMs = 250;
 
@@ -47,6 +49,8 @@
 	private readonly _adapters = new Map<ServerKey, ForwardAdapter>();
 	private readonly _prefillLimiter = new PrefillLimiter();
 	private readonly _retryBudgets = new Map<string, WindowedRetryBudget>();
+	/** Reservations that servers granted, the oldest first. */
+	private readonly _grants = new Set<string>();
 	/** Servers that are being probed because another process reported them as unreachable. */
 	private readonly _serversBeingProbed = new Set<ServerKey>();
 	private _isDisposed = false;
@@ -113,6 +117,22 @@
 		return Math.max(1, Math.floor(maxConnections / Math.max(1, this._options.processCount())));
 	}
 
+	/** Records a reservation that a server granted. Returns false if it was granted before: its id then comes from a late copy of that answer, and belongs to another request. */
+	recordGrant({key}: Server, reservationId: string): boolean {
+		const grant = `${key} ${reservationId}`;
+		if (this._grants.has(grant)) {
+			this._options.logger.log('warn', 'server named a reservation again', {server: key, reservationId});
+			return false;
+		}
+
+		this._grants.add(grant);
+		if (this._grants.size > maxGrants) {
+			this._grants.delete(this._grants.values().next().value!);
+		}
+
+		return true;
+	}
+
 	countSend(service: string): void {
 		this._retryBudget(service).countSend(this._options.clock.nowMs());
 	}
--- a/src/node/forwarding/stage-balancer.ts
+++ b/src/node/forwarding/stage-balancer.ts
@@ -157,7 +157,7 @@
 		}
 
 		const adapter = fleet.adapterFor(server);
-		const reportAnswer = await adapter.call(protocol.buildReportCall(record.id), engineCallTimeoutMs);
+		const reportAnswer = await adapter.call(protocol.buildReportCall(record.id), engineCallTimeoutMs, {isNewConnection: true});
 		const report = reportAnswer.status === 200 ? protocol.readReport(reportAnswer.text) : undefined;
 		if (!report || report.isBusy || report.stage === stage || this._options.lease.epoch !== epoch) {
 			this._pausedUntilMs = clock.nowMs() + rejectedOrderPauseMs;
@@ -170,7 +170,7 @@
 		const call = protocol.buildStageOrderCall({
 			serverId: record.id, stage, holder: holderName, epoch, expectedOrders: report.acceptedOrders,
 		});
-		const {status} = await adapter.call(call, engineCallTimeoutMs);
+		const {status} = await adapter.call(call, engineCallTimeoutMs, {isNewConnection: true});
 		metrics.count('stage_orders_total', {status: String(status)});
 		logger.log('info', 'engine ordered to change its stage', {
 			server: key, stage, epoch, status, listAgeMs: fleet.listAgeMs(),
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -32,6 +32,8 @@
 	readonly signal?: AbortSignal;
 	/** Whether to open a new connection instead of reusing an idle one. */
 	readonly isNewConnection?: boolean;
+	/** Time for which a connection must have been idle to be reused, in milliseconds; 0 by default. */
+	readonly minIdleMs?: number;
 	/** Id that the answer repeats. A connection carries each id once, so that the answer to another call with the id is not taken for the answer to this one. */
 	readonly exchangeId?: string | undefined;
 	/**
@@ -171,14 +173,14 @@
 	}
 
 	/** Closes the connections that have been idle for `maxIdleMs` or longer. Of the others, returns the most recently used one that the call may use, or undefined if there is none. */
-	private _takeIdle({exchangeId}: UpstreamCall): Connection | undefined {
+	private _takeIdle({exchangeId, minIdleMs = 0}: UpstreamCall): Connection | undefined {
 		const nowMs = this._clock.nowMs();
 		const firstUsable = this._idle.findIndex(({lastUsedAtMs}) => nowMs - lastUsedAtMs < maxIdleMs);
 		for (const stale of this._idle.splice(0, firstUsable === -1 ? this._idle.length : firstUsable)) {
 			this._destroy(stale);
 		}
 
-		const index = this._idle.findLastIndex(({exchangeIds}) => exchangeId === undefined || !exchangeIds.has(exchangeId));
+		const index = this._idle.findLastIndex(({exchangeIds, lastUsedAtMs}) => nowMs - lastUsedAtMs >= minIdleMs && !(exchangeId !== undefined && exchangeIds.has(exchangeId)));
 		return index === -1 ? undefined : this._idle.splice(index, 1)[0];
 	}
 
