forwarding: calls without an id share the connections of requests again

Change: a request may use the connection of such a call and the other way round, since an id or its absence tells their answers apart; only two such calls in a row need a connection that has rested. A call that gets the answer to a request is repeated on a new connection. Each answer that is not its call's is logged with the expected id and the server.

--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -1,7 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import {CallError} from '../upstreams/call-error.js';
-import {ConnectionPool} from '../upstreams/connection-pool.js';
+import {CallError, ForeignAnswerError} from '../upstreams/call-error.js';
 import type {UpstreamResponse, UpstreamCall} from '../upstreams/connection-pool.js';
 import {UpstreamAdapter} from '../upstreams/upstream-adapter.js';
 import type {UpstreamOptions} from '../upstreams/upstream-adapter.js';
@@ -9,13 +8,16 @@
 import type {ServerCall} from './fleet-protocol.js';
 
 /**
-Time for which a connection must have been idle before it carries another call without an id, in milliseconds; longer than an engine
-takes to answer one. If a call got a wrong answer, its own one arrives within this time, and the connection is closed.
+Time for which a connection must have been idle between two calls without an id, in milliseconds; longer than an engine takes to answer
+one. If a call got a wrong answer, its own one arrives within this time, and the connection is closed.
 */
 export const minIdleMsOfCalls = 50;
 /** Maximum size of the answer to a call that the router makes on its own behalf, in bytes. */
 const callAnswerLimitBytes = 65_536;
 
+/** Answer to a call that the router makes on its own behalf. */
+type CallAnswer = {readonly status: number; readonly text: string};
+
 export type BufferedAnswer = {
 	readonly status: number;
 	/** Lower-case names and values of the headers, alternating. */
@@ -59,58 +61,76 @@
 	readonly readRequestId: (headers: readonly string[]) => string | undefined;
 	/** Called with the status and headers of each answer that belongs to its call. */
 	readonly onAnswer: (answer: Pick<UpstreamResponse, 'status' | 'headers'>) => void;
+	/** Called for each answer that does not belong to its call, with the id that the call expected. */
+	readonly onForeignAnswer: (expectedId: string | undefined) => void;
 };
 
 /**
 HTTP client of one incarnation of a server that requests are forwarded to. A faulty server may write an answer once more, late, at the
 point where the next answer on the connection is expected. No other code has to tell such an answer from the right one: `send`
-compares the ids before anything else of an answer is evaluated. Calls without an id have connections of their own, on which no
-answer to a request is expected and each call waits until the answer to the one before must have arrived.
+compares the ids before anything else of an answer is evaluated. Answers to calls without an id bear none, so only an answer to
+another such call can be mistaken for theirs; a connection rests between two of them.
 */
 export class ForwardAdapter extends UpstreamAdapter {
 	private readonly _readRequestId: ForwardAdapterOptions['readRequestId'];
 	private readonly _onAnswer: ForwardAdapterOptions['onAnswer'];
-	/** Connections for calls without an id. */
-	private readonly _callPool: ConnectionPool;
+	private readonly _onForeignAnswer: ForwardAdapterOptions['onForeignAnswer'];
 
-	constructor({readRequestId, onAnswer, ...options}: ForwardAdapterOptions, clock: Clock) {
+	constructor({readRequestId, onAnswer, onForeignAnswer, ...options}: ForwardAdapterOptions, clock: Clock) {
 		super(options, clock);
 		this._readRequestId = readRequestId;
 		this._onAnswer = onAnswer;
-		this._callPool = new ConnectionPool(options.address, clock);
-	}
-
-	override get busy(): number {
-		return super.busy + this._callPool.busyCount;
-	}
-
-	override dispose(): void {
-		super.dispose();
-		this._callPool.dispose();
-	}
-
-	override destroy(): void {
-		super.destroy();
-		this._callPool.destroy();
+		this._onForeignAnswer = onForeignAnswer;
 	}
 
 	/** Sends a request. Resolves when the headers of its answer have arrived; rejects with `CallError`. */
 	async send({requestId, ...call}: ForwardCall): Promise<UpstreamResponse> {
-		const pool = requestId === undefined ? this._callPool : this._pool;
-		const response = await pool.call({
-			...call, exchangeId: requestId, isOwnAnswer: headers => this._readRequestId(headers) === requestId,
+		const response = await this._pool.call({
+			...call,
+			exchangeId: requestId,
+			isOwnAnswer: headers => {
+				const isOwn = this._readRequestId(headers) === requestId;
+				if (!isOwn) {
+					this._onForeignAnswer(requestId);
+				}
+
+				return isOwn;
+			},
 		});
 		this._onAnswer(response);
 		return response;
 	}
 
 	/**
-	Makes a call on the router's own behalf and reads the whole answer. Rejects with `CallError`. The answer bears no id; a call whose
-	answer must be its own uses a new connection (`isNewConnection`).
+	Makes a call on the router's own behalf, which must be repeatable unless `isNewConnection` is set, and reads the whole answer.
+	Rejects with `CallError`. The answer bears no id; a call whose answer must be its own uses a new connection (`isNewConnection`).
 	*/
-	async call({
+	async call(call: ServerCall, timeoutMs: number, {isNewConnection = false}: {readonly isNewConnection?: boolean} = {}): Promise<CallAnswer> {
+		try {
+			return await this._callOnce(call, timeoutMs, isNewConnection);
+		} catch (err) {
+			if (err instanceof ForeignAnswerError && !isNewConnection) {
+				return this._callOnce(call, timeoutMs, true);
+			}
+
+			throw err;
+		}
+	}
+
+	/** Returns whether the server answers within `timeoutMs`. An answer with any status shows that the server can be reached. */
+	override async probe(timeoutMs: number): Promise<boolean> {
+		try {
+			await this.call({method: 'GET', path: '/healthz'}, timeoutMs, {isNewConnection: true});
+			return true;
+		} catch {
+			// The failure is not logged here, since the code that probes the server logs its ejection and readmission.
+			return false;
+		}
+	}
+
+	private async _callOnce({
 		method, path, headers = [], body,
-	}: ServerCall, timeoutMs: number, {isNewConnection = false}: {readonly isNewConnection?: boolean} = {}): Promise<{readonly status: number; readonly text: string}> {
+	}: ServerCall, timeoutMs: number, isNewConnection: boolean): Promise<CallAnswer> {
 		const abort = new AbortController();
 		const timer = setTimeout(() => {
 			abort.abort();
@@ -133,17 +153,6 @@
 			clearTimeout(timer);
 		}
 	}
-
-	/** Returns whether the server answers within `timeoutMs`. An answer with any status shows that the server can be reached. */
-	override async probe(timeoutMs: number): Promise<boolean> {
-		try {
-			await this.call({method: 'GET', path: '/healthz'}, timeoutMs, {isNewConnection: true});
-			return true;
-		} catch {
-			// The failure is not logged here, since the code that probes the server logs its ejection and readmission.
-			return false;
-		}
-	}
 }
 
 export type HttpMethod = Dispatcher.HttpMethod;
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -105,6 +105,9 @@
 				onAnswer: answer => {
 					this._applyNotices(key, answer);
 				},
+				onForeignAnswer: expectedId => {
+					this._options.logger.log('warn', 'answer of a server belongs to another call', {requestId: expectedId, server: key, listAgeMs: this.listAgeMs()});
+				},
 			}, this._options.clock);
 			this._adapters.set(key, adapter);
 		}
--- a/src/node/upstreams/call-error.ts
+++ b/src/node/upstreams/call-error.ts
@@ -34,6 +34,13 @@
 	}
 }
 
+/** Error of a call whose answer belongs to another call. The upstream was reached, and may have run the call. */
+export class ForeignAnswerError extends CallError {
+	constructor() {
+		super('broken', true, 'the answer belongs to another request');
+	}
+}
+
 /** Converts an error thrown by an adapter to the failure that is reported to the request's lifecycle. An error of unknown origin counts as a broken call that may have been sent. */
 export function failureOf(err: unknown): CallFailure {
 	return err instanceof CallError ? err.failure : {kind: 'broken', mayHaveBeenSent: true};
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -5,7 +5,7 @@
 import type {Dispatcher} from 'undici';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
-import {CallError} from './call-error.js';
+import {CallError, ForeignAnswerError} from './call-error.js';
 
 /**
 Time after which an idle connection is replaced, in milliseconds. A middlebox may have silently dropped its state of
@@ -32,7 +32,7 @@
 	readonly signal?: AbortSignal;
 	/** Whether to open a new connection instead of reusing an idle one. */
 	readonly isNewConnection?: boolean;
-	/** Time for which a connection must have been idle to be reused, in milliseconds; 0 by default. */
+	/** Time for which a connection must have been idle to be reused if its last exchange had no id, in milliseconds; 0 by default. */
 	readonly minIdleMs?: number;
 	/** Id that the answer repeats. A connection carries each id once, so that the answer to another call with the id is not taken for the answer to this one. */
 	readonly exchangeId?: string | undefined;
@@ -61,6 +61,7 @@
 	readonly client: Client;
 	/** Ids of the exchanges that the connection has carried. */
 	readonly exchangeIds: Set<string>;
+	lastExchangeId: string | undefined;
 	lastUsedAtMs: number;
 	wasReset: boolean;
 };
@@ -126,7 +127,7 @@
 			body.on('error', () => undefined);
 			const answerHeaders = flattenHeaders(headers);
 			if (call.isOwnAnswer?.(answerHeaders) === false) {
-				throw new CallError('broken', true, 'the answer belongs to another request');
+				throw new ForeignAnswerError();
 			}
 
 			body.once('close', () => {
@@ -164,6 +165,7 @@
 	private _acquire(call: UpstreamCall): Connection {
 		const idleConnection = call.isNewConnection ? undefined : this._takeIdle(call);
 		const connection = idleConnection ?? this._open();
+		connection.lastExchangeId = call.exchangeId;
 		if (call.exchangeId !== undefined) {
 			connection.exchangeIds.add(call.exchangeId);
 		}
@@ -180,7 +182,12 @@
 			this._destroy(stale);
 		}
 
-		const index = this._idle.findLastIndex(({exchangeIds, lastUsedAtMs}) => nowMs - lastUsedAtMs >= minIdleMs && !(exchangeId !== undefined && exchangeIds.has(exchangeId)));
+		const isUsable = ({exchangeIds, lastExchangeId, lastUsedAtMs}: Connection) => {
+			const hasRested = lastExchangeId !== undefined || nowMs - lastUsedAtMs >= minIdleMs;
+			return exchangeId === undefined ? hasRested : !exchangeIds.has(exchangeId);
+		};
+
+		const index = this._idle.findLastIndex(connection => isUsable(connection));
 		return index === -1 ? undefined : this._idle.splice(index, 1)[0];
 	}
 
@@ -206,7 +213,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, exchangeIds: new Set(), lastUsedAtMs: this._clock.nowMs(), wasReset: false,
+			client, exchangeIds: new Set(), lastExchangeId: undefined, lastUsedAtMs: this._clock.nowMs(), wasReset: false,
 		};
 		return connection;
 	}
