forwarding: only a connection whose last answer may be another call's rests

Change: an answer that shows by itself that it is the call's own (a new reservation, the empty answer to a release) leaves the connection in use; one that shows that it is not closes it, and the call is repeated on a new one. Only a refused reservation leaves the matter open.

--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -92,7 +92,7 @@
 		const {fleet, protocol} = this._dependencies;
 		const {reservationId} = await this._requestReservation(server, tokens, reservationTimeoutMs);
 		if (reservationId !== undefined) {
-			await fleet.adapterFor(server).call(protocol.buildReleaseReservationCall(reservationId), reservationTimeoutMs);
+			await this._release(server, protocol.buildReleaseReservationCall(reservationId), reservationTimeoutMs);
 		}
 
 		return reservationId !== undefined;
@@ -101,15 +101,31 @@
 	/** Asks the engine for a reservation. The answer has no id unless the engine granted one to this call. */
 	private async _requestReservation(server: Server, tokens: number, ttlMs: number): Promise<{readonly status: number; readonly reservationId: string | undefined}> {
 		const {fleet, protocol} = this._dependencies;
-		const {status, text} = await fleet.adapterFor(server).call(protocol.buildReserveMemoryCall(tokens, ttlMs), reservationTimeoutMs);
-		const reservationId = status === 200 ? protocol.readReservationId(text) : undefined;
-		const isGranted = reservationId !== undefined && fleet.recordGrant(server, reservationId);
-		return {status, reservationId: isGranted ? reservationId : undefined};
+		let reservationId: string | undefined;
+		const {status} = await fleet.adapterFor(server).call(protocol.buildReserveMemoryCall(tokens, ttlMs), reservationTimeoutMs, {
+			isOwnAnswer(answer) {
+				if (answer.status !== 200) {
+					return undefined;
+				}
+
+				reservationId = protocol.readReservationId(answer.text);
+				return reservationId !== undefined && fleet.recordGrant(server, reservationId);
+			},
+		});
+		return {status, reservationId};
+	}
+
+	private async _release(server: Server, call: ServerCall, timeoutMs: number): Promise<void> {
+		const {fleet, protocol} = this._dependencies;
+		await fleet.adapterFor(server).call(call, timeoutMs, {
+			// The answer to a release is empty, and one that belongs to another release does no harm.
+			isOwnAnswer: ({text}) => protocol.readReservationId(text) === undefined,
+		});
 	}
 
 	private async _releaseOnEngine(server: Server, call: ServerCall): Promise<void> {
 		try {
-			await this._dependencies.fleet.adapterFor(server).call(call, releaseTimeoutMs);
+			await this._release(server, call, releaseTimeoutMs);
 		} catch (err) {
 			// A retry is not needed: the engine releases the memory by itself at the end of its time to live.
 			this._dependencies.logger.log('info', 'engine memory not released', {
--- a/src/node/forwarding/forward-adapter.test.ts
+++ b/src/node/forwarding/forward-adapter.test.ts
@@ -8,6 +8,7 @@
 import {TestServer} from '../entry/testing/upstreams.js';
 import {CallError} from '../upstreams/call-error.js';
 import {ForwardAdapter, minIdleMsOfCalls} from './forward-adapter.js';
+import type {CallOptions} from './forward-adapter.js';
 
 /** Timeout of calls that are answered, in milliseconds. Long, since only a failing test waits for it. */
 const timeoutMs = 10_000;
@@ -53,9 +54,9 @@
 		}
 	};
 
-	const call = async (path: string) => {
+	const call = async (path: string, isOwnAnswer?: CallOptions['isOwnAnswer']) => {
 		try {
-			const {status, text: body} = await adapter.call({method: 'POST', path}, timeoutMs);
+			const {status, text: body} = await adapter.call({method: 'POST', path}, timeoutMs, {...(isOwnAnswer && {isOwnAnswer})});
 			return `${status} ${body}`;
 		} catch {
 			return 'broken';
@@ -112,3 +113,11 @@
 	await waitUntil(() => server.closedConnectionCount === 1);
 	assert.equal(writer.copies, 1);
 });
+
+test('a call is repeated if its answer shows that it belongs to another one, and a confirmed answer leaves the connection in use', async t => {
+	const {server, writer, call} = await startRepeatingServer(t, url => ({status: 200, body: url}));
+	assert.equal(await call('/1', ({text: body}) => body === '/1'), '200 /1');
+	assert.equal(await call('/2', ({text: body}) => body === '/2'), '200 /2');
+	assert.equal(writer.copies, 1, 'the second call used the connection of the first one');
+	assert.equal(server.connectionCount, 2);
+});
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -8,15 +8,22 @@
 import type {ServerCall} from './fleet-protocol.js';
 
 /**
-Time for which a connection must have been idle between two calls without an id, in milliseconds; longer than an engine takes to answer
-one. If a call got a wrong answer, its own one arrives within this time, and the connection is closed.
+Time for which a connection must have been idle after a call without an id whose answer may be that of another, in milliseconds; longer
+than an engine takes to answer. If the answer was a wrong one, the right one arrives within this time, and the connection is closed.
 */
 export const minIdleMsOfCalls = 50;
 /** Maximum size of the answer to a call that the router makes on its own behalf, in bytes. */
 const callAnswerLimitBytes = 65_536;
 
 /** Answer to a call that the router makes on its own behalf. */
-type CallAnswer = {readonly status: number; readonly text: string};
+export type CallAnswer = {readonly status: number; readonly text: string};
+
+export type CallOptions = {
+	/** Whether to open a new connection, on which no answer to another call can arrive. A call that may not be repeated must use one. */
+	readonly isNewConnection?: boolean;
+	/** Returns whether the answer is certainly that of the call (true) or of another one (false); undefined if its contents do not tell. */
+	readonly isOwnAnswer?: (answer: CallAnswer) => boolean | undefined;
+};
 
 export type BufferedAnswer = {
 	readonly status: number;
@@ -69,7 +76,7 @@
 HTTP client of one incarnation of a server that requests are forwarded to. A faulty server may write an answer once more, late, at the
 point where the next answer on the connection is expected. No other code has to tell such an answer from the right one: `send`
 compares the ids before anything else of an answer is evaluated. Answers to calls without an id bear none, so only an answer to
-another such call can be mistaken for theirs; a connection rests between two of them.
+another such call can be mistaken for theirs. Where the answer itself does not tell, the connection rests before the next such call.
 */
 export class ForwardAdapter extends UpstreamAdapter {
 	private readonly _readRequestId: ForwardAdapterOptions['readRequestId'];
@@ -102,15 +109,15 @@
 	}
 
 	/**
-	Makes a call on the router's own behalf, which must be repeatable unless `isNewConnection` is set, and reads the whole answer.
-	Rejects with `CallError`. The answer bears no id; a call whose answer must be its own uses a new connection (`isNewConnection`).
+	Makes a call on the router's own behalf and reads the whole answer. Rejects with `CallError`. A call that got the answer to another one
+	is repeated on a new connection.
 	*/
-	async call(call: ServerCall, timeoutMs: number, {isNewConnection = false}: {readonly isNewConnection?: boolean} = {}): Promise<CallAnswer> {
+	async call(call: ServerCall, timeoutMs: number, options: CallOptions = {}): Promise<CallAnswer> {
 		try {
-			return await this._callOnce(call, timeoutMs, isNewConnection);
+			return await this._callOnce(call, timeoutMs, options);
 		} catch (err) {
-			if (err instanceof ForeignAnswerError && !isNewConnection) {
-				return this._callOnce(call, timeoutMs, true);
+			if (err instanceof ForeignAnswerError && !options.isNewConnection) {
+				return this._callOnce(call, timeoutMs, {...options, isNewConnection: true});
 			}
 
 			throw err;
@@ -130,7 +137,7 @@
 
 	private async _callOnce({
 		method, path, headers = [], body,
-	}: ServerCall, timeoutMs: number, isNewConnection: boolean): Promise<CallAnswer> {
+	}: ServerCall, timeoutMs: number, {isNewConnection = false, isOwnAnswer}: CallOptions): Promise<CallAnswer> {
 		const abort = new AbortController();
 		const timer = setTimeout(() => {
 			abort.abort();
@@ -148,7 +155,17 @@
 				isNewConnection,
 			});
 			const buffered = await bufferAnswer(response, callAnswerLimitBytes);
-			return {status: buffered.status, text: Buffer.from(buffered.body).toString('utf8')};
+			const answer = {status: buffered.status, text: Buffer.from(buffered.body).toString('utf8')};
+			const isOwn = isOwnAnswer?.(answer);
+			if (isOwn) {
+				response.confirm();
+			} else if (isOwn === false) {
+				response.closeConnection();
+				this._onForeignAnswer(undefined);
+				throw new ForeignAnswerError();
+			}
+
+			return answer;
 		} finally {
 			clearTimeout(timer);
 		}
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -6,7 +6,7 @@
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
-import {failureOf} from '../upstreams/call-error.js';
+import {failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
@@ -218,7 +218,7 @@
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
 			// Engines answer a reservation call without running a model, so an engine that does not answer counts as unreachable.
-			this._recordFailure(server, err, {isAborted: this._isStale(attempt), isUnreachable: true});
+			this._recordFailure(server, err, {isAborted: this._isStale(attempt), isUnreachable: !(err instanceof ForeignAnswerError)});
 			this._dispatch({type: 'forward/hold-failed', attempt, server: server.key});
 		}
 	}
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -32,7 +32,7 @@
 	readonly signal?: AbortSignal;
 	/** Whether to open a new connection instead of reusing an idle one. */
 	readonly isNewConnection?: boolean;
-	/** Time for which a connection must have been idle to be reused if its last exchange had no id, in milliseconds; 0 by default. */
+	/** Time for which a connection must have been idle to be reused if its last answer is unconfirmed, in milliseconds; 0 by default. */
 	readonly minIdleMs?: number;
 	/** Id that the answer repeats. A connection carries each id once, so that the answer to another call with the id is not taken for the answer to this one. */
 	readonly exchangeId?: string | undefined;
@@ -55,13 +55,20 @@
 	end of the body, too.
 	*/
 	readonly wasReset: () => boolean;
+	/** Confirms that the answer is that of the call, so that the connection need not rest. An answer that bears the call's id is confirmed by it. */
+	readonly confirm: () => void;
+	/** Closes the connection, at the latest when it is no longer in use. */
+	readonly closeConnection: () => void;
 };
 
 type Connection = {
 	readonly client: Client;
 	/** Ids of the exchanges that the connection has carried. */
 	readonly exchangeIds: Set<string>;
-	lastExchangeId: string | undefined;
+	/** Whether the last answer was certainly that of its call. */
+	isConfirmed: boolean;
+	/** Whether the connection is to be closed instead of reused. */
+	isCondemned: boolean;
 	lastUsedAtMs: number;
 	wasReset: boolean;
 };
@@ -135,7 +142,17 @@
 				this._release(connection, body);
 			});
 			return {
-				status: statusCode, headers: answerHeaders, body, wasReset: () => connection.wasReset,
+				status: statusCode,
+				headers: answerHeaders,
+				body,
+				wasReset: () => connection.wasReset,
+				confirm() {
+					connection.isConfirmed = true;
+				},
+				closeConnection: () => {
+					connection.isCondemned = true;
+					this._closeIdle(connection);
+				},
 			};
 		} catch (err) {
 			call.signal?.removeEventListener('abort', discardConnection);
@@ -165,7 +182,7 @@
 	private _acquire(call: UpstreamCall): Connection {
 		const idleConnection = call.isNewConnection ? undefined : this._takeIdle(call);
 		const connection = idleConnection ?? this._open();
-		connection.lastExchangeId = call.exchangeId;
+		connection.isConfirmed = call.exchangeId !== undefined;
 		if (call.exchangeId !== undefined) {
 			connection.exchangeIds.add(call.exchangeId);
 		}
@@ -182,8 +199,8 @@
 			this._destroy(stale);
 		}
 
-		const isUsable = ({exchangeIds, lastExchangeId, lastUsedAtMs}: Connection) => {
-			const hasRested = lastExchangeId !== undefined || nowMs - lastUsedAtMs >= minIdleMs;
+		const isUsable = ({exchangeIds, isConfirmed, lastUsedAtMs}: Connection) => {
+			const hasRested = isConfirmed || nowMs - lastUsedAtMs >= minIdleMs;
 			return exchangeId === undefined ? hasRested : !exchangeIds.has(exchangeId);
 		};
 
@@ -213,13 +230,13 @@
 			},
 		});
 		const connection: Connection = {
-			client, exchangeIds: new Set(), lastExchangeId: undefined, lastUsedAtMs: this._clock.nowMs(), wasReset: false,
+			client, exchangeIds: new Set(), isConfirmed: false, isCondemned: false, lastUsedAtMs: this._clock.nowMs(), wasReset: false,
 		};
 		return connection;
 	}
 
 	private _release(connection: Connection, body: Readable): void {
-		const isReusable = this._busy.has(connection) && body.readableEnded && !body.errored;
+		const isReusable = this._busy.has(connection) && body.readableEnded && !body.errored && !connection.isCondemned;
 		if (!isReusable || this._isDisposed || this._idle.length >= maxIdleConnections || connection.exchangeIds.size >= maxExchangeIds) {
 			this._discard(connection);
 			return;
@@ -230,6 +247,14 @@
 		this._idle.push(connection);
 	}
 
+	private _closeIdle(connection: Connection): void {
+		const index = this._idle.indexOf(connection);
+		if (index !== -1) {
+			this._idle.splice(index, 1);
+			this._destroy(connection);
+		}
+	}
+
 	private _discard(connection: Connection): void {
 		this._busy.delete(connection);
 		this._destroy(connection);
