transport: a message that exceeds a frame does not end the process

Fault (report of another operator: processes that read the list end again and again): one entry of the server list with an id of 2 MB makes the reply to each sync exceed a frame; the error is thrown where nobody waits for it, and an unhandled rejection ends the process that leads. Change: a message that cannot be encoded is not sent, logged with its peer and counted; a reply becomes an error reply; the connection stays. Test: tcp-peer-network.test.ts, failed before.

--- a/src/node/transport/peer-connection.ts
+++ b/src/node/transport/peer-connection.ts
@@ -32,6 +32,8 @@
 	onReady(connection: PeerConnection): void;
 	onEnvelope(connection: PeerConnection, envelope: Envelope): void;
 	onClose(connection: PeerConnection, err: Error | undefined): void;
+	/** Called for an envelope that cannot be encoded, for example because it is too large. It is not sent; the connection stays open. */
+	onUnsendable(connection: PeerConnection, err: unknown): void;
 };
 
 /** One authenticated TCP connection between two processes. */
@@ -86,19 +88,27 @@
 		return this.isReady && !this._isHalfClosed && performance.now() - this._lastMessageMs < idleTimeoutMs - idleMarginMs;
 	}
 
-	/** Sends an envelope. Returns false without sending it if the handshake is not complete, the connection is closing or too many bytes are buffered. */
+	/** Sends an envelope. Returns false without sending it if the handshake is not complete, the connection is closing, too many bytes are buffered, or the envelope cannot be encoded. */
 	send(envelope: Envelope): boolean {
 		if (!this._outgoingCodec || this._isClosed || this._isHalfClosed || this._socket.writableLength > maxQueuedBytes) {
 			return false;
 		}
 
+		let frame: Uint8Array;
+		try {
+			frame = this._outgoingCodec.seal(envelope);
+		} catch (err) {
+			this._listener.onUnsendable(this, err);
+			return false;
+		}
+
 		this._lastSentMs = performance.now();
 		this._unansweredSinceMs ??= this._lastSentMs;
 		if (envelope.kind !== 'ping') {
 			this._lastMessageMs = this._lastSentMs;
 		}
 
-		this._socket.write(this._outgoingCodec.seal(envelope));
+		this._socket.write(frame);
 		return true;
 	}
 
--- a/src/node/transport/tcp-peer-network.test.ts
+++ b/src/node/transport/tcp-peer-network.test.ts
@@ -7,7 +7,8 @@
 import type {TestContext} from 'node:test';
 import {setTimeout} from 'node:timers/promises';
 import {z} from 'zod';
-import {FrameCodec} from './frame.js';
+import {NullLogger} from '../../common/core/log.js';
+import {FrameCodec, maxPayloadBytes} from './frame.js';
 import {TcpPeerNetwork} from './tcp-peer-network.js';
 
 type Overrides = {cluster?: string; clusterKey?: string};
@@ -24,6 +25,7 @@
 		count(metric) {
 			counts.set(metric, (counts.get(metric) ?? 0) + 1);
 		},
+		logger: new NullLogger(),
 	});
 	t.after(async () => network.dispose());
 	network.registerHandler('echo', echoSchema, (from, message) => ({from: from.vm, text: message.text}));
@@ -73,6 +75,19 @@
 	assert.equal(counts.get('transport_closed_total'), 1);
 });
 
+// Guards against a process that ends because a message exceeds a frame: the error was thrown in a timer or in a handler without a caller.
+test('a message or reply that exceeds a frame is dropped and counted, its request is rejected, and the connection stays open', async t => {
+	const {a, b} = await startPair(t);
+	a.network.registerHandler('large', z.strictObject({type: z.literal('large')}), () => 'x'.repeat(maxPayloadBytes));
+	assert.deepEqual(await b.network.request('a', {type: 'echo', text: 'before'}, 5000), {from: 'b', text: 'before'});
+	await assert.rejects(b.network.request('a', {type: 'large'}, 5000), /cannot be sent/);
+	await assert.rejects(b.network.request('a', {type: 'echo', text: 'x'.repeat(maxPayloadBytes)}, 5000), {name: 'ProtocolError'});
+	b.network.send('a', {type: 'echo', text: 'x'.repeat(maxPayloadBytes)});
+	assert.deepEqual(await b.network.request('a', {type: 'echo', text: 'after'}, 5000), {from: 'b', text: 'after'});
+	assert.deepEqual([a.counts.get('transport_dropped_total'), (b.counts.get('transport_dropped_total') ?? 0) >= 2], [1, true]);
+	assert.equal(b.counts.get('transport_closed_total'), undefined);
+});
+
 test('a replayed hello does not make its sender a peer', async t => {
 	const {network} = await startNetwork(t, 'a');
 	let peerUpCount = 0;
--- a/src/node/transport/tcp-peer-network.ts
+++ b/src/node/transport/tcp-peer-network.ts
@@ -4,6 +4,7 @@
 import Emittery from 'emittery';
 import type {z} from 'zod';
 import {errorContext, ProtocolError, TimeoutError} from '../../common/core/errors.js';
+import type {Logger} from '../../common/core/log.js';
 import type {PeerMessage, VmId, VmIdentity} from '../../common/core/types.js';
 import {PeerNetwork} from '../../common/services/peer-network.js';
 import type {MessageHandler, PeerNetworkEvents} from '../../common/services/peer-network.js';
@@ -29,6 +30,7 @@
 	readonly listen: string;
 	/** Increments a counter metric, such as those for refused messages, dropped messages and closed connections. */
 	readonly count: (metric: string, labels: Readonly<Record<string, string>>) => void;
+	readonly logger: Logger;
 };
 
 type RegisteredHandler = {schema: z.ZodType; handler: MessageHandler<unknown>};
@@ -181,6 +183,10 @@
 			onClose: (connection, err) => {
 				this._onClose(connection, err);
 			},
+			onUnsendable: ({peer}, err) => {
+				this._options.count('transport_dropped_total', {reason: 'not-encodable'});
+				this._options.logger.log('error', 'message cannot be sent', {peer: peer?.vm, detail: err instanceof Error ? err.message : String(err)});
+			},
 		});
 	}
 
@@ -265,7 +271,11 @@
 		this._activeInboundRequests.set(connection, (this._activeInboundRequests.get(connection) ?? 0) + 1);
 		const outcome = await this._runHandler(connection.peer!, body);
 		this._activeInboundRequests.set(connection, (this._activeInboundRequests.get(connection) ?? 1) - 1);
-		connection.send(outcome.ok ? {kind: 'reply', id, body: outcome.value} : {kind: 'error', id, message: outcome.message});
+		if (outcome.ok && connection.send({kind: 'reply', id, body: outcome.value})) {
+			return;
+		}
+
+		connection.send({kind: 'error', id, message: outcome.ok ? 'the reply cannot be sent' : outcome.message});
 	}
 
 	private async _runHandler(from: VmIdentity, body: PeerMessage): Promise<{ok: true; value: unknown} | {ok: false; message: string}> {
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -167,6 +167,7 @@
 		count(metric, labels) {
 			metrics.count(metric, labels);
 		},
+		logger,
 	}));
 	for (const peer of settings.control) {
 		if (peer.vm !== vm) {
