--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -41,6 +41,8 @@
 	/** Stage whose engines crash on the part. */
 	crashingStage: 'prefill' | 'decode' = 'decode';
 	readonly crashes: ServerCrash[] = [];
+	/** Entries of another writer in the list, as JSON; the list names them first. */
+	foreignEntries: string[] = [];
 	private readonly _servers: Server[] = [];
 	private readonly _restartTimers = new Set<NodeJS.Timeout>();
 	private readonly _listEntries: Array<Record<string, unknown>> = [];
@@ -54,7 +56,8 @@
 	/** Starts the server of the list and returns its IP address and port. */
 	async startList(): Promise<string> {
 		return addressOf(await this._listen((_req, res) => {
-			res.end(JSON.stringify({instances: [...this._listEntries, {id: 7, state: 'odd'}], next: null}));
+			const entries = [...this._listEntries, {id: 7, state: 'odd'}].map(entry => JSON.stringify(entry));
+			res.end(`{"instances":[${[...this.foreignEntries, ...entries].join(',')}],"next":null}`);
 		}));
 	}
 
