forwarding: nothing but further events reaches a stream that has begun

Cause: any block of lines passed as an event, and the answer's head was forwarded before it was known what the answer is.

--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -55,7 +55,7 @@
 	possibleRuns: number;
 	/** Number of sends that did not run, because the engine rejected them or was not reached. */
 	rejections: number;
-	/** Whether the head of a response was forwarded to the caller. */
+	/** Whether the head of a stream was forwarded to the caller. */
 	hasForwardedHead: boolean;
 };
 
@@ -296,7 +296,8 @@
 	}
 
 	state.phase = 'relaying';
-	state.hasForwardedHead = true;
+	// An answer other than a stream is forwarded only once it is complete.
+	state.hasForwardedHead = status === 200;
 	return [{type: 'forward/relay', attempt: state.attempt}];
 }
 
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -7,6 +7,7 @@
 import type {Exchange} from '../entry/exchange.js';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
+import type {BufferedAnswer} from './forward-adapter.js';
 import type {ServerFleet} from './server-fleet.js';
 
 export type ForwardDependencies = {
@@ -73,3 +74,31 @@
 		exchange.res.end(body);
 	}
 }
+
+/** Sends the caller a server's answer that has been read to its end. Does nothing if the connection is closed. */
+export function relayAnswer(exchange: Exchange, protocol: FleetProtocol, {status, headers, body}: BufferedAnswer): void {
+	if (exchange.res.destroyed) {
+		return;
+	}
+
+	const callerHeaders = protocol.callerHeaders(headers);
+	if (isFramed(headers)) {
+		const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
+		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
+		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(body.length)]);
+	} else {
+		// A body without framing ends when its connection closes, so it may have been cut short by a crash of the server.
+		// A content length would present it as complete. The body is therefore relayed without framing, and the caller's
+		// connection is closed at its end.
+		exchange.res.useChunkedEncodingByDefault = false;
+		exchange.closeAfterResponse();
+		exchange.writeHead(status, callerHeaders);
+	}
+
+	exchange.res.end(body);
+}
+
+/** Returns whether the headers tell where the body ends; a body without such headers ends when its connection closes. */
+function isFramed(headers: readonly string[]): boolean {
+	return headers.some((name, i) => i % 2 === 0 && (name === 'content-length' || name === 'transfer-encoding'));
+}
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -6,13 +6,13 @@
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
-import {failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
+import {CallError, failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {HttpMethod} from './forward-adapter.js';
-import {sendLocalAnswer, watchForStop} from './forward-request.js';
+import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 import type {ServerRequestFacts} from './fleet-protocol.js';
 import {SseEventBuffer} from './sse-event-buffer.js';
@@ -25,6 +25,8 @@
 const prefillTimeoutShare = 1.2;
 /** Maximum size of the answer to a prefill call, in bytes. */
 const prefillAnswerLimitBytes = 1024 * 1024;
+/** Maximum size of an answer other than a stream, in bytes. */
+const failureAnswerLimitBytes = 1024 * 1024;
 /** Status with which a server rejects a request for another incarnation or another stage (HTTP 421, Misdirected Request). */
 const misdirectedStatus = 421;
 /** Maximum time to live of a memory reservation, in milliseconds; long enough for the prefill and the transfer of the KV cache. */
@@ -145,7 +147,7 @@
 			}
 
 			case 'forward/relay': {
-				void this._relay(effect.attempt);
+				void (this._response!.status === 200 ? this._relayStream(effect.attempt) : this._relayWhole(effect.attempt));
 				break;
 			}
 
@@ -425,8 +427,33 @@
 		});
 	}
 
-	/** Relays the answer event by event, so that a stream that breaks off can resume after its last complete event. */
-	private async _relay(attempt: number): Promise<void> {
+	/** Relays an answer other than a stream once it is complete, so that no part of it stands ahead of the answer to another attempt. */
+	private async _relayWhole(attempt: number): Promise<void> {
+		const {exchange} = this._request;
+		const {server} = this._resources.reservation!;
+		try {
+			const answer = await bufferAnswer(this._response!, failureAnswerLimitBytes);
+			if (this._isStale(attempt)) {
+				return;
+			}
+
+			this._trackedSend?.endWithAnswer(answer.status);
+			this._outcome = 'relayed';
+			relayAnswer(exchange, this._dependencies.protocol, answer);
+			this._dispatch({type: 'forward/completed', attempt});
+		} catch (err) {
+			if (!this._isStale(attempt)) {
+				this._trackedSend?.end('broken');
+				this._recordFailure(server, err, {isAborted: false, isUnreachable: false});
+				this._dispatch({
+					type: 'forward/failed', attempt, failure: {mayHaveRun: true, detail: 'the answer broke off'}, server: server.key,
+				});
+			}
+		}
+	}
+
+	/** Relays a stream event by event, so that one that breaks off can resume after its last complete event. */
+	private async _relayStream(attempt: number): Promise<void> {
 		const {exchange, requestId} = this._request;
 		const {protocol, logger} = this._dependencies;
 		const response = this._response!;
@@ -435,7 +462,8 @@
 		const eventBuffer = new SseEventBuffer(this._eventTracker);
 		try {
 			if (!exchange.res.headersSent) {
-				exchange.writeHead(response.status, protocol.callerHeaders(response.headers));
+				// Without a length, since another engine may go on with the stream in other bytes.
+				exchange.writeHead(response.status, withoutHeader(protocol.callerHeaders(response.headers), 'content-length'));
 				exchange.res.flushHeaders();
 			}
 
@@ -444,17 +472,17 @@
 					return;
 				}
 
-				if (response.status !== 200) {
-					await exchange.write(chunk);
-					continue;
-				}
-
 				const completeEvents = eventBuffer.push(chunk);
 				if (completeEvents.length > 0) {
 					this._armStallTimer(attempt, server, eventGapTimeoutMs);
 					this._recordEvent();
 					await exchange.write(completeEvents);
 				}
+
+				if (eventBuffer.fault !== undefined) {
+					response.body.destroy();
+					throw new CallError('broken', true, eventBuffer.fault);
+				}
 			}
 		} catch (err) {
 			if (!this._isStale(attempt)) {
@@ -551,3 +579,7 @@
 		return Math.round(this._dependencies.clock.nowMs() - this._request.exchange.startedAtMs);
 	}
 }
+
+function withoutHeader(headers: readonly string[], name: string): string[] {
+	return headers.filter((_, i) => headers[i - (i % 2)]!.toLowerCase() !== name);
+}
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -6,7 +6,7 @@
 import {failureOf} from '../upstreams/call-error.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
-import {sendLocalAnswer, watchForStop} from './forward-request.js';
+import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 
 /** Maximum size of a server's answer, in bytes; the whole answer is held in memory before it is relayed. */
@@ -173,32 +173,7 @@
 	}
 
 	private _relay(): void {
-		const {exchange} = this._request;
-		const {status, headers, body} = this._answer!;
 		this._outcome = 'relayed';
-		if (exchange.res.destroyed) {
-			return;
-		}
-
-		const callerHeaders = this._dependencies.protocol.callerHeaders(headers);
-		if (isFramed(headers)) {
-			const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
-			const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
-			exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(body.length)]);
-		} else {
-			// A body without framing ends when its connection closes, so it may have been cut short by a crash of the server.
-			// A content length would present it as complete. The body is therefore relayed without framing, and the caller's
-			// connection is closed at its end.
-			exchange.res.useChunkedEncodingByDefault = false;
-			exchange.closeAfterResponse();
-			exchange.writeHead(status, callerHeaders);
-		}
-
-		exchange.res.end(body);
+		relayAnswer(this._request.exchange, this._dependencies.protocol, this._answer!);
 	}
 }
-
-/** Returns whether the headers tell where the body ends; a body without such headers ends when its connection closes. */
-function isFramed(headers: readonly string[]): boolean {
-	return headers.some((name, i) => i % 2 === 0 && (name === 'content-length' || name === 'transfer-encoding'));
-}
--- a/src/node/forwarding/sse-event-buffer.ts
+++ b/src/node/forwarding/sse-event-buffer.ts
@@ -17,6 +17,11 @@
 		return this._partialEventBytes > 0;
 	}
 
+	/** Why the stream cannot continue after the events returned so far; undefined while it can. */
+	get fault(): string | undefined {
+		return this._tracker.fault;
+	}
+
 	/**
 	Processes the next bytes of the stream. Returns the bytes of all events that are complete now. Throws `CallError` if an
 	incomplete event is larger than `maxPartialEventBytes`.
