--- a/src/common/forwarding/server-directory.test.ts
+++ b/src/common/forwarding/server-directory.test.ts
@@ -33,6 +33,12 @@
 	assert.deepEqual(chosenIds(directory, query()), ['b']);
 });
 
+test('a server that one entry shows as leaving gets no new work, although another entry shows it as ready', () => {
+	const [ready, leaving] = [buildServer({id: 'a'}), buildServer({id: 'a', state: 'leaving'})];
+	assert.deepEqual(chosenIds(buildDirectory([ready, leaving]), query()), ['none']);
+	assert.deepEqual(chosenIds(buildDirectory([leaving, ready]), query()), ['none']);
+});
+
 test('a server that restarts under the same id is treated as another server', () => {
 	const directory = buildDirectory([buildServer({bornMs: 1})]);
 	const before = directory.choose(query())!;
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -93,7 +93,15 @@
 	*/
 	update(records: readonly ServerRecord[], nowMs: number): {readonly added: ServerKey[]; readonly changed: ServerKey[]; readonly removed: ServerKey[]} {
 		this.listRequestedAtMs = nowMs;
-		const listed = new Map(records.map(record => [serverKey(record), record]));
+		const listed = new Map<ServerKey, ServerRecord>();
+		for (const record of records) {
+			const key = serverKey(record);
+			// Of two entries for one server, the one that shows it leaving counts, whatever their order.
+			if (listed.get(key)?.state !== 'leaving') {
+				listed.set(key, record);
+			}
+		}
+
 		const added: ServerKey[] = [];
 		const changed: ServerKey[] = [];
 		const removed = [...this._servers.keys()].filter(key => !listed.has(key));
