storage: a write that a full disk refuses is repeated until there is room

Cause: one refused write halted a member until its process restarted, and nothing restarts it; the second one took the majority. Change: a write refused with ENOSPC or EDQUOT is repeated every 200 ms, after what the disk accepted of it has been removed again. Until then it is a slow write, during which a member neither leads, votes nor acknowledges already. A failed sync still halts the member: the kernel may have dropped pages (its test stays as it is). At the start of a process the first refusal is final, as before. Tests: file-log-storage.test.ts (2); the first failed before.

--- a/src/node/storage/file-log-storage.test.ts
+++ b/src/node/storage/file-log-storage.test.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import fc from 'fast-check';
 import type {
 	HardState, LogEntry, PersistBatch, Snapshot, StoredState,
@@ -161,6 +162,49 @@
 	await assert.rejects(storage.saveSnapshot(snapshot(1)), StorageError);
 });
 
+// Guards against a member that is out for good because its disk was full for a moment.
+test('a write that a full disk refuses is on disk once there is room, without the part that was accepted before', async () => {
+	for (const segmentBytes of [undefined, 1]) {
+		const fileSystem = new MemoryFileSystem();
+		const states: boolean[] = [];
+		const storage = new FileLogStorage({
+			folder, fileSystem, ...(segmentBytes !== undefined && {segmentBytes}), onDiskFull(isFull) {
+				states.push(isFull);
+			},
+		});
+		await storage.load();
+		await storage.append(batch([entry(1)], {hardState: hardState(1)}));
+		fileSystem.isFull = true;
+		let isAppended = false;
+		const appending = (async () => {
+			await storage.append(batch([entry(2)], {hardState: hardState(2)}));
+			isAppended = true;
+		})();
+		// Longer than two attempts.
+		await sleep(500);
+		assert.equal(isAppended, false);
+		const afterPowerCut = await loadFrom(fileSystem.afterPowerCut(new SeededRandom(1)));
+		assert.deepEqual(afterPowerCut.entries, [entry(1)]);
+		fileSystem.isFull = false;
+		await appending;
+		await storage.append(batch([entry(3)]));
+		await storage.saveSnapshot(snapshot(2));
+		assert.deepEqual(states, [true, false]);
+		const stored = await loadFrom(fileSystem);
+		assert.deepEqual([stored.entries, stored.hardState.term, stored.snapshot?.index], [[entry(3)], 2, 2]);
+	}
+});
+
+test('a storage whose disk is full can be disposed of, and the write in progress is rejected', async () => {
+	const fileSystem = new MemoryFileSystem();
+	const storage = createStorage(fileSystem);
+	await storage.load();
+	fileSystem.isFull = true;
+	const appending = assert.rejects(storage.append(batch([entry(1)])), StorageError);
+	await storage.dispose();
+	await appending;
+});
+
 test('a partial write is continued until all bytes are written', async () => {
 	const fileSystem = new MemoryFileSystem();
 	fileSystem.maxWriteBytes = 7;
--- a/src/node/storage/file-log-storage.ts
+++ b/src/node/storage/file-log-storage.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {
 	LogEntry, PersistBatch, Snapshot, StoredState,
 } from '../../common/consensus/types.js';
@@ -18,6 +19,10 @@
 const snapshotPattern = /^snapshot-(\d+)\.cbor$/;
 /** Numbers in file names are zero-padded to this many digits, so that names sort in numeric order. */
 const fileNumberDigits = 16;
+/** Error codes of writes that a disk without free space refuses. */
+const fullDiskCodes: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT']);
+/** Pause before a write that the disk refused for lack of space is repeated, in milliseconds. */
+const fullDiskRetryMs = 200;
 /** Default size at which the current segment is full and a new segment is started, in bytes. */
 const defaultSegmentBytes = 4_194_304;
 
@@ -35,9 +40,14 @@
 	readonly fileSystem: FileSystem;
 	/** Size at which the current segment is full and a new segment is started, in bytes; undefined for the default. */
 	readonly segmentBytes?: number;
+	/** Called when the disk begins to refuse writes for lack of space (true), and when it accepts them again (false). */
+	readonly onDiskFull?: (isFull: boolean) => void;
 };
 
-/** Stores the log as append-only segment files and snapshot files in one folder. */
+/**
+Stores the log as append-only segment files and snapshot files in one folder. A write that the disk refuses for lack of space is repeated
+until there is room: until then it counts as a slow write, during which the member neither leads, votes nor acknowledges.
+*/
 export class FileLogStorage extends LogStorage {
 	private readonly _folder: string;
 	private readonly _fs: FileSystem;
@@ -49,11 +59,15 @@
 	private _snapshotIndex = 0;
 	private _nextSegmentNumber = 1;
 	private _segmentFile: AppendFile | undefined;
+	private readonly _disposal = new AbortController();
+	private readonly _onDiskFull: (isFull: boolean) => void;
+	private _isLoaded = false;
 	private _lastOperation: Promise<void> = Promise.resolve();
 	private _failure: Error | undefined;
 
-	constructor({folder, fileSystem, segmentBytes}: FileLogStorageOptions) {
+	constructor({folder, fileSystem, segmentBytes, onDiskFull}: FileLogStorageOptions) {
 		super();
+		this._onDiskFull = onDiskFull ?? (() => undefined);
 		this._folder = folder;
 		this._fs = fileSystem;
 		this._segmentBytes = segmentBytes ?? defaultSegmentBytes;
@@ -75,6 +89,7 @@
 			this._storedLog.hardState = replay.hardState;
 			this._storedLog.entries = replay.entries.map(entry => toEntryId(entry));
 			await this._startSegment();
+			this._isLoaded = true;
 			return {
 				diskId: this._diskId, hardState: replay.hardState, snapshot, entries: replay.entries,
 			};
@@ -105,13 +120,14 @@
 				return;
 			}
 
-			await this._replaceFile(snapshotName(snapshot.index), encodeRecord(record));
+			await this._retryWhileFull(async () => this._replaceFile(snapshotName(snapshot.index), encodeRecord(record)));
 			this._snapshotIndex = snapshot.index;
 			await this._prune(snapshot);
 		});
 	}
 
 	override async dispose(): Promise<void> {
+		this._disposal.abort();
 		await this._lastOperation;
 		await this._segmentFile?.close();
 		this._segmentFile = undefined;
@@ -139,6 +155,31 @@
 		}
 	}
 
+	/** Runs an operation that can be repeated until the disk does not refuse it for lack of space. At the start of the process, the first refusal is final. */
+	private async _retryWhileFull<T>(operation: () => Promise<T>): Promise<T> {
+		for (let isFull = false; ;) {
+			try {
+				const result = await operation();
+				if (isFull) {
+					this._onDiskFull(false);
+				}
+
+				return result;
+			} catch (err) {
+				if (!this._isLoaded || !fullDiskCodes.has((err as NodeJS.ErrnoException).code)) {
+					throw err;
+				}
+
+				if (!isFull) {
+					isFull = true;
+					this._onDiskFull(true);
+				}
+
+				await sleep(fullDiskRetryMs, undefined, {signal: this._disposal.signal});
+			}
+		}
+	}
+
 	private _path(file: string): string {
 		return path.join(this._folder, file);
 	}
@@ -254,7 +295,7 @@
 	private async _startSegment(): Promise<void> {
 		await this._segmentFile?.close();
 		const file = this._path(`segment-${zeroPadded(this._nextSegmentNumber++)}.log`);
-		this._segmentFile = await this._fs.open(file);
+		this._segmentFile = await this._retryWhileFull(async () => this._fs.open(file));
 		this._segments.push({file, lastIndex: 0, sizeBytes: 0});
 		await this._write({
 			kind: 'segment', format: formatVersion, diskId: this._diskId, hardState: this._storedLog.hardState,
@@ -262,11 +303,21 @@
 		await this._fs.syncFolder(this._folder);
 	}
 
+	/** Appends a record to the current segment. Before a repetition, the part that the disk accepted is removed again. */
 	private async _write(record: StoredRecord): Promise<void> {
 		const bytes = encodeRecord(record);
-		await writeAll(this._segmentFile!, bytes);
-		await this._segmentFile!.sync();
-		this._segments.at(-1)!.sizeBytes += bytes.length;
+		const segment = this._segments.at(-1)!;
+		let isRepetition = false;
+		await this._retryWhileFull(async () => {
+			if (isRepetition) {
+				await this._segmentFile!.truncate(segment.sizeBytes);
+			}
+
+			isRepetition = true;
+			await writeAll(this._segmentFile!, bytes);
+			await this._segmentFile!.sync();
+		});
+		segment.sizeBytes += bytes.length;
 	}
 
 	/** Writes a temporary file and renames it, so that a file of this name is always complete. */
@@ -274,6 +325,8 @@
 		const temporary = this._path(name + temporarySuffix);
 		const file = await this._fs.open(temporary);
 		try {
+			// An earlier attempt may have left a part.
+			await file.truncate(0);
 			await writeAll(file, bytes);
 			await file.sync();
 		} finally {
--- a/src/node/storage/memory-file-system.ts
+++ b/src/node/storage/memory-file-system.ts
@@ -10,6 +10,8 @@
 export class MemoryFileSystem extends FileSystem {
 	/** Maximum number of bytes that one call of `write` writes; infinite by default, so that a call writes all bytes. */
 	maxWriteBytes = Number.POSITIVE_INFINITY;
+	/** While true, every write fails for lack of space, and leaves half of its bytes. */
+	isFull = false;
 	/** While true, every fsync of a file fails. */
 	isSyncFailing = false;
 	/** Every fsync of a file waits for this promise. */
@@ -108,6 +110,7 @@
 				this._countOperation();
 			},
 			maxWriteBytes: () => this.maxWriteBytes,
+			isFull: () => this.isFull,
 			sync: async () => {
 				await this.syncGate;
 				if (this.isSyncFailing) {
@@ -134,6 +137,7 @@
 type FileHooks = {
 	readonly countOperation: () => void;
 	readonly maxWriteBytes: () => number;
+	readonly isFull: () => boolean;
 	readonly sync: () => Promise<void>;
 };
 
@@ -144,6 +148,11 @@
 
 	override async write(bytes: Uint8Array): Promise<number> {
 		this._hooks.countOperation();
+		if (this._hooks.isFull()) {
+			this._content.bytes = Buffer.concat([this._content.bytes, bytes.subarray(0, bytes.length / 2)]);
+			throw Object.assign(new Error('ENOSPC: no space left on device, write'), {code: 'ENOSPC'});
+		}
+
 		const part = bytes.subarray(0, this._hooks.maxWriteBytes());
 		this._content.bytes = Buffer.concat([this._content.bytes, part]);
 		return part.length;
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -177,7 +177,7 @@
 
 	const network = disposables.add(new LoopbackNetwork(tcp, self));
 	const controlVms = cluster.initialVms;
-	const storage = settings.roles.includes('control') ? createLogStorage(settings) : undefined;
+	const storage = settings.roles.includes('control') ? createLogStorage(settings, logger, metrics) : undefined;
 	const state: ProcessState = {
 		access: createAccessState({controlVms, decodeConfiguration, followsServerList: cluster.followsServerList === true}),
 		replica: storage && await createReplica(settings, cluster, storage),
@@ -238,8 +238,15 @@
 	};
 }
 
-function createLogStorage(settings: Settings): LogStorage {
-	return new FileLogStorage({folder: path.join(settings.dataFolder!, 'log'), fileSystem: new NodeFileSystem()});
+function createLogStorage(settings: Settings, logger: JsonLogger, metrics: PromMetrics): LogStorage {
+	return new FileLogStorage({
+		folder: path.join(settings.dataFolder!, 'log'),
+		fileSystem: new NodeFileSystem(),
+		onDiskFull(isFull) {
+			metrics.count('storage_disk_full_total', {state: isFull ? 'full' : 'room-again'});
+			logger.log(isFull ? 'error' : 'info', isFull ? 'disk is full; the member of the replicated log pauses' : 'disk has room again');
+		},
+	});
 }
 
 async function createReplica(settings: Settings, {initialVms, managesMembers = false, minVoters, timings = {}}: ClusterOptions, storage: LogStorage): Promise<Replica> {
