forwarding: the test of connections that rest fails without the rest

It comes 30 ms after the copy now, and without the rule the third call gets the answer to the second.

--- a/src/node/forwarding/forward-adapter.test.ts
+++ b/src/node/forwarding/forward-adapter.test.ts
@@ -105,6 +105,7 @@
 // Guards against a chain of answers that are each one call late: without an id, only the right answer that follows shows the fault.
 test('after a wrong answer to a call without an id, the next call gets its own answer', async t => {
 	const {clock, server, writer, call} = await startRepeatingServer(t, url => ({status: 200, body: url}));
+	writer.delayMs = 30;
 	assert.equal(await call('/1'), '200 /1');
 	clock.advance(minIdleMsOfCalls);
 	assert.equal(await call('/2'), '200 /1');
