--- a/src/common/consensus/replacement.test.ts
+++ b/src/common/consensus/replacement.test.ts
@@ -12,8 +12,6 @@
 const replacementDelayMs = 1000;
 /** Time, in ms, in which a heartbeat tells all members what is committed. */
 const settleMs = 500;
-/** Interval between proposals and reads at the leader, in ms. */
-const loadIntervalMs = 30;
 /** Time, in ms, within which a command must be committed once a quorum is healthy. */
 const recoveryMs = 10_000;
 
@@ -31,20 +29,6 @@
 	return cluster.members().filter(({role}) => role === 'voter').map(({vm}) => vm).sort();
 }
 
-function runWithLoad(cluster: TestCluster, durationMs: number): void {
-	const endMs = cluster.nowMs + durationMs;
-	while (cluster.nowMs < endMs) {
-		for (const [vm, {isRunning, state}] of cluster.processes) {
-			if (isRunning && state.role === 'leader') {
-				cluster.propose(vm);
-				cluster.read(vm);
-			}
-		}
-
-		cluster.run(Math.min(loadIntervalMs, endMs - cluster.nowMs));
-	}
-}
-
 /** Runs until a new command is committed; throws if that takes longer than `recoveryMs`. */
 function commitCommand(cluster: TestCluster): void {
 	const tokens: number[] = [];
@@ -58,7 +42,7 @@
 /** Loses the VM for good; another one starts with an empty disk a while later. */
 function replace(cluster: TestCluster, vm: VmId): void {
 	cluster.discard(vm);
-	runWithLoad(cluster, replacementDelayMs);
+	cluster.runWithLoad(replacementDelayMs);
 	cluster.addVm();
 }
 
@@ -68,14 +52,14 @@
 		cluster.addVm();
 	}
 
-	runWithLoad(cluster, catchUpMs);
+	cluster.runWithLoad(catchUpMs);
 	const stopping = vms.filter(vm => cluster.canDiscard(vm));
 	for (const vm of stopping) {
 		cluster.dispatch(vm, {type: 'consensus/leave'});
 		cluster.dispatch(vm, {type: 'consensus/step-down'});
 	}
 
-	runWithLoad(cluster, stopMs);
+	cluster.runWithLoad(stopMs);
 	for (const vm of stopping) {
 		if (cluster.canDiscard(vm)) {
 			cluster.discard(vm);
@@ -94,7 +78,7 @@
 				replace(cluster, vm);
 			}
 
-			runWithLoad(cluster, catchUpMs);
+			cluster.runWithLoad(catchUpMs);
 			assert.equal(voterNames(cluster).length, 3);
 			assert.equal(voterNames(cluster).includes(vm), false);
 		}
@@ -123,12 +107,12 @@
 				cluster.discard(vm);
 			}
 
-			runWithLoad(cluster, replacementDelayMs);
+			cluster.runWithLoad(replacementDelayMs);
 			cluster.addVm();
 			cluster.addVm();
 		}
 
-		runWithLoad(cluster, 2 * catchUpMs);
+		cluster.runWithLoad(2 * catchUpMs);
 		assert.deepEqual(voterNames(cluster), cluster.vms);
 	}
 });
@@ -137,21 +121,21 @@
 	const cluster = managedCluster();
 	const silent = cluster.vms.find(vm => vm !== cluster.leader())!;
 	cluster.isolate(silent);
-	runWithLoad(cluster, 20_000);
+	cluster.runWithLoad(20_000);
 	assert.equal(voterNames(cluster).length, 3);
 });
 
 test('a member that was removed while it was cut off becomes a voter again with its disk', () => {
 	const cluster = managedCluster();
 	cluster.addVm();
-	runWithLoad(cluster, catchUpMs);
+	cluster.runWithLoad(catchUpMs);
 	const silent = cluster.vms.find(vm => vm !== cluster.leader())!;
 	const {diskId} = cluster.state(silent);
 	cluster.isolate(silent);
-	runWithLoad(cluster, catchUpMs);
+	cluster.runWithLoad(catchUpMs);
 	assert.equal(voterNames(cluster).includes(silent), false);
 	cluster.heal();
-	runWithLoad(cluster, catchUpMs);
+	cluster.runWithLoad(catchUpMs);
 	assert.equal(cluster.members().find(({vm}) => vm === silent)?.role, 'voter');
 	assert.equal(cluster.state(silent).diskId, diskId);
 });
@@ -160,7 +144,7 @@
 test('a leader that was paused removes no member, although the others have been silent to it for longer than the limit', () => {
 	const cluster = managedCluster();
 	cluster.addVm();
-	runWithLoad(cluster, catchUpMs);
+	cluster.runWithLoad(catchUpMs);
 	const leader = cluster.leader()!;
 	const [first, ...others] = cluster.vms.filter(vm => vm !== leader);
 	// All pause, so that no other leader is elected: first one member, then the leader within a heartbeat, so that only the replies of
@@ -227,7 +211,7 @@
 	},
 	stopAndStart(cluster, vm) {
 		cluster.dispatch(vm, {type: 'consensus/leave'});
-		runWithLoad(cluster, stopMs);
+		cluster.runWithLoad(stopMs);
 		cluster.restart(vm);
 	},
 	heal(cluster) {
@@ -273,7 +257,7 @@
 			for (const {kind, vm, other, durationMs} of steps) {
 				const disturb: (cluster: TestCluster, vm: VmId, other: VmId) => void = disturbances[kind];
 				disturb(cluster, cluster.vms[vm % cluster.vms.length]!, cluster.vms[other % cluster.vms.length]!);
-				runWithLoad(cluster, durationMs);
+				cluster.runWithLoad(durationMs);
 			}
 
 			checkTolerance(cluster, losses);
--- a/src/common/consensus/simulation.test.ts
+++ b/src/common/consensus/simulation.test.ts
@@ -32,8 +32,6 @@
 	readonly durationMs: number;
 };
 
-/** Interval between proposals and reads at every member that considers itself the leader, in ms. */
-const loadIntervalMs = 30;
 /** Time within which the cluster must commit again after all faults end, in ms. */
 const recoveryMs = 15_000;
 
@@ -44,20 +42,6 @@
 	durationMs: fc.integer({min: 1, max: 2500}),
 });
 
-function runWithLoad(cluster: TestCluster, durationMs: number): void {
-	const endMs = cluster.nowMs + durationMs;
-	while (cluster.nowMs < endMs) {
-		for (const [vm, {isRunning, state}] of cluster.processes) {
-			if (isRunning && state.role === 'leader') {
-				cluster.propose(vm);
-				cluster.read(vm);
-			}
-		}
-
-		cluster.run(Math.min(loadIntervalMs, endMs - cluster.nowMs));
-	}
-}
-
 function performStep(cluster: TestCluster, {kind, vm: vmNumber, other: otherNumber}: Step): void {
 	const vm = cluster.vms[vmNumber % cluster.vms.length]!;
 	const other = cluster.vms[otherNumber % cluster.vms.length]!;
@@ -139,7 +123,7 @@
 		case 'replace-two-disks': {
 			// Replaces the disk of one member, and the disk of another member after the first one has had time to rejoin.
 			replaceDiskIfSafe(cluster, vm);
-			runWithLoad(cluster, 3000);
+			cluster.runWithLoad(3000);
 			replaceDiskIfSafe(cluster, other);
 			break;
 		}
@@ -185,10 +169,10 @@
 	test(`${size} members violate no safety rule under random faults, and commit again after the faults end`, () => {
 		fc.assert(fc.property(fc.array(stepArbitrary, {minLength: 5, maxLength: 15}), fc.integer(), (steps, clusterSeed) => {
 			const cluster = new TestCluster({size, seed: clusterSeed});
-			runWithLoad(cluster, 1500);
+			cluster.runWithLoad(1500);
 			for (const next of steps) {
 				performStep(cluster, next);
-				runWithLoad(cluster, next.durationMs);
+				cluster.runWithLoad(next.durationMs);
 			}
 
 			checkRecovery(cluster);
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -52,6 +52,8 @@
 type Task = {readonly atMs: number; readonly order: number; readonly run: () => void};
 
 const tickMs = 25;
+/** Interval between proposals and reads under load, in ms. */
+const loadIntervalMs = 30;
 const perfectNetwork: NetworkFaults = {
 	dropProbability: 0, duplicateProbability: 0, delayProbability: 0, maxDelayMs: 0,
 };
@@ -129,6 +131,21 @@
 		this.nowMs = endMs;
 	}
 
+	/** Advances virtual time while each member that considers itself the leader gets a proposal and a read every `loadIntervalMs`. */
+	runWithLoad(durationMs: number): void {
+		const endMs = this.nowMs + durationMs;
+		while (this.nowMs < endMs) {
+			for (const [vm, {isRunning, state}] of this.processes) {
+				if (isRunning && state.role === 'leader') {
+					this.propose(vm);
+					this.read(vm);
+				}
+			}
+
+			this.run(Math.min(loadIntervalMs, endMs - this.nowMs));
+		}
+	}
+
 	/** Advances virtual time until the condition holds. Throws if the condition does not hold within `limitMs`. */
 	runUntil(condition: () => boolean, limitMs = 10_000): void {
 		const endMs = this.nowMs + limitMs;
