storage: whatever a disk refuses is repeated until the disk accepts it

Cause: a refusal that passes was answered with a state that ends only with the process.

Change: every error of the operating system, on every operation that writes, is repeated every 200 ms. Each attempt undoes what the last one left. A closed or lost handle is opened anew. A process loads without writing, and makes its files ready when the disk lets it: the member counts as one with a slow write until then, so a start on a full disk neither fails nor holds up the rest of the process. A member in that state asks for no admission and forms no cluster, since its disk id may still be lost.

Other errors (corrupt files, bytes that were synced and are gone) still halt the member.

--- a/src/common/consensus/formation.ts
+++ b/src/common/consensus/formation.ts
@@ -3,7 +3,7 @@
 import type {Context, ConsensusState} from './state.js';
 import {appendEntry, sendWhenDurable, updateHardState} from './durability.js';
 import {
-	currentMembers, isAdmitted, isBlank, sendNow,
+	currentMembers, isAdmitted, isBlank, isConfirmationPending, isStorageSlow, sendNow,
 } from './state.js';
 
 /** Term of the first log entry. That entry holds the initial membership. Elections use later terms. */
@@ -16,7 +16,8 @@
 */
 export function tickFormation(context: Context): void {
 	const {state, nowMs} = context;
-	if (!needsAdmission(context) || nowMs < state.nextJoinRequestMs) {
+	// A member whose disk accepts no writes could not do its part.
+	if (!needsAdmission(context) || isStorageSlow(context) || nowMs < state.nextJoinRequestMs) {
 		return;
 	}
 
@@ -44,6 +45,11 @@
 it was cut off, in which case its own log does not tell.
 */
 function needsAdmission({state, nowMs}: Context): boolean {
+	if (isConfirmationPending(state)) {
+		// The disk id may still be lost, and with it every promise that other members make to it.
+		return false;
+	}
+
 	const hearsNoLeader = state.role !== 'leader' && nowMs - state.lastLeaderContactMs > 2 * state.timings.electionTimeoutMaxMs;
 	return !state.isLeaving && (!isAdmitted(state) || (state.managesMembers && hearsNoLeader));
 }
--- a/src/common/consensus/reducer.ts
+++ b/src/common/consensus/reducer.ts
@@ -52,6 +52,10 @@
 function startMember(context: Context): void {
 	const {state, nowMs} = context;
 	state.isStarted = true;
+	if (state.persist.outstandingWrite) {
+		state.persist.outstandingWrite.startedMs = nowMs;
+	}
+
 	resetElectionTimer(context);
 	if (state.log.lastIndex > 0) {
 		// Gives a live leader time to detect that this member's disk has lost acknowledged entries, before the member votes.
--- a/src/common/consensus/state.ts
+++ b/src/common/consensus/state.ts
@@ -14,6 +14,9 @@
 	removalSilenceMs: 2500,
 };
 
+/** Sequence number of the first write of a process, with which the storage makes durable what it loaded. Batches have higher ones. */
+export const confirmationSequence = 0;
+
 /** Default of `ConsensusOptions.minVoters`, which lets one of three members be lost. */
 const defaultMinVoters = 3;
 
@@ -96,8 +99,11 @@
 export type PersistState = {
 	/** Sequence number of the next batch. */
 	nextSequence: number;
-	/** Write that was handed to the storage and is not on disk yet; undefined while there is none. */
-	outstandingWrite: {readonly sequence: number; readonly hardState: HardState | undefined; lastIndex: number; readonly startedMs: number} | undefined;
+	/**
+	Write that was handed to the storage and is not on disk yet; undefined while there is none. At the start of the process, what the storage
+	loaded: it may come from a write that was never synced.
+	*/
+	outstandingWrite: {readonly sequence: number; readonly hardState: HardState | undefined; lastIndex: number; startedMs: number} | undefined;
 	/** Whether term, vote or cluster differ from what was last handed to the storage. */
 	isHardStateDirty: boolean;
 	/** Index from which on the next batch removes stored entries; undefined if it removes none. */
@@ -230,7 +236,9 @@
 		isStarted: false,
 		persist: {
 			nextSequence: 1,
-			outstandingWrite: undefined,
+			outstandingWrite: {
+				sequence: confirmationSequence, hardState, lastIndex: log.lastIndex, startedMs: Number.POSITIVE_INFINITY,
+			},
 			isHardStateDirty: false,
 			truncateFrom: undefined,
 			entries: [],
@@ -295,11 +303,16 @@
 }
 
 /** Returns whether the outstanding write exceeds the storage timeout. If so, the member must neither lead, vote nor acknowledge entries. */
-export function isStorageSlow({state, nowMs}: Context): boolean {
+export function isStorageSlow({state, nowMs}: Pick<Context, 'state' | 'nowMs'>): boolean {
 	const {outstandingWrite} = state.persist;
 	return outstandingWrite !== undefined && nowMs - outstandingWrite.startedMs > state.timings.storageTimeoutMs;
 }
 
+/** Returns whether the storage has not confirmed yet that the loaded state, with the disk id, is on disk. */
+export function isConfirmationPending({persist}: ConsensusState): boolean {
+	return persist.outstandingWrite?.sequence === confirmationSequence;
+}
+
 /** Sends a message with the envelope fields at once, without waiting for outstanding writes. */
 export function sendNow(context: Context, to: VmId, toDisk: string | undefined, body: MessageBody & {readonly term?: number}): void {
 	context.effects.push(createSendEffect(context.state, to, toDisk, body));
--- a/src/common/consensus/test-cluster.ts
+++ b/src/common/consensus/test-cluster.ts
@@ -6,7 +6,7 @@
 	ConsensusEffect, ConsensusEvent, ConsensusLimits, HardState, LogEntry, Member, PersistBatch, Snapshot, StoredState,
 } from './types.js';
 import {reduceConsensus} from './reducer.js';
-import {createConsensusState, currentMembers} from './state.js';
+import {confirmationSequence, createConsensusState, currentMembers} from './state.js';
 
 /** Contents of the simulated disk of a VM, which survive a crash of the process. */
 type Disk = {
@@ -15,6 +15,8 @@
 	snapshot: Snapshot | undefined;
 	entries: readonly LogEntry[];
 	latencyMs: number;
+	/** Whether the disk refuses all writes, as a full one does. The storage repeats them until the disk accepts them. */
+	isRefusing: boolean;
 };
 
 /** State of a state machine that keeps a running digest of the commands. The padding makes snapshots span several chunks. */
@@ -26,6 +28,8 @@
 	stateMachine: StateMachine;
 	/** Whether the process is running; false after a crash. The outstanding writes of a stopped process never complete. */
 	isRunning: boolean;
+	/** Writes that the disk has not accepted yet, oldest first. */
+	readonly pendingWrites: Array<() => void>;
 	/** Events that wait until the process continues; undefined while it is not paused. */
 	pausedEvents: Array<UntimedEvent<ConsensusEvent>> | undefined;
 };
@@ -52,6 +56,8 @@
 type Task = {readonly atMs: number; readonly order: number; readonly run: () => void};
 
 const tickMs = 25;
+/** Pause before a write that the disk refused is repeated, in ms. */
+const refusalPauseMs = 200;
 /** Interval between proposals and reads under load, in ms. */
 const loadIntervalMs = 30;
 const perfectNetwork: NetworkFaults = {
@@ -181,6 +187,16 @@
 		return token;
 	}
 
+	/** Proposes commands to the leader until one is committed. Throws if that takes longer than `limitMs`. */
+	commitCommand(limitMs = 10_000): void {
+		const tokens: number[] = [];
+		this.runUntil(() => {
+			const leader = this.leader();
+			tokens.push(...(leader === undefined ? [] : [this.propose(leader)]));
+			return tokens.some(token => this.acknowledgedTokens.has(token));
+		}, limitMs);
+	}
+
 	read(vm: VmId, mayWait = false): number {
 		const token = this._nextToken++;
 		this._minReadIndexByToken.set(token, this._highestAcknowledgedIndex);
@@ -221,6 +237,7 @@
 		const process: MemberProcess = {
 			vm,
 			isRunning: true,
+			pendingWrites: [],
 			pausedEvents: undefined,
 			stateMachine: initialStateMachine,
 			state: createConsensusState({
@@ -229,6 +246,9 @@
 		};
 		this.processes.set(vm, process);
 		this._scheduleTick(process, this._random.integer(0, tickMs));
+		this._write(process, () => {
+			// What was loaded is on disk already; the simulation loses no writes.
+		}, {type: 'consensus/persisted', sequence: confirmationSequence});
 		if (this._managesMembers) {
 			this._announcePeers();
 		}
@@ -294,7 +314,7 @@
 		this.blockedLinks.clear();
 		this.faults = perfectNetwork;
 		for (const vm of this.vms) {
-			this.disks.get(vm)!.latencyMs = 1;
+			Object.assign(this.disks.get(vm)!, {latencyMs: 1, isRefusing: false});
 			this.resume(vm);
 			const process = this.processes.get(vm)!;
 			if (!process.isRunning || process.state.role === 'halted') {
@@ -357,6 +377,7 @@
 			snapshot: undefined,
 			entries: [],
 			latencyMs: 1,
+			isRefusing: false,
 		};
 	}
 
@@ -485,33 +506,49 @@
 		}
 	}
 
-	/** Writes the batch to the disk shortly before it notifies the process, so that a crash in between keeps the write. */
 	private _persist(process: MemberProcess, batch: PersistBatch): void {
-		const disk = this.disks.get(process.vm)!;
-		this._schedule(disk.latencyMs, () => {
-			if (process.isRunning) {
-				writeBatch(disk, batch);
-				this._schedule(1, () => {
-					this._deliver(process, {type: 'consensus/persisted', sequence: batch.sequence});
-				});
-			}
-		});
+		this._write(process, disk => {
+			writeBatch(disk, batch);
+		}, {type: 'consensus/persisted', sequence: batch.sequence});
 	}
 
 	private _saveSnapshot(process: MemberProcess, snapshot: Snapshot): void {
+		this._write(process, disk => {
+			const hasMatchingEntry = disk.entries.some(({index, term}) => index === snapshot.index && term === snapshot.term);
+			disk.entries = hasMatchingEntry ? disk.entries.filter(({index}) => index > snapshot.index) : [];
+			disk.snapshot = snapshot;
+		}, {type: 'consensus/snapshot-saved', index: snapshot.index});
+	}
+
+	/** Writes to the disk shortly before it notifies the process, so that a crash in between keeps the write. Writes of one process happen in order. */
+	private _write(process: MemberProcess, change: (disk: Disk) => void, completion: UntimedEvent<ConsensusEvent>): void {
 		const disk = this.disks.get(process.vm)!;
+		process.pendingWrites.push(() => {
+			change(disk);
+			this._schedule(1, () => {
+				this._deliver(process, completion);
+			});
+		});
 		this._schedule(disk.latencyMs, () => {
-			if (process.isRunning) {
-				const hasMatchingEntry = disk.entries.some(({index, term}) => index === snapshot.index && term === snapshot.term);
-				disk.entries = hasMatchingEntry ? disk.entries.filter(({index}) => index > snapshot.index) : [];
-				disk.snapshot = snapshot;
-				this._schedule(1, () => {
-					this._deliver(process, {type: 'consensus/snapshot-saved', index: snapshot.index});
-				});
-			}
+			this._completeWrites(process, disk);
 		});
 	}
 
+	private _completeWrites(process: MemberProcess, disk: Disk): void {
+		if (!process.isRunning) {
+			return;
+		}
+
+		if (disk.isRefusing) {
+			this._schedule(refusalPauseMs, () => {
+				this._completeWrites(process, disk);
+			});
+			return;
+		}
+
+		process.pendingWrites.shift()?.();
+	}
+
 	private _apply(process: MemberProcess, {index, command, token}: Extract<ConsensusEffect, {type: 'consensus/committed'}>): void {
 		const {stateMachine} = process;
 		const commandJson = JSON.stringify(command);
--- a/src/common/consensus/types.ts
+++ b/src/common/consensus/types.ts
@@ -94,8 +94,9 @@
 	| BaseEvent<'consensus/step-down'>
 	/** Announces that the process is about to end. From now on, this member asks the leader to remove it; see `handleLeave`. */
 	| BaseEvent<'consensus/leave'>
+	/** A batch is on disk, or the loaded state if `sequence` is `confirmationSequence`. */
 	| (BaseEvent<'consensus/persisted'> & {readonly sequence: number})
-	/** A write failed, for example because the disk is full. The member halts until its process restarts. */
+	/** The storage cannot go on, for example because its files are corrupt. The member halts until its process restarts. A write that the disk merely refuses is repeated instead. */
 	| (BaseEvent<'consensus/storage-failed'> & {readonly reason: string})
 	| (BaseEvent<'consensus/snapshot-taken'> & {readonly index: number; readonly data: unknown})
 	| (BaseEvent<'consensus/snapshot-saved'> & {readonly index: number});
--- a/src/load/bench-consensus.ts
+++ b/src/load/bench-consensus.ts
@@ -11,7 +11,7 @@
 } from '../common/consensus/types.js';
 import type {VmId, UntimedEvent} from '../common/core/types.js';
 import {reduceConsensus} from '../common/consensus/reducer.js';
-import {createConsensusState} from '../common/consensus/state.js';
+import {confirmationSequence, createConsensusState} from '../common/consensus/state.js';
 import {NodeFileSystem} from '../node/storage/file-system.js';
 import {FileLogStorage} from '../node/storage/file-log-storage.js';
 
@@ -92,7 +92,8 @@
 		this._state = createConsensusState({
 			vm: this.vm, stored, initialVms: [...this._peers.keys()], seed: Number(this.vm.slice(2)), limits: this._limits,
 		});
-		this.dispatch({type: 'consensus/tick'});
+		await this._storage.confirm();
+		this.dispatch({type: 'consensus/persisted', sequence: confirmationSequence});
 	}
 
 	start(): void {
--- a/src/node/control/consensus-host.ts
+++ b/src/node/control/consensus-host.ts
@@ -1,4 +1,5 @@
 import {consensusMessageSchema, consensusMessageTypes} from '../../common/consensus/messages.js';
+import {confirmationSequence} from '../../common/consensus/state.js';
 import type {ConsensusEffect} from '../../common/consensus/types.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {PeerNetwork} from '../../common/services/peer-network.js';
@@ -9,7 +10,6 @@
 /** Tick interval of the replicated log, in milliseconds; a fifth of its heartbeat interval. */
 const tickIntervalMs = 20;
 
-type Persist = Extract<ConsensusEffect, {type: 'consensus/persist'}>;
 type SaveSnapshot = Extract<ConsensusEffect, {type: 'consensus/save-snapshot'}>;
 
 /** Connects the replicated log of a control VM to the network and the disk. */
@@ -24,7 +24,7 @@
 		}
 
 		_runtime.on('consensus/persist', effect => {
-			void this._persist(effect);
+			void this._write(effect.batch.sequence, async () => _storage.append(effect.batch));
 		});
 		_runtime.on('consensus/save-snapshot', effect => {
 			void this._saveSnapshot(effect);
@@ -32,6 +32,7 @@
 		this._timer = setInterval(() => {
 			_runtime.dispatch({type: 'consensus/tick'});
 		}, tickIntervalMs);
+		void this._write(confirmationSequence, async () => _storage.confirm());
 	}
 
 	async dispose(): Promise<void> {
@@ -39,15 +40,16 @@
 		await this._storage.dispose();
 	}
 
-	private async _persist({batch}: Persist): Promise<void> {
+	/** Performs a write and reports that it is on disk. */
+	private async _write(sequence: number, perform: () => Promise<void>): Promise<void> {
 		try {
-			await this._storage.append(batch);
+			await perform();
 		} catch (err) {
 			this._reportFailure(err);
 			return;
 		}
 
-		this._runtime.dispatch({type: 'consensus/persisted', sequence: batch.sequence});
+		this._runtime.dispatch({type: 'consensus/persisted', sequence});
 	}
 
 	private async _saveSnapshot({snapshot}: SaveSnapshot): Promise<void> {
--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -12,7 +12,8 @@
 type DumpSources = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState; readonly membership: MembershipHost; readonly quarantine: PromptQuarantine};
 type EntryDumpSources = {readonly scheduler: SchedulerHost; readonly orders: OrderHost; readonly server: EntryServer};
 
-function dumpReplica({consensus, control}: Replica): unknown {
+function dumpReplica({consensus, control}: Replica, nowMs: number): unknown {
+	const {outstandingWrite} = consensus.persist;
 	return {
 		role: consensus.role,
 		term: consensus.hardState.term,
@@ -24,6 +25,7 @@
 		commit: consensus.hardState.commit,
 		applied: consensus.appliedIndex,
 		snapshotIndex: consensus.snapshot?.index,
+		writeWaitMs: outstandingWrite && nowMs - outstandingWrite.startedMs,
 		progress: Object.fromEntries([...consensus.progress].map(([vm, {match, next}]) => [vm, {match, next}])),
 		revision: control.data.revision,
 		keys: control.data.keys.size,
@@ -64,6 +66,6 @@
 			schedulers: entry.scheduler.dump(),
 			orders: entry.orders.dump(),
 		}),
-		...(state.replica && {replica: dumpReplica(state.replica)}),
+		...(state.replica && {replica: dumpReplica(state.replica, clock.nowMs())}),
 	};
 }
--- a/src/node/storage/file-log-storage.ts
+++ b/src/node/storage/file-log-storage.ts
@@ -1,16 +1,18 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import path from 'node:path';
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {
 	LogEntry, PersistBatch, Snapshot, StoredState,
 } from '../../common/consensus/types.js';
 import {errorContext, StorageError} from '../../common/core/errors.js';
-import type {AppendFile, FileSystem} from './file-system.js';
+import type {FileSystem} from './file-system.js';
+import type {RefusalRetryOptions} from './refusal-retry.js';
 import type {BatchRecord, StoredRecord} from './types.js';
 import {LogStorage} from './log-storage.js';
 import {encodeRecord, scanRecords} from './records.js';
 import {LogReplay} from './log-replay.js';
+import {isSystemError, RefusalRetry} from './refusal-retry.js';
+import {removeIfPresent, SegmentWriter, writeAll} from './segment-writer.js';
 import {formatVersion} from './types.js';
 
 const diskIdFile = 'disk-id';
@@ -19,10 +21,6 @@
 const snapshotPattern = /^snapshot-(\d+)\.cbor$/;
 /** Numbers in file names are zero-padded to this many digits, so that names sort in numeric order. */
 const fileNumberDigits = 16;
-/** Error codes of writes that a disk without free space refuses. */
-const fullDiskCodes: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT']);
-/** Pause before a write that the disk refused for lack of space is repeated, in milliseconds. */
-const fullDiskRetryMs = 200;
 /** Default size at which the current segment is full and a new segment is started, in bytes. */
 const defaultSegmentBytes = 4_194_304;
 
@@ -30,53 +28,56 @@
 	readonly file: string;
 	/** Highest entry index in the segment; 0 if it holds no entries. */
 	lastIndex: number;
-	sizeBytes: number;
 };
 
 type EntryId = {readonly index: number; readonly term: number};
 
-export type FileLogStorageOptions = {
+/** What `load` found that `confirm` has to write or remove. */
+type Unconfirmed = {
+	/** Contents of the loaded files that may not be on disk yet, in the order in which they have to be written. */
+	readonly rewrites: Array<{readonly name: string; readonly bytes: Uint8Array}>;
+	/** Names of files that are left from interrupted operations or that the newest snapshot replaces. */
+	readonly obsoleteFiles: string[];
+};
+
+export type FileLogStorageOptions = RefusalRetryOptions & {
 	readonly folder: string;
 	readonly fileSystem: FileSystem;
 	/** Size at which the current segment is full and a new segment is started, in bytes; undefined for the default. */
 	readonly segmentBytes?: number;
-	/** Called when the disk begins to refuse writes for lack of space (true), and when it accepts them again (false). */
-	readonly onDiskFull?: (isFull: boolean) => void;
 };
 
 /**
-Stores the log as append-only segment files and snapshot files in one folder. A write that the disk refuses for lack of space is repeated
-until there is room: until then it counts as a slow write, during which the member neither leads, votes nor acknowledges.
+Stores the log as append-only segment files and snapshot files in one folder. An operation that the disk refuses is repeated until the disk
+accepts it: until then it counts as a slow write, during which the member neither leads, votes nor acknowledges.
 */
 export class FileLogStorage extends LogStorage {
 	private readonly _folder: string;
 	private readonly _fs: FileSystem;
 	private readonly _segmentBytes: number;
+	private readonly _retry: RefusalRetry;
 	private _diskId = '';
 	/** Index and term of each entry that the segments hold after the snapshot. */
 	private _storedLog = new LogReplay<EntryId>(undefined, toEntryId);
 	private _segments: Segment[] = [];
 	private _snapshotIndex = 0;
 	private _nextSegmentNumber = 1;
-	private _segmentFile: AppendFile | undefined;
-	private readonly _disposal = new AbortController();
-	private readonly _onDiskFull: (isFull: boolean) => void;
-	private _isLoaded = false;
+	private _writer: SegmentWriter | undefined;
+	private _unconfirmed: Unconfirmed = {rewrites: [], obsoleteFiles: []};
 	private _lastOperation: Promise<void> = Promise.resolve();
 	private _failure: Error | undefined;
 
-	constructor({folder, fileSystem, segmentBytes, onDiskFull}: FileLogStorageOptions) {
+	constructor({folder, fileSystem, segmentBytes, ...retryOptions}: FileLogStorageOptions) {
 		super();
-		this._onDiskFull = onDiskFull ?? (() => undefined);
 		this._folder = folder;
 		this._fs = fileSystem;
 		this._segmentBytes = segmentBytes ?? defaultSegmentBytes;
+		this._retry = new RefusalRetry(retryOptions);
 	}
 
 	override async load(): Promise<StoredState> {
 		return this._runExclusive('storage.load', async () => {
-			await this._fs.makeFolder(this._folder);
-			const files = await this._removeTemporaryFiles();
+			const files = await this._listFiles();
 			this._diskId = await this._loadDiskId(files);
 			const snapshot = await this._loadSnapshot(files);
 			const replay = await this._loadSegments(files, snapshot);
@@ -88,25 +89,43 @@
 			this._storedLog = new LogReplay<EntryId>(snapshot, toEntryId);
 			this._storedLog.hardState = replay.hardState;
 			this._storedLog.entries = replay.entries.map(entry => toEntryId(entry));
-			await this._startSegment();
-			this._isLoaded = true;
 			return {
 				diskId: this._diskId, hardState: replay.hardState, snapshot, entries: replay.entries,
 			};
 		});
 	}
 
+	override async confirm(): Promise<void> {
+		return this._runExclusive('storage.confirm', async () => {
+			const {rewrites, obsoleteFiles} = this._unconfirmed;
+			await this._retry.run('confirm', async () => {
+				await this._fs.makeFolder(this._folder);
+				for (const {name, bytes} of rewrites) {
+					await this._replaceFile(name, bytes);
+				}
+
+				for (const name of obsoleteFiles) {
+					await removeIfPresent(this._fs, this._path(name));
+				}
+
+				await this._fs.syncFolder(this._folder);
+			});
+			this._unconfirmed = {rewrites: [], obsoleteFiles: []};
+			await this._startSegment();
+		});
+	}
+
 	override async append({hardState, truncateFrom, entries}: PersistBatch): Promise<void> {
 		return this._runExclusive('storage.append', async () => {
-			if (this._segments.at(-1)!.sizeBytes >= this._segmentBytes) {
+			if (this._writer!.sizeBytes >= this._segmentBytes) {
 				await this._startSegment();
 			}
 
 			const record: BatchRecord = {
 				kind: 'batch', hardState, truncateFrom, entries,
 			};
-			this._storedLog.apply(this._segments.at(-1)!.file, record);
-			await this._write(record);
+			this._storedLog.apply(this._writer!.file, record);
+			await this._writer!.append(encodeRecord(record));
 			updateLastIndex(this._segments.at(-1)!, entries);
 		});
 	}
@@ -120,20 +139,20 @@
 				return;
 			}
 
-			await this._retryWhileFull(async () => this._replaceFile(snapshotName(snapshot.index), encodeRecord(record)));
+			await this._retry.run('save-snapshot', async () => this._replaceFile(snapshotName(snapshot.index), encodeRecord(record)));
 			this._snapshotIndex = snapshot.index;
 			await this._prune(snapshot);
 		});
 	}
 
 	override async dispose(): Promise<void> {
-		this._disposal.abort();
+		this._retry.dispose();
 		await this._lastOperation;
-		await this._segmentFile?.close();
-		this._segmentFile = undefined;
+		await this._writer?.close();
+		this._writer = undefined;
 	}
 
-	/** Runs operations one at a time. After a failure the state of the files is unknown, so all later operations reject with the same error. */
+	/** Runs operations one at a time. After an error that is not a refusal of the disk the state of the files is unknown, so all later operations reject with the same error. */
 	private async _runExclusive<T>(step: string, operation: () => Promise<T>): Promise<T> {
 		const previous = this._lastOperation;
 		let release: () => void;
@@ -155,42 +174,23 @@
 		}
 	}
 
-	/** Runs an operation that can be repeated until the disk does not refuse it for lack of space. At the start of the process, the first refusal is final. */
-	private async _retryWhileFull<T>(operation: () => Promise<T>): Promise<T> {
-		for (let isFull = false; ;) {
-			try {
-				const result = await operation();
-				if (isFull) {
-					this._onDiskFull(false);
-				}
-
-				return result;
-			} catch (err) {
-				if (!this._isLoaded || !fullDiskCodes.has((err as NodeJS.ErrnoException).code)) {
-					throw err;
-				}
-
-				if (!isFull) {
-					isFull = true;
-					this._onDiskFull(true);
-				}
-
-				await sleep(fullDiskRetryMs, undefined, {signal: this._disposal.signal});
-			}
-		}
-	}
-
 	private _path(file: string): string {
 		return path.join(this._folder, file);
 	}
 
-	private async _removeTemporaryFiles(): Promise<string[]> {
-		const files = await this._fs.list(this._folder);
-		for (const file of files.filter(name => name.endsWith(temporarySuffix))) {
-			await this._fs.remove(this._path(file));
-		}
+	/** Returns the names of the files in the folder without those of interrupted operations; none if there is no folder yet. */
+	private async _listFiles(): Promise<string[]> {
+		try {
+			const files = await this._fs.list(this._folder);
+			this._unconfirmed.obsoleteFiles.push(...files.filter(name => name.endsWith(temporarySuffix)));
+			return files.filter(name => !name.endsWith(temporarySuffix));
+		} catch (err) {
+			if (isSystemError(err) && err.code === 'ENOENT') {
+				return [];
+			}
 
-		return files.filter(name => !name.endsWith(temporarySuffix));
+			throw err;
+		}
 	}
 
 	private async _loadDiskId(files: readonly string[]): Promise<string> {
@@ -208,7 +208,7 @@
 		}
 
 		const diskId = randomUUID();
-		await this._replaceFile(diskIdFile, Buffer.from(diskId));
+		this._unconfirmed.rewrites.push({name: diskIdFile, bytes: Buffer.from(diskId)});
 		return diskId;
 	}
 
@@ -220,17 +220,15 @@
 		}
 
 		const file = this._path(newest);
-		const {values} = scanRecords(file, await this._fs.read(file), false);
+		const content = await this._fs.read(file);
+		const {values} = scanRecords(file, content, false);
 		const [record] = values as StoredRecord[];
 		if (record?.kind !== 'snapshot') {
 			throw new StorageError(`${file}: no snapshot at offset 0`, errorContext({step: 'storage.load', peer: file}));
 		}
 
 		this._checkFormatAndDisk(file, record);
-		for (const name of names) {
-			await this._fs.remove(this._path(name));
-		}
-
+		this._unconfirmed.obsoleteFiles.push(...names);
 		return record.snapshot;
 	}
 
@@ -259,8 +257,7 @@
 		if (header?.kind !== 'segment') {
 			if (isLast && !header) {
 				// The segment holds no intact record, because the process stopped while creating it.
-				await this._fs.remove(file);
-				await this._fs.syncFolder(this._folder);
+				this._unconfirmed.obsoleteFiles.push(name);
 				return;
 			}
 
@@ -269,11 +266,11 @@
 
 		this._checkFormatAndDisk(file, header);
 		if (intactBytes < content.length) {
-			await this._truncate(file, intactBytes);
+			this._unconfirmed.rewrites.push({name, bytes: content.subarray(0, intactBytes)});
 		}
 
 		replay.hardState = header.hardState;
-		const segment = {file, lastIndex: 0, sizeBytes: intactBytes};
+		const segment = {file, lastIndex: 0};
 		for (const batch of batches as BatchRecord[]) {
 			replay.apply(file, batch);
 			updateLastIndex(segment, batch.entries);
@@ -282,51 +279,24 @@
 		this._segments.push(segment);
 	}
 
-	private async _truncate(file: string, length: number): Promise<void> {
-		const handle = await this._fs.open(file);
-		try {
-			await handle.truncate(length);
-			await handle.sync();
-		} finally {
-			await handle.close();
-		}
-	}
-
 	private async _startSegment(): Promise<void> {
-		await this._segmentFile?.close();
+		await this._writer?.close();
 		const file = this._path(`segment-${zeroPadded(this._nextSegmentNumber++)}.log`);
-		this._segmentFile = await this._retryWhileFull(async () => this._fs.open(file));
-		this._segments.push({file, lastIndex: 0, sizeBytes: 0});
-		await this._write({
+		this._writer = await SegmentWriter.create({
+			fileSystem: this._fs, folder: this._folder, file, retry: this._retry,
+		}, encodeRecord({
 			kind: 'segment', format: formatVersion, diskId: this._diskId, hardState: this._storedLog.hardState,
-		});
-		await this._fs.syncFolder(this._folder);
-	}
-
-	/** Appends a record to the current segment. Before a repetition, the part that the disk accepted is removed again. */
-	private async _write(record: StoredRecord): Promise<void> {
-		const bytes = encodeRecord(record);
-		const segment = this._segments.at(-1)!;
-		let isRepetition = false;
-		await this._retryWhileFull(async () => {
-			if (isRepetition) {
-				await this._segmentFile!.truncate(segment.sizeBytes);
-			}
-
-			isRepetition = true;
-			await writeAll(this._segmentFile!, bytes);
-			await this._segmentFile!.sync();
-		});
-		segment.sizeBytes += bytes.length;
+		}));
+		this._segments.push({file, lastIndex: 0});
 	}
 
 	/** Writes a temporary file and renames it, so that a file of this name is always complete. */
 	private async _replaceFile(name: string, bytes: Uint8Array): Promise<void> {
 		const temporary = this._path(name + temporarySuffix);
+		// An earlier attempt may have left a part.
+		await removeIfPresent(this._fs, temporary);
 		const file = await this._fs.open(temporary);
 		try {
-			// An earlier attempt may have left a part.
-			await file.truncate(0);
 			await writeAll(file, bytes);
 			await file.sync();
 		} finally {
@@ -351,16 +321,20 @@
 			await this._removeSegments(olderSegments.reverse());
 		}
 
-		const files = await this._fs.list(this._folder);
-		for (const name of files.filter(file => snapshotPattern.test(file) && file < snapshotName(snapshot.index))) {
-			await this._fs.remove(this._path(name));
-		}
+		await this._retry.run('prune', async () => {
+			const files = await this._fs.list(this._folder);
+			for (const name of files.filter(file => snapshotPattern.test(file) && file < snapshotName(snapshot.index))) {
+				await removeIfPresent(this._fs, this._path(name));
+			}
+		});
 	}
 
 	private async _removeSegments(segments: readonly Segment[]): Promise<void> {
 		for (const segment of segments) {
-			await this._fs.remove(segment.file);
-			await this._fs.syncFolder(this._folder);
+			await this._retry.run('prune', async () => {
+				await removeIfPresent(this._fs, segment.file);
+				await this._fs.syncFolder(this._folder);
+			});
 			this._segments = this._segments.filter(kept => kept !== segment);
 		}
 	}
@@ -381,10 +355,3 @@
 function snapshotName(index: number): string {
 	return `snapshot-${zeroPadded(index)}.cbor`;
 }
-
-async function writeAll(file: AppendFile, bytes: Uint8Array): Promise<void> {
-	let written = 0;
-	while (written < bytes.length) {
-		written += await file.write(bytes.subarray(written));
-	}
-}
--- a/src/node/storage/file-system.ts
+++ b/src/node/storage/file-system.ts
@@ -1,3 +1,4 @@
+import {constants} from 'node:os';
 import {
 	mkdir, open, readdir, readFile, rename, rm, stat,
 } from 'node:fs/promises';
@@ -39,6 +40,10 @@
 
 	override async write(bytes: Uint8Array): Promise<number> {
 		const {bytesWritten} = await this._handle.write(bytes);
+		if (bytesWritten === 0 && bytes.length > 0) {
+			throw Object.assign(new Error('ENOSPC: the disk took none of the bytes, write'), {code: 'ENOSPC', errno: -constants.errno.ENOSPC});
+		}
+
 		return bytesWritten;
 	}
 
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -3,7 +3,7 @@
 import process from 'node:process';
 import {createAccessState} from '../common/access/access.js';
 import type {Settings} from '../common/configuration/types.js';
-import {createConsensusState, currentMembers} from '../common/consensus/state.js';
+import {createConsensusState, currentMembers, isStorageSlow} from '../common/consensus/state.js';
 import {ordersLeaseName} from '../common/control/apply.js';
 import {createControl} from '../common/control/control.js';
 import {DisposableStore} from '../common/core/disposable.js';
@@ -242,9 +242,12 @@
 	return new FileLogStorage({
 		folder: path.join(settings.dataFolder!, 'log'),
 		fileSystem: new NodeFileSystem(),
-		onDiskFull(isFull) {
-			metrics.count('storage_disk_full_total', {state: isFull ? 'full' : 'room-again'});
-			logger.log(isFull ? 'error' : 'info', isFull ? 'disk is full; the member of the replicated log pauses' : 'disk has room again');
+		onRefused({step, code, detail}) {
+			metrics.count('storage_refusals_total', {step, code});
+			logger.log('error', 'disk refuses an operation; the member of the replicated log pauses', {step, code, detail});
+		},
+		onAccepted(step, refusals) {
+			logger.log('info', 'disk accepts operations again', {step, refusals});
 		},
 	});
 }
@@ -360,7 +363,7 @@
 	};
 }
 
-function getNotReadyReason({state}: CoreComponents, entry: EntryComponents | undefined): string | undefined {
+function getNotReadyReason({state, clock}: CoreComponents, entry: EntryComponents | undefined): string | undefined {
 	if (entry && !entry.client.access.view) {
 		return 'no configuration was received yet';
 	}
@@ -373,6 +376,11 @@
 		return 'the replicated log has no leader';
 	}
 
+	// A VM that also serves callers goes on serving them: the other members keep the log.
+	if (!entry && state.replica && isStorageSlow({state: state.replica.consensus, nowMs: clock.nowMs()})) {
+		return 'the disk of the replicated log accepts no writes';
+	}
+
 	return undefined;
 }
 
