storage: what a process loads counts as on disk only once it was written anew

Seen: nobody reported it. A control VM that is killed while an fsync runs, starts again and loses power later ends at every start with "corrupt record at offset N", or has lost entries that it acknowledged.

Cause: unsynced bytes outlive the process in the cache of the operating system. load() read them, the log took them as durable and acknowledged them, and the next segment began, so that they were never synced.

--- a/src/common/consensus/consensus.test.ts
+++ b/src/common/consensus/consensus.test.ts
@@ -297,6 +297,21 @@
 	assert.equal(replies.every(({from, message}) => from === follower && !message.granted), true);
 });
 
+// Guards against a member that acknowledges what it loaded from the cache of the operating system, and loses it with the next power cut.
+test('a restarted member acknowledges nothing and votes for nobody before the storage has confirmed what it loaded', () => {
+	const {cluster, leader, others: [follower]} = electedCluster();
+	commitCommands(cluster, leader, 3);
+	cluster.crash(follower!);
+	cluster.disks.get(follower!)!.isRefusing = true;
+	const replies = recordMessages(cluster, 'consensus/append-reply');
+	cluster.restart(follower!);
+	cluster.run(500);
+	assert.equal(replies.some(({from}) => from === follower), false);
+	cluster.disks.get(follower!)!.isRefusing = false;
+	cluster.run(500);
+	assert.equal(replies.some(({from, message}) => from === follower && message.match >= 4), true);
+});
+
 /** Lets the disk refuse writes for a while, with commands before, meanwhile and after. */
 function refuseWrites(cluster: TestCluster, vm: VmId, forMs: number): void {
 	cluster.disks.get(vm)!.isRefusing = true;
--- a/src/common/consensus/state.ts
+++ b/src/common/consensus/state.ts
@@ -243,7 +243,7 @@
 			truncateFrom: undefined,
 			entries: [],
 			durableHardState: hardState,
-			durableIndex: log.lastIndex,
+			durableIndex: 0,
 			heldMessages: [],
 		},
 		electionDeadlineMs: 0,
--- a/src/node/storage/file-log-storage.test.ts
+++ b/src/node/storage/file-log-storage.test.ts
@@ -183,6 +183,33 @@
 	}
 });
 
+// Guards against entries that are acknowledged after a restart and lost in the next power cut.
+test('what was loaded is on disk once it is confirmed, although the process that wrote it stopped before its fsync ended, or after it failed', async () => {
+	for (const code of [undefined, 'EIO']) {
+		const fileSystem = new MemoryFileSystem();
+		const storage = await openStorage(fileSystem);
+		await storage.append(batch([entry(1)]));
+		let openGate: (() => void) | undefined;
+		if (code === undefined) {
+			fileSystem.syncGate = new Promise(resolve => {
+				openGate = resolve;
+			});
+		}
+
+		fileSystem.refuse = operation => operation === 'sync' ? code : undefined;
+		const interrupted = storage.append(batch([entry(2)]));
+		await sleep(attemptsMs);
+		const afterCrash = fileSystem.afterCrash();
+		fileSystem.refuse = undefined;
+		openGate?.();
+		await interrupted;
+		const restarted = await openStorage(afterCrash);
+		await restarted.append(batch([entry(3)]));
+		const {entries} = await loadFrom(afterCrash.afterPowerCut(new SeededRandom(1)));
+		assert.deepEqual(entries, [entry(1), entry(2), entry(3)]);
+	}
+});
+
 const refusals: ReadonlyArray<{readonly code: string; readonly operations: readonly FileOperation[]}> = [
 	{code: 'ENOSPC', operations: ['make-folder', 'open', 'write']},
 	{code: 'EDQUOT', operations: ['write', 'sync']},
--- a/src/node/storage/file-log-storage.ts
+++ b/src/node/storage/file-log-storage.ts
@@ -200,6 +200,7 @@
 				throw new StorageError(`${this._path(diskIdFile)}: empty`, errorContext({step: 'storage.load', peer: this._folder}));
 			}
 
+			this._unconfirmed.rewrites.push({name: diskIdFile, bytes: content});
 			return Buffer.from(content).toString('utf8');
 		}
 
@@ -228,6 +229,7 @@
 		}
 
 		this._checkFormatAndDisk(file, record);
+		this._unconfirmed.rewrites.push({name: newest, bytes: content});
 		this._unconfirmed.obsoleteFiles.push(...names);
 		return record.snapshot;
 	}
@@ -265,7 +267,7 @@
 		}
 
 		this._checkFormatAndDisk(file, header);
-		if (intactBytes < content.length) {
+		if (isLast) {
 			this._unconfirmed.rewrites.push({name, bytes: content.subarray(0, intactBytes)});
 		}
 
