upstreams: interim heads before an answer are passed over

Cause: undici passes each head to its handlers, and the wrapping handler asserts that there is one; wording the failed assertion reads and parses the whole bundle.

Change: the wrapper passes on final heads only.

Evidence: connection-pool.test.ts, "interim heads before the answer are passed over": "CallError: false == true" before, passes now.

--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -108,3 +108,27 @@
 	assert.equal(await text(truncated.body), 'half');
 	assert.equal(truncated.wasReset(), true);
 });
+
+// Guards against an answer that is lost, and a process that is busy for seconds, because of a head before the final one.
+test('interim heads before the answer are passed over', async t => {
+	const server = createServer(socket => {
+		socket.on('data', () => {
+			const interim = 'HTTP/1.1 102 Processing\r\nX-A: 1\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n';
+			socket.write(`${interim.repeat(3)}HTTP/1.1 200 OK\r\nX-B: 2\r\nContent-Length: 5\r\n\r\nwhole`);
+		});
+		socket.on('error', () => undefined);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const pool = new ConnectionPool(`127.0.0.1:${port}`, new ManualClock());
+	t.after(() => {
+		pool.destroy();
+		server.close();
+	});
+	for (let i = 0; i < 3; i++) {
+		const {status, headers, body} = await pool.call(testCall());
+		assert.deepEqual([status, headers.includes('x-a'), headers.includes('x-b'), await text(body)], [200, false, true, 'whole']);
+		await waitUntil(() => pool.busyCount === 0);
+	}
+});
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -20,6 +20,9 @@
 /** Number of exchange ids that a connection carries before it is replaced, which bounds the ids that are kept. */
 const maxExchangeIds = 256;
 
+/** Lowest status of a final response. */
+const firstFinalStatus = 200;
+
 /** One HTTP exchange with an upstream. */
 export type UpstreamCall = {
 	readonly method: Dispatcher.HttpMethod;
@@ -73,13 +76,23 @@
 	wasReset: boolean;
 };
 
-/** Wraps an undici handler so that `onStart` is called when undici is about to write the request to its socket; before that, nothing can have been sent. */
-function notifyOnRequestStart(handler: Dispatcher.DispatchHandler, onStart: () => void): Dispatcher.DispatchHandler {
+/**
+Wraps an undici handler so that `onStart` is called when undici is about to write the request to its socket; before that, nothing can have
+been sent. Interim responses (status 1xx) are passed over: undici's handlers expect one head.
+*/
+function observeHandler(handler: Dispatcher.DispatchHandler, onStart: () => void): Dispatcher.DispatchHandler {
 	const observer: Dispatcher.DispatchHandler = new DecoratorHandler(handler);
-	const forward = observer.onRequestStart?.bind(observer);
+	const forwardStart = observer.onRequestStart?.bind(observer);
+	const forwardHead = observer.onResponseStart?.bind(observer);
 	observer.onRequestStart = (controller, context) => {
 		onStart();
-		forward?.(controller, context);
+		forwardStart?.(controller, context);
+	};
+
+	observer.onResponseStart = (controller, statusCode, ...rest) => {
+		if (statusCode >= firstFinalStatus) {
+			forwardHead?.(controller, statusCode, ...rest);
+		}
 	};
 
 	return observer;
@@ -123,7 +136,7 @@
 		}, call.headersTimeoutMs);
 		call.signal?.addEventListener('abort', discardConnection, {once: true});
 		try {
-			const observedClient = connection.client.compose(dispatch => (options, handler) => dispatch(options, notifyOnRequestStart(handler, () => {
+			const observedClient = connection.client.compose(dispatch => (options, handler) => dispatch(options, observeHandler(handler, () => {
 				callState.mayHaveBeenSent = true;
 			})));
 			const {statusCode, headers, body} = await observedClient.request({
