entry: pipelined requests end with their connection, also those that wait behind another one

Cause: an exchange ends with the close event of its response, which Node.js emits for the response that is being written only.

Change: the listener emits it for the responses that are queued behind.

Evidence: caller-listener.test.ts, "pipelined requests end when their caller closes the connection ...": waits for good without the change, passes with it.

--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -92,6 +92,23 @@
 	}
 });
 
+// Guards against requests that stay in the process for good once their callers have left, and memory that grows with them.
+test('pipelined requests end when their caller closes the connection, those that wait behind another one too', async t => {
+	const {address, entry} = await startHarness(t, {
+		deskHandlers: [() => undefined],
+	});
+	for (let round = 0; round < 3; round++) {
+		const client = await RawClient.connect(address);
+		for (let i = 0; i < 4; i++) {
+			client.send(post, host, key, 'Content-Length: 0', '', '');
+		}
+
+		await waitUntil(() => entry.runningCount === 4);
+		client.socket.destroy();
+		await waitUntil(() => entry.runningCount === 0);
+	}
+});
+
 test('pipelined requests are each answered once, in the order of their arrival', async t => {
 	const {address} = await startHarness(t, {
 		deskHandlers: [(req, res) => {
--- a/src/node/entry/caller-listener.ts
+++ b/src/node/entry/caller-listener.ts
@@ -37,6 +37,7 @@
 	});
 	server.maxConnections = limits.maxConnections;
 	server.maxRequestsPerSocket = maxRequestsPerConnection;
+	closeQueuedResponses(server);
 	server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
 		rejectInvalidMessage(err, socket, metrics);
 	});
@@ -46,6 +47,34 @@
 	return server;
 }
 
+/**
+Emits the event `close` of responses that are queued behind another one when their connection closes. Node.js emits it only for the response
+that is being written, so that a pipelined request whose caller is gone would never end.
+*/
+function closeQueuedResponses(server: Server): void {
+	const openResponses = new WeakMap<Socket, Set<ServerResponse>>();
+	server.on('connection', socket => {
+		const responses = new Set<ServerResponse>();
+		openResponses.set(socket, responses);
+		socket.once('close', () => {
+			// Node.js closes the response that is being written first.
+			setImmediate(() => {
+				for (const res of responses) {
+					res.destroy();
+					res.emit('close');
+				}
+			});
+		});
+	});
+	server.on('request', ({socket}, res) => {
+		const responses = openResponses.get(socket);
+		responses?.add(res);
+		res.once('close', () => {
+			responses?.delete(res);
+		});
+	});
+}
+
 /** Refuses a message that is malformed or timed out and closes its connection. If a response has already begun on the connection, closes the connection without a refusal. */
 function rejectInvalidMessage(err: NodeJS.ErrnoException, socket: Socket, metrics: Metrics): void {
 	const {_httpMessage: currentResponse} = socket as Socket & {_httpMessage?: ServerResponse};
