--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -116,12 +116,15 @@
 	const resumable = {isResumable: true, maxAttempts: 2};
 	const stalled: Step = {type: 'forward/stalled', attempt: 1, server: 'd1'};
 	const found: Step = {type: 'forward/engine-found', attempt: 1, server: 'd1'};
-	const notFound: Step = {type: 'forward/no-engine-found', attempt: 1, server: 'd1'};
+	const notFound: Step = {
+		type: 'forward/no-engine-found', attempt: 1, server: 'd1', isLost: false,
+	};
 	const progressed: Step = {type: 'forward/progressed', attempt: 1};
 	const isOverdrawn = {takeRetry: (_nowMs: number, requests: number) => requests === 0};
 	assert.deepEqual(run([...reservedAndPrefilled(), stalled, found], resumable).slice(3), ['seek -d1', 'switch-engine', 'prefill']);
 	assert.deepEqual(run([...reservedAndPrefilled(), answered(1), stalled, found, answered(1)], resumable).slice(4), ['seek -d1', 'switch-engine', 'prefill']);
 	assert.deepEqual(run([...reservedAndPrefilled(), stalled, notFound, stalled, answered(1)], resumable).slice(3), ['seek -d1', 'watch', 'seek -d1', 'relay']);
+	assert.deepEqual(run([...reservedAndPrefilled(), stalled, {...notFound, isLost: true}], resumable).slice(3), ['seek -d1', 'release', 'hold -d1']);
 	assert.deepEqual(run([...reservedAndPrefilled(), answered(1), stalled, progressed, found], resumable).slice(4), ['seek -d1', 'release-found']);
 	assert.deepEqual(run([...reservedAndPrefilled(), answered(1), stalled, progressed, notFound], resumable).slice(4), ['seek -d1']);
 	assert.deepEqual(run([...reservedAndPrefilled(), stalled, found, answered(1)], {...resumable, ...isOverdrawn}).slice(3), ['seek -d1', 'release-found', 'relay']);
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -89,7 +89,8 @@
 	| (BaseEvent<'forward/progressed'> & {readonly attempt: number})
 	/** Another engine has reserved memory for the silent run on `server`. */
 	| (BaseEvent<'forward/engine-found'> & {readonly attempt: number; readonly server: ServerKey})
-	| (BaseEvent<'forward/no-engine-found'> & {readonly attempt: number; readonly server: ServerKey})
+	/** No other engine has room; `isLost` means that the silent one is not listed any more or is ejected. */
+	| (BaseEvent<'forward/no-engine-found'> & {readonly attempt: number; readonly server: ServerKey; readonly isLost: boolean})
 	| (BaseEvent<'forward/completed'> & {readonly attempt: number})
 	/** The prompt contains parts that crash servers; the block of these parts ends after `retryAfterMs` milliseconds. */
 	| (BaseEvent<'forward/blocked'> & {readonly attempt: number; readonly reason: string; readonly retryAfterMs: number})
@@ -365,9 +366,7 @@
 		}
 
 		case 'forward/no-engine-found': {
-			const isStillSilent = state.isSeekingEngine;
-			state.isSeekingEngine = false;
-			return isStillSilent ? [{type: 'forward/watch', attempt: state.attempt, server: event.server}] : [];
+			return waitOn(state, event);
 		}
 	}
 }
@@ -388,6 +387,20 @@
 	}];
 }
 
+/** Waits on for a run that is still silent, unless its engine is lost. */
+function waitOn(state: ModelForwardState, {attempt, server, isLost, nowMs}: EventOf<'forward/no-engine-found'>): ModelForwardEffect[] {
+	if (!state.isSeekingEngine) {
+		return [];
+	}
+
+	state.isSeekingEngine = false;
+	return isLost
+		? retryOrFail(state, {
+			server, mayHaveRun: true, nowMs, reason: 'the engine is lost',
+		})
+		: [{type: 'forward/watch', attempt, server}];
+}
+
 /** Goes on at the engine that was found, unless the run has sent an event meanwhile or the retry budget does not allow it. */
 function switchEngine(state: ModelForwardState, {server, nowMs}: EventOf<'forward/engine-found'>): ModelForwardEffect[] {
 	if (!state.isSeekingEngine || !state.takeRetry(nowMs, requestsPerRetry)) {
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -43,8 +43,8 @@
 request again after preempting it.
 */
 const eventGapTimeoutMs = 1500;
-/** Time after which another engine is sought again for a run that is still silent, in milliseconds. */
-const seekIntervalMs = 500;
+/** Time after which another engine is sought again for a run that is still silent, in milliseconds; about as often as new requests ask a full pool for memory. */
+const seekIntervalMs = 100;
 /** Time after the deadline of the request for which an answer's headers are still awaited, in milliseconds; the server may have sent them before the deadline. */
 const headersSlackMs = 100;
 
@@ -161,7 +161,7 @@
 			}
 
 			case 'forward/watch': {
-				this._armStallTimer(effect.attempt, effect.server, seekIntervalMs);
+				this._watchSilence(effect);
 				break;
 			}
 
@@ -283,7 +283,10 @@
 
 		if (!this._isStale(attempt)) {
 			this._releasePrefillSlot();
-			this._dispatch({type: 'forward/no-engine-found', attempt, server: silentServer});
+			const {ejection} = fleet.directory.get(silentServer) ?? {};
+			this._dispatch({
+				type: 'forward/no-engine-found', attempt, server: silentServer, isLost: ejection?.isEjected ?? true,
+			});
 		}
 	}
 
@@ -631,6 +634,14 @@
 		}, stallMs);
 	}
 
+	/** Reports the run as stalled again after `seekIntervalMs`, unless it sends an event before. */
+	private _watchSilence({attempt, server}: Extract<ModelForwardEffect, {type: 'forward/watch'}>): void {
+		clearTimeout(this._stallTimer);
+		this._stallTimer = setTimeout(() => {
+			this._dispatch({type: 'forward/stalled', attempt, server});
+		}, seekIntervalMs);
+	}
+
 	/** Aborts the exchanges and timers of the request, and releases its prefill slot and the memory that engines keep for it. */
 	private _release(): void {
 		this._releaseFoundReservation();
