upstreams: the body of a rejection is read for 0.5 s and 64 KiB at most

A rejection (503 with Not-Run), the answer to a cancel or to a health check of a plain server whose body does not end is read for good: the call has ended, its connection has not.

Cause: the rest of an unwanted body was read without a bound, so that the connection can be used again.

Change: discardBody() reads on for a bounded time and size and closes the connection of what does not end by then.

Evidence: connection-pool.test.ts, "an unwanted body is read to its end if that is near ..."; short bodies still share a connection.

--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -7,6 +7,7 @@
 import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
 import {CallError, failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
+import {discardBody} from '../upstreams/connection-pool.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
@@ -469,7 +470,7 @@
 			}, Math.max(1, deadlineMs - clock.nowMs() + headersSlackMs), signal));
 			if (protocol.readServerAnswer(response.headers).isNotRun) {
 				trackedSend.end('stopped');
-				response.body.resume();
+				discardBody(response.body);
 				this._handleRejection(attempt, response.status, reservation, prefilledCache);
 				return;
 			}
--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -9,7 +9,7 @@
 import {TestServer} from '../entry/testing/upstreams.js';
 import {CallError} from './call-error.js';
 import type {UpstreamCall} from './connection-pool.js';
-import {ConnectionPool, maxIdleMs} from './connection-pool.js';
+import {ConnectionPool, discardBody, maxIdleMs} from './connection-pool.js';
 
 /** Timeout of calls that a server answers, in milliseconds. Long, since a busy machine may delay an answer, and only a failing test waits for it. */
 const answerTimeoutMs = 10_000;
@@ -132,3 +132,37 @@
 		await waitUntil(() => pool.busyCount === 0);
 	}
 });
+
+// Guards against a connection that is read for good because a rejection has an endless body.
+test('an unwanted body is read to its end if that is near, and its connection closed otherwise', async t => {
+	const written = {bytes: 0};
+	const server = await TestServer.start((req, res) => {
+		res.writeHead(503);
+		if (req.url === '/short') {
+			res.end('full');
+			return;
+		}
+
+		const timer = setInterval(() => {
+			const part = 'x'.repeat(req.url === '/endless' ? 20_000 : 1);
+			written.bytes += part.length;
+			res.write(part);
+		}, 5);
+		res.once('close', () => {
+			clearInterval(timer);
+		});
+	});
+	const pool = new ConnectionPool(server.address, new ManualClock());
+	t.after(() => {
+		pool.destroy();
+		server.close();
+	});
+	for (const path of ['/short', '/short', '/endless', '/slow']) {
+		const {body} = await pool.call(testCall({path}));
+		discardBody(body);
+		await waitUntil(() => pool.busyCount === 0);
+	}
+
+	assert.equal(server.connectionCount, 2);
+	assert.ok(written.bytes < 2_000_000, `${written.bytes} bytes`);
+});
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -64,6 +64,28 @@
 	readonly closeConnection: () => void;
 };
 
+/** Largest rest of an unwanted body that is read so that its connection can be used again, in bytes. */
+const maxDiscardedBytes = 65_536;
+/** Longest time for which the rest of an unwanted body is read, in milliseconds. */
+const maxDiscardMs = 500;
+
+/** Reads and drops a body that is not wanted, so that its connection can be used again. Closes the connection of a body that is long or does not end. */
+export function discardBody(body: Readable): void {
+	let bytes = 0;
+	const timer = setTimeout(() => {
+		body.destroy();
+	}, maxDiscardMs);
+	body.once('close', () => {
+		clearTimeout(timer);
+	});
+	body.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+		if (bytes > maxDiscardedBytes) {
+			body.destroy();
+		}
+	});
+}
+
 type Connection = {
 	readonly client: Client;
 	/** Ids of the exchanges that the connection has carried. */
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -8,6 +8,7 @@
 	cacheEventsReplySchema, decodeEventSchema, engineErrorSchema, importReplySchema, loadReplySchema, orderStateSchema, prefillReplySchema, requestListSchema,
 } from '../../common/upstreams/engine-api.js';
 import {CallError} from './call-error.js';
+import {discardBody} from './connection-pool.js';
 import {readEventStream} from './event-stream.js';
 import {UpstreamAdapter} from './upstream-adapter.js';
 import type {UpstreamResponse} from './connection-pool.js';
@@ -173,7 +174,7 @@
 			const {status, body} = await this._pool.call({
 				method: 'DELETE', path: `/v1/requests/${encodeURIComponent(requestId)}`, headers: [], headersTimeoutMs: cancelAttemptTimeoutMs, isNewConnection,
 			});
-			body.resume();
+			discardBody(body);
 			return status < 300 || status === 404;
 		} catch {
 			return false;
--- a/src/node/upstreams/plain-adapter.ts
+++ b/src/node/upstreams/plain-adapter.ts
@@ -1,4 +1,5 @@
 import type {UpstreamResponse, UpstreamCall} from './connection-pool.js';
+import {discardBody} from './connection-pool.js';
 import {UpstreamAdapter} from './upstream-adapter.js';
 
 /** Client for one server of a plain service. */
@@ -14,7 +15,7 @@
 			const {status, body} = await this._pool.call({
 				method: 'GET', path: '/healthz', headers: [], headersTimeoutMs: timeoutMs, isNewConnection: true,
 			});
-			body.resume();
+			discardBody(body);
 			return status < 500;
 		} catch {
 			return false;
