forwarding: a refused reservation keeps no id of an answer that belonged to another call

Cause: EngineResources stored the id of the reservation while it was not yet known whose answer it was. The copy was rejected and the call repeated on a new connection; if the engine then refused, the id of the copy was still there and counted as granted. Now the id is read from the answer that the call returns. Test: platform/late-answers.test.ts, failed before ('hold-1' used by one request and released by another), passes twice now.

--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -1,4 +1,5 @@
 import type {Server} from '../../common/forwarding/server-directory.js';
+import type {CallAnswer} from './forward-adapter.js';
 import type {ForwardDependencies} from './forward-request.js';
 import type {ServerCall} from './fleet-protocol.js';
 
@@ -101,18 +102,15 @@
 	/** Asks the engine for a reservation. The answer has no id unless the engine granted one to this call. */
 	private async _requestReservation(server: Server, tokens: number, ttlMs: number): Promise<{readonly status: number; readonly reservationId: string | undefined}> {
 		const {fleet, protocol} = this._dependencies;
-		let reservationId: string | undefined;
-		const {status} = await fleet.adapterFor(server).call(protocol.buildReserveMemoryCall(tokens, ttlMs), reservationTimeoutMs, {
-			isOwnAnswer(answer) {
-				if (answer.status !== 200) {
-					return undefined;
-				}
-
-				reservationId = protocol.readReservationId(answer.text);
-				return reservationId !== undefined && fleet.recordGrant(server, reservationId);
+		const readGrant = ({status, text}: CallAnswer) => status === 200 ? protocol.readReservationId(text) : undefined;
+		const answer = await fleet.adapterFor(server).call(protocol.buildReserveMemoryCall(tokens, ttlMs), reservationTimeoutMs, {
+			isOwnAnswer(received) {
+				const granted = readGrant(received);
+				return received.status === 200 ? granted !== undefined && fleet.recordGrant(server, granted) : undefined;
 			},
 		});
-		return {status, reservationId};
+		// Read from the answer that is returned: the call may have been repeated after an answer that belongs to another one.
+		return {status: answer.status, reservationId: readGrant(answer)};
 	}
 
 	private async _release(server: Server, call: ServerCall, timeoutMs: number): Promise<void> {
