upstreams: a head that another one precedes in part is not used

Cause: a copy of an earlier answer that is cut within its reason phrase or a header value, followed by the answer that is due, reads as one head: the status and first headers of the copy, and the id of the due answer, which the id comparison accepts. Now a head in which another status line stands counts as the answer to another call: the call may have run, and the connection is closed. Tests: forward-adapter.test.ts, three heads; all failed before ('503 /b' and '200 /b' instead of a broken call).

--- a/src/node/forwarding/forward-adapter.test.ts
+++ b/src/node/forwarding/forward-adapter.test.ts
@@ -122,3 +122,23 @@
 	assert.equal(writer.copies, 1, 'the second call used the connection of the first one');
 	assert.equal(server.connectionCount, 2);
 });
+
+// Guards against a copy that is cut within its head: with the answer that is due, it reads as one head with the status of the one and the id of the other.
+for (const cut of ['HTTP/1.1 503 Full', 'HTTP/1.1 503 Full\r\nNot-Run: 1\r\nDate: Sat, 0', 'HTTP/1.1 200 OK\r\nServer-Stamp: an']) {
+	test(`an answer is not used if a part of another head precedes it: ${JSON.stringify(cut)}`, async t => {
+		const {server, observed, send} = await startRepeatingServer(t, url => ({status: 200, body: url}));
+		const {handler} = server;
+		server.handler = async (req, res, body) => {
+			if (req.url === '/b') {
+				req.socket.write(cut);
+			}
+
+			await handler(req, res, body);
+		};
+
+		assert.equal(await send('b', '/b'), 'broken');
+		assert.equal(await send('c', '/c'), '200 /c');
+		assert.equal(server.connectionCount, 2);
+		assert.deepEqual(observed, [200]);
+	});
+}
--- a/src/node/upstreams/call-error.ts
+++ b/src/node/upstreams/call-error.ts
@@ -36,8 +36,8 @@
 
 /** Error of a call whose answer belongs to another call. The upstream was reached, and may have run the call. */
 export class ForeignAnswerError extends CallError {
-	constructor() {
-		super('broken', true, 'the answer belongs to another request');
+	constructor(message = 'the answer belongs to another request') {
+		super('broken', true, message);
 	}
 }
 
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -23,6 +23,9 @@
 /** Lowest status of a final response. */
 const firstFinalStatus = 200;
 
+/** Status line of an answer. */
+const statusLinePattern = /HTTP\/1\.\d \d{3}/;
+
 /** One HTTP exchange with an upstream. */
 export type UpstreamCall = {
 	readonly method: Dispatcher.HttpMethod;
@@ -125,6 +128,14 @@
 	return Object.entries(headers).flatMap(([name, value]) => [value ?? []].flat().flatMap(headerValue => [name, Buffer.from(headerValue, 'utf8').toString('latin1')]));
 }
 
+/**
+Returns whether a head consists of a part of one head and another whole one: the status line of the second then ends the reason phrase or a
+value of the first. Such a head has the status of one answer and the id of the other.
+*/
+function isJoinedHead(reasonPhrase: string, headers: readonly string[]): boolean {
+	return [reasonPhrase, ...headers].some(text => statusLinePattern.test(text));
+}
+
 /** Pool of connections to one upstream, each used by one exchange at a time. Pools share nothing, so that a slow upstream does not delay calls to others. */
 export class ConnectionPool implements Disposable {
 	private readonly _idle: Connection[] = [];
@@ -161,13 +172,17 @@
 			const observedClient = connection.client.compose(dispatch => (options, handler) => dispatch(options, observeHandler(handler, () => {
 				callState.mayHaveBeenSent = true;
 			})));
-			const {statusCode, headers, body} = await observedClient.request({
+			const {statusCode, statusText, headers, body} = await observedClient.request({
 				method: call.method, path: call.path, headers: call.headers, body: call.body,
 			});
 			// A discarded body has no reader, and an unhandled `error` event would end the process. Code that reads the body still
 			// gets its errors.
 			body.on('error', () => undefined);
 			const answerHeaders = flattenHeaders(headers);
+			if (isJoinedHead(statusText, answerHeaders)) {
+				throw new ForeignAnswerError('a part of another answer precedes the answer');
+			}
+
 			if (call.isOwnAnswer?.(answerHeaders) === false) {
 				throw new ForeignAnswerError();
 			}
