--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {once} from 'node:events';
 import {text} from 'node:stream/consumers';
+import type {TestContext} from 'node:test';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {ManualClock} from '../../common/core/clock.js';
 import {waitUntil} from '../entry/testing/harness.js';
 import {TestServer} from '../entry/testing/upstreams.js';
@@ -109,6 +111,44 @@
 	assert.equal(truncated.wasReset(), true);
 });
 
+/** Starts a server that answers each request with `respond`, and a pool of connections to it. */
+async function startRawServer(t: TestContext, respond: (socket: Socket, request: string) => void): Promise<ConnectionPool> {
+	const server = createServer(socket => {
+		socket.on('data', chunk => {
+			respond(socket, String(chunk));
+		});
+		socket.on('error', () => undefined);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const pool = new ConnectionPool(`127.0.0.1:${port}`, new ManualClock());
+	t.after(() => {
+		pool.destroy();
+		server.close();
+	});
+	return pool;
+}
+
+// Guards against a whole answer that is given up because of an earlier connection.
+test('a reset of an idle connection does not count as one of the next connection', async t => {
+	let idle: Socket | undefined;
+	const pool = await startRawServer(t, socket => {
+		idle = socket;
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+	});
+	for (let i = 0; i < 3; i++) {
+		const {body, wasReset} = await pool.call(testCall());
+		assert.equal(await text(body), 'whole');
+		assert.equal(wasReset(), false, `connection ${i}`);
+		await waitUntil(() => pool.busyCount === 0);
+		const closed = once(idle!, 'close');
+		idle!.resetAndDestroy();
+		await closed;
+		await sleep(20);
+	}
+});
+
 // Guards against an answer that is lost, and a process that is busy for seconds, because of a head before the final one.
 test('interim heads before the answer are passed over', async t => {
 	const server = createServer(socket => {
