upstreams: an answer without a length that is reset with its last bytes is not complete

Cause: if a reset arrives together with the last bytes, Node.js (libuv) reports the end of the connection, not an error, so that `wasReset`, which relies on the error, remains false. Now the end of a connection without a peer counts as a reset; one that the peer closed still has its peer.

--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -130,6 +130,19 @@
 	return pool;
 }
 
+// Guards against a part of an answer that passes as the whole one: if a reset follows the last bytes at once, Node.js reports the end of the connection.
+test('an answer without a length whose connection is reset right after its last bytes does not look complete', async t => {
+	const pool = await startRawServer(t, socket => {
+		socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf');
+		socket.resetAndDestroy();
+	});
+	for (let i = 0; i < 20; i++) {
+		const {body, wasReset} = await pool.call(testCall());
+		assert.equal(await text(body), 'half');
+		assert.equal(wasReset(), true);
+	}
+});
+
 // Guards against a whole answer that is given up because of an earlier connection.
 test('a reset of an idle connection does not count as one of the next connection', async t => {
 	let idle: Socket | undefined;
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -269,12 +269,18 @@
 			pipelining: 1,
 			connect(options, callback) {
 				connect(options, (...result) => {
+					const [, socket] = result;
 					connection.wasReset = false;
-					// This listener must run before undici's own listener, which may end the body: `wasReset` must be final by then.
-					result[1]?.once('error', (err: NodeJS.ErrnoException) => {
+					// These listeners must run before undici's own listeners, which may end the body: `wasReset` must be final by then.
+					socket?.once('error', (err: NodeJS.ErrnoException) => {
 						// Only errors of the operating system, such as a reset, have a `syscall`; errors that undici raises itself, such
 						// as for a closed connection, have none.
-						connection.wasReset = err.syscall !== undefined;
+						connection.wasReset ||= err.syscall !== undefined;
+					});
+					socket?.once('end', () => {
+						// If a reset arrives together with the last bytes, Node.js reports the end of the connection instead. A connection
+						// that was reset has no peer; one that the peer closed still has it.
+						connection.wasReset ||= socket.remoteAddress === undefined;
 					});
 					callback(...result);
 				});
