--- a/fakes/copy-writer.ts
+++ b/fakes/copy-writer.ts
@@ -70,6 +70,8 @@
 	/** Answers of each connection, the oldest first. */
 	private readonly _written = new WeakMap<Socket, WireAnswer[]>();
 	private readonly _pending = new WeakMap<Socket, Copy[]>();
+	/** Connections on which a body of a stated length is due: bytes that come before it pass as the body. */
+	private readonly _dueBodies = new WeakSet<Socket>();
 
 	constructor(private readonly _random: SeededRandom, private readonly _options: CopyOptions) {}
 
@@ -119,6 +121,10 @@
 			if ((pausesMs[i] ?? 0) > 0) {
 				socket.write(bytes, 'latin1');
 				bytes = '';
+				if (framing === 'length') {
+					this._dueBodies.add(socket);
+				}
+
 				await sleep(pausesMs[i]);
 			}
 
@@ -133,6 +139,7 @@
 		}
 
 		socket.write(bytes + (framing === 'chunks' ? '0\r\n\r\n' : ''), 'latin1');
+		this._dueBodies.delete(socket);
 	}
 
 	private _plan(kind: string, socket: Socket): void {
@@ -151,7 +158,7 @@
 	private async _writeLater(socket: Socket, copies: readonly Copy[], delayMs: number): Promise<void> {
 		await (delayMs > 0 && sleep(delayMs));
 		for (const {bytes, ending} of copies) {
-			if (!socket.writable) {
+			if (!socket.writable || this._dueBodies.has(socket)) {
 				return;
 			}
 
--- a/fakes/copying-servers.ts
+++ b/fakes/copying-servers.ts
@@ -162,7 +162,7 @@
 		const isResumed = headers['last-event-id'] !== undefined;
 		const kind = isStream ? (isResumed ? 'resumed run' : 'run') : 'plain';
 		const hasMemory = this._takeCache(requestId, headers['kv-from'] as string | undefined);
-		const isRejected = !hasMemory || this._isLikely(isStream ? 0.1 : 0.25);
+		const isRejected = !hasMemory || this._isLikely(0.25);
 		this._useReservation(requestId, server, headers['kv-hold'] as string | undefined, isRejected);
 		if (isRejected) {
 			return [kind, {status: 503, headers: {'Not-Run': '1'}}];
@@ -205,6 +205,10 @@
 			this.violations.push(`${requestId} goes on from ${source}, the memory of ${cache?.owner}`);
 		}
 
+		if (cache?.isTaken) {
+			this.violations.push(`${requestId} goes on from ${source} again`);
+		}
+
 		if (!cache || cache.isTaken || cache.isReleased || performance.now() - cache.atMs > cacheTtlMs) {
 			return false;
 		}
