upstreams: a reset after an answer that tells its own end does not make it incomplete

Cause: `wasReset` counted for answers with a length or in chunks, too, whose truncation the parser detects by itself; with the end of a connection without a peer counted as a reset, whole answers that a server resets right after its last byte would have been given up (502). Now it applies to bodies without framing only.

--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -5,6 +5,7 @@
 import type {LocalAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
+import {isFramed} from '../upstreams/connection-pool.js';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
@@ -105,8 +106,3 @@
 
 	exchange.res.end(body);
 }
-
-/** Returns whether the headers tell where the body ends; a body without such headers ends when its connection closes. */
-function isFramed(headers: readonly string[]): boolean {
-	return headers.some((name, i) => i % 2 === 0 && (name === 'content-length' || name === 'transfer-encoding'));
-}
--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -143,6 +143,21 @@
 	}
 });
 
+// Guards against a whole answer that is given up because the server resets its connection afterwards.
+test('a reset right after an answer that tells its own end does not make it incomplete', async t => {
+	const answers = ['Content-Length: 5\r\n\r\nwhole', 'Connection: close\r\nContent-Length: 5\r\n\r\nwhole', 'Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'];
+	const pool = await startRawServer(t, (socket, request) => {
+		socket.write(`HTTP/1.1 200 OK\r\n${answers[Number(request.split('/', 2)[1]!.split(' ', 1)[0])]!}`);
+		socket.resetAndDestroy();
+	});
+	for (let i = 0; i < 30; i++) {
+		const {body, wasReset} = await pool.call(testCall({path: `/${i % answers.length}`}));
+		assert.equal(await text(body), 'whole');
+		await sleep(i % 3);
+		assert.equal(wasReset(), false, answers[i % answers.length]);
+	}
+});
+
 // Guards against a whole answer that is given up because of an earlier connection.
 test('a reset of an idle connection does not count as one of the next connection', async t => {
 	let idle: Socket | undefined;
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -56,9 +56,8 @@
 	readonly headers: readonly string[];
 	readonly body: Readable;
 	/**
-	Returns whether the connection was reset; the result is final once the body has ended. It distinguishes a truncated response
-	without a length from a complete one: such a response ends when its connection closes, and undici reports a reset as the
-	end of the body, too.
+	Returns whether a body without framing was truncated by a reset of its connection; the result is final once the body has ended.
+	Such a body ends when its connection closes, and undici reports a reset as its end, too.
 	*/
 	readonly wasReset: () => boolean;
 	/** Confirms that the answer is that of the call, so that the connection need not rest. An answer that bears the call's id is confirmed by it. */
@@ -136,6 +135,11 @@
 	return [reasonPhrase, ...headers].some(text => statusLinePattern.test(text));
 }
 
+/** Returns whether the headers tell where the body ends; a body without such headers ends when its connection closes. */
+export function isFramed(headers: readonly string[]): boolean {
+	return headers.some((name, i) => i % 2 === 0 && (name === 'content-length' || name === 'transfer-encoding'));
+}
+
 /** Pool of connections to one upstream, each used by one exchange at a time. Pools share nothing, so that a slow upstream does not delay calls to others. */
 export class ConnectionPool implements Disposable {
 	private readonly _idle: Connection[] = [];
@@ -195,7 +199,7 @@
 				status: statusCode,
 				headers: answerHeaders,
 				body,
-				wasReset: () => connection.wasReset,
+				wasReset: () => connection.wasReset && !isFramed(answerHeaders),
 				confirm() {
 					connection.isConfirmed = true;
 				},
