--- a/fakes/copy-writer.ts
+++ b/fakes/copy-writer.ts
@@ -70,7 +70,7 @@
 	/** Answers of each connection, the oldest first. */
 	private readonly _written = new WeakMap<Socket, WireAnswer[]>();
 	private readonly _pending = new WeakMap<Socket, Copy[]>();
-	/** Connections on which a body of a stated length is due: bytes that come before it pass as the body. */
+	/** Connections on which a body that is not in chunks is due: bytes that come before it pass as a part of it. */
 	private readonly _dueBodies = new WeakSet<Socket>();
 
 	constructor(private readonly _random: SeededRandom, private readonly _options: CopyOptions) {}
@@ -121,7 +121,7 @@
 			if ((pausesMs[i] ?? 0) > 0) {
 				socket.write(bytes, 'latin1');
 				bytes = '';
-				if (framing === 'length') {
+				if (framing !== 'chunks') {
 					this._dueBodies.add(socket);
 				}
 
