upstreams: the test of an idle connection's reset uses an answer without framing

It now ends each second answer with its connection, and fails again without the rule (actual true, expected false).

--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -161,19 +161,25 @@
 // Guards against a whole answer that is given up because of an earlier connection.
 test('a reset of an idle connection does not count as one of the next connection', async t => {
 	let idle: Socket | undefined;
-	const pool = await startRawServer(t, socket => {
-		idle = socket;
-		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+	const pool = await startRawServer(t, (socket, request) => {
+		if (request.startsWith('GET /kept')) {
+			idle = socket;
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+		} else {
+			socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole');
+		}
 	});
-	for (let i = 0; i < 3; i++) {
-		const {body, wasReset} = await pool.call(testCall());
+	for (const path of ['/kept', '/unframed', '/kept', '/unframed']) {
+		const {body, wasReset} = await pool.call(testCall({path}));
 		assert.equal(await text(body), 'whole');
-		assert.equal(wasReset(), false, `connection ${i}`);
+		assert.equal(wasReset(), false, path);
 		await waitUntil(() => pool.busyCount === 0);
-		const closed = once(idle!, 'close');
-		idle!.resetAndDestroy();
-		await closed;
-		await sleep(20);
+		if (path === '/kept') {
+			const closed = once(idle!, 'close');
+			idle!.resetAndDestroy();
+			await closed;
+			await sleep(20);
+		}
 	}
 });
 
