upstreams: answers of engines repeat the id of their call; an answer to another call is not used

Seen: a request could go on from the prompt of another one, a cancel or a KV import that failed could count as done, and load, request lists, cache events and order states could be those of an earlier call, when an engine wrote an answer once more, late. Cause: answers of engines bore no id and connections are used again, so the copy of an answer was taken for the next call's. A prefill reply names a handle, not its request. Change: each call bears X-Call-Id, which the engine repeats in its head. IdentifyingAdapter compares it before anything else is evaluated. An answer without an id is used only if its connection has carried no other call, and the connection is closed behind it: no earlier call, no copy. The call that got a wrong answer is sent again on a new connection; as the first one may have run, a refusal as full counts as broken then. Orders and probes use new connections. A wrong answer, and errors that were swallowed, leave a log line.

--- a/fakes/engine.test.ts
+++ b/fakes/engine.test.ts
@@ -4,7 +4,7 @@
 import {request} from 'undici';
 import type {z} from 'zod';
 import {
-	cacheEventsReplySchema, decodeEventSchema, importReplySchema, loadReplySchema, orderStateSchema, prefillReplySchema, requestListSchema,
+	cacheEventsReplySchema, callIdHeader, decodeEventSchema, importReplySchema, loadReplySchema, orderStateSchema, prefillReplySchema, requestListSchema,
 } from '../src/common/upstreams/engine-api.js';
 import type {DecodeEvent} from '../src/common/upstreams/engine-api.js';
 import {prefixHashes} from '../src/common/upstreams/prompt-prefix.js';
@@ -165,3 +165,20 @@
 	await source.setFault({fault: 'none'});
 	assert.equal(await statusOf(transfer), 200);
 });
+
+// Guards against answers that the router can't tell from those to other calls.
+test('each answer repeats the id of its call, whatever its status, unless the engine is told not to', async t => {
+	const engines = [await startEngine(t), await startEngine(t, {repeatsCallIds: false})];
+	const paths = ['/v1/load', '/v1/requests', '/v1/nowhere', '/v1/prefill', '/v1/decode', '/v1/requests/r1'];
+	const methods = ['GET', 'GET', 'GET', 'POST', 'POST', 'DELETE'] as const;
+	for (const [i, engine] of engines.entries()) {
+		const ids = await Promise.all(paths.map(async (path, at) => {
+			const {headers, body} = await request(`http://${engine.address}${path}`, {
+				method: methods[at]!, headers: {[callIdHeader]: `id-${at}`}, ...(methods[at] === 'POST' && {body: '{}'}),
+			});
+			await body.dump();
+			return headers[callIdHeader];
+		}));
+		assert.deepEqual(ids, paths.map((_, at) => i === 0 ? `id-${at}` : undefined));
+	}
+});
--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -4,7 +4,7 @@
 import {request} from 'undici';
 import {z} from 'zod';
 import {
-	decodeRequestSchema, importRequestSchema, orderRequestSchema, prefillRequestSchema,
+	callIdHeader, decodeRequestSchema, importRequestSchema, orderRequestSchema, prefillRequestSchema,
 } from '../src/common/upstreams/engine-api.js';
 import type {
 	DecodeRequest, ImportRequest, LoadReply, OrderState, Owner, PrefillRequest, RequestList,
@@ -43,6 +43,8 @@
 	readonly decodeStepPerRequestMs?: number;
 	/** Size of the KV cache of one token, in bytes. */
 	readonly kvBytesPerToken?: number;
+	/** Whether answers repeat the ids of their calls; true by default. */
+	readonly repeatsCallIds?: boolean;
 	/** Whether the engine refuses orders with a stale fencing token. */
 	readonly checksFencing?: boolean;
 	/** IP address and port of the weight store from which orders load models and adapters. */
@@ -130,6 +132,7 @@
 /** Test double of an inference engine with continuous batching, a prefix cache and KV transfers. */
 export class FakeEngine extends FakeServer {
 	private readonly _slots: number;
+	private readonly _repeatsCallIds: boolean;
 	private readonly _kvBytesPerToken: number;
 	private readonly _pool: BlockPool;
 	private readonly _events = new CacheEvents();
@@ -151,6 +154,7 @@
 	constructor(options: FakeEngineOptions) {
 		super(options);
 		this._slots = options.slots ?? 20;
+		this._repeatsCallIds = options.repeatsCallIds ?? true;
 		this._kvBytesPerToken = options.kvBytesPerToken ?? 100_000;
 		this._pool = new BlockPool(options.cacheBlocks ?? 2000, (kind, hash) => {
 			this._events.add(kind, hash, performance.now());
@@ -217,6 +221,11 @@
 	}
 
 	protected override async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const callId = req.headers[callIdHeader];
+		if (callId !== undefined && this._repeatsCallIds) {
+			res.setHeader(callIdHeader, callId);
+		}
+
 		const url = new URL(req.url ?? '/', 'http://engine');
 		const id = decodeURIComponent(url.pathname.split('/').at(-1) ?? '');
 		const route = `${req.method} ${url.pathname.replace(/^(\/v1\/(?:requests|kv))\/(?!import$).+$/, '$1/:id')}`;
--- a/src/common/upstreams/engine-api.ts
+++ b/src/common/upstreams/engine-api.ts
@@ -1,5 +1,11 @@
 import {z} from 'zod';
 
+/**
+Header with the id of a call, unique among all calls. The engine repeats it in the head of its answer, whatever the status, so that the
+answer to another call is recognized before anything else of it is evaluated.
+*/
+export const callIdHeader = 'x-call-id';
+
 /** Identity of the entry process that owns a request on an engine. */
 export const ownerSchema = z.strictObject({vm: z.string(), incarnation: z.int()});
 
--- a/src/node/entry/testing/upstreams.ts
+++ b/src/node/entry/testing/upstreams.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
+import {callIdHeader} from '../../../common/upstreams/engine-api.js';
 
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse, body: string) => Promise<void> | void;
 
@@ -73,6 +74,7 @@
 	const heldRequestIds = new Set<string>();
 	const cancelledRequestIds: string[] = [];
 	const server = await TestServer.start(async (req, res, body) => {
+		res.setHeader(callIdHeader, req.headers[callIdHeader]!);
 		if (req.method === 'DELETE') {
 			const id = decodeURIComponent(req.url!.split('/').at(-1)!);
 			if (!await script.overrides.cancel?.(res, {requestId: id, after: 0})) {
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -40,10 +40,11 @@
 	/** Id that the answer repeats. A connection carries each id once, so that the answer to another call with the id is not taken for the answer to this one. */
 	readonly exchangeId?: string | undefined;
 	/**
-	Returns whether the answer with these headers, alternating names and values, belongs to the call. If it does not, the connection
-	is closed and the call rejects, as the call's own answer may still follow. Without this function, any answer does.
+	Returns whether the answer with these headers, alternating names and values, belongs to the call; `isReused` tells whether the
+	connection carried another call before. If it does not, the connection is closed and the call rejects, as the call's own answer
+	may still follow. Without this function, any answer does.
 	*/
-	readonly isOwnAnswer?: (headers: readonly string[]) => boolean;
+	readonly isOwnAnswer?: (headers: readonly string[], isReused: boolean) => boolean;
 };
 
 /** Response of an upstream, available once its headers have arrived. */
@@ -94,6 +95,8 @@
 	isConfirmed: boolean;
 	/** Whether the connection is to be closed instead of reused. */
 	isCondemned: boolean;
+	/** Whether the connection has carried an earlier call. */
+	isReused: boolean;
 	lastUsedAtMs: number;
 	wasReset: boolean;
 };
@@ -168,7 +171,7 @@
 			// gets its errors.
 			body.on('error', () => undefined);
 			const answerHeaders = flattenHeaders(headers);
-			if (call.isOwnAnswer?.(answerHeaders) === false) {
+			if (call.isOwnAnswer?.(answerHeaders, connection.isReused) === false) {
 				throw new ForeignAnswerError();
 			}
 
@@ -265,7 +268,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, exchangeIds: new Set(), isConfirmed: false, isCondemned: false, lastUsedAtMs: this._clock.nowMs(), wasReset: false,
+			client, exchangeIds: new Set(), isConfirmed: false, isCondemned: false, isReused: false, lastUsedAtMs: this._clock.nowMs(), wasReset: false,
 		};
 		return connection;
 	}
@@ -278,6 +281,7 @@
 		}
 
 		this._busy.delete(connection);
+		connection.isReused = true;
 		connection.lastUsedAtMs = this._clock.nowMs();
 		this._idle.push(connection);
 	}
--- a/src/node/upstreams/engine-adapter.test.ts
+++ b/src/node/upstreams/engine-adapter.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {ManualClock} from '../../common/core/clock.js';
+import {Logger} from '../../common/core/log.js';
+import {callIdHeader} from '../../common/upstreams/engine-api.js';
+import {waitUntil} from '../entry/testing/harness.js';
 import {sendJson, TestServer} from '../entry/testing/upstreams.js';
 import type {RequestHandler} from '../entry/testing/upstreams.js';
 import {CallError} from './call-error.js';
@@ -70,3 +73,32 @@
 	await engine.submitOrder({orderId: 'o', fencing: 3, order: {kind: 'set-role', role: 'decode'}}, options);
 	assert.deepEqual(server.requests.slice(-2).map(({method, url}) => `${method} ${url}`), ['GET /v1/cache-events?after=7', 'POST /v1/orders']);
 });
+
+// Guards against "not run" for a call that ran: an engine that got it twice may refuse the second one because it runs the first.
+test('a call that got the answer to another one counts as one that may have run, whatever becomes of its repetition', async t => {
+	const logged: unknown[] = [];
+	const logger = new class extends Logger {
+		override log(...line: unknown[]): void {
+			logged.push(line);
+		}
+	}();
+	let callId: string | undefined;
+	const server = await TestServer.start((req, res) => {
+		const isWrong = callId !== undefined && req.url === '/v1/prefill' && logged.length === 0;
+		res.setHeader(callIdHeader, isWrong ? callId! : req.headers[callIdHeader]!);
+		callId ??= req.headers[callIdHeader] as string;
+		sendJson(res, req.url === '/v1/prefill' ? 429 : 404, {code: 'full'});
+	});
+	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock(), logger);
+	t.after(() => {
+		engine.destroy();
+		server.close();
+	});
+	await assert.rejects(engine.fetchLoad(options));
+	await waitUntil(() => engine.busy === 0);
+	await assert.rejects(engine.prefill(prefillRequest, options), (err: unknown) => err instanceof CallError && err.kind === 'broken' && err.mayHaveBeenSent);
+	assert.deepEqual(logged, [['warn', 'answer of an upstream belongs to another call', {
+		path: '/v1/prefill', requestId: 'r', upstream: 'e', method: 'POST', callId: server.requests[1]!.headers[callIdHeader], answerId: callId, isRepeated: true,
+	}]]);
+	assert.equal(server.connectionCount, 2);
+});
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -1,17 +1,19 @@
 import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {z} from 'zod';
 import type {
 	CacheEventsReply, DecodeEvent, DecodeRequest, ImportRequest, LoadReply, OrderRequest, OrderState, PrefillReply, PrefillRequest, RequestList,
 } from '../../common/upstreams/engine-api.js';
 import {
-	cacheEventsReplySchema, decodeEventSchema, engineErrorSchema, importReplySchema, loadReplySchema, orderStateSchema, prefillReplySchema, requestListSchema,
+	cacheEventsReplySchema, callIdHeader, decodeEventSchema, engineErrorSchema, importReplySchema, loadReplySchema, orderStateSchema, prefillReplySchema, requestListSchema,
 } from '../../common/upstreams/engine-api.js';
 import {CallError} from './call-error.js';
 import {discardBody} from './connection-pool.js';
 import {readEventStream} from './event-stream.js';
-import {UpstreamAdapter} from './upstream-adapter.js';
-import type {UpstreamResponse} from './connection-pool.js';
+import {IdentifyingAdapter} from './identifying-adapter.js';
+import type {IdentifiedResponse} from './identifying-adapter.js';
+import type {UpstreamCall, UpstreamResponse} from './connection-pool.js';
 
 /** Time without data after which a decode stream counts as broken, in milliseconds. A silent connection must be detected within 2 s. */
 export const streamIdleTimeoutMs = 1000;
@@ -52,7 +54,9 @@
 };
 
 /** Client for one engine. `src/common/upstreams/engine-api.ts` defines the API of engines. Failed calls reject with `CallError`. */
-export class EngineAdapter extends UpstreamAdapter {
+export class EngineAdapter extends IdentifyingAdapter {
+	protected override readonly _idHeader = callIdHeader;
+	protected override readonly _hasOtherIds = false;
 	private readonly _destroyController = new AbortController();
 
 	/**
@@ -81,7 +85,7 @@
 
 	/** Yields the numbered events of a decode stream. The stream may end without an end marker; the consumer must check for it. */
 	async * decode(req: DecodeRequest, options: DecodeStreamOptions): AsyncGenerator<DecodeEvent, void, void> {
-		const response = await this._pool.call({
+		const response = await this._send({
 			method: 'POST',
 			path: '/v1/decode',
 			headers: [...jsonContentType, ...options.headers ?? []],
@@ -89,7 +93,7 @@
 			headersTimeoutMs: streamHeadersTimeoutMs,
 			signal: options.signal,
 			isNewConnection: options.isNewConnection,
-		});
+		}, req.requestId);
 		await throwUnlessOk(response);
 		for await (const data of readEventStream(response.body, streamIdleTimeoutMs)) {
 			yield parseDecodeEvent(data);
@@ -123,7 +127,7 @@
 	}
 
 	async submitOrder(order: OrderRequest, options: EngineCallOptions): Promise<void> {
-		const response = await this._call('/v1/orders', options, order);
+		const response = await this._call('/v1/orders', {...options, isNewConnection: true}, order);
 		await throwUnlessOk(response);
 		await readBody(response, options);
 	}
@@ -134,9 +138,10 @@
 
 	override async probe(timeoutMs: number): Promise<boolean> {
 		try {
-			await this.fetchLoad({timeoutMs});
+			await this.fetchLoad({timeoutMs, isNewConnection: true});
 			return true;
-		} catch {
+		} catch (err) {
+			this._logger.log('debug', 'engine did not answer a probe', {upstream: this.name, err});
 			return false;
 		}
 	}
@@ -171,18 +176,19 @@
 
 	private async _tryCancel(requestId: string, isNewConnection: boolean): Promise<boolean> {
 		try {
-			const {status, body} = await this._pool.call({
+			const {status, body} = await this._send({
 				method: 'DELETE', path: `/v1/requests/${encodeURIComponent(requestId)}`, headers: [], headersTimeoutMs: cancelAttemptTimeoutMs, isNewConnection,
 			});
 			discardBody(body);
 			return status < 300 || status === 404;
-		} catch {
+		} catch (err) {
+			this._logger.log('debug', 'cancel not answered', {upstream: this.name, requestId, err});
 			return false;
 		}
 	}
 
 	/** Sends `req` with POST, or a GET request if `req` is undefined, and validates the JSON reply against `schema`. */
-	private async _requestJson<S extends z.ZodType>(path: string, schema: S, options: EngineCallOptions, req?: unknown): Promise<z.output<S>> {
+	private async _requestJson<S extends z.ZodType>(path: string, schema: S, options: EngineCallOptions, req?: {readonly requestId: string}): Promise<z.output<S>> {
 		const response = await this._call(path, options, req);
 		await throwUnlessOk(response);
 		const text = await readBody(response, options);
@@ -198,14 +204,23 @@
 		try {
 			const {requests} = await this.listRequests({timeoutMs: prefillCheckTimeoutMs, isNewConnection: true});
 			return requests.some(request => request.requestId === requestId);
-		} catch {
+		} catch (err) {
+			this._logger.log('debug', 'engine not asked whether it holds a request', {upstream: this.name, requestId, err});
 			return false;
 		}
 	}
 
-	private async _call(path: string, options: EngineCallOptions, req?: unknown): Promise<UpstreamResponse> {
+	/** All calls may be repeated: a later prefill, import or decode of a request replaces the earlier one, and orders use new connections. */
+	private async _send(call: UpstreamCall, requestId?: string): Promise<IdentifiedResponse> {
+		const callId = randomUUID();
+		return this._exchange({
+			...call, callId, isRepeatable: true, logFields: {path: call.path, requestId}, headers: [callIdHeader, callId, ...call.headers],
+		});
+	}
+
+	private async _call(path: string, options: EngineCallOptions, req?: {readonly requestId: string} | OrderRequest): Promise<IdentifiedResponse> {
 		const {timeoutMs, signal, headers = [], isNewConnection = false} = options;
-		return this._pool.call({
+		return this._send({
 			method: req === undefined ? 'GET' : 'POST',
 			path,
 			headers: req === undefined ? [...headers] : [...jsonContentType, ...headers],
@@ -213,7 +228,7 @@
 			headersTimeoutMs: timeoutMs,
 			...(req !== undefined && {body: JSON.stringify(req)}),
 			...(signal && {signal}),
-		});
+		}, req && 'requestId' in req ? req.requestId : undefined);
 	}
 }
 
@@ -250,7 +265,7 @@
 }
 
 /** Throws `CallError` for an error status. 429 `full` means that the call did not run; 404 and 410 mean that the engine does not hold the request or cache. */
-async function throwUnlessOk(response: UpstreamResponse): Promise<void> {
+async function throwUnlessOk(response: IdentifiedResponse): Promise<void> {
 	if (response.status < 300) {
 		return;
 	}
@@ -258,6 +273,10 @@
 	const text = await readBody(response, {timeoutMs: cancelAttemptTimeoutMs});
 	const code = parseErrorCode(text);
 	if (response.status === 429 && code === 'full') {
+		if (response.isRepeat) {
+			throw new CallError('broken', true, 'engine is full, and may have run the call that was sent before');
+		}
+
 		throw new CallError('full', true, 'engine is full and did not run the call');
 	}
 
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -246,9 +246,9 @@
 	}
 
 	private _openUpstream(name: string, {address, zone, role, service}: Upstream): void {
-		const {clock} = this._options;
+		const {clock, logger} = this._options;
 		if (role !== 'plain') {
-			this._engines.set(name, new EngineAdapter({name, address, zone}, clock));
+			this._engines.set(name, new EngineAdapter({name, address, zone}, clock, logger));
 			return;
 		}
 
