scheduler: polls, cancels and orders of schedulers check the id of the answer, too

Seen: a scheduler placed requests by the load, the cache events or the request list of an earlier poll, and took a cancel that failed for done, when an engine wrote an answer once more, late. Cause: the scheduler and the holder of the orders had a client of their own, which kept connections and did not compare ids. Change: EngineControlClient calls engines through EngineAdapter, which compares the id, and bounds each call with one signal. The answer to an order, whose connection must be reset when it is late, is compared there; its unknown outcome is logged with its reason.

--- a/src/node/orders/order-host.test.ts
+++ b/src/node/orders/order-host.test.ts
@@ -211,7 +211,7 @@
 	context.after(() => {
 		server.close();
 	});
-	const engines = new EngineControlClient();
+	const engines = new EngineControlClient(new ManualClock());
 	context.after(async () => engines.dispose());
 	const accepted = once(server, 'connection');
 	const sending = engines.sendOrder(`127.0.0.1:${(server.address() as AddressInfo).port}`, {orderId: 'o1', fencing: 1, order: makeLoadOrder('a')});
--- a/src/node/orders/order-host.ts
+++ b/src/node/orders/order-host.ts
@@ -38,14 +38,15 @@
 export class OrderHost implements Disposable {
 	private readonly _state: OrdersState;
 	private readonly _runtime: ReducerRuntime<OrdersEvent, OrdersEffect>;
-	private readonly _engineClient = new EngineControlClient();
+	private readonly _engineClient: EngineControlClient;
 	private readonly _lease: LeaseHolder;
 	private _timer: NodeJS.Timeout | undefined;
 	private _leaseFreeSinceMs: number | undefined;
 	private _configuredView: SharedStateView | undefined;
 
 	constructor(private readonly _options: OrderHostOptions) {
-		const {clock, leases, limits} = _options;
+		const {clock, logger, leases, limits} = _options;
+		this._engineClient = new EngineControlClient(clock, logger);
 		this._state = createOrders({leaseMs: leaseTtlMs, ...limits});
 		this._runtime = new ReducerRuntime(event => reduceOrders(this._state, event), clock);
 		this._lease = new LeaseHolder(ordersLeaseName, leases, clock);
--- a/src/node/scheduler/engine-control-client.ts
+++ b/src/node/scheduler/engine-control-client.ts
@@ -1,44 +1,51 @@
+import {randomUUID} from 'node:crypto';
 import type {Socket} from 'node:net';
 import {Agent, buildConnector, request} from 'undici';
-import type {z} from 'zod';
+import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import {errorContext, UpstreamError} from '../../common/core/errors.js';
+import type {Logger} from '../../common/core/log.js';
+import {NullLogger} from '../../common/core/log.js';
 import type {OrderSendResult} from '../../common/orders/types.js';
-import {
-	cacheEventsReplySchema, loadReplySchema, orderRefusalSchema, orderStateSchema, requestListSchema,
-} from '../../common/upstreams/engine-api.js';
+import {callIdHeader, orderRefusalSchema, orderStateSchema} from '../../common/upstreams/engine-api.js';
 import type {
 	CacheEventsReply, LoadReply, OrderRequest, OrderState, RequestList,
 } from '../../common/upstreams/engine-api.js';
+import {EngineAdapter} from '../upstreams/engine-adapter.js';
+import type {EngineCallOptions} from '../upstreams/engine-adapter.js';
 
+/** Largest number of engines whose connections are kept. Those of the engine that was called least recently are closed first. */
+const maxAdapters = 1024;
 /** Maximum time to wait for an engine's response, in milliseconds. A load report that took longer would be too old to be of use. */
 const responseTimeoutMs = 1000;
 
 /** Client of the engine API for schedulers and for the holder of the `orders` lease. */
 export class EngineControlClient implements Disposable {
-	/** Connections for control requests, separate from those that carry model requests, so that neither kind of request waits for the other. */
-	private readonly _agent = new Agent({connections: 2, connect: {timeout: responseTimeoutMs}, keepAliveTimeout: 4000});
+	/** One adapter per address, the one that was used last at the end. Their connections are separate from those that carry model requests, so that neither kind of request waits for the other. */
+	private readonly _adapters = new Map<string, EngineAdapter>();
+
+	constructor(private readonly _clock: Clock, private readonly _logger: Logger = new NullLogger()) {}
 
 	/** Fetches the engine's load. Rejects with `UpstreamError` if the call fails, as all methods except `sendOrder` do. */
 	async fetchLoad(address: string): Promise<LoadReply> {
-		return this._get(address, '/v1/load', loadReplySchema);
+		return this._call(address, async (engine, options) => engine.fetchLoad(options));
 	}
 
 	async fetchCacheEvents(address: string, after: number): Promise<CacheEventsReply> {
-		return this._get(address, `/v1/cache-events?after=${after}`, cacheEventsReplySchema);
+		return this._call(address, async (engine, options) => engine.fetchCacheEvents(after, options));
 	}
 
 	async listRequests(address: string): Promise<RequestList> {
-		return this._get(address, '/v1/requests', requestListSchema);
+		return this._call(address, async (engine, options) => engine.listRequests(options));
 	}
 
 	/** Cancels a request on the engine, whatever its phase. Idempotent. */
 	async cancelRequest(address: string, requestId: string): Promise<void> {
-		await this._call('DELETE', address, `/v1/requests/${encodeURIComponent(requestId)}`);
+		await this._call(address, async (engine, options) => engine.cancelOnce(requestId, options));
 	}
 
 	async fetchOrderState(address: string): Promise<OrderState> {
-		return this._get(address, '/v1/orders', orderStateSchema);
+		return this._call(address, async (engine, options) => engine.fetchOrderState(options));
 	}
 
 	/**
@@ -63,11 +70,19 @@
 			abort.abort();
 		}, responseTimeoutMs);
 		try {
-			const {statusCode, body} = await request(`http://${address}/v1/orders`, {
-				method: 'POST', body: JSON.stringify(order), dispatcher: agent, signal: abort.signal,
+			const callId = randomUUID();
+			const {statusCode, headers, body} = await request(`http://${address}/v1/orders`, {
+				method: 'POST', body: JSON.stringify(order), headers: {[callIdHeader]: callId}, dispatcher: agent, signal: abort.signal,
 			});
+			const answerId = headers[callIdHeader] ?? callId;
+			if (answerId !== callId) {
+				throw new Error(`the answer belongs to call ${String(answerId)}, not ${callId}`);
+			}
+
 			return parseSendResult(statusCode, await body.text());
-		} catch {
+		} catch (err) {
+			// The order may have reached the engine; the reducer reads its state before it sends another one.
+			this._logger.log('warn', 'outcome of an order not known', {engine: address, orderId: order.orderId, err});
 			return {kind: 'unknown'};
 		} finally {
 			clearTimeout(timer);
@@ -76,32 +91,31 @@
 	}
 
 	async dispose(): Promise<void> {
-		await this._agent.destroy();
-	}
-
-	private async _get<S extends z.ZodType>(address: string, path: string, schema: S): Promise<z.output<S>> {
-		const body = await this._call('GET', address, path);
-		const result = schema.safeParse(JSON.parse(body));
-		if (!result.success) {
-			throw new UpstreamError(`the response to ${path} does not match its schema`, errorContext({step: 'scheduler.poll', peer: address, cause: result.error}));
+		for (const adapter of this._adapters.values()) {
+			adapter.destroy();
 		}
-
-		return result.data;
 	}
 
-	private async _call(method: 'GET' | 'DELETE', address: string, path: string): Promise<string> {
+	private async _call<T>(address: string, perform: (engine: EngineAdapter, options: EngineCallOptions) => Promise<T>): Promise<T> {
 		try {
-			const {statusCode, body} = await request(`http://${address}${path}`, {method, dispatcher: this._agent, signal: AbortSignal.timeout(responseTimeoutMs)});
-			const text = await body.text();
-			if (statusCode >= 400) {
-				throw new Error(`status ${statusCode}`);
-			}
-
-			return text;
+			return await perform(this._adapterFor(address), {timeoutMs: responseTimeoutMs, signal: AbortSignal.timeout(responseTimeoutMs)});
 		} catch (err) {
-			throw new UpstreamError(`${method} ${path} failed`, errorContext({step: 'scheduler.poll', peer: address, cause: err}));
+			throw new UpstreamError('call to an engine failed', errorContext({step: 'scheduler.poll', peer: address, cause: err}));
 		}
 	}
+
+	private _adapterFor(address: string): EngineAdapter {
+		const adapter = this._adapters.get(address) ?? new EngineAdapter({name: address, address, zone: ''}, this._clock, this._logger);
+		this._adapters.delete(address);
+		this._adapters.set(address, adapter);
+		if (this._adapters.size > maxAdapters) {
+			const [oldestAddress, oldest] = [...this._adapters][0]!;
+			oldest.dispose();
+			this._adapters.delete(oldestAddress);
+		}
+
+		return adapter;
+	}
 }
 
 /** Converts a response to an `OrderSendResult`. Throws if the response does not follow the protocol, since the outcome is then unknown. */
--- a/src/node/scheduler/scheduler-host.ts
+++ b/src/node/scheduler/scheduler-host.ts
@@ -37,7 +37,7 @@
 export class SchedulerHost implements Disposable {
 	/** Hosts of all shards of the configuration, by lease name. */
 	private readonly _hosts = new Map<string, ShardHost>();
-	private readonly _engines = new EngineControlClient();
+	private readonly _engines: EngineControlClient;
 	private readonly _timers: NodeJS.Timeout[] = [];
 	/** Time at which each free lease was first seen to be free, in milliseconds, by lease name. */
 	private readonly _freeSinceMs = new Map<string, number>();
@@ -45,6 +45,7 @@
 	private _isStopping = false;
 
 	constructor(private readonly _options: SchedulerHostOptions) {
+		this._engines = new EngineControlClient(_options.clock, _options.logger);
 		this._registerHandlers();
 	}
 
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -114,6 +114,17 @@
 		return this._cancelUntilAcknowledged(requestId);
 	}
 
+	/** Makes one attempt at a cancel; rejects with `CallError` unless the engine acknowledges it. */
+	async cancelOnce(requestId: string, {timeoutMs, signal, isNewConnection = false}: EngineCallOptions): Promise<void> {
+		const {status, body} = await this._send({
+			method: 'DELETE', path: `/v1/requests/${encodeURIComponent(requestId)}`, headers: [], headersTimeoutMs: timeoutMs, isNewConnection, ...(signal && {signal}),
+		}, requestId);
+		discardBody(body);
+		if (status >= 300 && status !== 404) {
+			throw new CallError('error', true, `engine answered with status ${status}`);
+		}
+	}
+
 	async fetchLoad(options: EngineCallOptions): Promise<LoadReply> {
 		return this._requestJson('/v1/load', loadReplySchema, options);
 	}
@@ -176,13 +187,10 @@
 
 	private async _tryCancel(requestId: string, isNewConnection: boolean): Promise<boolean> {
 		try {
-			const {status, body} = await this._send({
-				method: 'DELETE', path: `/v1/requests/${encodeURIComponent(requestId)}`, headers: [], headersTimeoutMs: cancelAttemptTimeoutMs, isNewConnection,
-			});
-			discardBody(body);
-			return status < 300 || status === 404;
+			await this.cancelOnce(requestId, {timeoutMs: cancelAttemptTimeoutMs, isNewConnection});
+			return true;
 		} catch (err) {
-			this._logger.log('debug', 'cancel not answered', {upstream: this.name, requestId, err});
+			this._logger.log('debug', 'cancel not acknowledged', {upstream: this.name, requestId, err});
 			return false;
 		}
 	}
--- a/src/node/upstreams/late-answers.test.ts
+++ b/src/node/upstreams/late-answers.test.ts
@@ -5,7 +5,9 @@
 import type {TestContext} from 'node:test';
 import {RepeatingWriter} from '../../../fakes/repeating-writer.js';
 import {ManualClock} from '../../common/core/clock.js';
-import {TestServer} from '../entry/testing/upstreams.js';
+import {callIdHeader} from '../../common/upstreams/engine-api.js';
+import {sendJson, TestServer} from '../entry/testing/upstreams.js';
+import {EngineControlClient} from '../scheduler/engine-control-client.js';
 import {EngineAdapter} from './engine-adapter.js';
 
 /** Timeout of calls that are answered, in milliseconds. Long, since only a failing test waits for it. */
@@ -132,7 +134,7 @@
 	}
 }
 
-type Clients = {readonly server: StutteringServer; readonly engine: EngineAdapter};
+type Clients = {readonly server: StutteringServer; readonly engine: EngineAdapter; readonly control: EngineControlClient};
 
 async function didResolve(promise: Promise<unknown>): Promise<boolean> {
 	try {
@@ -202,6 +204,31 @@
 		server.isHealthy = n % 2 === 1;
 		return [await engine.probe(timeoutMs), server.isHealthy];
 	},
+	async 'scheduler\'s load'({control, server}) {
+		const {queuedPrefillTokens} = await control.fetchLoad(server.address);
+		return [queuedPrefillTokens, server.calls];
+	},
+	async 'scheduler\'s requests list'({control, server}) {
+		const {requests} = await control.listRequests(server.address);
+		return [requests[0]!.requestId, String(server.calls)];
+	},
+	async 'scheduler\'s cache events'({control, server}) {
+		const {last} = await control.fetchCacheEvents(server.address, 0);
+		return [last, server.calls];
+	},
+	async 'scheduler\'s order state'({control, server}) {
+		const {highestFencing} = await control.fetchOrderState(server.address);
+		return [highestFencing, server.calls];
+	},
+	async 'scheduler\'s cancel'({control, server}, n) {
+		server.held.add(`${n}`).add(`${n}?`);
+		const isAcknowledged = await didResolve(control.cancelRequest(server.address, `${n}`));
+		return [isAcknowledged && server.held.has(`${n}`), false];
+	},
+	async 'scheduler\'s order'({control, server}, n) {
+		const {kind} = await control.sendOrder(server.address, {orderId: `${n}`, fencing: 1, order: {kind: 'set-role', role: 'both'}});
+		return [kind, n % 2 === 1 ? 'accepted' : 'stale'];
+	},
 };
 
 /** Makes calls of one kind in turn and checks that none gets the answer to another. A call that fails counts as one that may have run; only behind a copy that is cut short may it fail. */
@@ -210,9 +237,10 @@
 	await server.start();
 	const clock = new ManualClock();
 	const options = {name: 'u', address: server.address, zone: 'z'};
-	const clients = {server, engine: new EngineAdapter(options, clock)};
-	t.after(() => {
+	const clients = {server, engine: new EngineAdapter(options, clock), control: new EngineControlClient(clock)};
+	t.after(async () => {
 		clients.engine.destroy();
+		await clients.control.dispose();
 		server.server.close();
 	});
 	for (let n = 1; n <= callsPerConnection; n++) {
@@ -240,3 +268,19 @@
 		});
 	}
 }
+
+// Guards against an order that counts as carried out because of what was said to another one.
+test('the outcome of an order whose answer bears another id is not known', async t => {
+	const server = await TestServer.start((_req, res) => {
+		res.setHeader(callIdHeader, 'other');
+		sendJson(res, 202, {
+			highestFencing: 1, models: [], adapters: [], role: 'both', loading: false,
+		});
+	});
+	const control = new EngineControlClient(new ManualClock());
+	t.after(async () => {
+		await control.dispose();
+		server.close();
+	});
+	assert.deepEqual(await control.sendOrder(server.address, {orderId: 'o', fencing: 1, order: {kind: 'set-role', role: 'both'}}), {kind: 'unknown'});
+});
