upstreams: the answer to one caller of a plain service is not passed on to another

Seen: a caller of a plain service got the answer to another caller's request when a server wrote an answer once more, late. On routes that must not run twice, too, where the caller also took the request for done. Cause: plain servers were called on kept connections, and nothing ties their answers to the calls. A server that repeats X-Request-Id keeps its connections and its answers are compared; any other server gets a connection for each call, on which no copy can arrive. Requests that must not run twice use new connections in any case, since they could not be sent again. So no sound request is refused.

--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -164,7 +164,9 @@
 	}
 
 	private async _callUpstream(attemptNumber: number, attempt: Attempt): Promise<void> {
-		const {exchange, target, body} = this._request;
+		const {
+			exchange, target, body, route,
+		} = this._request;
 		const {upstream, abortController} = attempt;
 		try {
 			const response = await upstream.adapter.send({
@@ -174,6 +176,8 @@
 				...(body.length > 0 && {body}),
 				headersTimeoutMs: this._attemptTimeoutMs(attemptNumber),
 				signal: abortController.signal,
+				requestId: exchange.traceIds.requestId,
+				isIdempotent: route.idempotent,
 			});
 			attempt.response = response;
 			response.body.once('close', attempt.release);
--- a/src/node/upstreams/cut-heads.test.ts
+++ b/src/node/upstreams/cut-heads.test.ts
@@ -35,7 +35,7 @@
 	});
 	const calls: ReadonlyArray<() => Promise<unknown>> = [
 		async () => bufferAnswer(await plain.send({
-			method: 'POST', path: '/', headers: [], headersTimeoutMs: timeoutMs,
+			method: 'POST', path: '/', headers: [], headersTimeoutMs: timeoutMs, requestId: 'r', isIdempotent: false,
 		}), answerLimitBytes),
 		async () => engine.fetchLoad({timeoutMs}),
 		async () => engine.listRequests({timeoutMs}),
--- a/src/node/upstreams/late-answers.test.ts
+++ b/src/node/upstreams/late-answers.test.ts
@@ -1,5 +1,6 @@
 /** Tests with upstreams that write an answer once more, late, at each kind of call of the project's own interface. */
 import assert from 'node:assert/strict';
+import {text} from 'node:stream/consumers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
@@ -9,6 +10,7 @@
 import {sendJson, TestServer} from '../entry/testing/upstreams.js';
 import {EngineControlClient} from '../scheduler/engine-control-client.js';
 import {EngineAdapter} from './engine-adapter.js';
+import {PlainAdapter} from './plain-adapter.js';
 
 /** Timeout of calls that are answered, in milliseconds. Long, since only a failing test waits for it. */
 const timeoutMs = 10_000;
@@ -116,7 +118,7 @@
 			}
 
 			default: {
-				return method === 'DELETE' ? this._cancel(url.split('/').at(-1)!) : {status: 200, body: url};
+				return method === 'DELETE' ? this._cancel(url.split('/').at(-1)!) : {status: this.isHealthy ? 200 : 500, body: url};
 			}
 		}
 	}
@@ -134,7 +136,7 @@
 	}
 }
 
-type Clients = {readonly server: StutteringServer; readonly engine: EngineAdapter; readonly control: EngineControlClient};
+type Clients = {readonly server: StutteringServer; readonly engine: EngineAdapter; readonly control: EngineControlClient; readonly plain: PlainAdapter};
 
 async function didResolve(promise: Promise<unknown>): Promise<boolean> {
 	try {
@@ -145,6 +147,14 @@
 	}
 }
 
+async function sendPlain({plain}: Clients, method: 'GET' | 'POST', n: number): Promise<string> {
+	const requestId = `r${n}`;
+	const {body} = await plain.send({
+		method, path: `/${n}`, headers: ['x-request-id', requestId], headersTimeoutMs: timeoutMs, requestId, isIdempotent: method === 'GET',
+	});
+	return text(body);
+}
+
 async function decodeTexts({engine}: Clients, requestId: string, after: number): Promise<string> {
 	const texts: string[] = [];
 	for await (const event of engine.decode({
@@ -229,6 +239,16 @@
 		const {kind} = await control.sendOrder(server.address, {orderId: `${n}`, fencing: 1, order: {kind: 'set-role', role: 'both'}});
 		return [kind, n % 2 === 1 ? 'accepted' : 'stale'];
 	},
+	async 'idempotent plain call'(clients, n) {
+		return [await sendPlain(clients, 'GET', n), `/${n}`];
+	},
+	async 'plain call that must not run twice'(clients, n) {
+		return [await sendPlain(clients, 'POST', n), `/${n}`];
+	},
+	async 'plain probe'({plain, server}, n) {
+		server.isHealthy = n % 2 === 1;
+		return [await plain.probe(timeoutMs), server.isHealthy];
+	},
 };
 
 /** Makes calls of one kind in turn and checks that none gets the answer to another. A call that fails counts as one that may have run; only behind a copy that is cut short may it fail. */
@@ -237,9 +257,12 @@
 	await server.start();
 	const clock = new ManualClock();
 	const options = {name: 'u', address: server.address, zone: 'z'};
-	const clients = {server, engine: new EngineAdapter(options, clock), control: new EngineControlClient(clock)};
+	const clients = {
+		server, engine: new EngineAdapter(options, clock), plain: new PlainAdapter(options, clock), control: new EngineControlClient(clock),
+	};
 	t.after(async () => {
 		clients.engine.destroy();
+		clients.plain.destroy();
 		await clients.control.dispose();
 		server.server.close();
 	});
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -253,7 +253,7 @@
 		}
 
 		this._plainUpstreams.set(name, {
-			adapter: new PlainAdapter({name, address, zone}, clock),
+			adapter: new PlainAdapter({name, address, zone}, clock, logger),
 			service,
 			concurrency: new ConcurrencyLimit(1),
 			ejection: new OutlierEjection(),
