upstreams: a whole answer does not count as cut because its connection was reset while it was idle

Seen: callers of plain services got a cut connection instead of a whole answer when the server had reset the idle connection before, as a server that restarts does; on the users' platform the same pool is used. Cause: undici connects again under the same client, but `wasReset` still told of the earlier connection. Evidence: connection-pool.test.ts, "a reset between two answers ...", failed before at the second answer. Change: a new connection starts with no reset and without earlier calls.

--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 import {once} from 'node:events';
 import {text} from 'node:stream/consumers';
 import {test} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {ManualClock} from '../../common/core/clock.js';
 import {waitUntil} from '../entry/testing/harness.js';
 import {TestServer} from '../entry/testing/upstreams.js';
@@ -166,3 +167,30 @@
 	assert.equal(server.connectionCount, 2);
 	assert.ok(written.bytes < 2_000_000, `${written.bytes} bytes`);
 });
+
+// Guards against a whole answer that counts as cut because the server had reset the connection while it was idle.
+test('a reset between two answers does not make the second one look cut', async t => {
+	let idleSocket: Socket | undefined;
+	const server = createServer(socket => {
+		socket.on('data', () => {
+			idleSocket = socket;
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole');
+		});
+		socket.on('error', () => undefined);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const pool = new ConnectionPool(`127.0.0.1:${(server.address() as AddressInfo).port}`, new ManualClock());
+	t.after(() => {
+		pool.destroy();
+		server.close();
+	});
+	for (let i = 0; i < 3; i++) {
+		const {body, wasReset} = await pool.call(testCall());
+		assert.equal(await text(body), 'whole');
+		assert.equal(wasReset(), false, `answer ${i + 1}`);
+		await waitUntil(() => pool.busyCount === 0);
+		idleSocket!.resetAndDestroy();
+		await sleep(20);
+	}
+});
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -257,6 +257,9 @@
 			pipelining: 1,
 			connect(options, callback) {
 				connect(options, (...result) => {
+					// Undici connects again if the server closed the connection while it was idle.
+					connection.wasReset = false;
+					connection.isReused = false;
 					// This listener must run before undici's own listener, which may end the body: `wasReset` must be final by then.
 					result[1]?.once('error', (err: NodeJS.ErrnoException) => {
 						// Only errors of the operating system, such as a reset, have a `syscall`; errors that undici raises itself, such
