upstreams: an order whose answer ends early does not count as accepted

Seen: EngineAdapter.submitOrder took a 202 for acceptance whatever followed, also a body without a length that was cut. No caller uses it at present; the holder of the orders parses its answers. Cause: the body was read and not looked at. Evidence: engine-adapter.test.ts, "an order whose answer ends early ...", failed before. The stand-in of the test above it answered an order with cache events, which was accepted; it answers with an order state now. Change: the answer is parsed like all others.

--- a/src/node/upstreams/engine-adapter.test.ts
+++ b/src/node/upstreams/engine-adapter.test.ts
@@ -58,8 +58,12 @@
 	const load = {
 		ageMs: 1, queuedPrefillTokens: 2, activeDecodes: 3, slots: 4, freeBlocks: 5, totalBlocks: 6, leaving: false,
 	};
+	const orderState = {
+		highestFencing: 3, lastOrderId: 'o', models: [], adapters: [], role: 'decode', loading: true,
+	};
+	const cacheEvents = {events: [{n: 8, kind: 'stored', hash: 'h'}], last: 9};
 	const server = await TestServer.start((req, res) => {
-		sendJson(res, 200, req.url === '/v1/load' ? load : {events: [{n: 8, kind: 'stored', hash: 'h'}], last: 9});
+		sendJson(res, 200, req.url === '/v1/load' ? load : (req.method === 'POST' ? orderState : cacheEvents));
 	});
 	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock());
 	t.after(() => {
@@ -102,3 +106,16 @@
 	}]]);
 	assert.equal(server.connectionCount, 2);
 });
+
+// Guards against an answer without a length that counts as whole although it ends early.
+test('an order whose answer ends early is not taken for accepted', async t => {
+	const server = await TestServer.start(req => {
+		req.socket.end('HTTP/1.1 202 Accepted\r\nConnection: close\r\n\r\n{"highestFencing":3,"mod');
+	});
+	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock());
+	t.after(() => {
+		engine.destroy();
+		server.close();
+	});
+	await assert.rejects(engine.submitOrder({orderId: 'o', fencing: 3, order: {kind: 'set-role', role: 'decode'}}, options), CallError);
+});
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -138,9 +138,7 @@
 	}
 
 	async submitOrder(order: OrderRequest, options: EngineCallOptions): Promise<void> {
-		const response = await this._call('/v1/orders', {...options, isNewConnection: true}, order);
-		await throwUnlessOk(response);
-		await readBody(response, options);
+		await this._requestJson('/v1/orders', orderStateSchema, {...options, isNewConnection: true}, order);
 	}
 
 	async fetchOrderState(options: EngineCallOptions): Promise<OrderState> {
@@ -196,7 +194,7 @@
 	}
 
 	/** Sends `req` with POST, or a GET request if `req` is undefined, and validates the JSON reply against `schema`. */
-	private async _requestJson<S extends z.ZodType>(path: string, schema: S, options: EngineCallOptions, req?: {readonly requestId: string}): Promise<z.output<S>> {
+	private async _requestJson<S extends z.ZodType>(path: string, schema: S, options: EngineCallOptions, req?: {readonly requestId: string} | OrderRequest): Promise<z.output<S>> {
 		const response = await this._call(path, options, req);
 		await throwUnlessOk(response);
 		const text = await readBody(response, options);
