observability: errors in log lines are written with their message

Seen: `request failed` at an entry process, and three other lines, held `"err":{}`: the reason was lost. Cause: JSON.stringify writes no property of an error. Evidence: json-logger.test.ts failed before with `err: {}`. Change: a replacer writes the message.

--- a/src/node/observability/json-logger.ts
+++ b/src/node/observability/json-logger.ts
@@ -17,6 +17,11 @@
 type LogLine = {readonly message: string; readonly fields: Readonly<Record<string, unknown>>};
 type LogLineMetadata = {_meta?: {date: Date; logLevelName: string}};
 
+/** Replacer for `JSON.stringify`, which writes no property of an error. */
+function writeErrorAsMessage(_key: string, field: unknown): unknown {
+	return field instanceof Error ? field.message : field;
+}
+
 /** Logger that writes one JSON object per line to standard output. */
 export class JsonLogger extends Logger {
 	private readonly _logger: TsLogger<LogLine>;
@@ -32,7 +37,7 @@
 				const line = {
 					time: metadata?.date.toISOString(), level: metadata?.logLevelName.toLowerCase(), message, ...fields, ...context,
 				};
-				writer.writeLine(JSON.stringify(line));
+				writer.writeLine(JSON.stringify(line, writeErrorAsMessage));
 			}],
 		});
 		process.once('exit', () => {
