fakes: fault that repeats answers; an engine pulls a KV cache on a connection of its own

With `repeat-answers` a stand-in writes each answer once more ahead of the next one on its connection, so that plays of real processes meet stutter at every call. Cause: the stand-in of the decode engine pulls KV caches over kept connections and believed the copy of another cache's description.

--- a/fakes/doubles.test.ts
+++ b/fakes/doubles.test.ts
@@ -128,3 +128,19 @@
 	await once(socket, 'close');
 	assert.equal(await statusOf(post(forwarder.address, 'c')), 201);
 });
+
+// Guards against a fault that shows nothing: without copies, the plays with it would pass on any code.
+test('with the fault repeat-answers, a connection gets each answer again ahead of the next one', async t => {
+	const service = await startPlainService(t);
+	await service.setFault({fault: 'repeat-answers'});
+	const dispatcher = new Agent({connections: 1});
+	t.after(async () => dispatcher.destroy());
+	const answers: string[] = [];
+	for (const ref of ['a', 'b']) {
+		const {body} = await post(service.address, ref, dispatcher);
+		answers.push(body.ref);
+	}
+
+	assert.deepEqual(answers, ['a', 'a']);
+	assert.deepEqual(service.getRecord().calls.map(({ref}) => ref).slice(0, 1), ['a']);
+});
--- a/fakes/engine.ts
+++ b/fakes/engine.ts
@@ -481,6 +481,10 @@
 		const {signal} = decode.abort;
 		const url = `http://${req.source}/v1/kv/${encodeURIComponent(req.handle)}`;
 		const info = await this._fetchHandleInfo(url, signal);
+		if (info.requestId !== req.requestId) {
+			throw new KvImportError('transfer-failed');
+		}
+
 		const blocks = Math.ceil(info.promptTokens / tokensPerBlock);
 		if (!this._pool.allocatePrivate(blocks)) {
 			throw new KvImportError('full');
@@ -493,7 +497,8 @@
 	}
 
 	private async _fetchHandleInfo(url: string, signal: AbortSignal): Promise<HandleInfo> {
-		const {statusCode, body} = await request(url, {signal, headersTimeout: transferTimeoutMs});
+		// The connection is closed behind the answer, so that it carries no answer to another call.
+		const {statusCode, body} = await request(url, {signal, headersTimeout: transferTimeoutMs, reset: true});
 		const content = await body.json();
 		if (statusCode !== 200) {
 			throw new KvImportError(statusCode === 410 ? 'expired' : 'transfer-failed');
--- a/fakes/faults.ts
+++ b/fakes/faults.ts
@@ -15,6 +15,8 @@
 	z.strictObject({fault: z.literal('reset')}),
 	/** Connections that are open when the fault is set stay open but carry no more bytes to their clients; new connections work. */
 	z.strictObject({fault: z.literal('silence')}),
+	/** Each answer is written once more on its connection, ahead of the next one that is due there. */
+	z.strictObject({fault: z.literal('repeat-answers')}),
 	/** All service times are multiplied by `factor`. */
 	z.strictObject({fault: z.literal('slow'), factor: z.number().positive()}),
 	/** Cache events are lost, which leaves gaps in their numbers. */
--- a/fakes/server.ts
+++ b/fakes/server.ts
@@ -1,6 +1,8 @@
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import {Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {json} from 'node:stream/consumers';
 import type {Disposable} from '../src/common/core/disposable.js';
 import {faultSchema} from './faults.js';
@@ -42,6 +44,8 @@
 	protected keysSeen = 0;
 	private readonly _sockets = new Set<Socket>();
 	private readonly _silentSockets = new WeakSet<Socket>();
+	/** What was written since the last request on a connection arrived. */
+	private readonly _lastAnswers = new WeakMap<Socket, Uint8Array[]>();
 	private readonly _controlServer = createServer(async (req, res) => this._handleControl(req, res));
 	private _server = this._createServer();
 	private _port = 0;
@@ -49,6 +53,7 @@
 	private _isRefusing = false;
 	private _isResetting = false;
 	private _isStalled = false;
+	private _isRepeating = false;
 
 	constructor(protected readonly options: FakeServerOptions) {}
 
@@ -86,6 +91,7 @@
 			case 'none': {
 				this._isResetting = false;
 				this._isStalled = false;
+				this._isRepeating = false;
 				this.serviceTimeFactor = 1;
 				this.isLeaving = false;
 				await this._stopRefusing();
@@ -97,6 +103,11 @@
 				break;
 			}
 
+			case 'repeat-answers': {
+				this._isRepeating = true;
+				break;
+			}
+
 			case 'refuse': {
 				this._isRefusing = true;
 				this._server.close();
@@ -183,6 +194,10 @@
 			return;
 		}
 
+		if (this._isRepeating) {
+			this._repeatLastAnswer(req.socket);
+		}
+
 		this.keysSeen += req.headers.authorization === undefined ? 0 : 1;
 		try {
 			await this.serve(req, res);
@@ -193,6 +208,23 @@
 		}
 	}
 
+	private _repeatLastAnswer(socket: Socket): void {
+		const earlier = this._lastAnswers.get(socket);
+		if (earlier) {
+			const copy = Buffer.concat(earlier);
+			earlier.length = 0;
+			Socket.prototype.write.call(socket, copy);
+			return;
+		}
+
+		const written: Uint8Array[] = [];
+		this._lastAnswers.set(socket, written);
+		socket.write = function (chunk: Uint8Array | string, ...rest: unknown[]): boolean {
+			written.push(typeof chunk === 'string' ? Buffer.from(chunk, rest[0] === 'latin1' ? 'latin1' : 'utf8') : chunk);
+			return (Socket.prototype.write as (...args: unknown[]) => boolean).call(socket, chunk, ...rest);
+		};
+	}
+
 	private async _handleControl(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		if (req.method === 'GET' && req.url === '/control/record') {
 			sendJson(res, 200, this.getRecord());
