--- a/src/node/upstreams/engine-adapter.test.ts
+++ b/src/node/upstreams/engine-adapter.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {ManualClock} from '../../common/core/clock.js';
+import {Logger} from '../../common/core/log.js';
+import {callIdHeader} from '../../common/upstreams/engine-api.js';
+import {waitUntil} from '../entry/testing/harness.js';
 import {sendJson, TestServer} from '../entry/testing/upstreams.js';
 import type {RequestHandler} from '../entry/testing/upstreams.js';
 import {CallError} from './call-error.js';
@@ -55,8 +58,12 @@
 	const load = {
 		ageMs: 1, queuedPrefillTokens: 2, activeDecodes: 3, slots: 4, freeBlocks: 5, totalBlocks: 6, leaving: false,
 	};
+	const orderState = {
+		highestFencing: 3, lastOrderId: 'o', models: [], adapters: [], role: 'decode', loading: true,
+	};
+	const cacheEvents = {events: [{n: 8, kind: 'stored', hash: 'h'}], last: 9};
 	const server = await TestServer.start((req, res) => {
-		sendJson(res, 200, req.url === '/v1/load' ? load : {events: [{n: 8, kind: 'stored', hash: 'h'}], last: 9});
+		sendJson(res, 200, req.url === '/v1/load' ? load : (req.method === 'POST' ? orderState : cacheEvents));
 	});
 	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock());
 	t.after(() => {
@@ -70,3 +77,42 @@
 	await engine.submitOrder({orderId: 'o', fencing: 3, order: {kind: 'set-role', role: 'decode'}}, options);
 	assert.deepEqual(server.requests.slice(-2).map(({method, url}) => `${method} ${url}`), ['GET /v1/cache-events?after=7', 'POST /v1/orders']);
 });
+
+// Guards against "not run" for a prefill that ran, and against a prefill that is computed twice.
+test('a prefill is sent once, on a new connection, and may have run if its answer bears another id', async t => {
+	const logged: unknown[] = [];
+	const logger = new class extends Logger {
+		override log(...line: unknown[]): void {
+			logged.push(line);
+		}
+	}();
+	const server = await TestServer.start((req, res) => {
+		res.setHeader(callIdHeader, req.url === '/v1/prefill' ? 'other' : req.headers[callIdHeader]!);
+		sendJson(res, req.url === '/v1/prefill' ? 429 : 404, {code: 'full'});
+	});
+	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock(), logger);
+	t.after(() => {
+		engine.destroy();
+		server.close();
+	});
+	await assert.rejects(engine.fetchLoad(options));
+	await waitUntil(() => engine.busy === 0);
+	await assert.rejects(engine.prefill(prefillRequest, options), (err: unknown) => err instanceof CallError && err.kind === 'broken' && err.mayHaveBeenSent);
+	assert.deepEqual(logged, [['warn', 'answer of an upstream belongs to another call', {
+		path: '/v1/prefill', requestId: 'r', upstream: 'e', method: 'POST', callId: server.requests[1]!.headers[callIdHeader], answerId: 'other', isRepeated: false,
+	}]]);
+	assert.deepEqual([server.requests.length, server.connectionCount], [2, 2]);
+});
+
+// Guards against an answer without a length that counts as whole although it ends early.
+test('an order whose answer ends early is not taken for accepted', async t => {
+	const server = await TestServer.start(req => {
+		req.socket.end('HTTP/1.1 202 Accepted\r\nConnection: close\r\n\r\n{"highestFencing":3,"mod');
+	});
+	const engine = new EngineAdapter({name: 'e', address: server.address, zone: 'z'}, new ManualClock());
+	t.after(() => {
+		engine.destroy();
+		server.close();
+	});
+	await assert.rejects(engine.submitOrder({orderId: 'o', fencing: 3, order: {kind: 'set-role', role: 'decode'}}, options), CallError);
+});
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -246,14 +246,14 @@
 	}
 
 	private _openUpstream(name: string, {address, zone, role, service}: Upstream): void {
-		const {clock} = this._options;
+		const {clock, logger} = this._options;
 		if (role !== 'plain') {
-			this._engines.set(name, new EngineAdapter({name, address, zone}, clock));
+			this._engines.set(name, new EngineAdapter({name, address, zone}, clock, logger));
 			return;
 		}
 
 		this._plainUpstreams.set(name, {
-			adapter: new PlainAdapter({name, address, zone}, clock),
+			adapter: new PlainAdapter({name, address, zone}, clock, logger),
 			service,
 			concurrency: new ConcurrencyLimit(1),
 			ejection: new OutlierEjection(),
