quarantine: log lines of forwarded requests name the request's fingerprint

No line said which attempts, of one VM or of several, are the same request: ids are new for each attempt.

--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -20,6 +20,8 @@
 
 /** Reason given to callers whose prompt contains blocked parts. */
 export const blockedReason = 'servers crash on a part of the prompt';
+/** Prefix of the part id that stands for a request as a whole. */
+export const requestPartPrefix = 'req:';
 /** Time after the first output within which a crash is still attributed to the request, in milliseconds. */
 const startupWindowMs = 300;
 /** Time for which a broken request waits for the confirmation that its server has crashed, in milliseconds; the platform's list shows a crash within some seconds. */
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -6,6 +6,7 @@
 import {stoppingRetryMs} from '../../common/forwarding/types.js';
 import {blockedReason, normalizeParts} from '../../common/quarantine/quarantine.js';
 import type {AccessService, Acquisition, SharedStateView} from '../../common/services/access-service.js';
+import {fingerprintOf} from '../quarantine/fingerprint.js';
 import {readBody} from '../entry/request-body.js';
 import type {Exchange} from '../entry/exchange.js';
 import type {ProblemError} from '../entry/problems.js';
@@ -103,6 +104,9 @@
 			route,
 			service,
 			body,
+			fingerprint: fingerprintOf({
+				method: req.method!, host: req.headers.host ?? '', target: req.url!, customer: customer?.name, body,
+			}),
 			sharedParts,
 			deadlineMs,
 			callerDeadlineMs: exchange.startedAtMs + (caller.waitMs ?? route.timeoutMs),
@@ -182,14 +186,14 @@
 		}
 	}
 
-	private _reportEnd({exchange, requestId, route, customer, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
+	private _reportEnd({exchange, requestId, fingerprint, route, customer, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
 		const {logger, metrics, clock} = this._options;
 		const elapsedMs = Math.round(clock.nowMs() - exchange.startedAtMs);
 		const status = exchange.outcome?.status;
 		metrics.count('forward_requests_total', {route: route.name, status: String(status ?? 0)});
 		metrics.observe('forward_request_ms', elapsedMs, {route: route.name});
 		logger.log('info', 'request ended', {
-			requestId, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
+			requestId, fingerprint, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
 		});
 	}
 }
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -31,6 +31,8 @@
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
 	readonly body: Uint8Array;
+	/** Identifies the request by its contents: another attempt of the caller has the same fingerprint. */
+	readonly fingerprint: PartId;
 	/** Parts of the prompt that other requests may share: all but the last, which belongs to the request itself. */
 	readonly sharedParts: readonly PartId[];
 	/** Monotonic time, in milliseconds, at which the caller's deadline or the route's timeout passes, whichever is first. */
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -460,7 +460,7 @@
 		}
 
 		logger.log('info', 'request sent', {
-			requestId, attempt, server: server.key, prefillServer: prefilledCache?.server.key, after: this._eventTracker.lastEventId, elapsedMs: this._elapsedMs(),
+			requestId, fingerprint: this._request.fingerprint, attempt, server: server.key, prefillServer: prefilledCache?.server.key, after: this._eventTracker.lastEventId, elapsedMs: this._elapsedMs(),
 			parts: this._request.caller.promptParts,
 		});
 		this._armStallTimer(attempt, server.key, firstEventTimeoutMs + (prefilledCache ? 0 : (this._request.caller.prompt?.promptTokens ?? 0) * decodePrefillMsPerToken));
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -165,7 +165,7 @@
 		if (!isAborted) {
 			fleet.recordFailure(server, {isUnreachable: !mayHaveRun, detail});
 			logger.log('warn', 'server failed', {
-				requestId: this._request.requestId, server: server.key, mayHaveRun, detail, listAgeMs: fleet.listAgeMs(),
+				requestId: this._request.requestId, fingerprint: this._request.fingerprint, server: server.key, mayHaveRun, detail, listAgeMs: fleet.listAgeMs(),
 			});
 		}
 
