--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -2,6 +2,8 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 /** Record of a request that a server received. */
 export type ReceivedRequest = {
@@ -26,6 +28,8 @@
 
 /** Time for which a crashed server is down, in milliseconds. */
 const restartDelayMs = 400;
+/** Time that a request which crashes its server runs before, in milliseconds. */
+const crashDelayMs = 40;
 
 type RequestHandler = (req: IncomingMessage, res: ServerResponse) => boolean;
 
@@ -41,6 +45,10 @@
 	/** Stage whose engines crash on the part. */
 	crashingStage: 'prefill' | 'decode' = 'decode';
 	readonly crashes: ServerCrash[] = [];
+	/** Returns whether a server crashes shortly after it has begun to run a request with this body; prompts are read without harm. */
+	isDeadly: ((req: IncomingMessage, body: string) => boolean) | undefined;
+	/** Time that a plain request runs, in milliseconds. */
+	plainRunMs = 0;
 	/** Entries of another writer in the list, as JSON; the list names them first. */
 	foreignEntries: string[] = [];
 	private readonly _servers: Server[] = [];
@@ -90,6 +98,8 @@
 			if (stage === this.crashingStage && (stage === 'prefill') === (req.headers.stage === 'prefill') && this._isCrashing(req.headers)) {
 				this._recordRequest(id, req, res);
 				this._crash(options, server, born);
+			} else if (this.isDeadly && req.headers.stage !== 'prefill' && req.headers['expect-instance'] === id) {
+				void this._runUnlessDeadly(options, server, born, {req, res});
 			} else {
 				this._handleRequest(id, stage, req, res);
 			}
@@ -113,6 +123,19 @@
 		this._restartTimers.add(timer);
 	}
 
+	private async _runUnlessDeadly(options: PlatformServerOptions, server: Server, born: number, {req, res}: {readonly req: IncomingMessage; readonly res: ServerResponse}): Promise<void> {
+		const body = await text(req);
+		if (this.isDeadly!(req, body)) {
+			this._recordRequest(options.id, req, res);
+			await sleep(crashDelayMs);
+			if (server.listening) {
+				this._crash(options, server, born);
+			}
+		} else {
+			this._handleRequest(options.id, options.stage, req, res);
+		}
+	}
+
 	private _isCrashing(headers: ReceivedRequest['headers']): boolean {
 		const parts = String(headers['prompt-prefix'] ?? '').split(',').map(entry => entry.split(':', 1)[0]);
 		return this.crashingPart !== undefined && parts.includes(this.crashingPart);
@@ -175,7 +198,9 @@
 	private _answerCallerRequest(id: string, stage: PlatformServerOptions['stage'], req: IncomingMessage, res: ServerResponse): void {
 		res.setHeader('Server-Stamp', `stamp-${id}`);
 		if (stage === undefined) {
-			res.end(`${id} ${req.headers.tenant as string}`);
+			setTimeout(() => {
+				res.end(`${id} ${req.headers.tenant as string}`);
+			}, this.plainRunMs);
 			return;
 		}
 
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -460,8 +460,8 @@
 		}
 
 		logger.log('info', 'request sent', {
-			requestId, fingerprint: this._request.fingerprint, attempt, server: server.key, prefillServer: prefilledCache?.server.key, after: this._eventTracker.lastEventId, elapsedMs: this._elapsedMs(),
-			parts: this._request.caller.promptParts,
+			requestId, attempt, server: server.key, prefillServer: prefilledCache?.server.key, after: this._eventTracker.lastEventId, elapsedMs: this._elapsedMs(),
+			fingerprint: this._request.fingerprint, parts: this._request.caller.promptParts,
 		});
 		this._armStallTimer(attempt, server.key, firstEventTimeoutMs + (prefilledCache ? 0 : (this._request.caller.prompt?.promptTokens ?? 0) * decodePrefillMsPerToken));
 		try {
