quarantine: a request that crashes the servers that run it is recognized as a whole

Cause: the quarantine knew prompt parts only. Plain requests have none, and of model requests the last part and the rest of the request were left out.

Now the hash of method, host, path and query, customer and body is a part of each request, plain or model, and so is the last part of a prompt. Parts that explain the same crashes are blocked together, so that a block of one request names all that it holds and meets no other. Where different requests were on the same crashed servers, none is blocked before further crashes tell them apart, four crashes at most. A process reports its own broken requests as soon as another reports the crash. The block of a request that still comes is extended, up to an hour, so that it does not crash servers each minute anew.

--- a/src/common/forwarding/plain-forward.ts
+++ b/src/common/forwarding/plain-forward.ts
@@ -33,6 +33,8 @@
 	/** The complete response of a server arrived; `isNotRun` means that the server reported that it did not run the request. */
 	| (BaseEvent<'forward/answered'> & {readonly status: number; readonly isNotRun: boolean})
 	| (BaseEvent<'forward/failed'> & {readonly failure: SendFailure})
+	/** Servers crash on the request; its block ends after `retryAfterMs` milliseconds. */
+	| (BaseEvent<'forward/blocked'> & {readonly reason: string; readonly retryAfterMs: number})
 	| (BaseEvent<'forward/stopped'> & {readonly cause: StopCause});
 
 export type PlainForwardEffect =
@@ -63,6 +65,10 @@
 			return state.hasServerAnswer ? relay(state) : end(state, 'no usable server', event.resumesInMs ?? retryAfterNoServerMs);
 		}
 
+		case 'forward/blocked': {
+			return state.hasServerAnswer ? relay(state) : end(state, event.reason, event.retryAfterMs);
+		}
+
 		case 'forward/answered': {
 			return handleAnswer(state, event);
 		}
--- a/src/common/quarantine/crash-analysis.ts
+++ b/src/common/quarantine/crash-analysis.ts
@@ -2,16 +2,13 @@
 
 /** Number of crashes that a part without known output must have in common before it is held responsible. */
 const minCrashes = 2;
-/** Number of crashes for a part on which a server has produced output before. */
-const minCrashesOfSoundPart = 4;
+/** Number of crashes for a part on which a server has produced output before, and for one that is not the only explanation. */
+const minCrashesWhenDoubtful = 4;
+/** Number of candidates, the strongest first, that are compared; it bounds the time of an evaluation. */
+const maxCandidates = 64;
 /** Time between two reports about a server from which on they are about two crashes, in milliseconds; shorter than any restart of a server. */
 const minCrashIntervalMs = 2000;
 
-/** Weight of a request for which the server had begun to produce output, relative to one without output. */
-const outputWeight = 0.5;
-/** Difference of two sums of weights that may be due to rounding. */
-const weightTolerance = 1e-9;
-
 /** Parts that are held responsible for crashes: every report in `reports` names all of them. */
 export type Culprit = {readonly parts: readonly PartId[]; readonly reports: readonly CrashReport[]};
 
@@ -21,13 +18,21 @@
 /** Names one crash of one server. */
 type CrashKey = string;
 
-type Candidate = {readonly part: PartId; readonly reports: readonly CrashReport[]; readonly crashes: number; readonly weight: number};
+type Candidate = {
+	readonly part: PartId;
+	readonly reports: readonly CrashReport[];
+	readonly crashes: ReadonlySet<CrashKey>;
+	/** Number of crashes of servers that had not produced output for the request. */
+	readonly crashesWithoutOutput: number;
+};
 
 /**
 Finds the parts that explain the reported crashes. The part with the most crashes since its last output is held responsible first, and
 crashes that it explains do not count against other parts, so that a request that merely ran on the same servers is not suspected.
 
-Parts that occur in exactly the same reports cannot be told apart and are returned together: only prompts that contain all of them are at fault.
+Parts that occur in exactly the same reports cannot be told apart and are returned together: only requests that contain all of them are at fault.
+So are a part and one that occurs in some of its reports but explains as many crashes. Where different requests explain the same crashes equally well, none is held responsible before
+further crashes show which one is.
 
 @param isSettled - whether a report is already explained, so that its crash does not count against other parts
 */
@@ -70,10 +75,7 @@
 
 function findCandidate(reports: readonly CrashReport[], crashOf: ReadonlyMap<CrashReport, CrashKey>, soundMs: SoundTime): Candidate | undefined {
 	const byPart = new Map<PartId, CrashReport[]>();
-	const suspicionByCrash = new Map<CrashKey, number>();
 	for (const report of reports) {
-		const crash = crashOf.get(report)!;
-		suspicionByCrash.set(crash, (suspicionByCrash.get(crash) ?? 0) + suspicionOf(report));
 		for (const part of new Set(report.parts)) {
 			if (report.atMs > (soundMs(part) ?? -Infinity)) {
 				byPart.set(part, [...byPart.get(part) ?? [], report]);
@@ -83,25 +85,31 @@
 
 	const candidates: Candidate[] = [];
 	for (const [part, evidence] of byPart) {
-		const crashes = new Set(evidence.map(report => crashOf.get(report))).size;
-		if (crashes >= (soundMs(part) === undefined ? minCrashes : minCrashesOfSoundPart)) {
-			// A crash that few requests may have caused weighs more against each of them.
-			const weight = evidence.reduce((sum, report) => sum + (suspicionOf(report) / suspicionByCrash.get(crashOf.get(report)!)!), 0);
+		const crashes = new Set(evidence.map(report => crashOf.get(report)!));
+		if (crashes.size >= (soundMs(part) === undefined ? minCrashes : minCrashesWhenDoubtful)) {
+			const crashesWithoutOutput = new Set(evidence.filter(({hasOutput}) => !hasOutput).map(report => crashOf.get(report))).size;
 			candidates.push({
-				part, reports: evidence, crashes, weight,
+				part, reports: evidence, crashes, crashesWithoutOutput,
 			});
 		}
 	}
 
-	return candidates.sort((a, b) => compareCandidates(b, a))[0];
+	const strongest = candidates.sort((a, b) => compareStrength(b, a) || a.reports.length - b.reports.length || compareText(a.part, b.part)).slice(0, maxCandidates);
+	return strongest.find(candidate => candidate.crashes.size >= minCrashesWhenDoubtful || !strongest.some(other => isRival(other, candidate)));
+}
+
+/** Returns a positive number if `a` explains the crashes better than `b`. */
+function compareStrength(a: Candidate, b: Candidate): number {
+	return a.crashes.size - b.crashes.size || a.crashesWithoutOutput - b.crashesWithoutOutput;
 }
 
-function suspicionOf({hasOutput}: CrashReport): number {
-	return hasOutput ? outputWeight : 1;
+/** Whether `other` explains some of the crashes of `candidate` at least as well, by other requests. */
+function isRival(other: Candidate, candidate: Candidate): boolean {
+	return compareStrength(other, candidate) >= 0
+		&& [...other.crashes].some(crash => candidate.crashes.has(crash))
+		&& !isSubset(other.reports, candidate.reports) && !isSubset(candidate.reports, other.reports);
 }
 
-/** Returns a positive number if `a` is the more likely culprit; the result does not depend on the order of the reports. */
-function compareCandidates(a: Candidate, b: Candidate): number {
-	const difference = a.crashes - b.crashes || a.weight - b.weight;
-	return Math.abs(difference) < weightTolerance ? compareText(b.part, a.part) : difference;
+function isSubset(part: readonly CrashReport[], whole: readonly CrashReport[]): boolean {
+	return part.every(report => whole.includes(report));
 }
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -1,6 +1,7 @@
 /**
-Quarantine of prompt parts that crash servers. Each process reports the crashes of servers that had not produced output for one of its
-requests. Processes exchange the reports, hold the parts that they have in common responsible, and refuse requests with these parts.
+Quarantine of requests and prompt parts that crash servers. Each process reports the crashes of servers that had not produced output for one of
+its requests. Processes exchange the reports, hold the parts that they have in common responsible, and refuse requests with these parts. A request
+as a whole counts as one of its parts.
 */
 import {hashText} from '../core/fnv.js';
 import type {VmId} from '../core/types.js';
@@ -18,8 +19,8 @@
 	AttemptId, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
 } from './types.js';
 
-/** Reason given to callers whose prompt contains blocked parts. */
-export const blockedReason = 'servers crash on a part of the prompt';
+/** Reason given to callers whose request contains blocked parts. */
+export const blockedReason = 'servers crash on this request or a part of its prompt';
 /** Prefix of the part id that stands for a request as a whole. */
 export const requestPartPrefix = 'req:';
 /** Time after the first output within which a crash is still attributed to the request, in milliseconds. */
@@ -114,6 +115,10 @@
 			return reportCrash(state, event.server, nowMs);
 		}
 
+		case 'quarantine/refused': {
+			return extendBlock(state, event.parts, nowMs);
+		}
+
 		case 'quarantine/news': {
 			return receiveNews(state, event.from, event.news, nowMs);
 		}
@@ -301,6 +306,22 @@
 	});
 }
 
+/**
+Extends the block of a request that comes again, so that it does not crash servers each time the block ends. Blocks of prompt parts are not
+extended: these come with different requests, and the end of the block shows whether they still crash servers.
+*/
+function extendBlock(state: QuarantineState, parts: readonly PartId[], nowMs: number): QuarantineEffect[] {
+	const key = keyOf(parts);
+	const block = state.blocks.get(key);
+	const isRequest = parts.some(part => part.startsWith(requestPartPrefix));
+	if (!block || !isRequest || block.untilMs - nowMs > initialBlockMs / 2) {
+		return [];
+	}
+
+	const untilMs = Math.min(nowMs + initialBlockMs, block.startedMs + maxBlockMs);
+	return untilMs > block.untilMs ? addBlock(state, {...block, untilMs}, nowMs) : [];
+}
+
 type Decision = {readonly parts: readonly PartId[]; readonly strikes: number; readonly evidence: readonly CrashReport[]};
 
 function startBlock(state: QuarantineState, {parts, strikes, evidence}: Decision, nowMs: number): QuarantineEffect[] {
@@ -312,11 +333,12 @@
 
 function addBlock(state: QuarantineState, block: Block, nowMs: number): QuarantineEffect[] {
 	const key = keyOf(block.parts);
+	state.blocks.delete(key);
 	state.blocks.set(key, block);
 	queueNews(state, 'block', key);
 	const effects: QuarantineEffect[] = [
 		{
-			type: 'log', level: 'warn', message: 'prompt parts blocked', fields: {
+			type: 'log', level: 'warn', message: 'parts blocked', fields: {
 				parts: block.parts, strikes: block.strikes, forMs: Math.round(block.untilMs - nowMs), decidedBy: block.decidedBy, evidence: block.evidence,
 				crashes: block.evidence.flatMap(id => state.reports.get(id) ?? []).map(({server, requestId, vm}) => ({server, requestId, reportedBy: vm})),
 			},
@@ -336,7 +358,7 @@
 	setNewest(state.releasedMs, key, startedMs, maxBlocks);
 	return [
 		{
-			type: 'log', level: 'info', message: 'prompt parts released', fields: {
+			type: 'log', level: 'info', message: 'parts released', fields: {
 				parts, strikes, reason, blockedForMs: Math.round(nowMs - startedMs),
 			},
 		},
@@ -391,6 +413,10 @@
 
 	for (const {ageMs, ...report} of crashes) {
 		effects.push(...addReport(state, {...report, atMs: nowMs - ageMs}, from, nowMs));
+		// Evidence of this process that came late could leave others to suspect the wrong request.
+		if (ageMs < confirmationTimeoutMs) {
+			effects.push(...reportCrash(state, report.server, nowMs));
+		}
 	}
 
 	for (const {ageMs, remainingMs, ...block} of blocks) {
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -3,7 +3,7 @@
 
 export type * from './messages.js';
 
-/** Id of a prompt part. Requests whose prompts share a part state the same id. */
+/** Id of a prompt part, or of a request as a whole. Requests whose prompts share a part state the same id, as does one request that comes again. */
 export type PartId = string;
 
 /** Key of one incarnation of a server. */
@@ -26,7 +26,7 @@
 	readonly atMs: number;
 };
 
-/** Block of all requests whose prompt contains every one of `parts`. */
+/** Block of all requests that contain every one of `parts`. */
 export type Block = {
 	readonly parts: readonly PartId[];
 	/** Number of consecutive blocks of these parts, this one included. */
@@ -49,6 +49,8 @@
 	| (BaseEvent<'quarantine/attempt-ended'> & {readonly attempt: AttemptId; readonly outcome: 'completed' | 'broken' | 'stopped'})
 	/** A server cannot be reached, or is no longer listed. */
 	| (BaseEvent<'quarantine/server-lost'> & {readonly server: ServerId})
+	/** A request was refused because of the block of `parts`. */
+	| (BaseEvent<'quarantine/refused'> & {readonly parts: readonly PartId[]})
 	| (BaseEvent<'quarantine/news'> & {readonly from: VmId; readonly news: QuarantineNews})
 	/** A gossip message was sent to `to`; news for it may be sent along. `isFull` if everything is to be sent, not just what is new. */
 	| (BaseEvent<'quarantine/gossip'> & {readonly to: VmId; readonly memberCount: number; readonly isFull: boolean})
--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -336,7 +336,7 @@
 			}
 
 			if (this._state.assembler.isComplete) {
-				trackedDecode.endWithAnswer(200);
+				trackedDecode.endWithAnswer(true);
 			} else {
 				trackedDecode.end('broken');
 			}
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -5,6 +5,7 @@
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
 import {stoppingRetryMs} from '../../common/forwarding/types.js';
 import {blockedReason, normalizeParts} from '../../common/quarantine/quarantine.js';
+import type {PartId} from '../../common/quarantine/types.js';
 import type {AccessService, Acquisition, SharedStateView} from '../../common/services/access-service.js';
 import {fingerprintOf} from '../quarantine/fingerprint.js';
 import {readBody} from '../entry/request-body.js';
@@ -85,17 +86,17 @@
 			throw stoppingRefusal();
 		}
 
-		const sharedParts = isModel ? normalizeParts(caller.promptParts.slice(0, -1)) : [];
-		const block = this._options.quarantine.findBlock(sharedParts);
-		if (block) {
-			throw new ForwardRefusal(503, blockedReason, this._options.quarantine.recordRefusal(block, caller.requestId!));
-		}
-
+		this._refuseBlocked(caller.requestId!, normalizeParts(caller.promptParts));
 		const {limits} = this._routeTable!.forwarding;
 		const version = this._version;
 		const body = await readBody(exchange, {
 			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, bodyMemory: this._bodyMemory, customer: customer?.name ?? '',
 		});
+		const fingerprint = fingerprintOf({
+			method: req.method!, host: req.headers.host ?? '', target: req.url!, customer: customer?.name, body,
+		});
+		const parts = normalizeParts([fingerprint, ...caller.promptParts]);
+		this._refuseBlocked(caller.requestId!, parts);
 		const request: ForwardRequest = {
 			exchange,
 			caller,
@@ -104,10 +105,8 @@
 			route,
 			service,
 			body,
-			fingerprint: fingerprintOf({
-				method: req.method!, host: req.headers.host ?? '', target: req.url!, customer: customer?.name, body,
-			}),
-			sharedParts,
+			fingerprint,
+			parts,
 			deadlineMs,
 			callerDeadlineMs: exchange.startedAtMs + (caller.waitMs ?? route.timeoutMs),
 		};
@@ -126,6 +125,15 @@
 		this._reportEnd(request, result, version);
 	}
 
+	/** Throws `ForwardRefusal` if servers crash on requests with these parts. */
+	private _refuseBlocked(requestId: string, parts: readonly PartId[]): void {
+		const {quarantine} = this._options;
+		const block = quarantine.findBlock(parts);
+		if (block) {
+			throw new ForwardRefusal(503, blockedReason, quarantine.recordRefusal(block, requestId));
+		}
+	}
+
 	private _admit(req: IncomingMessage, caller: CallerRequest) {
 		const table = this._routeTable;
 		if (!table) {
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -33,8 +33,8 @@
 	readonly body: Uint8Array;
 	/** Identifies the request by its contents: another attempt of the caller has the same fingerprint. */
 	readonly fingerprint: PartId;
-	/** Parts of the prompt that other requests may share: all but the last, which belongs to the request itself. */
-	readonly sharedParts: readonly PartId[];
+	/** Parts by which the quarantine recognizes a request that crashes servers: its fingerprint and the parts of its prompt. */
+	readonly parts: readonly PartId[];
 	/** Monotonic time, in milliseconds, at which the caller's deadline or the route's timeout passes, whichever is first. */
 	readonly deadlineMs: number;
 	/** Monotonic time, in milliseconds, at which the caller's deadline passes; the end of the route's timeout if the caller states no deadline. */
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -28,6 +28,8 @@
 const prefillAnswerLimitBytes = 1024 * 1024;
 /** Maximum size of an answer other than a stream, in bytes. */
 const failureAnswerLimitBytes = 1024 * 1024;
+/** Status of an answer with output (HTTP 200, OK). */
+const successStatus = 200;
 /** Status with which a server rejects a request for another incarnation or another stage (HTTP 421, Misdirected Request). */
 const misdirectedStatus = 421;
 /** Maximum time to live of a memory reservation, in milliseconds; long enough for the prefill and the transfer of the KV cache. */
@@ -61,7 +63,7 @@
 	/** Whether the request occupies one of the prefill slots of this process. */
 	private _hasPrefillSlot = false;
 	private _response: UpstreamResponse | undefined;
-	/** The send in progress, for the quarantine of prompt parts. */
+	/** The send in progress, for the quarantine. */
 	private _trackedSend: TrackedAttempt | undefined;
 	private _outcome = 'unfinished';
 	private _sends = 0;
@@ -327,8 +329,8 @@
 	/** Ends the request if its prompt contains blocked parts. Returns whether it does. */
 	private _endIfBlocked(attempt: number): boolean {
 		const {quarantine} = this._dependencies;
-		const {sharedParts, requestId} = this._request;
-		const block = quarantine.findBlock(sharedParts);
+		const {parts, requestId} = this._request;
+		const block = quarantine.findBlock(parts);
 		if (block) {
 			this._dispatchLater({
 				type: 'forward/blocked', attempt, reason: blockedReason, retryAfterMs: quarantine.recordRefusal(block, requestId),
@@ -347,9 +349,9 @@
 			fleet, protocol, clock, logger, quarantine,
 		} = this._dependencies;
 		const {
-			route, service, caller, requestId, sharedParts,
+			route, service, caller, requestId,
 		} = this._request;
-		const parts = prefillParts(sharedParts);
+		const parts = prefillParts(this._request.parts);
 		const block = quarantine.findBlock(parts);
 		const server = block ? undefined : fleet.directory.choosePrefillEngine(this._selectionCriteria(exclude, this._resources.reservation!.server.record.zone));
 		if (!server) {
@@ -371,7 +373,7 @@
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body} = await bufferAnswer(response, prefillAnswerLimitBytes);
-			trackedPrefill.endWithAnswer(status);
+			trackedPrefill.endWithAnswer(status === successStatus);
 			const result = status === 200 ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
 			if (!result) {
 				const isRejected = protocol.readServerAnswer(headers).isNotRun;
@@ -447,7 +449,7 @@
 			return;
 		}
 
-		const trackedSend = this._dependencies.quarantine.track(server.key, requestId, this._request.sharedParts);
+		const trackedSend = this._dependencies.quarantine.track(server.key, requestId, this._request.parts);
 		this._trackedSend = trackedSend;
 		this._sends++;
 		if (this._sends === 1) {
@@ -526,7 +528,7 @@
 				return;
 			}
 
-			this._trackedSend?.endWithAnswer(answer.status);
+			this._trackedSend?.endWithAnswer(answer.status === successStatus);
 			this._outcome = 'relayed';
 			relayAnswer(exchange, this._dependencies.protocol, answer);
 			this._dispatch({type: 'forward/completed', attempt});
@@ -596,7 +598,7 @@
 			return;
 		}
 
-		this._trackedSend?.endWithAnswer(response.status);
+		this._trackedSend?.endWithAnswer(response.status === successStatus);
 		this._outcome = 'relayed';
 		exchange.res.end();
 		this._dispatch({type: 'forward/completed', attempt});
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -3,6 +3,8 @@
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import type {UntimedEvent} from '../../common/core/types.js';
+import {blockedReason} from '../../common/quarantine/quarantine.js';
+import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
 import {failureOf} from '../upstreams/call-error.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
@@ -11,6 +13,8 @@
 
 /** Maximum size of a server's answer, in bytes; the whole answer is held in memory before it is relayed. */
 const answerLimitBytes = 4 * 1024 * 1024;
+/** Lowest status with which a server states that it failed. */
+const firstServerErrorStatus = 500;
 
 /** Forwards one request to a plain service: executes the effects of the lifecycle reducer and dispatches their results to the reducer. */
 export class PlainForwarder {
@@ -93,8 +97,19 @@
 	}
 
 	private async _send(): Promise<void> {
-		const {fleet, clock, logger} = this._dependencies;
-		const {service, requestId} = this._request;
+		const {
+			fleet, clock, logger, quarantine,
+		} = this._dependencies;
+		const {service, requestId, parts} = this._request;
+		const block = quarantine.findBlock(parts);
+		if (block) {
+			const retryAfterMs = quarantine.recordRefusal(block, requestId);
+			queueMicrotask(() => {
+				this._dispatch({type: 'forward/blocked', reason: blockedReason, retryAfterMs});
+			});
+			return;
+		}
+
 		const server = this._chooseServer();
 		if (!server) {
 			// Dispatched later, because the reducer must not be re-entered while its effects are being executed.
@@ -117,10 +132,12 @@
 		const exchange = fleet.directory.beginExchange(server, sentMs);
 		const abort = new AbortController();
 		this._abort = abort;
+		const trackedSend = quarantine.track(server.key, requestId, parts);
 		let event: UntimedEvent<PlainForwardEvent>;
 		try {
-			event = await this._sendAndBuffer(server, abort.signal, sentMs);
+			event = await this._sendAndBuffer(server, abort.signal, sentMs, trackedSend);
 		} catch (err) {
+			trackedSend.end(!abort.signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
 			event = this._toFailedEvent(server, err, abort.signal.aborted);
 			if (this._isDeadlineExceeded && fleet.directory.recordOverdue(server, exchange, clock.nowMs())) {
 				logger.log('warn', 'server did not answer in time', {
@@ -134,7 +151,7 @@
 		this._dispatch(event);
 	}
 
-	private async _sendAndBuffer(server: Server, signal: AbortSignal, sentMs: number): Promise<UntimedEvent<PlainForwardEvent>> {
+	private async _sendAndBuffer(server: Server, signal: AbortSignal, sentMs: number, trackedSend: TrackedAttempt): Promise<UntimedEvent<PlainForwardEvent>> {
 		const {fleet, clock, protocol} = this._dependencies;
 		const {exchange: {req}, body, callerDeadlineMs, deadlineMs, customer, caller, requestId} = this._request;
 		const response = await fleet.adapterFor(server).send({
@@ -150,11 +167,13 @@
 		});
 		const buffered = await bufferAnswer(response, answerLimitBytes);
 		if (protocol.readServerAnswer(buffered.headers).isNotRun) {
+			trackedSend.end('stopped');
 			return {type: 'forward/answered', status: buffered.status, isNotRun: true};
 		}
 
+		trackedSend.endWithAnswer(buffered.status < firstServerErrorStatus);
 		this._answer = buffered;
-		fleet.directory.recordAnswer(server, buffered.status < 500, clock.nowMs() - sentMs, clock.nowMs());
+		fleet.directory.recordAnswer(server, buffered.status < firstServerErrorStatus, clock.nowMs() - sentMs, clock.nowMs());
 		return {type: 'forward/answered', status: buffered.status, isNotRun: false};
 	}
 
--- a/src/node/quarantine/prompt-quarantine.test.ts
+++ b/src/node/quarantine/prompt-quarantine.test.ts
@@ -32,7 +32,7 @@
 // Guards against an error answer that counts as output, so that more servers crash before the part is blocked.
 test('an answer with an error status does not show that a part is sound', async () => {
 	const {quarantines: [quarantine]} = createPair();
-	quarantine!.track('s0', 'r', ['part']).endWithAnswer(500);
+	quarantine!.track('s0', 'r', ['part']).endWithAnswer(false);
 	crash(quarantine!, 's1');
 	crash(quarantine!, 's2');
 	await waitUntil(() => quarantine!.findBlock(['part', 'own']) !== undefined);
@@ -42,7 +42,7 @@
 // Guards against a block after two crashes of a part that servers write output on.
 test('an answer with output shows that a part is sound', async () => {
 	const {quarantines: [quarantine]} = createPair();
-	quarantine!.track('s0', 'r', ['part']).endWithAnswer(200);
+	quarantine!.track('s0', 'r', ['part']).endWithAnswer(true);
 	crash(quarantine!, 's1');
 	crash(quarantine!, 's2');
 	await sleep(evaluatedAfterMs);
--- a/src/node/quarantine/prompt-quarantine.ts
+++ b/src/node/quarantine/prompt-quarantine.ts
@@ -20,17 +20,14 @@
 /** Number of members that news is sent to at once. Each of them sends it on, so that it reaches all members within a few steps. */
 const pushFanout = 3;
 
-/** Status of an answer with output (HTTP 200, OK). */
-const successStatus = 200;
-
 /** One attempt of a request on a server, from its sending to its end. */
 export type TrackedAttempt = {
 	/** Records that the server produced output. Calls after the first have no effect. */
 	recordOutput: () => void;
 	/** Records that the server has been silent for longer than usual. */
 	recordStall: () => void;
-	/** Records that the answer, which had the given status, is complete. Only with status 200 has the server produced output on the prompt. */
-	endWithAnswer: (status: number) => void;
+	/** Records that the answer is complete. `hasRun` is true if it shows that the server ran the request to its end. */
+	endWithAnswer: (hasRun: boolean) => void;
 	/** Records that the attempt ended without a complete answer. Calls after the end have no effect. */
 	end: (outcome: 'broken' | 'stopped') => void;
 };
@@ -86,7 +83,7 @@
 		});
 	}
 
-	/** Tracks an attempt that is about to be sent to a server. `parts` are the parts of its prompt that other requests may share. */
+	/** Tracks an attempt that is about to be sent to a server. `parts` are the parts by which another attempt, or other requests, may be recognized. */
 	track(server: ServerId, requestId: string, parts: readonly PartId[]): TrackedAttempt {
 		if (parts.length === 0) {
 			return untrackedAttempt;
@@ -107,8 +104,8 @@
 			recordStall: () => {
 				this._runtime.dispatch({type: 'quarantine/attempt-stalled', attempt});
 			},
-			endWithAnswer: status => {
-				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: status === successStatus ? 'completed' : 'stopped'});
+			endWithAnswer: hasRun => {
+				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: hasRun ? 'completed' : 'stopped'});
 			},
 			end: outcome => {
 				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome});
@@ -116,7 +113,7 @@
 		};
 	}
 
-	/** Returns the block that applies to a prompt, or undefined. */
+	/** Returns the block that applies to a request, or undefined. */
 	findBlock(parts: readonly PartId[]): Block | undefined {
 		return this._state.blocks.size === 0 ? undefined : findBlock(this._state, parts, this._options.clock.nowMs());
 	}
@@ -126,9 +123,10 @@
 		const {logger, metrics, clock} = this._options;
 		const remainingMs = Math.max(0, Math.ceil(untilMs - clock.nowMs()));
 		metrics.count('quarantine_refusals_total');
-		logger.log('info', 'request with blocked prompt parts refused', {
+		logger.log('info', 'request with blocked parts refused', {
 			requestId, parts, decidedBy, remainingMs,
 		});
+		this._dispatch({type: 'quarantine/refused', parts});
 		return remainingMs;
 	}
 
