entry: a plain request on which servers crashed is refused, and prompts that crash engines while these read them are reported

Now each attempt of a plain request is tracked under its fingerprint; a server that breaks an attempt off is asked whether it can still be reached, so that its crash is known without further requests. Blocked requests get 503 request-blocked, not run, with the end of the block.

Test: plain-request-runner.test.ts, "a request on which two servers crashed ..."; without the check before the attempt and in the handler the third server gets the request, too.

--- a/src/common/requests/plain-lifecycle.ts
+++ b/src/common/requests/plain-lifecycle.ts
@@ -27,13 +27,15 @@
 };
 
 /** Problem code reported to the caller of a refused request. */
-export type PlainRefusalCode = 'no-upstream' | 'overloaded' | 'upstream-failed' | 'timeout' | 'key-withdrawn';
+export type PlainRefusalCode = 'no-upstream' | 'overloaded' | 'upstream-failed' | 'timeout' | 'key-withdrawn' | 'request-blocked';
 
 /** Event of a plain request: its start, the result of an attempt, the expiry of its hedge timer, or an instruction to stop it. */
 export type PlainRequestEvent =
 	| BaseEvent<'plain/start'>
 	/** No upstream is available for the attempt, so nothing was sent. */
 	| (BaseEvent<'plain/no-upstream'> & {readonly attempt: number; readonly code: 'no-upstream' | 'overloaded'})
+	/** Servers crash on the request, so nothing was sent. The block of the request ends after `retryAfterMs` milliseconds. */
+	| (BaseEvent<'plain/blocked'> & {readonly attempt: number; readonly retryAfterMs: number})
 	| (BaseEvent<'plain/attempt-failed'> & {readonly attempt: number; readonly failure: CallFailure})
 	/** The status and headers of an attempt's answer have arrived. */
 	| (BaseEvent<'plain/answered'> & {readonly attempt: number; readonly status: number})
@@ -50,7 +52,7 @@
 	| {readonly type: 'plain/relay'; readonly attempt: number}
 	/** Closes the caller's connection, so that a partial answer is not mistaken for a complete one. */
 	| {readonly type: 'plain/cut'}
-	| {readonly type: 'plain/refuse'; readonly code: PlainRefusalCode; readonly run: ExecutionStatus}
+	| {readonly type: 'plain/refuse'; readonly code: PlainRefusalCode; readonly run: ExecutionStatus; readonly retryAfterMs?: number | undefined}
 	/** Records the outcome of the request's claim. */
 	| {readonly type: 'plain/settle'; readonly outcome: 'answered' | 'not-run' | 'unknown'};
 
@@ -93,10 +95,12 @@
 	return state.isClaimed ? [{type: 'plain/settle', outcome}] : [];
 }
 
-function refuse(state: PlainRequestState, code: PlainRefusalCode): PlainRequestEffect[] {
+function refuse(state: PlainRequestState, code: PlainRefusalCode, retryAfterMs?: number): PlainRequestEffect[] {
 	state.phase = 'ended';
 	const runStatement = state.mayHaveRun ? 'unknown' : 'not-run';
-	return [...settleClaim(state, runStatement), {type: 'plain/refuse', code, run: runStatement}];
+	return [...settleClaim(state, runStatement), {
+		type: 'plain/refuse', code, run: runStatement, ...(retryAfterMs !== undefined && {retryAfterMs}),
+	}];
 }
 
 function onAttemptFailed(state: PlainRequestState, attempt: number, failure: CallFailure): PlainRequestEffect[] {
@@ -164,6 +168,11 @@
 			return state.activeAttempts.size > 0 ? [] : refuse(state, event.code);
 		}
 
+		case 'plain/blocked': {
+			state.activeAttempts.delete(event.attempt);
+			return state.activeAttempts.size > 0 ? [] : refuse(state, 'request-blocked', event.retryAfterMs);
+		}
+
 		case 'plain/attempt-failed': {
 			return state.activeAttempts.has(event.attempt) ? onAttemptFailed(state, event.attempt, event.failure) : [];
 		}
--- a/src/node/entry/chat-completions.ts
+++ b/src/node/entry/chat-completions.ts
@@ -1,6 +1,7 @@
 /* eslint-disable @typescript-eslint/naming-convention -- the published API uses snake case */
 import {z} from 'zod';
 import {hashText} from '../../common/core/fnv.js';
+import {maxPartsPerReport} from '../../common/quarantine/messages.js';
 import {normalizeParts} from '../../common/quarantine/quarantine.js';
 import type {Usage} from '../../common/upstreams/engine-api.js';
 import {ProblemError} from './problems.js';
@@ -32,7 +33,10 @@
 export type ChatRequest = {
 	readonly service: string;
 	readonly prompt: string;
-	/** Ids of the prompt's parts, one for each message, by which a part that crashes engines is recognized. */
+	/**
+	Ids of the prompt's parts, one for each message, by which a prompt that crashes engines is recognized. All messages together stand for the request as a whole; where they are
+	more than a crash report names, an id of the whole prompt does.
+	*/
 	readonly parts: readonly string[];
 	readonly isStreaming: boolean;
 	readonly includeUsage: boolean;
@@ -53,7 +57,7 @@
 	return {
 		service: data.model,
 		prompt: buildPrompt(lines),
-		parts: normalizeParts(lines.map(line => hashText(line))),
+		parts: normalizeParts([...(lines.length > maxPartsPerReport ? [hashText(lines.join(''))] : []), ...lines.map(line => hashText(line))]),
 		isStreaming: data.stream ?? false,
 		includeUsage: data.stream_options?.include_usage ?? false,
 		maxTokens: data.max_completion_tokens ?? data.max_tokens ?? undefined,
--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -268,15 +268,25 @@
 	private async _prefill(attemptId: string, upstream: string): Promise<void> {
 		const signal = this._startCall();
 		const {chat, service, profile} = this._request;
+		const {quarantine} = this._services;
+		const trackedPrefill = quarantine.track(upstream, attemptId, chat.parts);
 		const timeoutMs = Math.min(Math.max(profile.latency.firstToken * prefillTimeoutFactor, minPrefillTimeoutMs), this._remainingMs(profile.timeout));
 		try {
 			const reply = await this._engineAdapter(upstream).prefill({
 				requestId: attemptId, owner: this._options.identity, model: service.model, prompt: chat.prompt, priority: profile.priority,
 			}, {timeoutMs, signal, headers: this._traceHeaders});
+			// The prompt was read without harm, which tells nothing about the output.
+			trackedPrefill.end('stopped');
 			this._countMetric('prefill_tokens_total', reply.promptTokens - reply.cachedTokens);
 			this._report(signal, {type: 'request/prefilled', reply});
 		} catch (err) {
-			this._report(signal, {type: 'request/prefill-failed', failure: failureOf(err)});
+			const failure = failureOf(err);
+			trackedPrefill.end(!signal.aborted && failure.kind === 'broken' ? 'broken' : 'stopped');
+			if (failure.kind === 'unreachable') {
+				quarantine.recordServerLost(upstream);
+			}
+
+			this._report(signal, {type: 'request/prefill-failed', failure});
 		}
 	}
 
--- a/src/node/entry/plain-handler.ts
+++ b/src/node/entry/plain-handler.ts
@@ -3,6 +3,9 @@
 import type {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import type {RouteMatch} from '../../common/requests/route-match.js';
 import {matchRoute, parseTarget} from '../../common/requests/route-match.js';
+import {normalizeParts} from '../../common/quarantine/quarantine.js';
+import type {PartId} from '../../common/quarantine/types.js';
+import {fingerprintOf} from '../quarantine/fingerprint.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import {readBody} from './request-body.js';
 import type {Exchange} from './exchange.js';
@@ -21,6 +24,8 @@
 	/** Path and query to send to the upstream. */
 	readonly upstreamTarget: string;
 	readonly body: Uint8Array;
+	/** Parts by which the quarantine recognizes a request that crashes servers. */
+	readonly parts: readonly PartId[];
 };
 
 /** Serves `/s/<service>/<path>`. */
@@ -51,11 +56,24 @@
 		const body = await readBody(exchange, {
 			maxBytes: profile.bodyLimit, timeoutMs: this._options.limits.bodyTimeoutMs, bodyMemory: this._options.bodyMemory, customer: customerOf(exchange),
 		});
+		const parts = normalizeParts([fingerprintOf({
+			method: exchange.req.method!, host: serviceName, target: upstreamTarget, customer: exchange.identity?.tenant, body,
+		})]);
+		this._refuseBlocked(exchange, parts);
 		await this._admitAndRun(exchange, {
-			serviceName, profile, route, upstreamTarget, body,
+			serviceName, profile, route, upstreamTarget, body, parts,
 		});
 	}
 
+	/** Throws `ProblemError` if servers crash on requests with these parts. */
+	private _refuseBlocked(exchange: Exchange, parts: readonly PartId[]): void {
+		const {quarantine} = this._services;
+		const block = quarantine.findBlock(parts);
+		if (block) {
+			throw new ProblemError('request-blocked', {run: 'not-run', retryAfterMs: quarantine.recordRefusal(block, exchange.traceIds.requestId)});
+		}
+	}
+
 	private async _admitAndRun(exchange: Exchange, request: RoutedPlainRequest): Promise<void> {
 		const {serviceName, profile, route} = request;
 		const waitBudget = new WaitBudget(this._services, profile.maxWait);
@@ -69,7 +87,7 @@
 			const claimId = route.idempotent ? undefined : await this._openClaim(exchange, request, waitBudget);
 			if (!exchange.outcome) {
 				const runner = new PlainRequestRunner(this._services, this._upstreams, {
-					exchange, serviceName, serviceLimits: slot.serviceLimits, profile, route, target: request.upstreamTarget, body: request.body, claimId,
+					exchange, serviceName, serviceLimits: slot.serviceLimits, profile, route, target: request.upstreamTarget, body: request.body, claimId, parts: request.parts,
 				});
 				usedTokens = await runner.run() ? route.cost : 0;
 			}
--- a/src/node/entry/plain-request-runner.test.ts
+++ b/src/node/entry/plain-request-runner.test.ts
@@ -279,3 +279,32 @@
 		assert.deepEqual([res.code, res.run, countRequests(deskServers)], [code, 'not-run', 0]);
 	});
 }
+
+// Guards against a request that crashes one server after the other, because each caller that asks again is served anew.
+test('a request on which two servers crashed is refused as not run, and requests that differ in one point are served', async t => {
+	const crashOnDeadly = (i: number): RequestHandler => (req, res, body) => {
+		if (body === 'deadly' && req.url === '/entries?id=1') {
+			deskServers[i]!.close();
+		} else {
+			res.end(body);
+		}
+	};
+
+	const {url, services, deskServers} = await startHarness(t, {deskHandlers: [0, 1, 2].map(i => crashOnDeadly(i))});
+	const send = async (target: string, body: string) => readAnswer(await fetch(`${url}/s/desk${target}`, {method: 'POST', body, headers: bearerHeaders}));
+	for (let i = 0; i < 2; i++) {
+		const {status, run} = await send('/entries?id=1', 'deadly');
+		assert.deepEqual([status, run], [502, 'unknown']);
+	}
+
+	await waitUntil(() => (services.metrics.counts.get('quarantine_blocks') ?? 0) > 0);
+	const arrivals = countRequests(deskServers);
+	const second = await send('/entries?id=1', 'deadly');
+	assert.deepEqual([second.status, second.code, second.run], [503, 'request-blocked', 'not-run']);
+	assert.ok(Number(second.retryAfter) > 0);
+	assert.equal(countRequests(deskServers), arrivals);
+	for (const [target, body] of [['/entries?id=1', 'sound'], ['/entries?id=2', 'deadly']] as const) {
+		const {status} = await send(target, body);
+		assert.equal(status, 200, `${target} ${body}`);
+	}
+});
--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -2,9 +2,13 @@
 import type {Dispatcher} from 'undici';
 import type {UntimedEvent} from '../../common/core/types.js';
 import type {Profile, Route} from '../../common/configuration/types.js';
-import type {PlainRequestEffect, PlainRequestEvent, PlainRequestState} from '../../common/requests/types.js';
+import type {
+	CallFailure, PlainRequestEffect, PlainRequestEvent, PlainRequestState,
+} from '../../common/requests/types.js';
 import {createPlainRequest, reducePlainRequest} from '../../common/requests/plain-lifecycle.js';
+import type {PartId} from '../../common/quarantine/types.js';
 import type {ClaimSettlement, RecordedOutcome} from '../../common/services/claim-service.js';
+import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import type {PlainUpstream, ServiceLimits, UpstreamRegistry} from '../upstreams/upstream-registry.js';
@@ -17,6 +21,10 @@
 export const maxRecordedBodyBytes = 16_384;
 /** Fraction of the request timeout in which the first attempt of an idempotent request must be answered, so that time is left for another attempt. */
 const firstAttemptTimeoutShare = 0.5;
+/** Timeout for finding out whether a server that broke an attempt off can still be reached, in milliseconds. */
+const reachabilityTimeoutMs = 500;
+/** Lowest status with which a server states that it failed. */
+const firstServerErrorStatus = 500;
 /** Response statuses that count as a failure of the upstream. Several consecutive failures eject the upstream. */
 const unhealthyStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
@@ -31,12 +39,15 @@
 	readonly body: Uint8Array;
 	/** Id of the claim for the request's idempotency key; undefined if no claim was opened. */
 	readonly claimId: string | undefined;
+	/** Parts by which the quarantine recognizes a request that crashes servers. */
+	readonly parts: readonly PartId[];
 };
 
 type Attempt = {
 	readonly upstream: PlainUpstream;
 	readonly abortController: AbortController;
 	readonly release: () => void;
+	readonly tracked: TrackedAttempt;
 	response: UpstreamResponse | undefined;
 };
 
@@ -128,7 +139,7 @@
 			}
 
 			case 'plain/refuse': {
-				this._request.exchange.sendProblem(createProblem(effect.code, {run: effect.run}));
+				this._request.exchange.sendProblem(createProblem(effect.code, {run: effect.run, ...(effect.retryAfterMs !== undefined && {retryAfterMs: effect.retryAfterMs})}));
 				break;
 			}
 
@@ -140,7 +151,19 @@
 	}
 
 	private _startAttempt(attemptNumber: number): void {
-		const {serviceName, profile, serviceLimits} = this._request;
+		const {
+			serviceName, profile, serviceLimits, exchange, parts,
+		} = this._request;
+		const {quarantine} = this._services;
+		const block = quarantine.findBlock(parts);
+		if (block) {
+			const retryAfterMs = quarantine.recordRefusal(block, exchange.traceIds.requestId);
+			queueMicrotask(() => {
+				this._dispatch({type: 'plain/blocked', attempt: attemptNumber, retryAfterMs});
+			});
+			return;
+		}
+
 		const choice = this._upstreams.choosePlainUpstream(serviceName, profile.upstreamConcurrency, this._triedUpstreams);
 		if (choice.kind === 'refused') {
 			queueMicrotask(() => {
@@ -152,7 +175,7 @@
 		const upstream = this._upstreams.getPlainUpstream(choice.name);
 		const release = upstream.concurrency.tryAcquire()!;
 		const attempt: Attempt = {
-			upstream, abortController: new AbortController(), release, response: undefined,
+			upstream, abortController: new AbortController(), release, tracked: quarantine.track(choice.name, exchange.traceIds.requestId, parts), response: undefined,
 		};
 		this._attempts.set(attemptNumber, attempt);
 		this._triedUpstreams.add(choice.name);
@@ -183,6 +206,7 @@
 			attempt.release();
 			if (!abortController.signal.aborted) {
 				const failure = failureOf(err);
+				this._recordEnd(attempt, failure);
 				if (failure.kind !== 'error') {
 					this._upstreams.recordResult(upstream.adapter.name, false);
 				}
@@ -213,10 +237,29 @@
 			this._upstreams.recordResult(attempt.upstream.adapter.name, false);
 		}
 
+		attempt.tracked.end('stopped');
 		attempt.abortController.abort();
 		attempt.response?.body.destroy();
 	}
 
+	/** Tells the quarantine how an attempt failed, and whether its server is lost. */
+	private _recordEnd({upstream, tracked}: Attempt, failure: CallFailure): void {
+		const {quarantine} = this._services;
+		const {name} = upstream.adapter;
+		tracked.end(failure.kind === 'broken' ? 'broken' : 'stopped');
+		if (failure.kind === 'unreachable') {
+			quarantine.recordServerLost(name);
+		} else if (failure.kind === 'broken') {
+			void this._checkReachable(upstream);
+		}
+	}
+
+	private async _checkReachable({adapter}: PlainUpstream): Promise<void> {
+		if (!await adapter.isReachable(reachabilityTimeoutMs)) {
+			this._services.quarantine.recordServerLost(adapter.name);
+		}
+	}
+
 	private async _relayResponse(attempt: Attempt): Promise<void> {
 		const {exchange} = this._request;
 		const response = attempt.response!;
@@ -234,11 +277,19 @@
 			if (response.wasReset()) {
 				throw new CallError('broken', true, 'the connection was reset before the response was complete');
 			}
-		} catch {
+		} catch (err) {
+			// If the caller is gone, the body ends for that reason.
+			if (exchange.res.destroyed) {
+				attempt.tracked.end('stopped');
+			} else {
+				this._recordEnd(attempt, failureOf(err));
+			}
+
 			this._dispatch({type: 'plain/body-broken'});
 			return;
 		}
 
+		attempt.tracked.endWithAnswer(response.status < firstServerErrorStatus);
 		this._dispatch({type: 'plain/body-ended'});
 		exchange.res.end();
 	}
--- a/src/node/entry/problems.ts
+++ b/src/node/entry/problems.ts
@@ -45,6 +45,7 @@
 	overloaded: defineProblem(503, 'The service has no room for the request', 'yes', 'varies'),
 	deadline: defineProblem(503, 'The request could not start in time', 'yes', 'varies'),
 	'no-upstream': defineProblem(503, 'The service has no working upstream', 'if-not-run', 'varies'),
+	'request-blocked': defineProblem(503, 'Servers crash on the request', 'yes', 'varies'),
 	'prompt-blocked': defineProblem(503, 'Engines crash on a part of the prompt', 'yes', 'varies'),
 	timeout: defineProblem(504, 'The request took too long', 'if-not-run', 'varies'),
 } as const satisfies Readonly<Record<string, ProblemDefinition>>;
