--- a/src/common/quarantine/crash-analysis.test.ts
+++ b/src/common/quarantine/crash-analysis.test.ts
@@ -43,3 +43,28 @@
 	assert.deepEqual(culpritParts(reports), ['deadly']);
 	assert.deepEqual(culpritParts(reports.map(report => ({...report, atMs: 1000}))), []);
 });
+
+// Guards against the block of a request that ran beside the crashing one, wherever that was sent.
+test('of different requests that explain the same crashes none is held responsible, unless the crashes go on', () => {
+	const reportsOf = (servers: readonly string[]) => servers.flatMap(server => ['req:deadly', 'req:beside'].map(part => createReport({server, parts: [part]})));
+	assert.deepEqual(culpritParts(reportsOf(['s1', 's2'])), []);
+	assert.deepEqual(culpritParts(reportsOf(['s1', 's2', 's3'])), []);
+	assert.equal(culpritParts(reportsOf(['s1', 's2', 's3', 's4'])).length, 1);
+});
+
+// Guards against the block of a request that ran beside two crashing ones, one after the other.
+test('a request that explains part of the crashes of another one is not held responsible', () => {
+	const reports = [['s1', 'req:a'], ['s2', 'req:a'], ['s2', 'req:beside'], ['s3', 'req:beside'], ['s3', 'req:b']]
+		.map(([server, part]) => createReport({server: server!, parts: [part!]}));
+	assert.deepEqual(culpritParts(reports), []);
+	assert.deepEqual(culpritParts([...reports, createReport({server: 's4', parts: ['req:a']})]), ['req:a']);
+});
+
+// Guards against refusals of all requests with a part, where one request alone explains the crashes.
+test('a request and its prompt part are held responsible together until another request with the part crashes a server', () => {
+	const reports = ['s1', 's2'].map(server => createReport({server, parts: ['req:a', 'part']}));
+	const other = createReport({server: 's2', parts: ['req:b', 'part']});
+	assert.deepEqual(culpritParts(reports), ['part req:a']);
+	assert.deepEqual(culpritParts([...reports, other]), ['part req:a']);
+	assert.deepEqual(culpritParts([...reports, other, createReport({server: 's3', parts: ['req:c', 'part']})]), ['part']);
+});
--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -17,13 +17,17 @@
 	readonly seed: number;
 	/** Parts on which a server crashes when it begins to write. */
 	readonly crashingParts?: readonly PartId[];
+	/** Whether requests are plain: short, and without output before their end. */
+	readonly isPlain?: boolean;
+	/** Whether callers whose request failed twice send it once more. */
+	readonly doCallersReturn?: boolean;
 	/** Share of the messages between processes that are lost. */
 	readonly lossShare?: number;
 };
 
 /** Delay of a message between processes, of the first output, of a crash, of the discovery that a server is down, of a restart, and of the end of a stream, in milliseconds. */
 const delaysMs = {
-	message: 2, output: 150, crash: 60, discovery: 80, restart: 3000, completion: 2000, gossip: 500,
+	message: 2, output: 150, crash: 60, discovery: 80, restart: 3000, completion: 2000, gossip: 500, plainCompletion: 100, return: 50,
 };
 const pushFanout = 3;
 
@@ -124,10 +128,11 @@
 			return;
 		}
 
-		whileRunning(delaysMs.output + this.random.integer(0, delaysMs.output), () => {
+		const {isPlain = false} = this._options;
+		whileRunning(isPlain ? Infinity : delaysMs.output + this.random.integer(0, delaysMs.output), () => {
 			this.dispatch(process, {type: 'quarantine/attempt-produced', attempt: running.attempt});
 		});
-		whileRunning(delaysMs.completion, () => {
+		whileRunning(isPlain ? this.random.integer(delaysMs.plainCompletion / 5, delaysMs.plainCompletion) : delaysMs.completion, () => {
 			server.running.delete(running);
 			this.dispatch(process, {type: 'quarantine/attempt-ended', attempt: running.attempt, outcome: 'completed'});
 		});
@@ -151,8 +156,12 @@
 
 		for (const {process, attempt, request, tries} of running.filter(({process}) => this.processes.has(process))) {
 			this.dispatch(process, {type: 'quarantine/attempt-ended', attempt, outcome: 'broken'});
-			if (tries === 0) {
-				this.send(request, {process, tries: 1});
+			if (tries % 2 === 0) {
+				this.send(request, {process, tries: tries + 1});
+			} else if (tries === 1 && this._options.doCallersReturn) {
+				this._schedule(delaysMs.return, () => {
+					this.send(request, {tries: 2});
+				});
 			}
 		}
 	}
--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -64,6 +64,33 @@
 	}
 });
 
+// Guards against a request that comes for longer than a block lasts, and crashes servers each time the block has ended.
+test('the block of a request is extended while the request still comes, and ends once it has not come for as long as a block lasts', () => {
+	const model = createModel({crashingParts: ['req:deadly']});
+	model.run(600_000, 10_000, () => {
+		model.send({name: 'deadly', parts: ['req:deadly', 'first']}, {tries: 1});
+	});
+	assert.equal(model.crashes.length, 2);
+	model.run(61_000);
+	assert.deepEqual(blockedParts(model), []);
+});
+
+// Guards against a decision without the evidence of a process that does not know yet that its server is lost.
+test('a process reports its broken request as soon as another one reports the crash of the server', () => {
+	const model = createModel();
+	for (const [i, vm] of ['vm0', 'vm1'].entries()) {
+		model.dispatch(vm, {
+			type: 'quarantine/attempt-started', attempt: i, server: 's1', requestId: 'r', parts: [`req:${vm}`],
+		});
+		model.dispatch(vm, {type: 'quarantine/attempt-ended', attempt: i, outcome: 'broken'});
+	}
+
+	model.dispatch('vm0', {type: 'quarantine/server-lost', server: 's1'});
+	model.run(100);
+	const reporters = logsOf(model, 'server crashed at the start of an answer').map(({fields}) => fields.reportedBy);
+	assert.deepEqual([...new Set(reporters)], ['vm0', 'vm1']);
+});
+
 // Guards against suspicions that rest on nothing but bad luck: requests that were on several servers when these crashed by themselves.
 test('servers that crash by themselves lead to hardly any blocks', () => {
 	for (const seed of seeds) {
