--- a/src/common/quarantine/messages.ts
+++ b/src/common/quarantine/messages.ts
@@ -32,7 +32,7 @@
 const soundPartSchema = z.strictObject({part: partSchema, ageMs: ageSchema});
 
 /** States that requests whose prompt contains all of `parts` are refused. */
-const blockRecordSchema = z.strictObject({
+export const blockRecordSchema = z.strictObject({
 	parts: z.array(partSchema).min(1).max(maxPartsPerReport),
 	/** Number of consecutive blocks of these parts, this one included. */
 	strikes: z.int().min(1).max(100),
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -11,9 +11,10 @@
 	fullNews, pushNews, queueNews, takeNews,
 } from './news.js';
 import {
-	isCovered, keyOf, reportValidityMs, setNewest,
+	isCovered, keyOf, maxBlockMs, probationMs, reportValidityMs, setNewest,
 } from './state.js';
 import type {Attempt, QuarantineState} from './state.js';
+import {restoreProbations} from './stored-blocks.js';
 import type {
 	AttemptId, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
 } from './types.js';
@@ -34,10 +35,6 @@
 const minStatementIntervalMs = 300;
 /** Duration of the first block of some parts, in milliseconds. It doubles with each further block, up to `maxBlockMs`. */
 const initialBlockMs = 60_000;
-/** Longest duration of a block, in milliseconds. */
-const maxBlockMs = 3_600_000;
-/** Time after the end of a block in which one crash renews it, in milliseconds. */
-const probationMs = 3_600_000;
 /** Difference in the end of a block, in milliseconds, up to which two processes agree on it. */
 const blockToleranceMs = 1000;
 /** Limits of the state, in entries; beyond them the oldest entry goes. */
@@ -121,6 +118,13 @@
 			return news ? [{type: 'send', to: event.to, message: news}] : [];
 		}
 
+		case 'quarantine/restored': {
+			restoreProbations(state, event.probations, nowMs);
+			return receiveNews(state, state.self, {
+				type: 'quarantine.news', crashes: [], sound: [], blocks: [...event.blocks],
+			}, nowMs);
+		}
+
 		case 'quarantine/tick': {
 			return handleTick(state, nowMs);
 		}
@@ -311,6 +315,7 @@
 function addBlock(state: QuarantineState, block: Block, nowMs: number): QuarantineEffect[] {
 	const key = keyOf(block.parts);
 	state.blocks.set(key, block);
+	state.revision++;
 	queueNews(state, 'block', key);
 	const effects: QuarantineEffect[] = [
 		{
@@ -331,6 +336,7 @@
 function release(state: QuarantineState, key: string, reason: string, nowMs: number): QuarantineEffect[] {
 	const {startedMs, parts, strikes} = state.blocks.get(key)!;
 	state.blocks.delete(key);
+	state.revision++;
 	setNewest(state.releasedMs, key, startedMs, maxBlocks);
 	return [
 		{
@@ -360,6 +366,7 @@
 		if (probation.parts.includes(part)) {
 			const parts = probation.parts.filter(other => other !== part);
 			state.probations.delete(key);
+			state.revision++;
 			if (parts.length > 0) {
 				state.probations.set(keyOf(parts), {...probation, parts});
 			}
@@ -403,6 +410,11 @@
 	const known = state.blocks.get(key);
 	const isReleased = (state.releasedMs.get(key) ?? -Infinity) + blockToleranceMs >= block.startedMs;
 	const isRefuted = block.parts.some(part => (state.soundMs.get(part) ?? -Infinity) > block.startedMs);
+	if (isReleased || isRefuted) {
+		// The sender may have restored a block that was released while it was down.
+		scheduleStatements(state, block.parts, nowMs);
+	}
+
 	const isNewer = !known || block.untilMs > known.untilMs + blockToleranceMs;
 	return block.untilMs > nowMs && isNewer && !isReleased && !isRefuted ? addBlock(state, block, nowMs) : [];
 }
--- a/src/common/quarantine/state.ts
+++ b/src/common/quarantine/state.ts
@@ -6,6 +6,10 @@
 
 /** Time for which a crash report counts, in milliseconds. */
 export const reportValidityMs = 60_000;
+/** Longest duration of a block, in milliseconds. */
+export const maxBlockMs = 3_600_000;
+/** Time after the end of a block in which one crash renews it, in milliseconds. */
+export const probationMs = 3_600_000;
 
 export type Attempt = {
 	readonly server: ServerId;
@@ -49,6 +53,8 @@
 	/** Start times of released blocks, so that a process that still has such a block does not bring it back. */
 	readonly releasedMs: Map<string, number>;
 	readonly probations: Map<string, Probation>;
+	/** Number of changes of the blocks and probations, apart from the expiry of probations. */
+	revision: number;
 	readonly newsItems: Map<string, NewsItem>;
 	/** Position among the blocks of the next one to send with gossip. */
 	nextBlock: number;
@@ -71,6 +77,7 @@
 		blocks: new Map(),
 		releasedMs: new Map(),
 		probations: new Map(),
+		revision: 0,
 		newsItems: new Map(),
 		nextBlock: 0,
 	};
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -1,5 +1,6 @@
 import type {BaseEvent, CoreEffect, VmId} from '../core/types.js';
 import type {QuarantineNews} from './messages.js';
+import type {StoredBlocks} from './stored-blocks.js';
 
 export type * from './messages.js';
 
@@ -52,6 +53,8 @@
 	| (BaseEvent<'quarantine/news'> & {readonly from: VmId; readonly news: QuarantineNews})
 	/** A gossip message was sent to `to`; news for it may be sent along. `isFull` if everything is to be sent, not just what is new. */
 	| (BaseEvent<'quarantine/gossip'> & {readonly to: VmId; readonly memberCount: number; readonly isFull: boolean})
+	/** Blocks and ended blocks were loaded that an earlier run of a process on this disk knew. */
+	| (BaseEvent<'quarantine/restored'> & StoredBlocks)
 	| BaseEvent<'quarantine/tick'>;
 
 export type QuarantineEffect =
--- a/src/node/quarantine/prompt-quarantine.ts
+++ b/src/node/quarantine/prompt-quarantine.ts
@@ -9,6 +9,7 @@
 } from '../../common/quarantine/quarantine.js';
 import {createQuarantine} from '../../common/quarantine/state.js';
 import type {QuarantineState} from '../../common/quarantine/state.js';
+import {captureBlocks} from '../../common/quarantine/stored-blocks.js';
 import type {
 	Block, PartId, QuarantineEffect, QuarantineEvent, ServerId,
 } from '../../common/quarantine/types.js';
@@ -16,6 +17,7 @@
 import type {PeerNetwork} from '../../common/services/peer-network.js';
 import {DeadlineTimer} from '../deadline-timer.js';
 import {ReducerRuntime} from '../runtime.js';
+import type {BlockFile} from './block-file.js';
 
 /** Number of members that news is sent to at once. Each of them sends it on, so that it reaches all members within a few steps. */
 const pushFanout = 3;
@@ -59,6 +61,8 @@
 	readonly metrics: Metrics;
 	/** Members that are alive, without this process. */
 	readonly liveMembers: () => readonly VmId[];
+	/** Keeps the blocks across restarts; undefined in a process without a data folder. */
+	readonly blockFile?: BlockFile | undefined;
 };
 
 /** Runs the quarantine of prompt parts that crash servers, and shares it with the other processes. */
@@ -70,6 +74,7 @@
 	private _nextAttempt = 1;
 	/** Number of blocks that the metric shows. */
 	private _reportedBlocks = 0;
+	private _savedRevision = 0;
 
 	constructor(private readonly _options: PromptQuarantineOptions) {
 		const {self: {vm, incarnation}, clock, network} = _options;
@@ -78,12 +83,13 @@
 		this._runtime = new ReducerRuntime(event => reduceQuarantine(this._state, event), clock);
 		this._timer = new DeadlineTimer(clock, () => nextTickMs(this._state), () => {
 			this._runtime.dispatch({type: 'quarantine/tick'});
-			this._updateGauge();
+			this._showChanges();
 		});
 		this._registerEffects();
 		network.registerHandler('quarantine.news', quarantineNewsSchema, (from, news) => {
 			this._dispatch({type: 'quarantine/news', from: from.vm, news});
 		});
+		void this._restore();
 	}
 
 	/** Tracks an attempt that is about to be sent to a server. `parts` are the parts of its prompt that other requests may share. */
@@ -158,11 +164,24 @@
 	private _dispatch(event: Parameters<typeof this._runtime.dispatch>[0]): void {
 		this._runtime.dispatch(event);
 		this._timer.rearmIfEarlier();
-		this._updateGauge();
+		this._showChanges();
 	}
 
-	private _updateGauge(): void {
-		const {size} = this._state.blocks;
+	private async _restore(): Promise<void> {
+		const stored = await this._options.blockFile?.load();
+		if (stored) {
+			this._dispatch({type: 'quarantine/restored', ...stored});
+		}
+	}
+
+	/** Updates the gauge, and saves the blocks if they have changed. */
+	private _showChanges(): void {
+		const {blocks: {size}, revision} = this._state;
+		if (revision !== this._savedRevision) {
+			this._savedRevision = revision;
+			this._options.blockFile?.save(() => captureBlocks(this._state, this._options.clock.nowMs()));
+		}
+
 		if (size !== this._reportedBlocks) {
 			this._reportedBlocks = size;
 			this._options.metrics.gauge('quarantine_blocks', size);
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -46,6 +46,7 @@
 import {ServerFleet} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {StageBalancer} from './forwarding/stage-balancer.js';
+import {BlockFile} from './quarantine/block-file.js';
 import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
 import {ReducerRuntime} from './runtime.js';
 import {LeaseHolder} from './scheduler/lease-holder.js';
@@ -216,6 +217,11 @@
 		logger,
 		metrics,
 		liveMembers: () => membership.liveMembers,
+		blockFile: settings.dataFolder === undefined
+			? undefined
+			: disposables.add(new BlockFile({
+				folder: settings.dataFolder, fileSystem: new NodeFileSystem(), clock, logger, metrics,
+			})),
 	}));
 	membership.setGossipCompanion((to, isPage) => {
 		quarantine.accompanyGossip(to, isPage);
