--- a/src/common/quarantine/stored-blocks.test.ts
+++ b/src/common/quarantine/stored-blocks.test.ts
@@ -97,7 +97,7 @@
 // Guards against a block that stays at a process that was down when the others released it.
 test('a restored block that was released as wrong is released again when a server has produced output', () => {
 	const model = new QuarantineModel({processes: 3, servers: 3, seed: 1});
-	model.send({name: 'sound', parts: ['a', 'common']});
+	model.send({name: 'sound', parts: ['a', 'common']}, {process: 'vm1'});
 	model.run(2500);
 	const [block] = stored.blocks;
 	model.dispatch('vm0', {type: 'quarantine/restored', probations: [], blocks: [{...block!, ageMs: 60_000}]});
--- a/src/node/quarantine/block-file.test.ts
+++ b/src/node/quarantine/block-file.test.ts
@@ -7,11 +7,15 @@
 import type {StoredBlocks} from '../../common/quarantine/stored-blocks.js';
 import {CountingMetrics} from '../entry/testing/services.js';
 import {waitUntil} from '../entry/testing/harness.js';
+import {SystemClock} from '../clock.js';
+import {InMemoryNetwork, InMemoryNetworkHub} from '../scheduler/fixtures.js';
 import {MemoryFileSystem} from '../storage/memory-file-system.js';
 import type {FileOperation} from '../storage/memory-file-system.js';
 import {BlockFile} from './block-file.js';
+import {PromptQuarantine} from './prompt-quarantine.js';
 
 const file = '/data/quarantine.jsonl';
+const waitTimeoutMs = 5000;
 const refusableOperations: readonly FileOperation[] = ['make-folder', 'open', 'write', 'sync', 'close', 'rename', 'sync-folder'];
 
 function create(fileSystem: MemoryFileSystem, intervalMs = 1) {
@@ -36,9 +40,11 @@
 	return stored?.blocks[0]?.parts[0];
 }
 
-/** Waits until the part is on disk; a test that waits in vain fails by its timeout. */
-async function waitForPart(fileSystem: MemoryFileSystem, part: string): Promise<void> {
+/** Waits until the part, or no part, is on disk. */
+async function waitForPart(fileSystem: MemoryFileSystem, part: string | undefined): Promise<void> {
+	const endMs = performance.now() + waitTimeoutMs;
 	while (await loadPart(fileSystem.afterPowerCut(new SeededRandom(1))) !== part) {
+		assert.ok(performance.now() < endMs, `${part} is not on disk`);
 		await sleep(1);
 	}
 }
@@ -85,6 +91,55 @@
 	}
 });
 
+// Guards against an older state that replaces a newer one.
+test('blocks that change while the disk refuses a write are not replaced by those of the refused write', async () => {
+	const fileSystem = new MemoryFileSystem();
+	const {blockFile, metrics} = create(fileSystem);
+	await blockFile.load();
+	let endStall: () => void;
+	fileSystem.syncGate = new Promise(resolve => {
+		endStall = resolve;
+	});
+	fileSystem.refuse = operation => operation === 'sync' ? 'EIO' : undefined;
+	blockFile.save(() => blocksOf('old'));
+	await sleep(5);
+	blockFile.save(() => blocksOf('new'));
+	endStall!();
+	await waitUntil(() => metrics.counts.has('quarantine_write_refusals_total'));
+	fileSystem.refuse = undefined;
+	await waitForPart(fileSystem, 'new');
+	blockFile.dispose();
+});
+
+// Guards against a block that comes back after a restart, although the quarantine had released it.
+test('the quarantine stores a block when it starts and when it is released, and restores it', async () => {
+	const fileSystem = new MemoryFileSystem();
+	const start = () => {
+		const self = {vm: 'vm', incarnation: 1};
+		const {blockFile, metrics} = create(fileSystem);
+		const quarantine = new PromptQuarantine({
+			self, network: new InMemoryNetwork(new InMemoryNetworkHub(), self), clock: new SystemClock(), logger: new NullLogger(), metrics, liveMembers: () => [], blockFile,
+		});
+		return {blockFile, quarantine};
+	};
+
+	const first = start();
+	for (const server of ['s1', 's2']) {
+		first.quarantine.track(server, 'r', ['part']).end('broken');
+		first.quarantine.recordServerLost(server);
+	}
+
+	await waitForPart(fileSystem, 'part');
+	first.blockFile.dispose();
+	first.quarantine.dispose();
+	const {blockFile, quarantine} = start();
+	await waitUntil(() => quarantine.findBlock(['part', 'own']) !== undefined);
+	quarantine.track('s3', 'r', ['part']).endWithAnswer(200);
+	await waitForPart(fileSystem, undefined);
+	blockFile.dispose();
+	quarantine.dispose();
+});
+
 // Guards against writes that pile up behind a disk that stalls, and against a disk that is written without pause.
 test('while a write is in progress no other begins, and after it the latest blocks are written once', async () => {
 	const fileSystem = new MemoryFileSystem();
@@ -120,8 +175,10 @@
 	await writePart(fileSystem, 'old');
 	const {blockFile} = create(fileSystem);
 	blockFile.save(() => blocksOf('new'));
+	await sleep(5);
 	const stored = await blockFile.load();
 	assert.equal(stored?.blocks[0]?.parts[0], 'old');
+	await waitForPart(fileSystem, 'new');
 	blockFile.dispose();
 
 	fileSystem.setBytes(file, new Uint8Array(5_000_000));
