--- a/src/node/quarantine/block-file.test.ts
+++ b/src/node/quarantine/block-file.test.ts
@@ -183,6 +183,9 @@
 
 	fileSystem.setBytes(file, new Uint8Array(5_000_000));
 	await writePart(fileSystem, 'new');
+	const {blockFile: first} = create(fileSystem);
+	fileSystem.refuse = operation => operation === 'list' ? 'ENOENT' : undefined;
+	assert.equal(await first.load(), undefined);
 	fileSystem.refuse = operation => operation === 'list' ? 'EIO' : undefined;
 	const {blockFile: unread} = create(fileSystem);
 	unread.save(() => blocksOf('newest'));
--- a/src/node/quarantine/block-file.ts
+++ b/src/node/quarantine/block-file.ts
@@ -96,9 +96,8 @@
 	}
 
 	private async _read(): Promise<Uint8Array | undefined> {
-		const {fileSystem, folder, logger} = this._options;
-		await fileSystem.makeFolder(folder);
-		const names = await fileSystem.list(folder);
+		const {fileSystem, logger} = this._options;
+		const names = await this._listFolder();
 		if (!names.includes(fileName)) {
 			logger.log('info', 'no quarantine file', {file: this._file});
 			return undefined;
@@ -112,6 +111,18 @@
 		return fileSystem.read(this._file);
 	}
 
+	private async _listFolder(): Promise<string[]> {
+		try {
+			return await this._options.fileSystem.list(this._options.folder);
+		} catch (err) {
+			if (isSystemError(err) && err.code === 'ENOENT') {
+				return [];
+			}
+
+			throw err;
+		}
+	}
+
 	private _startWriting(): void {
 		if (this._isLoaded && !this._isWriting) {
 			void this._writeRepeatedly();
