--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -91,8 +91,10 @@
 
 	/** Sends a request to a random server that is up, at a random process, unless it is refused there. */
 	send(request: ModelRequest, {process = this.random.pick([...this.processes.keys()]), tries = 0}: {process?: VmId; tries?: number} = {}): void {
-		if (findBlock(this.processes.get(process)!, request.parts, this.nowMs)) {
+		const block = findBlock(this.processes.get(process)!, request.parts, this.nowMs);
+		if (block) {
 			this.refused.push({request, atMs: this.nowMs});
+			this.dispatch(process, {type: 'quarantine/refused', parts: block.parts});
 			return;
 		}
 
--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -75,6 +75,23 @@
 	assert.deepEqual(blockedParts(model), []);
 });
 
+// Guards against a process that takes an extended block for the ended one that it has removed.
+test('a process that was cut off while a block was extended refuses the request again within the contact time', () => {
+	const model = createModel({processes: 12, crashingParts: ['req:deadly']});
+	const deadly = {name: 'deadly', parts: ['req:deadly']};
+	model.send(deadly, {process: 'vm0'});
+	model.run(1000);
+	model.cutOff.add('vm3');
+	model.run(100_000, 10_000, () => {
+		model.send(deadly, {process: 'vm0'});
+	});
+	assert.equal(findBlock(model.processes.get('vm3')!, deadly.parts, model.nowMs), undefined);
+	model.cutOff.clear();
+	model.run(contactMs);
+	assert.ok(findBlock(model.processes.get('vm3')!, deadly.parts, model.nowMs));
+	assert.equal(model.crashes.length, 2);
+});
+
 // Guards against a decision without the evidence of a process that does not know yet that its server is lost.
 test('a process reports its broken request as soon as another one reports the crash of the server', () => {
 	const model = createModel();
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -12,9 +12,10 @@
 	fullNews, pushNews, queueNews, takeNews,
 } from './news.js';
 import {
-	isCovered, keyOf, reportValidityMs, setNewest,
+	isCovered, keyOf, maxBlockMs, probationMs, reportValidityMs, setNewest,
 } from './state.js';
 import type {Attempt, QuarantineState} from './state.js';
+import {restoreProbations} from './stored-blocks.js';
 import type {
 	AttemptId, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
 } from './types.js';
@@ -37,10 +38,6 @@
 const minStatementIntervalMs = 300;
 /** Duration of the first block of some parts, in milliseconds. It doubles with each further block, up to `maxBlockMs`. */
 const initialBlockMs = 60_000;
-/** Longest duration of a block, in milliseconds. */
-const maxBlockMs = 3_600_000;
-/** Time after the end of a block in which one crash renews it, in milliseconds. */
-const probationMs = 3_600_000;
 /** Difference in the end of a block, in milliseconds, up to which two processes agree on it. */
 const blockToleranceMs = 1000;
 /** Limits of the state, in entries; beyond them the oldest entry goes. */
@@ -128,6 +125,13 @@
 			return news ? [{type: 'send', to: event.to, message: news}] : [];
 		}
 
+		case 'quarantine/restored': {
+			restoreProbations(state, event.probations, nowMs);
+			return receiveNews(state, state.self, {
+				type: 'quarantine.news', crashes: [], sound: [], blocks: [...event.blocks],
+			}, nowMs);
+		}
+
 		case 'quarantine/tick': {
 			return handleTick(state, nowMs);
 		}
@@ -335,6 +339,7 @@
 	const key = keyOf(block.parts);
 	state.blocks.delete(key);
 	state.blocks.set(key, block);
+	state.revision++;
 	queueNews(state, 'block', key);
 	const effects: QuarantineEffect[] = [
 		{
@@ -352,10 +357,16 @@
 	return effects;
 }
 
+/** Releases a block as wrong. */
 function release(state: QuarantineState, key: string, reason: string, nowMs: number): QuarantineEffect[] {
+	setNewest(state.releasedMs, key, state.blocks.get(key)!.startedMs, maxBlocks);
+	return removeBlock(state, key, reason, nowMs);
+}
+
+function removeBlock(state: QuarantineState, key: string, reason: string, nowMs: number): QuarantineEffect[] {
 	const {startedMs, parts, strikes} = state.blocks.get(key)!;
 	state.blocks.delete(key);
-	setNewest(state.releasedMs, key, startedMs, maxBlocks);
+	state.revision++;
 	return [
 		{
 			type: 'log', level: 'info', message: 'parts released', fields: {
@@ -374,7 +385,7 @@
 			state.probations.delete(state.probations.keys().next().value!);
 		}
 
-		return release(state, key, 'the block has ended', nowMs);
+		return removeBlock(state, key, 'the block has ended', nowMs);
 	});
 }
 
@@ -384,6 +395,7 @@
 		if (probation.parts.includes(part)) {
 			const parts = probation.parts.filter(other => other !== part);
 			state.probations.delete(key);
+			state.revision++;
 			if (parts.length > 0) {
 				state.probations.set(keyOf(parts), {...probation, parts});
 			}
@@ -431,6 +443,18 @@
 	const known = state.blocks.get(key);
 	const isReleased = (state.releasedMs.get(key) ?? -Infinity) + blockToleranceMs >= block.startedMs;
 	const isRefuted = block.parts.some(part => (state.soundMs.get(part) ?? -Infinity) > block.startedMs);
-	const isNewer = !known || block.untilMs > known.untilMs + blockToleranceMs;
+	if (isReleased || isRefuted) {
+		// The sender may have restored a block that was released while it was down.
+		scheduleStatements(state, block.parts, nowMs);
+	}
+
+	const knownEndMs = known?.untilMs ?? endOfLastBlock(state, key);
+	const isNewer = block.untilMs > knownEndMs + blockToleranceMs;
 	return block.untilMs > nowMs && isNewer && !isReleased && !isRefuted ? addBlock(state, block, nowMs) : [];
 }
+
+/** Time at which the last block of some parts ended, in milliseconds; `-Infinity` if it is not known. */
+function endOfLastBlock({probations}: QuarantineState, key: string): number {
+	const probation = probations.get(key);
+	return probation ? probation.untilMs - probationMs : -Infinity;
+}
