--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -8,7 +8,7 @@
 import {createPlainRequest, reducePlainRequest} from '../../common/requests/plain-lifecycle.js';
 import type {PartId} from '../../common/quarantine/types.js';
 import type {ClaimSettlement, RecordedOutcome} from '../../common/services/claim-service.js';
-import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
+import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import type {PlainUpstream, ServiceLimits, UpstreamRegistry} from '../upstreams/upstream-registry.js';
--- a/src/node/entry/testing/services.ts
+++ b/src/node/entry/testing/services.ts
@@ -17,7 +17,7 @@
 } from '../../../common/services/scheduler-client.js';
 import {SchedulerClient} from '../../../common/services/scheduler-client.js';
 import {SystemClock} from '../../clock.js';
-import {PromptQuarantine} from '../../quarantine/prompt-quarantine.js';
+import {RequestQuarantine} from '../../quarantine/request-quarantine.js';
 import {InMemoryNetwork, InMemoryNetworkHub} from '../../scheduler/fixtures.js';
 import type {EntryServices} from '../types.js';
 
@@ -174,7 +174,7 @@
 		metrics,
 		logger,
 		clock,
-		quarantine: new PromptQuarantine({
+		quarantine: new RequestQuarantine({
 			self, network: new InMemoryNetwork(new InMemoryNetworkHub(), self), clock, logger, metrics, liveMembers: () => [],
 		}),
 	} satisfies EntryServices;
--- a/src/node/entry/types.ts
+++ b/src/node/entry/types.ts
@@ -6,7 +6,7 @@
 import type {EntryPointService} from '../../common/services/entry-point-service.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {SchedulerClient} from '../../common/services/scheduler-client.js';
-import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
+import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 
 /** Services that the entry process depends on. */
 export type EntryServices = {
@@ -17,7 +17,7 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly clock: Clock;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: RequestQuarantine;
 };
 
 export type EntryOptions = {
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -5,7 +5,7 @@
 import type {LocalAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
-import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
+import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
 import type {ServerFleet} from './server-fleet.js';
@@ -13,7 +13,7 @@
 export type ForwardDependencies = {
 	readonly protocol: FleetProtocol;
 	readonly fleet: ServerFleet;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: RequestQuarantine;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly clock: Clock;
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -5,7 +5,7 @@
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
-import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
+import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
 import {discardBody} from '../upstreams/connection-pool.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -4,7 +4,7 @@
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import type {UntimedEvent} from '../../common/core/types.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
-import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
+import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {failureOf} from '../upstreams/call-error.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -5,11 +5,11 @@
 import type {ProcessState, Replica} from '../../common/reducer.js';
 import type {EntryServer} from '../entry/entry-server.js';
 import type {MembershipHost} from '../membership/membership-host.js';
-import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
+import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {OrderHost} from '../orders/order-host.js';
 import type {SchedulerHost} from '../scheduler/scheduler-host.js';
 
-type DumpSources = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState; readonly membership: MembershipHost; readonly quarantine: PromptQuarantine};
+type DumpSources = {readonly self: VmIdentity; readonly clock: Clock; readonly state: ProcessState; readonly membership: MembershipHost; readonly quarantine: RequestQuarantine};
 type EntryDumpSources = {readonly scheduler: SchedulerHost; readonly orders: OrderHost; readonly server: EntryServer};
 
 function dumpReplica({consensus, control}: Replica, nowMs: number): unknown {
--- a/src/node/quarantine/block-file.test.ts
+++ b/src/node/quarantine/block-file.test.ts
@@ -12,7 +12,7 @@
 import {MemoryFileSystem} from '../storage/memory-file-system.js';
 import type {FileOperation} from '../storage/memory-file-system.js';
 import {BlockFile} from './block-file.js';
-import {PromptQuarantine} from './prompt-quarantine.js';
+import {RequestQuarantine} from './request-quarantine.js';
 
 const file = '/data/quarantine.jsonl';
 const waitTimeoutMs = 5000;
@@ -117,7 +117,7 @@
 	const start = () => {
 		const self = {vm: 'vm', incarnation: 1};
 		const {blockFile, metrics} = create(fileSystem);
-		const quarantine = new PromptQuarantine({
+		const quarantine = new RequestQuarantine({
 			self, network: new InMemoryNetwork(new InMemoryNetworkHub(), self), clock: new SystemClock(), logger: new NullLogger(), metrics, liveMembers: () => [], blockFile,
 		});
 		return {blockFile, quarantine};
--- a/src/node/quarantine/prompt-quarantine.test.ts
+++ b/src/node/quarantine/request-quarantine.test.ts
@@ -6,25 +6,25 @@
 import {waitUntil} from '../entry/testing/harness.js';
 import {CountingMetrics} from '../entry/testing/services.js';
 import {InMemoryNetwork, InMemoryNetworkHub} from '../scheduler/fixtures.js';
-import {PromptQuarantine} from './prompt-quarantine.js';
+import {RequestQuarantine} from './request-quarantine.js';
 
 /** Time after which the reports of a crash have been evaluated, in milliseconds. */
 const evaluatedAfterMs = 500;
 
-function createPair(): {readonly quarantines: PromptQuarantine[]; readonly metrics: CountingMetrics} {
+function createPair(): {readonly quarantines: RequestQuarantine[]; readonly metrics: CountingMetrics} {
 	const hub = new InMemoryNetworkHub();
 	const metrics = new CountingMetrics();
 	const vms = ['vm-1', 'vm-2'];
 	const quarantines = vms.map((vm, i) => {
 		const self = {vm, incarnation: i + 1};
-		return new PromptQuarantine({
+		return new RequestQuarantine({
 			self, network: new InMemoryNetwork(hub, self), clock: new SystemClock(), logger: new NullLogger(), metrics, liveMembers: () => vms.filter(other => other !== vm),
 		});
 	});
 	return {quarantines, metrics};
 }
 
-function crash(quarantine: PromptQuarantine, server: string): void {
+function crash(quarantine: RequestQuarantine, server: string): void {
 	quarantine.track(server, 'r', ['part']).end('broken');
 	quarantine.recordServerLost(server);
 }
--- a/src/node/quarantine/prompt-quarantine.ts
+++ b/src/node/quarantine/request-quarantine.ts
@@ -34,7 +34,7 @@
 	end: (outcome: 'broken' | 'stopped') => void;
 };
 
-/** An attempt that is not tracked, since its prompt shares no part with others. */
+/** An attempt that is not tracked, since nothing is known by which it could be recognized. */
 const untrackedAttempt: TrackedAttempt = {
 	recordOutput() {
 		// Intentionally empty.
@@ -50,7 +50,7 @@
 	},
 };
 
-export type PromptQuarantineOptions = {
+export type RequestQuarantineOptions = {
 	readonly self: VmIdentity;
 	readonly network: PeerNetwork;
 	readonly clock: Clock;
@@ -62,8 +62,8 @@
 	readonly blockFile?: BlockFile | undefined;
 };
 
-/** Runs the quarantine of prompt parts that crash servers, and shares it with the other processes. */
-export class PromptQuarantine implements Disposable {
+/** Runs the quarantine of requests and prompt parts that crash servers, and shares it with the other processes. */
+export class RequestQuarantine implements Disposable {
 	private readonly _state: QuarantineState;
 	private readonly _runtime: ReducerRuntime<QuarantineEvent, QuarantineEffect>;
 	private readonly _timer: DeadlineTimer;
@@ -73,7 +73,7 @@
 	private _reportedBlocks = 0;
 	private _savedRevision = 0;
 
-	constructor(private readonly _options: PromptQuarantineOptions) {
+	constructor(private readonly _options: RequestQuarantineOptions) {
 		const {self: {vm, incarnation}, clock, network} = _options;
 		this._random = new SeededRandom(incarnation);
 		this._state = createQuarantine({self: vm, idPrefix: `${vm}.${incarnation}`, seed: incarnation});
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -47,7 +47,7 @@
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {StageBalancer} from './forwarding/stage-balancer.js';
 import {BlockFile} from './quarantine/block-file.js';
-import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
+import {RequestQuarantine} from './quarantine/request-quarantine.js';
 import {ReducerRuntime} from './runtime.js';
 import {LeaseHolder} from './scheduler/lease-holder.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
@@ -74,7 +74,7 @@
 	readonly leaderClient: ControlLeaderClient;
 	readonly adminClient: ControlAdminClient;
 	readonly membership: MembershipHost;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: RequestQuarantine;
 	readonly disposables: DisposableStore;
 };
 
@@ -210,7 +210,7 @@
 		randomSeed: self.incarnation,
 		...(cluster.rejoinIntervalMs !== undefined && {rejoinIntervalMs: cluster.rejoinIntervalMs}),
 	}));
-	const quarantine = disposables.add(new PromptQuarantine({
+	const quarantine = disposables.add(new RequestQuarantine({
 		self,
 		network,
 		clock,
