quarantine: a request that crashes its engine in the middle of a stream is recognized

Now only a complete answer is such a sign for a request as a whole; a stream that breaks later is reported apart, under an id that needs four crashes, since most such streams only ran beside the crashing one.

--- a/src/common/quarantine/crash-analysis.ts
+++ b/src/common/quarantine/crash-analysis.ts
@@ -1,3 +1,4 @@
+import {isLatePart} from './parts.js';
 import type {CrashReport, PartId, ServerId} from './types.js';
 
 /** Number of crashes that a part without known output must have in common before it is held responsible. */
@@ -86,7 +87,7 @@
 	const candidates: Candidate[] = [];
 	for (const [part, evidence] of byPart) {
 		const crashes = new Set(evidence.map(report => crashOf.get(report)!));
-		if (crashes.size >= (soundMs(part) === undefined ? minCrashes : minCrashesWhenDoubtful)) {
+		if (crashes.size >= (soundMs(part) !== undefined || isLatePart(part) ? minCrashesWhenDoubtful : minCrashes)) {
 			const crashesWithoutOutput = new Set(evidence.filter(({hasOutput}) => !hasOutput).map(report => crashOf.get(report))).size;
 			candidates.push({
 				part, reports: evidence, crashes, crashesWithoutOutput,
@@ -95,7 +96,7 @@
 	}
 
 	const strongest = candidates.sort((a, b) => compareStrength(b, a) || a.reports.length - b.reports.length || compareText(a.part, b.part)).slice(0, maxCandidates);
-	return strongest.find(candidate => candidate.crashes.size >= minCrashesWhenDoubtful || !strongest.some(other => isRival(other, candidate)));
+	return strongest.find(candidate => !strongest.some(other => isRival(other, candidate)) || (candidate.crashes.size >= minCrashesWhenDoubtful && !isLatePart(candidate.part)));
 }
 
 /** Returns a positive number if `a` explains the crashes better than `b`. */
--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -17,6 +17,8 @@
 	readonly seed: number;
 	/** Parts on which a server crashes when it begins to write. */
 	readonly crashingParts?: readonly PartId[];
+	/** Time from the sending of a request with such a part to the crash of its server, in milliseconds. */
+	readonly crashAfterMs?: number;
 	/** Whether requests are plain: short, and without output before their end. */
 	readonly isPlain?: boolean;
 	/** Whether callers whose request failed twice send it once more. */
@@ -39,7 +41,7 @@
 	/** Times of the crashes that requests caused, by part. */
 	readonly crashes: Array<{readonly part: PartId; readonly atMs: number}> = [];
 	/** Requests that reached a server, and requests that were refused because of a block. */
-	readonly sent: Array<{readonly request: ModelRequest; readonly atMs: number}> = [];
+	readonly sent: Array<{readonly request: ModelRequest; readonly atMs: number; /** Time for which the process had run, in milliseconds. */ readonly processAgeMs: number}> = [];
 	readonly refused: Array<{readonly request: ModelRequest; readonly atMs: number}> = [];
 	readonly logs: Array<{readonly process: VmId; readonly message: string; readonly fields: Readonly<Record<string, unknown>>}> = [];
 	readonly processes = new Map<VmId, QuarantineState>();
@@ -49,6 +51,7 @@
 	readonly random: SeededRandom;
 	private readonly _servers: ModelServer[];
 	private readonly _timers: Array<{readonly atMs: number; readonly run: () => void}> = [];
+	private readonly _startedMs = new Map<VmId, number>();
 	private _next = 1;
 
 	constructor(private readonly _options: ModelOptions) {
@@ -64,6 +67,7 @@
 		const others = [...this.processes.keys()].filter(other => other !== vm);
 		const state = createQuarantine({self: vm, idPrefix: `${vm}.${this._next++}`, seed: this._next});
 		this.processes.set(vm, state);
+		this._startedMs.set(vm, this.nowMs);
 		if (others.length > 0) {
 			this._gossip(this.random.pick(others), vm, true);
 		}
@@ -103,7 +107,7 @@
 			return;
 		}
 
-		this.sent.push({request, atMs: this.nowMs});
+		this.sent.push({request, atMs: this.nowMs, processAgeMs: this.nowMs - this._startedMs.get(process)!});
 		const server = this.random.pick(up);
 		const state = this.processes.get(process);
 		const running = {
@@ -121,19 +125,19 @@
 			});
 		};
 
+		const {isPlain = false} = this._options;
+		whileRunning(isPlain ? Infinity : delaysMs.output + this.random.integer(0, delaysMs.output), () => {
+			this.dispatch(process, {type: 'quarantine/attempt-produced', attempt: running.attempt});
+		});
 		const crashingPart = this._options.crashingParts?.find(part => request.parts.includes(part));
 		if (crashingPart !== undefined) {
-			whileRunning(delaysMs.crash, () => {
+			whileRunning(this._options.crashAfterMs ?? delaysMs.crash, () => {
 				this.crashes.push({part: crashingPart, atMs: this.nowMs});
 				this.crashServer(server);
 			});
 			return;
 		}
 
-		const {isPlain = false} = this._options;
-		whileRunning(isPlain ? Infinity : delaysMs.output + this.random.integer(0, delaysMs.output), () => {
-			this.dispatch(process, {type: 'quarantine/attempt-produced', attempt: running.attempt});
-		});
 		whileRunning(isPlain ? this.random.integer(delaysMs.plainCompletion / 5, delaysMs.plainCompletion) : delaysMs.completion, () => {
 			server.running.delete(running);
 			this.dispatch(process, {type: 'quarantine/attempt-ended', attempt: running.attempt, outcome: 'completed'});
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -3,14 +3,14 @@
 its requests. Processes exchange the reports, hold the parts that they have in common responsible, and refuse requests with these parts. A request
 as a whole counts as one of its parts.
 */
-import {hashText} from '../core/fnv.js';
 import type {VmId} from '../core/types.js';
 import {findCulprits} from './crash-analysis.js';
 import type {Culprit} from './crash-analysis.js';
-import {maxEvidence, maxPartLength, maxPartsPerReport} from './messages.js';
+import {maxEvidence} from './messages.js';
 import {
 	fullNews, pushNews, queueNews, takeNews,
 } from './news.js';
+import {isRequestPart, lateParts} from './parts.js';
 import {
 	isCovered, keyOf, maxBlockMs, probationMs, reportValidityMs, setNewest,
 } from './state.js';
@@ -22,8 +22,6 @@
 
 /** Reason given to callers whose request contains blocked parts. */
 export const blockedReason = 'servers crash on this request or a part of its prompt';
-/** Prefix of the part id that stands for a request as a whole. */
-export const requestPartPrefix = 'req:';
 /** Time after the first output within which a crash is still attributed to the request, in milliseconds. */
 const startupWindowMs = 300;
 /** Time for which a broken request waits for the confirmation that its server has crashed, in milliseconds; the platform's list shows a crash within some seconds. */
@@ -47,19 +45,10 @@
 const maxSoundParts = 4096;
 const maxBlocks = 64;
 
-/** Returns the part ids in the form in which reports name them: bounded in number and length, without duplicates. */
-export function normalizeParts(ids: readonly string[]): PartId[] {
-	return [...new Set(ids)].slice(0, maxPartsPerReport).map(id => id.length > maxPartLength ? hashText(id) : id);
-}
-
-/** Returns the ids under which the quarantine keeps parts that crash engines while these read a prompt, apart from those that crash engines while these write. */
-export function prefillParts(parts: readonly PartId[]): PartId[] {
-	return normalizeParts(parts.map(part => `prefill ${part}`));
-}
-
-/** Returns the block that applies to a prompt, or undefined. */
+/** Returns the block that applies to a request, or undefined. */
 export function findBlock({blocks}: QuarantineState, parts: readonly PartId[], nowMs: number): Block | undefined {
-	return [...blocks.values()].find(block => block.untilMs > nowMs && block.parts.every(part => parts.includes(part)));
+	const allParts = [...parts, ...lateParts(parts)];
+	return [...blocks.values()].find(block => block.untilMs > nowMs && isCovered(block.parts, allParts));
 }
 
 /** Returns the time at which the next tick is due, in milliseconds; Infinity if there is nothing to do. */
@@ -145,10 +134,20 @@
 		return [];
 	}
 
-	if (outcome === 'completed' || isPastStartup(attempt, nowMs)) {
-		recordSound(state, attempt.parts, nowMs);
-	} else if (outcome === 'broken' || attempt.isStalled) {
-		const {server, requestId, parts} = attempt;
+	const isLate = isPastStartup(attempt, nowMs);
+	if (outcome === 'completed') {
+		recordSound(state, [...attempt.parts, ...lateParts(attempt.parts)], nowMs);
+		return [];
+	}
+
+	if (isLate) {
+		// The prompt was read and written on without harm, but the request may still have crashed its server.
+		recordSound(state, attempt.parts.filter(part => !isRequestPart(part)), nowMs);
+	}
+
+	const parts = isLate ? lateParts(attempt.parts) : attempt.parts;
+	if (parts.length > 0 && (outcome === 'broken' || attempt.isStalled)) {
+		const {server, requestId} = attempt;
 		state.pending = [...state.pending.filter(({atMs}) => nowMs - atMs < confirmationTimeoutMs), {
 			server, requestId, parts, hasOutput: attempt.producedMs !== undefined, atMs: nowMs,
 		}].slice(-maxPending);
@@ -219,7 +218,7 @@
 function scheduleStatements(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
 	for (const attempt of state.attempts.values()) {
 		if (isPastStartup(attempt, nowMs) && attempt.parts.some(part => parts.includes(part))) {
-			recordSound(state, attempt.parts, nowMs);
+			recordSound(state, attempt.parts.filter(part => !isRequestPart(part)), nowMs);
 		}
 	}
 
@@ -317,8 +316,7 @@
 function extendBlock(state: QuarantineState, parts: readonly PartId[], nowMs: number): QuarantineEffect[] {
 	const key = keyOf(parts);
 	const block = state.blocks.get(key);
-	const isRequest = parts.some(part => part.startsWith(requestPartPrefix));
-	if (!block || !isRequest || block.untilMs - nowMs > initialBlockMs / 2) {
+	if (!block || !parts.some(part => isRequestPart(part)) || block.untilMs - nowMs > initialBlockMs / 2) {
 		return [];
 	}
 
--- a/src/node/entry/chat-completions.ts
+++ b/src/node/entry/chat-completions.ts
@@ -2,7 +2,7 @@
 import {z} from 'zod';
 import {hashText} from '../../common/core/fnv.js';
 import {maxPartsPerReport} from '../../common/quarantine/messages.js';
-import {normalizeParts} from '../../common/quarantine/quarantine.js';
+import {normalizeParts} from '../../common/quarantine/parts.js';
 import type {Usage} from '../../common/upstreams/engine-api.js';
 import {ProblemError} from './problems.js';
 
--- a/src/node/entry/model-request-runner.test.ts
+++ b/src/node/entry/model-request-runner.test.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {hashText} from '../../common/core/fnv.js';
 import {SeededRandom} from '../../common/core/random.js';
-import {normalizeParts} from '../../common/quarantine/quarantine.js';
+import {normalizeParts} from '../../common/quarantine/parts.js';
 import {
 	bearerHeaders, chatRequestInit, parseEvents, startHarness, parseStreamText, waitUntil,
 } from './testing/harness.js';
--- a/src/node/entry/plain-handler.ts
+++ b/src/node/entry/plain-handler.ts
@@ -3,7 +3,7 @@
 import type {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import type {RouteMatch} from '../../common/requests/route-match.js';
 import {matchRoute, parseTarget} from '../../common/requests/route-match.js';
-import {normalizeParts} from '../../common/quarantine/quarantine.js';
+import {normalizeParts} from '../../common/quarantine/parts.js';
 import type {PartId} from '../../common/quarantine/types.js';
 import {fingerprintOf} from '../quarantine/fingerprint.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -4,7 +4,8 @@
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
-import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
+import {prefillParts} from '../../common/quarantine/parts.js';
+import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
 import {discardBody} from '../upstreams/connection-pool.js';
--- a/src/node/quarantine/fingerprint.ts
+++ b/src/node/quarantine/fingerprint.ts
@@ -1,5 +1,5 @@
 import {createHash} from 'node:crypto';
-import {requestPartPrefix} from '../../common/quarantine/quarantine.js';
+import {requestPartPrefix} from '../../common/quarantine/parts.js';
 import type {PartId} from '../../common/quarantine/types.js';
 
 /** Length of the hash in a fingerprint, in characters of 6 bits each. */
