--- a/src/common/quarantine/crash-analysis.test.ts
+++ b/src/common/quarantine/crash-analysis.test.ts
@@ -68,3 +68,17 @@
 	assert.deepEqual(culpritParts([...reports, other]), ['part req:a']);
 	assert.deepEqual(culpritParts([...reports, other, createReport({server: 's3', parts: ['req:c', 'part']})]), ['part']);
 });
+
+// Guards against crashes of a server that keeps its id which are taken for one, since reports about them follow each other closely.
+test('crashes of a server that follow each other within two seconds are told apart', () => {
+	const reports = [0, 1, 2, 3].map(i => createReport({
+		id: `${i}`, server: 's1', parts: ['req:deadly'], atMs: i * 1900,
+	}));
+	assert.deepEqual(culpritParts(reports), ['req:deadly']);
+});
+
+// Guards against the block of a stream that had just begun beside one that crashes engines late, and that is not suspected yet.
+test('a request is not held responsible for crashes that another one, with too little evidence of its own, explains as well', () => {
+	const reports = ['s1', 's2'].flatMap(server => ['req:beside', 'late req:deadly'].map(part => createReport({server, parts: [part], hasOutput: true})));
+	assert.deepEqual(culpritParts(reports), []);
+});
--- a/src/common/quarantine/crash-analysis.ts
+++ b/src/common/quarantine/crash-analysis.ts
@@ -7,7 +7,7 @@
 const minCrashesWhenDoubtful = 4;
 /** Number of candidates, the strongest first, that are compared; it bounds the time of an evaluation. */
 const maxCandidates = 64;
-/** Time between two reports about a server from which on they are about two crashes, in milliseconds; shorter than any restart of a server. */
+/** Time after the first report of a crash within which others about the server are about the same crash, in milliseconds; shorter than any restart of a server. */
 const minCrashIntervalMs = 2000;
 
 /** Parts that are held responsible for crashes: every report in `reports` names all of them. */
@@ -25,6 +25,8 @@
 	readonly crashes: ReadonlySet<CrashKey>;
 	/** Number of crashes of servers that had not produced output for the request. */
 	readonly crashesWithoutOutput: number;
+	/** Whether there is enough evidence to hold the part responsible if nothing else explains the crashes as well. */
+	readonly isSuspect: boolean;
 };
 
 /**
@@ -66,9 +68,13 @@
 	for (const report of [...reports].sort((a, b) => a.atMs - b.atMs)) {
 		const {server, atMs} = report;
 		const last = lastByServer.get(server);
-		const crash = last && atMs - last.atMs < minCrashIntervalMs ? last.crash : `${server} ${atMs}`;
-		crashOf.set(report, crash);
-		lastByServer.set(server, {atMs, crash});
+		if (last && atMs - last.atMs < minCrashIntervalMs) {
+			crashOf.set(report, last.crash);
+		} else {
+			const crash = `${server} ${atMs}`;
+			crashOf.set(report, crash);
+			lastByServer.set(server, {atMs, crash});
+		}
 	}
 
 	return crashOf;
@@ -87,16 +93,16 @@
 	const candidates: Candidate[] = [];
 	for (const [part, evidence] of byPart) {
 		const crashes = new Set(evidence.map(report => crashOf.get(report)!));
-		if (crashes.size >= (soundMs(part) !== undefined || isLatePart(part) ? minCrashesWhenDoubtful : minCrashes)) {
+		if (crashes.size >= minCrashes) {
 			const crashesWithoutOutput = new Set(evidence.filter(({hasOutput}) => !hasOutput).map(report => crashOf.get(report))).size;
 			candidates.push({
-				part, reports: evidence, crashes, crashesWithoutOutput,
+				part, reports: evidence, crashes, crashesWithoutOutput, isSuspect: crashes.size >= (soundMs(part) !== undefined || isLatePart(part) ? minCrashesWhenDoubtful : minCrashes),
 			});
 		}
 	}
 
 	const strongest = candidates.sort((a, b) => compareStrength(b, a) || a.reports.length - b.reports.length || compareText(a.part, b.part)).slice(0, maxCandidates);
-	return strongest.find(candidate => !strongest.some(other => isRival(other, candidate)) || (candidate.crashes.size >= minCrashesWhenDoubtful && !isLatePart(candidate.part)));
+	return strongest.find(candidate => candidate.isSuspect && (isBeyondDoubt(candidate) || !strongest.some(other => isRival(other, candidate))));
 }
 
 /** Returns a positive number if `a` explains the crashes better than `b`. */
@@ -104,6 +110,11 @@
 	return a.crashes.size - b.crashes.size || a.crashesWithoutOutput - b.crashesWithoutOutput;
 }
 
+/** Whether there is so much evidence that the part is held responsible although something else explains the crashes as well. */
+function isBeyondDoubt({part, crashes}: Candidate): boolean {
+	return crashes.size >= minCrashesWhenDoubtful && !isLatePart(part);
+}
+
 /** Whether `other` explains some of the crashes of `candidate` at least as well, by other requests. */
 function isRival(other: Candidate, candidate: Candidate): boolean {
 	return compareStrength(other, candidate) >= 0
--- a/src/common/quarantine/messages.ts
+++ b/src/common/quarantine/messages.ts
@@ -4,6 +4,8 @@
 export const maxPartsPerReport = 64;
 /** Maximum length of a part id, in characters; longer ids are replaced by their hash. */
 export const maxPartLength = 32;
+/** Maximum length of the request id in a crash report, in characters; longer ids are cut. */
+export const maxRequestIdLength = 128;
 /** Maximum number of crash reports, parts and blocks, each, in one message. */
 export const maxItemsPerMessage = 32;
 /** Maximum number of crash reports that a block names as its evidence. */
@@ -20,7 +22,7 @@
 const crashReportSchema = z.strictObject({
 	id: idSchema,
 	server: serverSchema,
-	requestId: z.string().max(128),
+	requestId: z.string().max(maxRequestIdLength),
 	vm: vmSchema,
 	parts: z.array(partSchema).max(maxPartsPerReport),
 	/** Whether the server had just begun to produce output for the request. */
--- a/src/common/quarantine/news.ts
+++ b/src/common/quarantine/news.ts
@@ -1,6 +1,6 @@
 /** What a process tells the others about crashes, sound parts and blocks, and how often. */
 import {maxItemsPerMessage} from './messages.js';
-import {reportValidityMs} from './state.js';
+import {reportEndMs} from './state.js';
 import type {NewsItem, QuarantineState} from './state.js';
 import type {QuarantineEffect, QuarantineNews} from './types.js';
 
@@ -62,7 +62,7 @@
 
 /** Returns all blocks and the newest reports, for a process that may have missed the news. */
 export function fullNews(state: QuarantineState, nowMs: number): QuarantineNews | undefined {
-	const reports = [...state.reports.values()].filter(({atMs}) => nowMs - atMs < reportValidityMs).slice(-maxItemsPerMessage);
+	const reports = [...state.reports.values()].filter(report => reportEndMs(report) > nowMs).slice(-maxItemsPerMessage);
 	const soundParts = new Set(reports.flatMap(({parts}) => parts).filter(part => state.statedSoundMs.has(part)));
 	return createNews(state, [
 		...reports.map(({id}) => ({kind: 'crash' as const, key: id})),
--- a/src/common/quarantine/parts.ts
+++ b/src/common/quarantine/parts.ts
@@ -30,6 +30,10 @@
 	return part.startsWith(latePrefix);
 }
 
+export function withoutLatePrefix(part: PartId): PartId {
+	return isLatePart(part) ? part.slice(latePrefix.length) : part;
+}
+
 /** Whether the id stands for a request as a whole. */
 export function isRequestPart(part: PartId): boolean {
 	return part.startsWith(requestPartPrefix) || isLatePart(part);
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -6,18 +6,18 @@
 import type {VmId} from '../core/types.js';
 import {findCulprits} from './crash-analysis.js';
 import type {Culprit} from './crash-analysis.js';
-import {maxEvidence} from './messages.js';
+import {maxEvidence, maxRequestIdLength} from './messages.js';
 import {
 	fullNews, pushNews, queueNews, takeNews,
 } from './news.js';
 import {isRequestPart, lateParts} from './parts.js';
 import {
-	isCovered, keyOf, maxBlockMs, probationMs, reportValidityMs, setNewest,
+	isCovered, keyOf, maxBlockMs, probationMs, reportEndMs, setNewest, setSoundTime, soundTimeOf,
 } from './state.js';
 import type {Attempt, QuarantineState} from './state.js';
 import {restoreProbations} from './stored-blocks.js';
 import type {
-	AttemptId, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
+	AttemptId, AttemptOutcome, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
 } from './types.js';
 
 /** Reason given to callers whose request contains blocked parts. */
@@ -26,16 +26,20 @@
 const startupWindowMs = 300;
 /** Time for which a broken request waits for the confirmation that its server has crashed, in milliseconds; the platform's list shows a crash within some seconds. */
 const confirmationTimeoutMs = 6000;
+/** The same for a request that was given up before it broke, in milliseconds. */
+const stoppedConfirmationMs = 1000;
 /** Time for which output on a prompt with a part shows that the part is sound, in milliseconds. */
-const soundValidityMs = 60_000;
+const soundValidityMs = 3_600_000;
 /** Time between a report and its evaluation, in milliseconds, in which other processes can state that its parts are sound. */
 const evaluationDelayMs = 300;
 /** Maximum delay of such a statement, in milliseconds. The delay is random, so that one process states what many know. */
 const maxStatementDelayMs = 200;
 /** Shortest interval between two statements about the same part, in milliseconds. */
 const minStatementIntervalMs = 300;
-/** Duration of the first block of some parts, in milliseconds. It doubles with each further block, up to `maxBlockMs`. */
+/** Duration of the first block of some parts, in milliseconds. It doubles with each further block of prompt parts, up to `maxBlockMs`, which is the duration of each further block of a request. */
 const initialBlockMs = 60_000;
+/** Time from the start of a block of a request up to which refusals extend it, in milliseconds. */
+const maxExtendedMs = 300_000;
 /** Difference in the end of a block, in milliseconds, up to which two processes agree on it. */
 const blockToleranceMs = 1000;
 /** Limits of the state, in entries; beyond them the oldest entry goes. */
@@ -53,10 +57,9 @@
 
 /** Returns the time at which the next tick is due, in milliseconds; Infinity if there is nothing to do. */
 export function nextTickMs(state: QuarantineState): number {
-	const [oldestReport] = state.reports.values();
 	return Math.min(
 		state.evaluationDueMs,
-		oldestReport ? oldestReport.atMs + reportValidityMs : Infinity,
+		...[...state.reports.values()].map(report => reportEndMs(report)),
 		...state.statementsDueMs.values(),
 		...[...state.blocks.values()].map(({untilMs}) => untilMs),
 	);
@@ -68,7 +71,7 @@
 		case 'quarantine/attempt-started': {
 			const {attempt, server, requestId, parts} = event;
 			state.attempts.set(attempt, {
-				server, requestId, parts, producedMs: undefined, isStalled: false,
+				server, requestId: requestId.slice(0, maxRequestIdLength), parts, producedMs: undefined, isStalled: false,
 			});
 			return [];
 		}
@@ -127,7 +130,7 @@
 	}
 }
 
-function endAttempt(state: QuarantineState, id: AttemptId, outcome: 'completed' | 'broken' | 'stopped', nowMs: number): QuarantineEffect[] {
+function endAttempt(state: QuarantineState, id: AttemptId, outcome: AttemptOutcome, nowMs: number): QuarantineEffect[] {
 	const attempt = state.attempts.get(id);
 	state.attempts.delete(id);
 	if (!attempt) {
@@ -136,7 +139,7 @@
 
 	const isLate = isPastStartup(attempt, nowMs);
 	if (outcome === 'completed') {
-		recordSound(state, [...attempt.parts, ...lateParts(attempt.parts)], nowMs);
+		recordSound(state, attempt.parts, nowMs);
 		return [];
 	}
 
@@ -145,14 +148,17 @@
 		recordSound(state, attempt.parts.filter(part => !isRequestPart(part)), nowMs);
 	}
 
-	const parts = isLate ? lateParts(attempt.parts) : attempt.parts;
-	if (parts.length > 0 && (outcome === 'broken' || attempt.isStalled)) {
+	// A server may crash on a request that its caller or the router has just given up; most that are given up have nothing to do with a crash.
+	const isBroken = outcome === 'broken' || attempt.isStalled;
+	const parts = isLate || !isBroken ? lateParts(attempt.parts) : attempt.parts;
+	const confirmWithinMs = isBroken ? confirmationTimeoutMs : stoppedConfirmationMs;
+	if (parts.length > 0 && outcome !== 'inconclusive') {
 		const {server, requestId} = attempt;
-		state.pending = [...state.pending.filter(({atMs}) => nowMs - atMs < confirmationTimeoutMs), {
-			server, requestId, parts, hasOutput: attempt.producedMs !== undefined, atMs: nowMs,
+		state.pending = [...state.pending.filter(({atMs, confirmWithinMs}) => nowMs - atMs < confirmWithinMs), {
+			server, requestId, parts, hasOutput: attempt.producedMs !== undefined, atMs: nowMs, confirmWithinMs,
 		}].slice(-maxPending);
 		// The connections to a server may break after the server was found to be lost.
-		return nowMs - (state.lostMs.get(server) ?? -Infinity) < confirmationTimeoutMs ? reportCrash(state, server, nowMs) : [];
+		return isBroken && nowMs - (state.lostMs.get(server) ?? -Infinity) < confirmationTimeoutMs ? reportCrash(state, server, nowMs) : [];
 	}
 
 	return [];
@@ -164,7 +170,7 @@
 
 function recordSound(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
 	for (const part of parts) {
-		setNewest(state.soundMs, part, nowMs, maxSoundParts);
+		setSoundTime(state, part, nowMs);
 		if (isSuspected(state, part) && nowMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
 			state.statementsDueMs.set(part, nowMs);
 		}
@@ -178,13 +184,13 @@
 
 /** Turns the requests that broke on the server into reports, and shares these. */
 function reportCrash(state: QuarantineState, server: ServerId, nowMs: number): QuarantineEffect[] {
-	const confirmed = state.pending.filter(report => report.server === server && nowMs - report.atMs < confirmationTimeoutMs);
+	const confirmed = state.pending.filter(report => report.server === server && nowMs - report.atMs < report.confirmWithinMs);
 	if (confirmed.length === 0) {
 		return [];
 	}
 
 	state.pending = state.pending.filter(report => report.server !== server);
-	const effects = confirmed.flatMap(report => addReport(state, {...report, id: `${state.idPrefix}.${state.nextReport++}`, vm: state.self}, state.self, nowMs));
+	const effects = confirmed.flatMap(({confirmWithinMs, ...report}) => addReport(state, {...report, id: `${state.idPrefix}.${state.nextReport++}`, vm: state.self}, state.self, nowMs));
 	return [...effects, ...pushNews(state, nowMs)];
 }
 
@@ -192,7 +198,7 @@
 	const {
 		id, server, requestId, vm, parts, hasOutput,
 	} = report;
-	if (state.reports.has(id) || nowMs - report.atMs >= reportValidityMs) {
+	if (state.reports.has(id) || reportEndMs(report) <= nowMs) {
 		return [];
 	}
 
@@ -223,7 +229,7 @@
 	}
 
 	for (const part of parts) {
-		const knownMs = state.soundMs.get(part);
+		const knownMs = soundTimeOf(state, part);
 		if (knownMs !== undefined && nowMs - knownMs < soundValidityMs && knownMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
 			state.statementsDueMs.set(part, nowMs + state.random.integer(0, maxStatementDelayMs));
 		}
@@ -233,7 +239,7 @@
 function handleTick(state: QuarantineState, nowMs: number): QuarantineEffect[] {
 	const effects: QuarantineEffect[] = [];
 	for (const [part, dueMs] of state.statementsDueMs) {
-		const knownMs = state.soundMs.get(part);
+		const knownMs = soundTimeOf(state, part);
 		if (dueMs > nowMs) {
 			continue;
 		}
@@ -257,8 +263,8 @@
 }
 
 function removeExpired(state: QuarantineState, nowMs: number): void {
-	for (const [id, {atMs}] of state.reports) {
-		if (nowMs - atMs >= reportValidityMs) {
+	for (const [id, report] of state.reports) {
+		if (reportEndMs(report) <= nowMs) {
 			state.reports.delete(id);
 		}
 	}
@@ -275,7 +281,8 @@
 	const reports = [...state.reports.values()];
 	const settledBlocks = [...state.blocks.values()].filter(({evidence}) => !evidence.every(id => state.reports.has(id)));
 	const effects = reports.flatMap(report => renewBlocks(state, report, nowMs));
-	const isSettled = ({parts}: CrashReport) => settledBlocks.some(block => isCovered(block.parts, parts));
+	const isSettled = ({parts, atMs}: CrashReport) => settledBlocks.some(block => isCovered(block.parts, parts))
+		|| [...state.probations].some(([key, probation]) => atMs <= endOfLastBlock(state, key) && isCovered(probation.parts, parts));
 	const culprits = findCulprits(reports, part => knownSoundMs(state, part, nowMs), isSettled);
 	for (const [key, block] of state.blocks) {
 		const isSupported = settledBlocks.includes(block) || block.strikes > 1 || culprits.some(culprit => keyOf(culprit.parts) === key);
@@ -287,8 +294,8 @@
 	return [...effects, ...culprits.flatMap(culprit => addDerivedBlock(state, culprit, nowMs))];
 }
 
-function knownSoundMs({soundMs}: QuarantineState, part: PartId, nowMs: number): number | undefined {
-	const timeMs = soundMs.get(part);
+function knownSoundMs(state: QuarantineState, part: PartId, nowMs: number): number | undefined {
+	const timeMs = soundTimeOf(state, part);
 	return timeMs !== undefined && nowMs - timeMs < soundValidityMs ? timeMs : undefined;
 }
 
@@ -320,14 +327,16 @@
 		return [];
 	}
 
-	const untilMs = Math.min(nowMs + initialBlockMs, block.startedMs + maxBlockMs);
+	const untilMs = Math.min(nowMs + initialBlockMs, block.startedMs + maxExtendedMs);
 	return untilMs > block.untilMs ? addBlock(state, {...block, untilMs}, nowMs) : [];
 }
 
 type Decision = {readonly parts: readonly PartId[]; readonly strikes: number; readonly evidence: readonly CrashReport[]};
 
 function startBlock(state: QuarantineState, {parts, strikes, evidence}: Decision, nowMs: number): QuarantineEffect[] {
-	const durationMs = Math.min(maxBlockMs, initialBlockMs * (2 ** (strikes - 1)));
+	// A request that crashes a server once more after its block is known well enough; a prompt part may have been beside another cause.
+	const isKnownRequest = strikes > 1 && parts.some(part => isRequestPart(part));
+	const durationMs = isKnownRequest ? maxBlockMs : Math.min(maxBlockMs, initialBlockMs * (2 ** (strikes - 1)));
 	return addBlock(state, {
 		parts, strikes, startedMs: nowMs, untilMs: nowMs + durationMs, decidedBy: state.self, evidence: evidence.slice(-maxEvidence).map(({id}) => id),
 	}, nowMs);
@@ -400,7 +409,7 @@
 		}
 	}
 
-	const affected = [...state.blocks].filter(([, block]) => block.parts.includes(part) && state.soundMs.get(part)! > block.startedMs);
+	const affected = [...state.blocks].filter(([, block]) => block.parts.includes(part) && soundTimeOf(state, part)! > block.startedMs);
 	return affected.flatMap(([key, block]) => {
 		const parts = block.parts.filter(other => other !== part);
 		const effects = release(state, key, `a server produced output on ${part}`, nowMs);
@@ -415,7 +424,7 @@
 		const timeMs = nowMs - ageMs;
 		if (ageMs < soundValidityMs && timeMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
 			setNewest(state.statedSoundMs, part, timeMs, maxSoundParts);
-			setNewest(state.soundMs, part, Math.max(timeMs, state.soundMs.get(part) ?? -Infinity), maxSoundParts);
+			setSoundTime(state, part, Math.max(timeMs, soundTimeOf(state, part) ?? -Infinity));
 			queueNews(state, 'sound', part);
 			effects.push(...clearSoundBlocks(state, part, nowMs));
 		}
@@ -440,7 +449,7 @@
 	const key = keyOf(block.parts);
 	const known = state.blocks.get(key);
 	const isReleased = (state.releasedMs.get(key) ?? -Infinity) + blockToleranceMs >= block.startedMs;
-	const isRefuted = block.parts.some(part => (state.soundMs.get(part) ?? -Infinity) > block.startedMs);
+	const isRefuted = block.parts.some(part => (soundTimeOf(state, part) ?? -Infinity) > block.startedMs);
 	if (isReleased || isRefuted) {
 		// The sender may have restored a block that was released while it was down.
 		scheduleStatements(state, block.parts, nowMs);
--- a/src/common/quarantine/state.ts
+++ b/src/common/quarantine/state.ts
@@ -1,11 +1,16 @@
 import {SeededRandom} from '../core/random.js';
 import type {VmId} from '../core/types.js';
+import {isRequestPart, withoutLatePrefix} from './parts.js';
 import type {
 	AttemptId, Block, CrashReport, PartId, ServerId,
 } from './types.js';
 
-/** Time for which a crash report counts, in milliseconds. */
-export const reportValidityMs = 60_000;
+/** Time for which a crash report that names no request as a whole counts, in milliseconds. */
+const partReportValidityMs = 60_000;
+/** Time for which a crash report that names a request counts, in milliseconds; requests that come rarely crash servers, too. */
+const requestReportValidityMs = 3_600_000;
+/** Maximum number of requests, and of other parts, whose last output is remembered; beyond it the oldest goes. */
+const maxSoundParts = 4096;
 /** Longest duration of a block, in milliseconds. */
 export const maxBlockMs = 3_600_000;
 /** Time after the end of a block in which one crash renews it, in milliseconds. */
@@ -22,7 +27,10 @@
 };
 
 /** A request that broke before its server produced output. It becomes a report if the server proves to have crashed. */
-export type PendingReport = Omit<CrashReport, 'id' | 'vm'>;
+export type PendingReport = Omit<CrashReport, 'id' | 'vm'> & {
+	/** Time after the break within which the loss of the server confirms the crash, in milliseconds. */
+	readonly confirmWithinMs: number;
+};
 
 /** An ended block: until `untilMs`, one crash renews it. */
 export type Probation = Pick<Block, 'parts' | 'strikes'> & {readonly untilMs: number};
@@ -43,6 +51,8 @@
 	readonly reports: Map<string, CrashReport>;
 	/** Time at which a server was last known to produce output on a prompt with a part, least recent first. */
 	readonly soundMs: Map<PartId, number>;
+	/** Time at which a server was last known to have answered a request completely, least recent first. */
+	readonly soundRequestsMs: Map<PartId, number>;
 	/** Newest of these times that was sent to or received from other processes, for parts of reports and blocks. */
 	readonly statedSoundMs: Map<PartId, number>;
 	/** Times at which this process states that a part is sound unless another process does. */
@@ -71,6 +81,7 @@
 		lostMs: new Map(),
 		reports: new Map(),
 		soundMs: new Map(),
+		soundRequestsMs: new Map(),
 		statedSoundMs: new Map(),
 		statementsDueMs: new Map(),
 		evaluationDueMs: Infinity,
@@ -92,6 +103,24 @@
 	}
 }
 
+/** Time at which a report ceases to count, in milliseconds. */
+export function reportEndMs({parts, atMs}: Pick<CrashReport, 'parts' | 'atMs'>): number {
+	return atMs + (parts.some(part => isRequestPart(part)) ? requestReportValidityMs : partReportValidityMs);
+}
+
+/** Returns the time at which a part was last known to be sound, in milliseconds; undefined if it is not known. */
+export function soundTimeOf({soundMs, soundRequestsMs}: QuarantineState, part: PartId): number | undefined {
+	return isRequestPart(part) ? soundRequestsMs.get(withoutLatePrefix(part)) : soundMs.get(part);
+}
+
+export function setSoundTime({soundMs, soundRequestsMs}: QuarantineState, part: PartId, timeMs: number): void {
+	if (isRequestPart(part)) {
+		setNewest(soundRequestsMs, withoutLatePrefix(part), timeMs, maxSoundParts);
+	} else {
+		setNewest(soundMs, part, timeMs, maxSoundParts);
+	}
+}
+
 /** Whether a prompt with the parts `by` contains all of `parts`. */
 export function isCovered(parts: readonly PartId[], by: readonly PartId[]): boolean {
 	return parts.every(part => by.includes(part));
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -13,6 +13,12 @@
 /** Number that identifies one attempt of a request on a server, unique in the process. */
 export type AttemptId = number;
 
+/**
+How an attempt ended: with a complete answer that shows that the server ran the request; `broken` if the server ended it without a complete answer;
+`stopped` if the router or the caller did; `inconclusive` if it tells nothing about the request, as when the server did not run it.
+*/
+export type AttemptOutcome = 'completed' | 'broken' | 'stopped' | 'inconclusive';
+
 /** Report of a crash of a server that had not, or just begun to, produce output for a request. */
 export type CrashReport = {
 	readonly id: string;
@@ -46,8 +52,7 @@
 	| (BaseEvent<'quarantine/attempt-produced'> & {readonly attempt: AttemptId})
 	/** The server has been silent for longer than usual. */
 	| (BaseEvent<'quarantine/attempt-stalled'> & {readonly attempt: AttemptId})
-	/** `broken` if the server ended the attempt without a complete answer; `stopped` if the router or the caller did. */
-	| (BaseEvent<'quarantine/attempt-ended'> & {readonly attempt: AttemptId; readonly outcome: 'completed' | 'broken' | 'stopped'})
+	| (BaseEvent<'quarantine/attempt-ended'> & {readonly attempt: AttemptId; readonly outcome: AttemptOutcome})
 	/** A server cannot be reached, or is no longer listed. */
 	| (BaseEvent<'quarantine/server-lost'> & {readonly server: ServerId})
 	/** A request was refused because of the block of `parts`. */
--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -246,7 +246,7 @@
 	private _recordEnd({upstream, tracked}: Attempt, failure: CallFailure): void {
 		const {quarantine} = this._services;
 		const {name} = upstream.adapter;
-		tracked.end(failure.kind === 'broken' ? 'broken' : 'stopped');
+		tracked.fail(failure, failure.kind !== 'broken');
 		if (failure.kind === 'unreachable') {
 			quarantine.recordServerLost(name);
 		} else if (failure.kind === 'broken') {
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -404,7 +404,7 @@
 			this._resources.prefilledCache = prefilledCache;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
-			trackedPrefill.end(!signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
+			trackedPrefill.fail(failureOf(err), signal.aborted);
 			this._recordFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).mayHaveBeenSent});
 			if (!signal.aborted && clock.nowMs() - startedMs >= route.targetMs) {
 				fleet.recordPrefillDuration(service.name, clock.nowMs() - startedMs, route.targetMs);
@@ -472,7 +472,7 @@
 				reservationId: reservation.id, ...(prefilledCache && {prefill: {address: prefilledCache.server.record.address, handle: prefilledCache.handle}}),
 			}, Math.max(1, deadlineMs - clock.nowMs() + headersSlackMs), signal));
 			if (protocol.readServerAnswer(response.headers).isNotRun) {
-				trackedSend.end('stopped');
+				trackedSend.end('inconclusive');
 				discardBody(response.body);
 				this._handleRejection(attempt, response.status, reservation, prefilledCache);
 				return;
@@ -487,7 +487,7 @@
 				response.body.destroy();
 			}
 		} catch (err) {
-			trackedSend.end(!signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
+			trackedSend.fail(failureOf(err), signal.aborted);
 			this._recordFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).mayHaveBeenSent});
 			this._dispatch({
 				type: 'forward/failed', attempt, failure: {mayHaveRun: failureOf(err).mayHaveBeenSent, detail: err instanceof Error ? err.message : String(err)}, server: server.key,
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -137,7 +137,7 @@
 		try {
 			event = await this._sendAndBuffer(server, abort.signal, sentMs, trackedSend);
 		} catch (err) {
-			trackedSend.end(!abort.signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
+			trackedSend.fail(failureOf(err), abort.signal.aborted);
 			event = this._toFailedEvent(server, err, abort.signal.aborted);
 			if (this._isDeadlineExceeded && fleet.directory.recordOverdue(server, exchange, clock.nowMs())) {
 				logger.log('warn', 'server did not answer in time', {
@@ -167,7 +167,7 @@
 		});
 		const buffered = await bufferAnswer(response, answerLimitBytes);
 		if (protocol.readServerAnswer(buffered.headers).isNotRun) {
-			trackedSend.end('stopped');
+			trackedSend.end('inconclusive');
 			return {type: 'forward/answered', status: buffered.status, isNotRun: true};
 		}
 
--- a/src/node/quarantine/request-quarantine.ts
+++ b/src/node/quarantine/request-quarantine.ts
@@ -11,8 +11,9 @@
 import type {QuarantineState} from '../../common/quarantine/state.js';
 import {captureBlocks} from '../../common/quarantine/stored-blocks.js';
 import type {
-	Block, PartId, QuarantineEffect, QuarantineEvent, ServerId,
+	AttemptOutcome, Block, PartId, QuarantineEffect, QuarantineEvent, ServerId,
 } from '../../common/quarantine/types.js';
+import type {CallFailure} from '../../common/requests/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {PeerNetwork} from '../../common/services/peer-network.js';
 import {DeadlineTimer} from '../deadline-timer.js';
@@ -31,7 +32,9 @@
 	/** Records that the answer is complete. `hasRun` is true if it shows that the server ran the request to its end. */
 	endWithAnswer: (hasRun: boolean) => void;
 	/** Records that the attempt ended without a complete answer. Calls after the end have no effect. */
-	end: (outcome: 'broken' | 'stopped') => void;
+	end: (outcome: Exclude<AttemptOutcome, 'completed'>) => void;
+	/** Records that the attempt failed; `isAborted` if the router or the caller gave it up. */
+	fail: (failure: Pick<CallFailure, 'mayHaveBeenSent'>, isAborted: boolean) => void;
 };
 
 /** An attempt that is not tracked, since nothing is known by which it could be recognized. */
@@ -48,6 +51,9 @@
 	end() {
 		// Intentionally empty.
 	},
+	fail() {
+		// Intentionally empty.
+	},
 };
 
 export type RequestQuarantineOptions = {
@@ -111,11 +117,15 @@
 				this._runtime.dispatch({type: 'quarantine/attempt-stalled', attempt});
 			},
 			endWithAnswer: hasRun => {
-				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: hasRun ? 'completed' : 'stopped'});
+				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: hasRun ? 'completed' : 'inconclusive'});
 			},
 			end: outcome => {
 				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome});
 			},
+			fail: ({mayHaveBeenSent}, isAborted) => {
+				const outcome = isAborted ? 'stopped' : 'broken';
+				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: mayHaveBeenSent ? outcome : 'inconclusive'});
+			},
 		};
 	}
 
