--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -17,13 +17,19 @@
 	readonly seed: number;
 	/** Parts on which a server crashes when it begins to write. */
 	readonly crashingParts?: readonly PartId[];
+	/** Time from the sending of a request with such a part to the crash of its server, in milliseconds. */
+	readonly crashAfterMs?: number;
+	/** Whether requests are plain: short, and without output before their end. */
+	readonly isPlain?: boolean;
+	/** Whether callers whose request failed twice send it once more. */
+	readonly doCallersReturn?: boolean;
 	/** Share of the messages between processes that are lost. */
 	readonly lossShare?: number;
 };
 
 /** Delay of a message between processes, of the first output, of a crash, of the discovery that a server is down, of a restart, and of the end of a stream, in milliseconds. */
 const delaysMs = {
-	message: 2, output: 150, crash: 60, discovery: 80, restart: 3000, completion: 2000, gossip: 500,
+	message: 2, output: 150, crash: 60, discovery: 80, restart: 3000, completion: 2000, gossip: 500, plainCompletion: 100, return: 50,
 };
 const pushFanout = 3;
 
@@ -35,7 +41,7 @@
 	/** Times of the crashes that requests caused, by part. */
 	readonly crashes: Array<{readonly part: PartId; readonly atMs: number}> = [];
 	/** Requests that reached a server, and requests that were refused because of a block. */
-	readonly sent: Array<{readonly request: ModelRequest; readonly atMs: number}> = [];
+	readonly sent: Array<{readonly request: ModelRequest; readonly atMs: number; /** Time for which the process had run, in milliseconds. */ readonly processAgeMs: number}> = [];
 	readonly refused: Array<{readonly request: ModelRequest; readonly atMs: number}> = [];
 	readonly logs: Array<{readonly process: VmId; readonly message: string; readonly fields: Readonly<Record<string, unknown>>}> = [];
 	readonly processes = new Map<VmId, QuarantineState>();
@@ -45,6 +51,7 @@
 	readonly random: SeededRandom;
 	private readonly _servers: ModelServer[];
 	private readonly _timers: Array<{readonly atMs: number; readonly run: () => void}> = [];
+	private readonly _startedMs = new Map<VmId, number>();
 	private _next = 1;
 
 	constructor(private readonly _options: ModelOptions) {
@@ -60,6 +67,7 @@
 		const others = [...this.processes.keys()].filter(other => other !== vm);
 		const state = createQuarantine({self: vm, idPrefix: `${vm}.${this._next++}`, seed: this._next});
 		this.processes.set(vm, state);
+		this._startedMs.set(vm, this.nowMs);
 		if (others.length > 0) {
 			this._gossip(this.random.pick(others), vm, true);
 		}
@@ -87,8 +95,10 @@
 
 	/** Sends a request to a random server that is up, at a random process, unless it is refused there. */
 	send(request: ModelRequest, {process = this.random.pick([...this.processes.keys()]), tries = 0}: {process?: VmId; tries?: number} = {}): void {
-		if (findBlock(this.processes.get(process)!, request.parts, this.nowMs)) {
+		const block = findBlock(this.processes.get(process)!, request.parts, this.nowMs);
+		if (block) {
 			this.refused.push({request, atMs: this.nowMs});
+			this.dispatch(process, {type: 'quarantine/refused', parts: block.parts});
 			return;
 		}
 
@@ -97,7 +107,7 @@
 			return;
 		}
 
-		this.sent.push({request, atMs: this.nowMs});
+		this.sent.push({request, atMs: this.nowMs, processAgeMs: this.nowMs - this._startedMs.get(process)!});
 		const server = this.random.pick(up);
 		const state = this.processes.get(process);
 		const running = {
@@ -115,19 +125,20 @@
 			});
 		};
 
+		const {isPlain = false} = this._options;
+		whileRunning(isPlain ? Infinity : delaysMs.output + this.random.integer(0, delaysMs.output), () => {
+			this.dispatch(process, {type: 'quarantine/attempt-produced', attempt: running.attempt});
+		});
 		const crashingPart = this._options.crashingParts?.find(part => request.parts.includes(part));
 		if (crashingPart !== undefined) {
-			whileRunning(delaysMs.crash, () => {
+			whileRunning(this._options.crashAfterMs ?? delaysMs.crash, () => {
 				this.crashes.push({part: crashingPart, atMs: this.nowMs});
 				this.crashServer(server);
 			});
 			return;
 		}
 
-		whileRunning(delaysMs.output + this.random.integer(0, delaysMs.output), () => {
-			this.dispatch(process, {type: 'quarantine/attempt-produced', attempt: running.attempt});
-		});
-		whileRunning(delaysMs.completion, () => {
+		whileRunning(isPlain ? this.random.integer(delaysMs.plainCompletion / 5, delaysMs.plainCompletion) : delaysMs.completion, () => {
 			server.running.delete(running);
 			this.dispatch(process, {type: 'quarantine/attempt-ended', attempt: running.attempt, outcome: 'completed'});
 		});
@@ -151,8 +162,12 @@
 
 		for (const {process, attempt, request, tries} of running.filter(({process}) => this.processes.has(process))) {
 			this.dispatch(process, {type: 'quarantine/attempt-ended', attempt, outcome: 'broken'});
-			if (tries === 0) {
-				this.send(request, {process, tries: 1});
+			if (tries % 2 === 0) {
+				this.send(request, {process, tries: tries + 1});
+			} else if (tries === 1 && this._options.doCallersReturn) {
+				this._schedule(delaysMs.return, () => {
+					this.send(request, {tries: 2});
+				});
 			}
 		}
 	}
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -1,9 +1,10 @@
 import type {BaseEvent, CoreEffect, VmId} from '../core/types.js';
 import type {QuarantineNews} from './messages.js';
+import type {StoredBlocks} from './stored-blocks.js';
 
 export type * from './messages.js';
 
-/** Id of a prompt part. Requests whose prompts share a part state the same id. */
+/** Id of a prompt part, or of a request as a whole. Requests whose prompts share a part state the same id, as does one request that comes again. */
 export type PartId = string;
 
 /** Key of one incarnation of a server. */
@@ -12,6 +13,12 @@
 /** Number that identifies one attempt of a request on a server, unique in the process. */
 export type AttemptId = number;
 
+/**
+How an attempt ended: with a complete answer that shows that the server ran the request; `broken` if the server ended it without a complete answer;
+`stopped` if the router or the caller did; `inconclusive` if it tells nothing about the request, as when the server did not run it.
+*/
+export type AttemptOutcome = 'completed' | 'broken' | 'stopped' | 'inconclusive';
+
 /** Report of a crash of a server that had not, or just begun to, produce output for a request. */
 export type CrashReport = {
 	readonly id: string;
@@ -26,7 +33,7 @@
 	readonly atMs: number;
 };
 
-/** Block of all requests whose prompt contains every one of `parts`. */
+/** Block of all requests that contain every one of `parts`. */
 export type Block = {
 	readonly parts: readonly PartId[];
 	/** Number of consecutive blocks of these parts, this one included. */
@@ -45,13 +52,16 @@
 	| (BaseEvent<'quarantine/attempt-produced'> & {readonly attempt: AttemptId})
 	/** The server has been silent for longer than usual. */
 	| (BaseEvent<'quarantine/attempt-stalled'> & {readonly attempt: AttemptId})
-	/** `broken` if the server ended the attempt without a complete answer; `stopped` if the router or the caller did. */
-	| (BaseEvent<'quarantine/attempt-ended'> & {readonly attempt: AttemptId; readonly outcome: 'completed' | 'broken' | 'stopped'})
+	| (BaseEvent<'quarantine/attempt-ended'> & {readonly attempt: AttemptId; readonly outcome: AttemptOutcome})
 	/** A server cannot be reached, or is no longer listed. */
 	| (BaseEvent<'quarantine/server-lost'> & {readonly server: ServerId})
+	/** A request was refused because of the block of `parts`. */
+	| (BaseEvent<'quarantine/refused'> & {readonly parts: readonly PartId[]})
 	| (BaseEvent<'quarantine/news'> & {readonly from: VmId; readonly news: QuarantineNews})
 	/** A gossip message was sent to `to`; news for it may be sent along. `isFull` if everything is to be sent, not just what is new. */
 	| (BaseEvent<'quarantine/gossip'> & {readonly to: VmId; readonly memberCount: number; readonly isFull: boolean})
+	/** Blocks and ended blocks were loaded that an earlier run of a process on this disk knew. */
+	| (BaseEvent<'quarantine/restored'> & StoredBlocks)
 	| BaseEvent<'quarantine/tick'>;
 
 export type QuarantineEffect =
--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -268,15 +268,25 @@
 	private async _prefill(attemptId: string, upstream: string): Promise<void> {
 		const signal = this._startCall();
 		const {chat, service, profile} = this._request;
+		const {quarantine} = this._services;
+		const trackedPrefill = quarantine.track(upstream, attemptId, chat.parts);
 		const timeoutMs = Math.min(Math.max(profile.latency.firstToken * prefillTimeoutFactor, minPrefillTimeoutMs), this._remainingMs(profile.timeout));
 		try {
 			const reply = await this._engineAdapter(upstream).prefill({
 				requestId: attemptId, owner: this._options.identity, model: service.model, prompt: chat.prompt, priority: profile.priority,
 			}, {timeoutMs, signal, headers: this._traceHeaders});
+			// The prompt was read without harm, which tells nothing about the output.
+			trackedPrefill.end('inconclusive');
 			this._countMetric('prefill_tokens_total', reply.promptTokens - reply.cachedTokens);
 			this._report(signal, {type: 'request/prefilled', reply});
 		} catch (err) {
-			this._report(signal, {type: 'request/prefill-failed', failure: failureOf(err)});
+			const failure = failureOf(err);
+			trackedPrefill.fail(failure, signal.aborted || failure.kind !== 'broken');
+			if (failure.kind === 'unreachable') {
+				quarantine.recordServerLost(upstream);
+			}
+
+			this._report(signal, {type: 'request/prefill-failed', failure});
 		}
 	}
 
@@ -336,7 +346,7 @@
 			}
 
 			if (this._state.assembler.isComplete) {
-				trackedDecode.endWithAnswer(200);
+				trackedDecode.endWithAnswer(true);
 			} else {
 				trackedDecode.end('broken');
 			}
@@ -344,7 +354,7 @@
 			this._report(signal, {type: 'request/decode-broken', failure: {kind: 'broken', mayHaveBeenSent: true}});
 		} catch (err) {
 			const failure = failureOf(err);
-			trackedDecode.end(!signal.aborted && failure.kind === 'broken' ? 'broken' : 'stopped');
+			trackedDecode.fail(failure, signal.aborted || failure.kind !== 'broken');
 			if (failure.kind === 'unreachable') {
 				quarantine.recordServerLost(effect.upstream);
 			}
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -4,8 +4,11 @@
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
 import {stoppingRetryMs} from '../../common/forwarding/types.js';
-import {blockedReason, normalizeParts} from '../../common/quarantine/quarantine.js';
+import {normalizeParts} from '../../common/quarantine/parts.js';
+import {blockedReason} from '../../common/quarantine/quarantine.js';
+import type {PartId} from '../../common/quarantine/types.js';
 import type {AccessService, Acquisition, SharedStateView} from '../../common/services/access-service.js';
+import {fingerprintOf} from '../quarantine/fingerprint.js';
 import {readBody} from '../entry/request-body.js';
 import type {Exchange} from '../entry/exchange.js';
 import type {ProblemError} from '../entry/problems.js';
@@ -84,17 +87,17 @@
 			throw stoppingRefusal();
 		}
 
-		const sharedParts = isModel ? normalizeParts(caller.promptParts.slice(0, -1)) : [];
-		const block = this._options.quarantine.findBlock(sharedParts);
-		if (block) {
-			throw new ForwardRefusal(503, blockedReason, this._options.quarantine.recordRefusal(block, caller.requestId!));
-		}
-
+		this._refuseBlocked(caller.requestId!, normalizeParts(caller.promptParts));
 		const {limits} = this._routeTable!.forwarding;
 		const version = this._version;
 		const body = await readBody(exchange, {
 			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, bodyMemory: this._bodyMemory, customer: customer?.name ?? '',
 		});
+		const fingerprint = fingerprintOf({
+			method: req.method!, host: req.headers.host ?? '', target: req.url!, customer: customer?.name, body,
+		});
+		const parts = normalizeParts([fingerprint, ...caller.promptParts]);
+		this._refuseBlocked(caller.requestId!, parts);
 		const request: ForwardRequest = {
 			exchange,
 			caller,
@@ -103,7 +106,8 @@
 			route,
 			service,
 			body,
-			sharedParts,
+			fingerprint,
+			parts,
 			deadlineMs,
 			callerDeadlineMs: exchange.startedAtMs + (caller.waitMs ?? route.timeoutMs),
 		};
@@ -122,6 +126,15 @@
 		this._reportEnd(request, result, version);
 	}
 
+	/** Throws `ForwardRefusal` if servers crash on requests with these parts. */
+	private _refuseBlocked(requestId: string, parts: readonly PartId[]): void {
+		const {quarantine} = this._options;
+		const block = quarantine.findBlock(parts);
+		if (block) {
+			throw new ForwardRefusal(503, blockedReason, quarantine.recordRefusal(block, requestId));
+		}
+	}
+
 	private _admit(req: IncomingMessage, caller: CallerRequest) {
 		const table = this._routeTable;
 		if (!table) {
@@ -182,14 +195,14 @@
 		}
 	}
 
-	private _reportEnd({exchange, requestId, route, customer, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
+	private _reportEnd({exchange, requestId, fingerprint, route, customer, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
 		const {logger, metrics, clock} = this._options;
 		const elapsedMs = Math.round(clock.nowMs() - exchange.startedAtMs);
 		const status = exchange.outcome?.status;
 		metrics.count('forward_requests_total', {route: route.name, status: String(status ?? 0)});
 		metrics.observe('forward_request_ms', elapsedMs, {route: route.name});
 		logger.log('info', 'request ended', {
-			requestId, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
+			requestId, fingerprint, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
 		});
 	}
 }
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -6,7 +6,7 @@
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
 import {isFramed} from '../upstreams/connection-pool.js';
-import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
+import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
 import type {ServerFleet} from './server-fleet.js';
@@ -14,7 +14,7 @@
 export type ForwardDependencies = {
 	readonly protocol: FleetProtocol;
 	readonly fleet: ServerFleet;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: RequestQuarantine;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly clock: Clock;
@@ -32,8 +32,10 @@
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
 	readonly body: Uint8Array;
-	/** Parts of the prompt that other requests may share: all but the last, which belongs to the request itself. */
-	readonly sharedParts: readonly PartId[];
+	/** Identifies the request by its contents: another attempt of the caller has the same fingerprint. */
+	readonly fingerprint: PartId;
+	/** Parts by which the quarantine recognizes a request that crashes servers: its fingerprint and the parts of its prompt. */
+	readonly parts: readonly PartId[];
 	/** Monotonic time, in milliseconds, at which the caller's deadline or the route's timeout passes, whichever is first. */
 	readonly deadlineMs: number;
 	/** Monotonic time, in milliseconds, at which the caller's deadline passes; the end of the route's timeout if the caller states no deadline. */
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -4,8 +4,9 @@
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
-import {blockedReason, prefillParts} from '../../common/quarantine/quarantine.js';
-import type {TrackedAttempt} from '../quarantine/prompt-quarantine.js';
+import {prefillParts} from '../../common/quarantine/parts.js';
+import {blockedReason} from '../../common/quarantine/quarantine.js';
+import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
 import {discardBody} from '../upstreams/connection-pool.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
@@ -28,6 +29,8 @@
 const prefillAnswerLimitBytes = 1024 * 1024;
 /** Maximum size of an answer other than a stream, in bytes. */
 const failureAnswerLimitBytes = 1024 * 1024;
+/** Status of an answer with output (HTTP 200, OK). */
+const successStatus = 200;
 /** Status with which a server rejects a request for another incarnation or another stage (HTTP 421, Misdirected Request). */
 const misdirectedStatus = 421;
 /** Maximum time to live of a memory reservation, in milliseconds; long enough for the prefill and the transfer of the KV cache. */
@@ -61,7 +64,7 @@
 	/** Whether the request occupies one of the prefill slots of this process. */
 	private _hasPrefillSlot = false;
 	private _response: UpstreamResponse | undefined;
-	/** The send in progress, for the quarantine of prompt parts. */
+	/** The send in progress, for the quarantine. */
 	private _trackedSend: TrackedAttempt | undefined;
 	private _outcome = 'unfinished';
 	private _sends = 0;
@@ -327,8 +330,8 @@
 	/** Ends the request if its prompt contains blocked parts. Returns whether it does. */
 	private _endIfBlocked(attempt: number): boolean {
 		const {quarantine} = this._dependencies;
-		const {sharedParts, requestId} = this._request;
-		const block = quarantine.findBlock(sharedParts);
+		const {parts, requestId} = this._request;
+		const block = quarantine.findBlock(parts);
 		if (block) {
 			this._dispatchLater({
 				type: 'forward/blocked', attempt, reason: blockedReason, retryAfterMs: quarantine.recordRefusal(block, requestId),
@@ -347,9 +350,9 @@
 			fleet, protocol, clock, logger, quarantine,
 		} = this._dependencies;
 		const {
-			route, service, caller, requestId, sharedParts,
+			route, service, caller, requestId,
 		} = this._request;
-		const parts = prefillParts(sharedParts);
+		const parts = prefillParts(this._request.parts);
 		const block = quarantine.findBlock(parts);
 		const server = block ? undefined : fleet.directory.choosePrefillEngine(this._selectionCriteria(exclude, this._resources.reservation!.server.record.zone));
 		if (!server) {
@@ -371,7 +374,7 @@
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body} = await bufferAnswer(response, prefillAnswerLimitBytes);
-			trackedPrefill.endWithAnswer(status);
+			trackedPrefill.endWithAnswer(status === successStatus);
 			const result = status === 200 ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
 			if (!result) {
 				const isRejected = protocol.readServerAnswer(headers).isNotRun;
@@ -401,7 +404,7 @@
 			this._resources.prefilledCache = prefilledCache;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
-			trackedPrefill.end(!signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
+			trackedPrefill.fail(failureOf(err), signal.aborted);
 			this._recordFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).mayHaveBeenSent});
 			if (!signal.aborted && clock.nowMs() - startedMs >= route.targetMs) {
 				fleet.recordPrefillDuration(service.name, clock.nowMs() - startedMs, route.targetMs);
@@ -447,7 +450,7 @@
 			return;
 		}
 
-		const trackedSend = this._dependencies.quarantine.track(server.key, requestId, this._request.sharedParts);
+		const trackedSend = this._dependencies.quarantine.track(server.key, requestId, this._request.parts);
 		this._trackedSend = trackedSend;
 		this._sends++;
 		if (this._sends === 1) {
@@ -461,7 +464,7 @@
 
 		logger.log('info', 'request sent', {
 			requestId, attempt, server: server.key, prefillServer: prefilledCache?.server.key, after: this._eventTracker.lastEventId, elapsedMs: this._elapsedMs(),
-			parts: this._request.caller.promptParts,
+			fingerprint: this._request.fingerprint, parts: this._request.caller.promptParts,
 		});
 		this._armStallTimer(attempt, server.key, firstEventTimeoutMs + (prefilledCache ? 0 : (this._request.caller.prompt?.promptTokens ?? 0) * decodePrefillMsPerToken));
 		try {
@@ -469,7 +472,7 @@
 				reservationId: reservation.id, ...(prefilledCache && {prefill: {address: prefilledCache.server.record.address, handle: prefilledCache.handle}}),
 			}, Math.max(1, deadlineMs - clock.nowMs() + headersSlackMs), signal));
 			if (protocol.readServerAnswer(response.headers).isNotRun) {
-				trackedSend.end('stopped');
+				trackedSend.end('inconclusive');
 				discardBody(response.body);
 				this._handleRejection(attempt, response.status, reservation, prefilledCache);
 				return;
@@ -484,7 +487,7 @@
 				response.body.destroy();
 			}
 		} catch (err) {
-			trackedSend.end(!signal.aborted && failureOf(err).mayHaveBeenSent ? 'broken' : 'stopped');
+			trackedSend.fail(failureOf(err), signal.aborted);
 			this._recordFailure(server, err, {isAborted: signal.aborted, isUnreachable: !failureOf(err).mayHaveBeenSent});
 			this._dispatch({
 				type: 'forward/failed', attempt, failure: {mayHaveRun: failureOf(err).mayHaveBeenSent, detail: err instanceof Error ? err.message : String(err)}, server: server.key,
@@ -526,7 +529,7 @@
 				return;
 			}
 
-			this._trackedSend?.endWithAnswer(answer.status);
+			this._trackedSend?.endWithAnswer(answer.status === successStatus);
 			this._outcome = 'relayed';
 			relayAnswer(exchange, this._dependencies.protocol, answer);
 			this._dispatch({type: 'forward/completed', attempt});
@@ -596,7 +599,7 @@
 			return;
 		}
 
-		this._trackedSend?.endWithAnswer(response.status);
+		this._trackedSend?.endWithAnswer(response.status === successStatus);
 		this._outcome = 'relayed';
 		exchange.res.end();
 		this._dispatch({type: 'forward/completed', attempt});
--- a/src/node/quarantine/prompt-quarantine.test.ts
+++ b/src/node/quarantine/request-quarantine.test.ts
@@ -6,25 +6,25 @@
 import {waitUntil} from '../entry/testing/harness.js';
 import {CountingMetrics} from '../entry/testing/services.js';
 import {InMemoryNetwork, InMemoryNetworkHub} from '../scheduler/fixtures.js';
-import {PromptQuarantine} from './prompt-quarantine.js';
+import {RequestQuarantine} from './request-quarantine.js';
 
 /** Time after which the reports of a crash have been evaluated, in milliseconds. */
 const evaluatedAfterMs = 500;
 
-function createPair(): {readonly quarantines: PromptQuarantine[]; readonly metrics: CountingMetrics} {
+function createPair(): {readonly quarantines: RequestQuarantine[]; readonly metrics: CountingMetrics} {
 	const hub = new InMemoryNetworkHub();
 	const metrics = new CountingMetrics();
 	const vms = ['vm-1', 'vm-2'];
 	const quarantines = vms.map((vm, i) => {
 		const self = {vm, incarnation: i + 1};
-		return new PromptQuarantine({
+		return new RequestQuarantine({
 			self, network: new InMemoryNetwork(hub, self), clock: new SystemClock(), logger: new NullLogger(), metrics, liveMembers: () => vms.filter(other => other !== vm),
 		});
 	});
 	return {quarantines, metrics};
 }
 
-function crash(quarantine: PromptQuarantine, server: string): void {
+function crash(quarantine: RequestQuarantine, server: string): void {
 	quarantine.track(server, 'r', ['part']).end('broken');
 	quarantine.recordServerLost(server);
 }
@@ -32,7 +32,7 @@
 // Guards against an error answer that counts as output, so that more servers crash before the part is blocked.
 test('an answer with an error status does not show that a part is sound', async () => {
 	const {quarantines: [quarantine]} = createPair();
-	quarantine!.track('s0', 'r', ['part']).endWithAnswer(500);
+	quarantine!.track('s0', 'r', ['part']).endWithAnswer(false);
 	crash(quarantine!, 's1');
 	crash(quarantine!, 's2');
 	await waitUntil(() => quarantine!.findBlock(['part', 'own']) !== undefined);
@@ -42,7 +42,7 @@
 // Guards against a block after two crashes of a part that servers write output on.
 test('an answer with output shows that a part is sound', async () => {
 	const {quarantines: [quarantine]} = createPair();
-	quarantine!.track('s0', 'r', ['part']).endWithAnswer(200);
+	quarantine!.track('s0', 'r', ['part']).endWithAnswer(true);
 	crash(quarantine!, 's1');
 	crash(quarantine!, 's2');
 	await sleep(evaluatedAfterMs);
--- a/src/node/quarantine/prompt-quarantine.ts
+++ b/src/node/quarantine/request-quarantine.ts
@@ -9,33 +9,35 @@
 } from '../../common/quarantine/quarantine.js';
 import {createQuarantine} from '../../common/quarantine/state.js';
 import type {QuarantineState} from '../../common/quarantine/state.js';
+import {captureBlocks} from '../../common/quarantine/stored-blocks.js';
 import type {
-	Block, PartId, QuarantineEffect, QuarantineEvent, ServerId,
+	AttemptOutcome, Block, PartId, QuarantineEffect, QuarantineEvent, ServerId,
 } from '../../common/quarantine/types.js';
+import type {CallFailure} from '../../common/requests/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {PeerNetwork} from '../../common/services/peer-network.js';
 import {DeadlineTimer} from '../deadline-timer.js';
 import {ReducerRuntime} from '../runtime.js';
+import type {BlockFile} from './block-file.js';
 
 /** Number of members that news is sent to at once. Each of them sends it on, so that it reaches all members within a few steps. */
 const pushFanout = 3;
 
-/** Status of an answer with output (HTTP 200, OK). */
-const successStatus = 200;
-
 /** One attempt of a request on a server, from its sending to its end. */
 export type TrackedAttempt = {
 	/** Records that the server produced output. Calls after the first have no effect. */
 	recordOutput: () => void;
 	/** Records that the server has been silent for longer than usual. */
 	recordStall: () => void;
-	/** Records that the answer, which had the given status, is complete. Only with status 200 has the server produced output on the prompt. */
-	endWithAnswer: (status: number) => void;
+	/** Records that the answer is complete. `hasRun` is true if it shows that the server ran the request to its end. */
+	endWithAnswer: (hasRun: boolean) => void;
 	/** Records that the attempt ended without a complete answer. Calls after the end have no effect. */
-	end: (outcome: 'broken' | 'stopped') => void;
+	end: (outcome: Exclude<AttemptOutcome, 'completed'>) => void;
+	/** Records that the attempt failed; `isAborted` if the router or the caller gave it up. */
+	fail: (failure: Pick<CallFailure, 'mayHaveBeenSent'>, isAborted: boolean) => void;
 };
 
-/** An attempt that is not tracked, since its prompt shares no part with others. */
+/** An attempt that is not tracked, since nothing is known by which it could be recognized. */
 const untrackedAttempt: TrackedAttempt = {
 	recordOutput() {
 		// Intentionally empty.
@@ -49,9 +51,12 @@
 	end() {
 		// Intentionally empty.
 	},
+	fail() {
+		// Intentionally empty.
+	},
 };
 
-export type PromptQuarantineOptions = {
+export type RequestQuarantineOptions = {
 	readonly self: VmIdentity;
 	readonly network: PeerNetwork;
 	readonly clock: Clock;
@@ -59,10 +64,12 @@
 	readonly metrics: Metrics;
 	/** Members that are alive, without this process. */
 	readonly liveMembers: () => readonly VmId[];
+	/** Keeps the blocks across restarts; undefined in a process without a data folder. */
+	readonly blockFile?: BlockFile | undefined;
 };
 
-/** Runs the quarantine of prompt parts that crash servers, and shares it with the other processes. */
-export class PromptQuarantine implements Disposable {
+/** Runs the quarantine of requests and prompt parts that crash servers, and shares it with the other processes. */
+export class RequestQuarantine implements Disposable {
 	private readonly _state: QuarantineState;
 	private readonly _runtime: ReducerRuntime<QuarantineEvent, QuarantineEffect>;
 	private readonly _timer: DeadlineTimer;
@@ -70,23 +77,25 @@
 	private _nextAttempt = 1;
 	/** Number of blocks that the metric shows. */
 	private _reportedBlocks = 0;
+	private _savedRevision = 0;
 
-	constructor(private readonly _options: PromptQuarantineOptions) {
+	constructor(private readonly _options: RequestQuarantineOptions) {
 		const {self: {vm, incarnation}, clock, network} = _options;
 		this._random = new SeededRandom(incarnation);
 		this._state = createQuarantine({self: vm, idPrefix: `${vm}.${incarnation}`, seed: incarnation});
 		this._runtime = new ReducerRuntime(event => reduceQuarantine(this._state, event), clock);
 		this._timer = new DeadlineTimer(clock, () => nextTickMs(this._state), () => {
 			this._runtime.dispatch({type: 'quarantine/tick'});
-			this._updateGauge();
+			this._showChanges();
 		});
 		this._registerEffects();
 		network.registerHandler('quarantine.news', quarantineNewsSchema, (from, news) => {
 			this._dispatch({type: 'quarantine/news', from: from.vm, news});
 		});
+		void this._restore();
 	}
 
-	/** Tracks an attempt that is about to be sent to a server. `parts` are the parts of its prompt that other requests may share. */
+	/** Tracks an attempt that is about to be sent to a server. `parts` are the parts by which another attempt, or other requests, may be recognized. */
 	track(server: ServerId, requestId: string, parts: readonly PartId[]): TrackedAttempt {
 		if (parts.length === 0) {
 			return untrackedAttempt;
@@ -107,16 +116,20 @@
 			recordStall: () => {
 				this._runtime.dispatch({type: 'quarantine/attempt-stalled', attempt});
 			},
-			endWithAnswer: status => {
-				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: status === successStatus ? 'completed' : 'stopped'});
+			endWithAnswer: hasRun => {
+				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: hasRun ? 'completed' : 'inconclusive'});
 			},
 			end: outcome => {
 				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome});
 			},
+			fail: ({mayHaveBeenSent}, isAborted) => {
+				const outcome = isAborted ? 'stopped' : 'broken';
+				this._dispatch({type: 'quarantine/attempt-ended', attempt, outcome: mayHaveBeenSent ? outcome : 'inconclusive'});
+			},
 		};
 	}
 
-	/** Returns the block that applies to a prompt, or undefined. */
+	/** Returns the block that applies to a request, or undefined. */
 	findBlock(parts: readonly PartId[]): Block | undefined {
 		return this._state.blocks.size === 0 ? undefined : findBlock(this._state, parts, this._options.clock.nowMs());
 	}
@@ -126,9 +139,10 @@
 		const {logger, metrics, clock} = this._options;
 		const remainingMs = Math.max(0, Math.ceil(untilMs - clock.nowMs()));
 		metrics.count('quarantine_refusals_total');
-		logger.log('info', 'request with blocked prompt parts refused', {
+		logger.log('info', 'request with blocked parts refused', {
 			requestId, parts, decidedBy, remainingMs,
 		});
+		this._dispatch({type: 'quarantine/refused', parts});
 		return remainingMs;
 	}
 
@@ -158,11 +172,24 @@
 	private _dispatch(event: Parameters<typeof this._runtime.dispatch>[0]): void {
 		this._runtime.dispatch(event);
 		this._timer.rearmIfEarlier();
-		this._updateGauge();
+		this._showChanges();
 	}
 
-	private _updateGauge(): void {
-		const {size} = this._state.blocks;
+	private async _restore(): Promise<void> {
+		const stored = await this._options.blockFile?.load();
+		if (stored) {
+			this._dispatch({type: 'quarantine/restored', ...stored});
+		}
+	}
+
+	/** Updates the gauge, and saves the blocks if they have changed. */
+	private _showChanges(): void {
+		const {blocks: {size}, revision} = this._state;
+		if (revision !== this._savedRevision) {
+			this._savedRevision = revision;
+			this._options.blockFile?.save(() => captureBlocks(this._state, this._options.clock.nowMs()));
+		}
+
 		if (size !== this._reportedBlocks) {
 			this._reportedBlocks = size;
 			this._options.metrics.gauge('quarantine_blocks', size);
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -46,7 +46,8 @@
 import {ServerFleet} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
 import {StageBalancer} from './forwarding/stage-balancer.js';
-import {PromptQuarantine} from './quarantine/prompt-quarantine.js';
+import {BlockFile} from './quarantine/block-file.js';
+import {RequestQuarantine} from './quarantine/request-quarantine.js';
 import {ReducerRuntime} from './runtime.js';
 import {LeaseHolder} from './scheduler/lease-holder.js';
 import {LoopbackNetwork} from './scheduler/loopback-network.js';
@@ -73,7 +74,7 @@
 	readonly leaderClient: ControlLeaderClient;
 	readonly adminClient: ControlAdminClient;
 	readonly membership: MembershipHost;
-	readonly quarantine: PromptQuarantine;
+	readonly quarantine: RequestQuarantine;
 	readonly disposables: DisposableStore;
 };
 
@@ -209,13 +210,18 @@
 		randomSeed: self.incarnation,
 		...(cluster.rejoinIntervalMs !== undefined && {rejoinIntervalMs: cluster.rejoinIntervalMs}),
 	}));
-	const quarantine = disposables.add(new PromptQuarantine({
+	const quarantine = disposables.add(new RequestQuarantine({
 		self,
 		network,
 		clock,
 		logger,
 		metrics,
 		liveMembers: () => membership.liveMembers,
+		blockFile: settings.dataFolder === undefined
+			? undefined
+			: disposables.add(new BlockFile({
+				folder: settings.dataFolder, fileSystem: new NodeFileSystem(), clock, logger, metrics,
+			})),
 	}));
 	membership.setGossipCompanion((to, isPage) => {
 		quarantine.accompanyGossip(to, isPage);
