quarantine: servers that all fail at once are no proof against a sound request; engines that break prefills and imports off are asked whether they can be reached

A block that gives way to newer ones leaves a probation, so that one crash renews it. On the project's own interface a prefill engine that crashed was not found to be lost unless it was called again, and imports were not tracked.

Log line and test files renamed: a crash need not be at the start of an answer.

--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -46,7 +46,7 @@
 	crashingStage: 'prefill' | 'decode' = 'decode';
 	readonly crashes: ServerCrash[] = [];
 	/** Returns whether a server crashes shortly after it has begun to run a request with this body; prompts are read without harm. */
-	isDeadly: ((req: IncomingMessage, body: string) => boolean) | undefined;
+	isCrashingRequest: ((req: IncomingMessage, body: string) => boolean) | undefined;
 	/** Time that a plain request runs, in milliseconds. */
 	plainRunMs = 0;
 	/** Entries of another writer in the list, as JSON; the list names them first. */
@@ -98,8 +98,8 @@
 			if (stage === this.crashingStage && (stage === 'prefill') === (req.headers.stage === 'prefill') && this._isCrashing(req.headers)) {
 				this._recordRequest(id, req, res);
 				this._crash(options, server, born);
-			} else if (this.isDeadly && req.headers.stage !== 'prefill' && req.headers['expect-instance'] === id) {
-				void this._runUnlessDeadly(options, server, born, {req, res});
+			} else if (this.isCrashingRequest && req.headers.stage !== 'prefill' && req.headers['expect-instance'] === id) {
+				void this._runUnlessCrashing(options, server, born, {req, res});
 			} else {
 				this._handleRequest(id, stage, req, res);
 			}
@@ -123,9 +123,9 @@
 		this._restartTimers.add(timer);
 	}
 
-	private async _runUnlessDeadly(options: PlatformServerOptions, server: Server, born: number, {req, res}: {readonly req: IncomingMessage; readonly res: ServerResponse}): Promise<void> {
+	private async _runUnlessCrashing(options: PlatformServerOptions, server: Server, born: number, {req, res}: {readonly req: IncomingMessage; readonly res: ServerResponse}): Promise<void> {
 		const body = await text(req);
-		if (this.isDeadly!(req, body)) {
+		if (this.isCrashingRequest!(req, body)) {
 			this._recordRequest(options.id, req, res);
 			await sleep(crashDelayMs);
 			if (server.listening) {
--- a/src/common/quarantine/crash-analysis.test.ts
+++ b/src/common/quarantine/crash-analysis.test.ts
@@ -46,7 +46,7 @@
 
 // Guards against the block of a request that ran beside the crashing one, wherever that was sent.
 test('of different requests that explain the same crashes none is held responsible, unless the crashes go on', () => {
-	const reportsOf = (servers: readonly string[]) => servers.flatMap(server => ['req:deadly', 'req:beside'].map(part => createReport({server, parts: [part]})));
+	const reportsOf = (servers: readonly string[]) => servers.flatMap((server, i) => ['req:deadly', 'req:beside'].map(part => createReport({server, parts: [part], atMs: i * 1000})));
 	assert.deepEqual(culpritParts(reportsOf(['s1', 's2'])), []);
 	assert.deepEqual(culpritParts(reportsOf(['s1', 's2', 's3'])), []);
 	assert.equal(culpritParts(reportsOf(['s1', 's2', 's3', 's4'])).length, 1);
@@ -82,3 +82,13 @@
 	const reports = ['s1', 's2'].flatMap(server => ['req:beside', 'late req:deadly'].map(part => createReport({server, parts: [part], hasOutput: true})));
 	assert.deepEqual(culpritParts(reports), []);
 });
+
+// Guards against an hour without a request that many callers send, after all servers of its service have failed at once.
+test('a request known to be sound is not held responsible for servers that all fail at once', () => {
+	const servers = ['s1', 's2', 's3', 's4', 's5', 's6'];
+	const soundBefore = Object.fromEntries([['req:popular', 900]]);
+	const reports = servers.flatMap(server => ['req:popular', `req:${server}`].map(part => createReport({server, parts: [part]})));
+	assert.deepEqual(culpritParts(reports, soundBefore), []);
+	const again = createReport({server: 's7', parts: ['req:popular'], atMs: 3000});
+	assert.deepEqual(culpritParts([...reports, again], soundBefore), ['req:popular']);
+});
--- a/src/common/quarantine/crash-analysis.ts
+++ b/src/common/quarantine/crash-analysis.ts
@@ -5,6 +5,8 @@
 const minCrashes = 2;
 /** Number of crashes for a part on which a server has produced output before, and for one that is not the only explanation. */
 const minCrashesWhenDoubtful = 4;
+/** Time between two crashes from which on they count as two moments, in milliseconds. */
+const minMomentGapMs = 1000;
 /** Number of candidates, the strongest first, that are compared; it bounds the time of an evaluation. */
 const maxCandidates = 64;
 /** Time after the first report of a crash within which others about the server are about the same crash, in milliseconds; shorter than any restart of a server. */
@@ -96,13 +98,13 @@
 		if (crashes.size >= minCrashes) {
 			const crashesWithoutOutput = new Set(evidence.filter(({hasOutput}) => !hasOutput).map(report => crashOf.get(report))).size;
 			candidates.push({
-				part, reports: evidence, crashes, crashesWithoutOutput, isSuspect: crashes.size >= (soundMs(part) !== undefined || isLatePart(part) ? minCrashesWhenDoubtful : minCrashes),
+				part, reports: evidence, crashes, crashesWithoutOutput, isSuspect: (soundMs(part) === undefined && !isLatePart(part)) || isBeyondDoubt(evidence, crashes),
 			});
 		}
 	}
 
 	const strongest = candidates.sort((a, b) => compareStrength(b, a) || a.reports.length - b.reports.length || compareText(a.part, b.part)).slice(0, maxCandidates);
-	return strongest.find(candidate => candidate.isSuspect && (isBeyondDoubt(candidate) || !strongest.some(other => isRival(other, candidate))));
+	return strongest.find(candidate => candidate.isSuspect && ((!isLatePart(candidate.part) && isBeyondDoubt(candidate.reports, candidate.crashes)) || !strongest.some(other => isRival(other, candidate))));
 }
 
 /** Returns a positive number if `a` explains the crashes better than `b`. */
@@ -110,9 +112,10 @@
 	return a.crashes.size - b.crashes.size || a.crashesWithoutOutput - b.crashesWithoutOutput;
 }
 
-/** Whether there is so much evidence that the part is held responsible although something else explains the crashes as well. */
-function isBeyondDoubt({part, crashes}: Candidate): boolean {
-	return crashes.size >= minCrashesWhenDoubtful && !isLatePart(part);
+/** Whether there is so much evidence that a part is held responsible in spite of doubts. Servers that fail all at once do so for another reason, whatever runs on all of them. */
+function isBeyondDoubt(reports: readonly CrashReport[], crashes: ReadonlySet<CrashKey>): boolean {
+	const times = reports.map(({atMs}) => atMs);
+	return crashes.size >= minCrashesWhenDoubtful && Math.max(...times) - Math.min(...times) >= minMomentGapMs;
 }
 
 /** Whether `other` explains some of the crashes of `candidate` at least as well, by other requests. */
--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -161,7 +161,7 @@
 
 	model.dispatch('vm0', {type: 'quarantine/server-lost', server: 's1'});
 	model.run(100);
-	const reporters = logsOf(model, 'server crashed at the start of an answer').map(({fields}) => fields.reportedBy);
+	const reporters = logsOf(model, 'server crashed during a request').map(({fields}) => fields.reportedBy);
 	assert.deepEqual([...new Set(reporters)], ['vm0', 'vm1']);
 });
 
@@ -205,7 +205,7 @@
 	});
 	model.dispatch('vm0', {type: 'quarantine/server-lost', server: 's1'});
 	model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt: 1, outcome: 'broken'});
-	assert.equal(logsOf(model, 'server crashed at the start of an answer').length, 1);
+	assert.equal(logsOf(model, 'server crashed during a request').length, 1);
 });
 
 // Guards against suspicions that never end, and against crashing requests that come back again and again after a block has ended.
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -212,7 +212,7 @@
 	scheduleStatements(state, parts, nowMs);
 	return [
 		{
-			type: 'log', level: 'warn', message: 'server crashed at the start of an answer', fields: {
+			type: 'log', level: 'warn', message: 'server crashed during a request', fields: {
 				report: id, server, requestId, parts, hasOutput, reportedBy: vm, from, ageMs: Math.round(nowMs - report.atMs),
 			},
 		},
@@ -358,13 +358,28 @@
 		{type: 'count', metric: 'quarantine_blocks_total', labels: {source: block.decidedBy === state.self ? 'own' : 'peer'}},
 	];
 	if (state.blocks.size > maxBlocks) {
-		effects.push(...release(state, state.blocks.keys().next().value!, 'too many blocks', nowMs));
+		effects.push(...evict(state, state.blocks.keys().next().value!, nowMs));
 	}
 
 	return effects;
 }
 
-/** Releases a block as wrong. */
+/** Releases a block for lack of room; one crash renews it. */
+function evict(state: QuarantineState, key: string, nowMs: number): QuarantineEffect[] {
+	startProbation(state, key, nowMs);
+	return release(state, key, 'too many blocks', nowMs);
+}
+
+function startProbation({blocks, probations}: QuarantineState, key: string, endedMs: number): void {
+	const {parts, strikes} = blocks.get(key)!;
+	probations.delete(key);
+	probations.set(key, {parts, strikes, untilMs: endedMs + probationMs});
+	if (probations.size > maxBlocks) {
+		probations.delete(probations.keys().next().value!);
+	}
+}
+
+/** Releases a block before its end. */
 function release(state: QuarantineState, key: string, reason: string, nowMs: number): QuarantineEffect[] {
 	setNewest(state.releasedMs, key, state.blocks.get(key)!.startedMs, maxBlocks);
 	return removeBlock(state, key, reason, nowMs);
@@ -385,13 +400,8 @@
 }
 
 function releaseExpired(state: QuarantineState, nowMs: number): QuarantineEffect[] {
-	return [...state.blocks].filter(([, {untilMs}]) => untilMs <= nowMs).flatMap(([key, {parts, strikes, untilMs}]) => {
-		state.probations.delete(key);
-		state.probations.set(key, {parts, strikes, untilMs: untilMs + probationMs});
-		if (state.probations.size > maxBlocks) {
-			state.probations.delete(state.probations.keys().next().value!);
-		}
-
+	return [...state.blocks].filter(([, {untilMs}]) => untilMs <= nowMs).flatMap(([key, {untilMs}]) => {
+		startProbation(state, key, untilMs);
 		return removeBlock(state, key, 'the block has ended', nowMs);
 	});
 }
--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -1,12 +1,15 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {UntimedEvent} from '../../common/core/types.js';
 import type {ModelService, Profile} from '../../common/configuration/types.js';
-import type {ModelRequestEffect, ModelRequestEvent, ModelRequestState} from '../../common/requests/types.js';
+import type {
+	CallFailure, ModelRequestEffect, ModelRequestEvent, ModelRequestState,
+} from '../../common/requests/types.js';
 import {createModelRequest, reduceModelRequest} from '../../common/requests/model-lifecycle.js';
 import type {Acquisition} from '../../common/services/access-service.js';
 import type {DecodeFailure, PlacementReply} from '../../common/services/scheduler-client.js';
 import type {Usage} from '../../common/upstreams/engine-api.js';
 import {estimateTokens, prefixHashes} from '../../common/upstreams/prompt-prefix.js';
+import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {failureOf} from '../upstreams/call-error.js';
 import type {EngineAdapter} from '../upstreams/engine-adapter.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
@@ -26,6 +29,8 @@
 const minTransferTimeoutMs = 50;
 /** Retry delay suggested to callers when the scheduler does not respond, in milliseconds. */
 const schedulerUnavailableRetryMs = 1000;
+/** Timeout for finding out whether an engine that broke an attempt off can still be reached, in milliseconds. */
+const reachabilityTimeoutMs = 500;
 
 export type ModelRequest = {
 	readonly exchange: Exchange;
@@ -281,26 +286,46 @@
 			this._report(signal, {type: 'request/prefilled', reply});
 		} catch (err) {
 			const failure = failureOf(err);
-			trackedPrefill.fail(failure, signal.aborted || failure.kind !== 'broken');
-			if (failure.kind === 'unreachable') {
-				quarantine.recordServerLost(upstream);
-			}
-
+			this._recordFailure(trackedPrefill, upstream, failure, signal);
 			this._report(signal, {type: 'request/prefill-failed', failure});
 		}
 	}
 
+	/** Tells the quarantine how an attempt failed, and whether its engine is lost. */
+	private _recordFailure(tracked: TrackedAttempt, upstream: string, failure: CallFailure, signal: AbortSignal): void {
+		tracked.fail(failure, signal.aborted || failure.kind !== 'broken');
+		if (failure.kind === 'unreachable') {
+			this._services.quarantine.recordServerLost(upstream);
+		} else if (failure.kind === 'broken' && !signal.aborted) {
+			void this._checkReachable(upstream);
+		}
+	}
+
+	private async _checkReachable(upstream: string): Promise<void> {
+		try {
+			if (!await this._engineAdapter(upstream).isReachable(reachabilityTimeoutMs)) {
+				this._services.quarantine.recordServerLost(upstream);
+			}
+		} catch (err) {
+			this._services.logger.log('debug', 'engine is no longer configured', {upstream, err});
+		}
+	}
+
 	private async _importCache(effect: Extract<ModelRequestEffect, {type: 'request/import'}>): Promise<void> {
 		const signal = this._startCall();
+		const trackedImport = this._services.quarantine.track(effect.upstream, effect.attemptId, this._request.chat.parts);
 		const remainingHoldMs = this._state.prefillExpiresAtMs - this._services.clock.nowMs();
 		try {
 			const source = this._engineAdapter(effect.source).address;
 			await this._engineAdapter(effect.upstream).importCache({
 				requestId: effect.attemptId, owner: this._options.identity, source, handle: effect.handle,
 			}, {timeoutMs: Math.max(remainingHoldMs * maxTransferShare, minTransferTimeoutMs), signal, headers: this._traceHeaders});
+			trackedImport.end('inconclusive');
 			this._report(signal, {type: 'request/imported'});
 		} catch (err) {
-			this._report(signal, {type: 'request/import-failed', failure: failureOf(err)});
+			const failure = failureOf(err);
+			this._recordFailure(trackedImport, effect.upstream, failure, signal);
+			this._report(signal, {type: 'request/import-failed', failure});
 		}
 	}
 
@@ -354,11 +379,7 @@
 			this._report(signal, {type: 'request/decode-broken', failure: {kind: 'broken', mayHaveBeenSent: true}});
 		} catch (err) {
 			const failure = failureOf(err);
-			trackedDecode.fail(failure, signal.aborted || failure.kind !== 'broken');
-			if (failure.kind === 'unreachable') {
-				quarantine.recordServerLost(effect.upstream);
-			}
-
+			this._recordFailure(trackedDecode, effect.upstream, failure, signal);
 			this._report(signal, {type: 'request/decode-broken', failure});
 		}
 	}
