--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -29,8 +29,6 @@
 const minTransferTimeoutMs = 50;
 /** Retry delay suggested to callers when the scheduler does not respond, in milliseconds. */
 const schedulerUnavailableRetryMs = 1000;
-/** Timeout for finding out whether an engine that broke an attempt off can still be reached, in milliseconds. */
-const reachabilityTimeoutMs = 500;
 
 export type ModelRequest = {
 	readonly exchange: Exchange;
@@ -302,12 +300,8 @@
 	}
 
 	private async _checkReachable(upstream: string): Promise<void> {
-		try {
-			if (!await this._engineAdapter(upstream).isReachable(reachabilityTimeoutMs)) {
-				this._services.quarantine.recordServerLost(upstream);
-			}
-		} catch (err) {
-			this._services.logger.log('debug', 'engine is no longer configured', {upstream, err});
+		if (await this._upstreams.isLost(upstream)) {
+			this._services.quarantine.recordServerLost(upstream);
 		}
 	}
 
--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -21,8 +21,6 @@
 export const maxRecordedBodyBytes = 16_384;
 /** Fraction of the request timeout in which the first attempt of an idempotent request must be answered, so that time is left for another attempt. */
 const firstAttemptTimeoutShare = 0.5;
-/** Timeout for finding out whether a server that broke an attempt off can still be reached, in milliseconds. */
-const reachabilityTimeoutMs = 500;
 /** Lowest status with which a server states that it failed. */
 const firstServerErrorStatus = 500;
 /** Response statuses that count as a failure of the upstream. Several consecutive failures eject the upstream. */
@@ -254,13 +252,13 @@
 		if (failure.kind === 'unreachable') {
 			quarantine.recordServerLost(name);
 		} else if (failure.kind === 'broken') {
-			void this._checkReachable(upstream);
+			void this._checkReachable(name);
 		}
 	}
 
-	private async _checkReachable({adapter}: PlainUpstream): Promise<void> {
-		if (!await adapter.isReachable(reachabilityTimeoutMs)) {
-			this._services.quarantine.recordServerLost(adapter.name);
+	private async _checkReachable(name: string): Promise<void> {
+		if (await this._upstreams.isLost(name)) {
+			this._services.quarantine.recordServerLost(name);
 		}
 	}
 
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -17,6 +17,8 @@
 const probeIntervalMs = 250;
 /** Timeout of one probe, in milliseconds. */
 const probeTimeoutMs = 1000;
+/** Timeout for finding out whether an upstream that broke an attempt off can still be reached, in milliseconds. */
+const reachabilityTimeoutMs = 500;
 /** Largest number of cancels that are pending at the same time. Further cancels are not sent; the scheduler frees the requests in question when it reclaims requests by owner. */
 const maxPendingCancels = 10_000;
 
@@ -58,6 +60,8 @@
 	private _drainedNames: ReadonlySet<string> = new Set();
 	private _leavingNames: ReadonlySet<string> = new Set();
 	private readonly _pendingCancels = new Set<Promise<void>>();
+	/** Upstreams that are being checked by `isLost`. */
+	private readonly _checkedNames = new Set<string>();
 	private readonly _probeTimer: NodeJS.Timeout;
 
 	constructor(private readonly _options: UpstreamRegistryOptions) {
@@ -153,6 +157,19 @@
 		}
 	}
 
+	/** Returns whether no connection can be opened to an upstream that has broken an attempt off. While it is being checked, further calls return false at once. */
+	async isLost(name: string): Promise<boolean> {
+		const adapter = this._engines.get(name) ?? this._plainUpstreams.get(name)?.adapter;
+		if (!adapter || this._checkedNames.has(name)) {
+			return false;
+		}
+
+		this._checkedNames.add(name);
+		const isReachable = await adapter.isReachable(reachabilityTimeoutMs);
+		this._checkedNames.delete(name);
+		return !isReachable;
+	}
+
 	/** Cancels a request on an engine in the background; `waitForCancels` waits for it. `mayBeInFlight` is true if a call for the request may still be in flight. */
 	cancel(name: string, requestId: string, mayBeInFlight: boolean): void {
 		const adapter = this._engines.get(name) ?? this._retiredEngines.get(name);
