--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -12,6 +12,7 @@
 import {discardBody} from './connection-pool.js';
 import {readEventStream} from './event-stream.js';
 import {IdentifyingAdapter} from './identifying-adapter.js';
+import type {IdentifiedResponse} from './identifying-adapter.js';
 import type {UpstreamCall, UpstreamResponse} from './connection-pool.js';
 
 /** Time without data after which a decode stream counts as broken, in milliseconds. A silent connection must be detected within 2 s. */
@@ -71,7 +72,7 @@
 		}, prefillCheckIntervalMs);
 		const signal = options.signal ? AbortSignal.any([options.signal, lossController.signal]) : lossController.signal;
 		try {
-			return await this._requestJson('/v1/prefill', prefillReplySchema, {...options, signal, isNewConnection: true}, req);
+			return await this._requestJson('/v1/prefill', prefillReplySchema, {...options, signal}, req);
 		} finally {
 			clearInterval(checkTimer);
 		}
@@ -79,7 +80,7 @@
 
 	/** Makes this engine pull a KV cache from the engine that computed it. */
 	async importCache(req: ImportRequest, options: EngineCallOptions): Promise<void> {
-		await this._requestJson('/v1/kv/import', importReplySchema, {...options, isNewConnection: true}, req);
+		await this._requestJson('/v1/kv/import', importReplySchema, options, req);
 	}
 
 	/** Yields the numbered events of a decode stream. The stream may end without an end marker; the consumer must check for it. */
@@ -226,15 +227,15 @@
 		}
 	}
 
-	/** All calls on used connections may be repeated: a later decode stream of a request replaces the earlier one. Prefills, imports and orders, whose repetition would cost engine time or run twice, use new connections. */
-	private async _send(call: UpstreamCall, requestId?: string): Promise<UpstreamResponse> {
+	/** All calls may be repeated: a later prefill, import or decode of a request replaces the earlier one, and orders use new connections. */
+	private async _send(call: UpstreamCall, requestId?: string): Promise<IdentifiedResponse> {
 		const callId = randomUUID();
 		return this._exchange({
 			...call, callId, isRepeatable: true, logFields: {path: call.path, requestId}, headers: [callIdHeader, callId, ...call.headers],
 		});
 	}
 
-	private async _call(path: string, options: EngineCallOptions, req?: {readonly requestId: string} | OrderRequest): Promise<UpstreamResponse> {
+	private async _call(path: string, options: EngineCallOptions, req?: {readonly requestId: string} | OrderRequest): Promise<IdentifiedResponse> {
 		const {timeoutMs, signal, headers = [], isNewConnection = false} = options;
 		return this._send({
 			method: req === undefined ? 'GET' : 'POST',
@@ -281,7 +282,7 @@
 }
 
 /** Throws `CallError` for an error status. 429 `full` means that the call did not run; 404 and 410 mean that the engine does not hold the request or cache. */
-async function throwUnlessOk(response: UpstreamResponse): Promise<void> {
+async function throwUnlessOk(response: IdentifiedResponse): Promise<void> {
 	if (response.status < 300) {
 		return;
 	}
@@ -289,6 +290,10 @@
 	const text = await readBody(response, {timeoutMs: cancelAttemptTimeoutMs});
 	const code = parseErrorCode(text);
 	if (response.status === 429 && code === 'full') {
+		if (response.isRepeat) {
+			throw new CallError('broken', true, 'engine is full, and may have run the call that was sent before');
+		}
+
 		throw new CallError('full', true, 'engine is full and did not run the call');
 	}
 
--- a/src/node/upstreams/identifying-adapter.ts
+++ b/src/node/upstreams/identifying-adapter.ts
@@ -9,12 +9,17 @@
 export type IdentifiedCall = Omit<UpstreamCall, 'isOwnAnswer' | 'exchangeId' | 'minIdleMs'> & {
 	/** Id that the request bears and that its answer may repeat. */
 	readonly callId: string;
-	/** Whether the call may run twice and no answer to it denies that it ran. Any other call that gets the answer to another one fails as one that may have run. */
+	/** Whether the call may run twice. Any other call that gets the answer to another one fails as one that may have run. */
 	readonly isRepeatable: boolean;
 	/** What the log tells about the call if it gets the answer to another one; nothing private. */
 	readonly logFields: Readonly<Record<string, unknown>>;
 };
 
+export type IdentifiedResponse = UpstreamResponse & {
+	/** Whether the call was sent before and got the answer to another one, so that it may have run even if this answer denies it. */
+	readonly isRepeat: boolean;
+};
+
 /**
 Client for an upstream that may write an answer once more, late, at the point where the answer to another call is expected. An answer is
 used if it repeats the id of its call, or if its connection has carried no other call. A connection whose answer does not repeat the id is
@@ -31,10 +36,11 @@
 	}
 
 	/** Sends a call; resolves when the headers of its answer have arrived. Rejects with `CallError`. A repeatable call that got the answer to another one is repeated on a new connection. */
-	protected async _exchange(call: IdentifiedCall): Promise<UpstreamResponse> {
+	protected async _exchange(call: IdentifiedCall): Promise<IdentifiedResponse> {
 		const canRepeat = call.isRepeatable && !call.isNewConnection;
 		try {
-			return await this._exchangeOnce(call, canRepeat);
+			const response = await this._exchangeOnce(call, canRepeat);
+			return {...response, isRepeat: false};
 		} catch (err) {
 			if (err instanceof ForeignAnswerError && canRepeat) {
 				return this._repeat(call);
@@ -44,9 +50,10 @@
 		}
 	}
 
-	private async _repeat(call: IdentifiedCall): Promise<UpstreamResponse> {
+	private async _repeat(call: IdentifiedCall): Promise<IdentifiedResponse> {
 		try {
-			return await this._exchangeOnce({...call, isNewConnection: true}, false);
+			const response = await this._exchangeOnce({...call, isNewConnection: true}, false);
+			return {...response, isRepeat: true};
 		} catch (err) {
 			const {kind, message} = CallError.from(err, {mayHaveBeenSent: true, isTimeout: false});
 			throw new CallError(kind, true, message);
