--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -59,7 +59,7 @@
 export function nextTickMs(state: QuarantineState): number {
 	return Math.min(
 		state.evaluationDueMs,
-		...[...state.reports.values()].map(report => reportEndMs(report)),
+		state.nextReportEndMs,
 		...state.statementsDueMs.values(),
 		...[...state.blocks.values()].map(({untilMs}) => untilMs),
 	);
@@ -203,6 +203,7 @@
 	}
 
 	state.reports.set(id, report);
+	state.nextReportEndMs = Math.min(state.nextReportEndMs, reportEndMs(report));
 	if (state.reports.size > maxReports) {
 		state.reports.delete(state.reports.keys().next().value!);
 	}
@@ -262,12 +263,22 @@
 	return [...effects, ...pushNews(state, nowMs)];
 }
 
-function removeExpired(state: QuarantineState, nowMs: number): void {
+function removeExpiredReports(state: QuarantineState, nowMs: number): void {
+	state.nextReportEndMs = Infinity;
 	for (const [id, report] of state.reports) {
-		if (reportEndMs(report) <= nowMs) {
+		const endMs = reportEndMs(report);
+		if (endMs <= nowMs) {
 			state.reports.delete(id);
+		} else {
+			state.nextReportEndMs = Math.min(state.nextReportEndMs, endMs);
 		}
 	}
+}
+
+function removeExpired(state: QuarantineState, nowMs: number): void {
+	if (state.nextReportEndMs <= nowMs) {
+		removeExpiredReports(state, nowMs);
+	}
 
 	for (const [key, {untilMs}] of state.probations) {
 		if (untilMs <= nowMs) {
--- a/src/common/quarantine/state.ts
+++ b/src/common/quarantine/state.ts
@@ -49,6 +49,8 @@
 	/** Times at which servers were last found to be lost. */
 	readonly lostMs: Map<ServerId, number>;
 	readonly reports: Map<string, CrashReport>;
+	/** Time at which the next report ceases to count, in milliseconds; Infinity if there is none. */
+	nextReportEndMs: number;
 	/** Time at which a server was last known to produce output on a prompt with a part, least recent first. */
 	readonly soundMs: Map<PartId, number>;
 	/** Time at which a server was last known to have answered a request completely, least recent first. */
@@ -80,6 +82,7 @@
 		pending: [],
 		lostMs: new Map(),
 		reports: new Map(),
+		nextReportEndMs: Infinity,
 		soundMs: new Map(),
 		soundRequestsMs: new Map(),
 		statedSoundMs: new Map(),
