--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {QuarantineModel} from './fixtures.js';
 import type {ModelOptions} from './fixtures.js';
+import {maxRequestIdLength} from './messages.js';
 import {findBlock} from './quarantine.js';
 
 /** Time after the fifth crash from which on no more than `maxLaterRequests` with a crashing part may reach servers, in milliseconds. */
@@ -117,6 +118,36 @@
 	assert.equal(crashes, 4);
 });
 
+// Guards against news that peers drop as a whole, since a caller chose a long id.
+test('a crash report with a long request id reaches the other processes', () => {
+	const model = createModel({processes: 2});
+	model.dispatch('vm0', {
+		type: 'quarantine/attempt-started', attempt: 1, server: 's1', requestId: 'r'.repeat(1000), parts: ['req:a'],
+	});
+	model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt: 1, outcome: 'broken'});
+	model.dispatch('vm0', {type: 'quarantine/server-lost', server: 's1'});
+	for (const {requestId} of model.processes.get('vm0')!.reports.values()) {
+		assert.equal(requestId.length, maxRequestIdLength);
+	}
+
+	assert.equal(model.processes.get('vm0')!.reports.size, 1);
+});
+
+// Guards against requests that crowd out what is known of prompt parts.
+test('many different requests do not make the quarantine forget that a prompt part is sound', () => {
+	const model = createModel({processes: 1});
+	for (let i = 0; i < 5000; i++) {
+		model.dispatch('vm0', {
+			type: 'quarantine/attempt-started', attempt: i, server: 's1', requestId: 'r', parts: [`req:${i}`, ...(i === 0 ? ['first'] : [])],
+		});
+		model.dispatch('vm0', {type: 'quarantine/attempt-ended', attempt: i, outcome: 'completed'});
+	}
+
+	const {soundMs, soundRequestsMs} = model.processes.get('vm0')!;
+	assert.ok(soundMs.has('first'));
+	assert.ok(soundRequestsMs.size <= 4096);
+});
+
 // Guards against requests that are suspected since they met a server that was down already.
 test('requests that a server did not run are no evidence', () => {
 	const model = createModel();
