quarantine: a complete answer clears a stream that was suspected of late crashes, too

Found by reading: its part has an id of its own, which nothing stated as sound, so that an ended block could be renewed by one crash whatever had been answered since.

--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -139,7 +139,7 @@
 
 	const isLate = isPastStartup(attempt, nowMs);
 	if (outcome === 'completed') {
-		recordSound(state, attempt.parts, nowMs);
+		recordSound(state, [...attempt.parts, ...lateParts(attempt.parts)], nowMs);
 		return [];
 	}
 
@@ -221,7 +221,7 @@
 	];
 }
 
-/** Schedules statements about the parts that this process knows to be sound, its running requests included. */
+/** Schedules statements about the parts that this process knows to be sound, those of its running requests included; a request as a whole is sound only once it is answered. */
 function scheduleStatements(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
 	for (const attempt of state.attempts.values()) {
 		if (isPastStartup(attempt, nowMs) && attempt.parts.some(part => parts.includes(part))) {
