quarantine: blocks and what is known as sound have modules of their own

quarantine.ts had grown to about 500 lines with three jobs. Functions moved without change; one limit stood twice.

--- a/src/common/quarantine/fixtures.ts
+++ b/src/common/quarantine/fixtures.ts
@@ -1,9 +1,8 @@
 /** Model of processes that send requests to servers and share their quarantine, for tests. */
 import {SeededRandom} from '../core/random.js';
 import type {UntimedEvent, VmId} from '../core/types.js';
-import {
-	findBlock, nextTickMs, reduceQuarantine,
-} from './quarantine.js';
+import {findBlock} from './blocks.js';
+import {nextTickMs, reduceQuarantine} from './quarantine.js';
 import {createQuarantine} from './state.js';
 import type {QuarantineState} from './state.js';
 import type {
--- a/src/common/quarantine/quarantine.test.ts
+++ b/src/common/quarantine/quarantine.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {findBlock} from './blocks.js';
 import {QuarantineModel} from './fixtures.js';
 import type {ModelOptions} from './fixtures.js';
 import {maxRequestIdLength} from './messages.js';
-import {findBlock} from './quarantine.js';
 
 /** Time after the fifth crash from which on no more than `maxLaterRequests` with a crashing part may reach servers, in milliseconds. */
 const contactMs = 3000;
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -4,56 +4,40 @@
 as a whole counts as one of its parts.
 */
 import type {VmId} from '../core/types.js';
+import {
+	clearSoundBlocks, endOfLastBlock, extendBlock, receiveBlock, release, releaseExpired, renewBlocks, startBlock,
+} from './blocks.js';
 import {findCulprits} from './crash-analysis.js';
 import type {Culprit} from './crash-analysis.js';
-import {maxEvidence, maxRequestIdLength} from './messages.js';
+import {maxRequestIdLength} from './messages.js';
 import {
 	fullNews, pushNews, queueNews, takeNews,
 } from './news.js';
 import {isRequestPart, lateParts} from './parts.js';
 import {
-	isCovered, keyOf, maxBlockMs, probationMs, reportEndMs, setNewest, setSoundTime, soundTimeOf,
+	isPastStartup, knownSoundMs, minStatementIntervalMs, recordSound, scheduleStatements, soundValidityMs,
+} from './soundness.js';
+import {
+	isCovered, keyOf, maxBlockMs, maxSoundParts, reportEndMs, setNewest, setSoundTime, soundTimeOf,
 } from './state.js';
-import type {Attempt, QuarantineState} from './state.js';
+import type {QuarantineState} from './state.js';
 import {restoreProbations} from './stored-blocks.js';
 import type {
-	AttemptId, AttemptOutcome, Block, CrashReport, PartId, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
+	AttemptId, AttemptOutcome, CrashReport, QuarantineEffect, QuarantineEvent, QuarantineNews, ServerId,
 } from './types.js';
 
 /** Reason given to callers whose request contains blocked parts. */
 export const blockedReason = 'servers crash on this request or a part of its prompt';
-/** Time after the first output within which a crash is still attributed to the request, in milliseconds. */
-const startupWindowMs = 300;
 /** Time for which a broken request waits for the confirmation that its server has crashed, in milliseconds; the platform's list shows a crash within some seconds. */
 const confirmationTimeoutMs = 6000;
-/** The same for a request that was given up before it broke, in milliseconds. */
+/** Time for which a request that was given up waits for that confirmation, in milliseconds. */
 const stoppedConfirmationMs = 1000;
-/** Time for which output on a prompt with a part shows that the part is sound, in milliseconds. */
-const soundValidityMs = 3_600_000;
 /** Time between a report and its evaluation, in milliseconds, in which other processes can state that its parts are sound. */
 const evaluationDelayMs = 300;
-/** Maximum delay of such a statement, in milliseconds. The delay is random, so that one process states what many know. */
-const maxStatementDelayMs = 200;
-/** Shortest interval between two statements about the same part, in milliseconds. */
-const minStatementIntervalMs = 300;
-/** Duration of the first block of some parts, in milliseconds. It doubles with each further block of prompt parts, up to `maxBlockMs`, which is the duration of each further block of a request. */
-const initialBlockMs = 60_000;
-/** Time from the start of a block of a request up to which refusals extend it, in milliseconds. */
-const maxExtendedMs = 300_000;
-/** Difference in the end of a block, in milliseconds, up to which two processes agree on it. */
-const blockToleranceMs = 1000;
 /** Limits of the state, in entries; beyond them the oldest entry goes. */
 const maxReports = 256;
 const maxPending = 256;
 const maxLostServers = 256;
-const maxSoundParts = 4096;
-const maxBlocks = 64;
-
-/** Returns the block that applies to a request, or undefined. */
-export function findBlock({blocks}: QuarantineState, parts: readonly PartId[], nowMs: number): Block | undefined {
-	const allParts = [...parts, ...lateParts(parts)];
-	return [...blocks.values()].find(block => block.untilMs > nowMs && isCovered(block.parts, allParts));
-}
 
 /** Returns the time at which the next tick is due, in milliseconds; Infinity if there is nothing to do. */
 export function nextTickMs(state: QuarantineState): number {
@@ -164,24 +148,6 @@
 	return [];
 }
 
-function isPastStartup({producedMs}: Attempt, nowMs: number): boolean {
-	return producedMs !== undefined && nowMs - producedMs >= startupWindowMs;
-}
-
-function recordSound(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
-	for (const part of parts) {
-		setSoundTime(state, part, nowMs);
-		if (isSuspected(state, part) && nowMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
-			state.statementsDueMs.set(part, nowMs);
-		}
-	}
-}
-
-/** Whether a block, or one that has ended and would be renewed, names the part. */
-function isSuspected({blocks, probations}: QuarantineState, part: PartId): boolean {
-	return [...blocks.values(), ...probations.values()].some(({parts}) => parts.includes(part));
-}
-
 /** Turns the requests that broke on the server into reports, and shares these. */
 function reportCrash(state: QuarantineState, server: ServerId, nowMs: number): QuarantineEffect[] {
 	const confirmed = state.pending.filter(report => report.server === server && nowMs - report.atMs < report.confirmWithinMs);
@@ -221,22 +187,6 @@
 	];
 }
 
-/** Schedules statements about the parts that this process knows to be sound, those of its running requests included; a request as a whole is sound only once it is answered. */
-function scheduleStatements(state: QuarantineState, parts: readonly PartId[], nowMs: number): void {
-	for (const attempt of state.attempts.values()) {
-		if (isPastStartup(attempt, nowMs) && attempt.parts.some(part => parts.includes(part))) {
-			recordSound(state, attempt.parts.filter(part => !isRequestPart(part)), nowMs);
-		}
-	}
-
-	for (const part of parts) {
-		const knownMs = soundTimeOf(state, part);
-		if (knownMs !== undefined && nowMs - knownMs < soundValidityMs && knownMs - (state.statedSoundMs.get(part) ?? -Infinity) >= minStatementIntervalMs) {
-			state.statementsDueMs.set(part, nowMs + state.random.integer(0, maxStatementDelayMs));
-		}
-	}
-}
-
 function handleTick(state: QuarantineState, nowMs: number): QuarantineEffect[] {
 	const effects: QuarantineEffect[] = [];
 	for (const [part, dueMs] of state.statementsDueMs) {
@@ -305,11 +255,6 @@
 	return [...effects, ...culprits.flatMap(culprit => addDerivedBlock(state, culprit, nowMs))];
 }
 
-function knownSoundMs(state: QuarantineState, part: PartId, nowMs: number): number | undefined {
-	const timeMs = soundTimeOf(state, part);
-	return timeMs !== undefined && nowMs - timeMs < soundValidityMs ? timeMs : undefined;
-}
-
 function addDerivedBlock(state: QuarantineState, {parts, reports}: Culprit, nowMs: number): QuarantineEffect[] {
 	const key = keyOf(parts);
 	if (state.blocks.has(key)) {
@@ -319,126 +264,6 @@
 	return startBlock(state, {parts, strikes: 1, evidence: reports}, nowMs);
 }
 
-/** Renews an ended block if a crash that is newer than the block's end is due to the same parts. */
-function renewBlocks(state: QuarantineState, report: CrashReport, nowMs: number): QuarantineEffect[] {
-	return [...state.probations].flatMap(([key, {parts, strikes, untilMs}]) => {
-		const isRenewed = untilMs > nowMs && report.atMs > untilMs - probationMs && !state.blocks.has(key) && isCovered(parts, report.parts);
-		return isRenewed ? startBlock(state, {parts, strikes: strikes + 1, evidence: [report]}, nowMs) : [];
-	});
-}
-
-/**
-Extends the block of a request that comes again, so that it does not crash servers each time the block ends. Blocks of prompt parts are not
-extended: these come with different requests, and the end of the block shows whether they still crash servers.
-*/
-function extendBlock(state: QuarantineState, parts: readonly PartId[], nowMs: number): QuarantineEffect[] {
-	const key = keyOf(parts);
-	const block = state.blocks.get(key);
-	if (!block || !parts.some(part => isRequestPart(part)) || block.untilMs - nowMs > initialBlockMs / 2) {
-		return [];
-	}
-
-	const untilMs = Math.min(nowMs + initialBlockMs, block.startedMs + maxExtendedMs);
-	return untilMs > block.untilMs ? addBlock(state, {...block, untilMs}, nowMs) : [];
-}
-
-type Decision = {readonly parts: readonly PartId[]; readonly strikes: number; readonly evidence: readonly CrashReport[]};
-
-function startBlock(state: QuarantineState, {parts, strikes, evidence}: Decision, nowMs: number): QuarantineEffect[] {
-	// A request that crashes a server once more after its block is known well enough; a prompt part may have been beside another cause.
-	const isKnownRequest = strikes > 1 && parts.some(part => isRequestPart(part));
-	const durationMs = isKnownRequest ? maxBlockMs : Math.min(maxBlockMs, initialBlockMs * (2 ** (strikes - 1)));
-	return addBlock(state, {
-		parts, strikes, startedMs: nowMs, untilMs: nowMs + durationMs, decidedBy: state.self, evidence: evidence.slice(-maxEvidence).map(({id}) => id),
-	}, nowMs);
-}
-
-function addBlock(state: QuarantineState, block: Block, nowMs: number): QuarantineEffect[] {
-	const key = keyOf(block.parts);
-	state.blocks.delete(key);
-	state.blocks.set(key, block);
-	state.revision++;
-	queueNews(state, 'block', key);
-	const effects: QuarantineEffect[] = [
-		{
-			type: 'log', level: 'warn', message: 'parts blocked', fields: {
-				parts: block.parts, strikes: block.strikes, forMs: Math.round(block.untilMs - nowMs), decidedBy: block.decidedBy, evidence: block.evidence,
-				crashes: block.evidence.flatMap(id => state.reports.get(id) ?? []).map(({server, requestId, vm}) => ({server, requestId, reportedBy: vm})),
-			},
-		},
-		{type: 'count', metric: 'quarantine_blocks_total', labels: {source: block.decidedBy === state.self ? 'own' : 'peer'}},
-	];
-	if (state.blocks.size > maxBlocks) {
-		effects.push(...evict(state, state.blocks.keys().next().value!, nowMs));
-	}
-
-	return effects;
-}
-
-/** Releases a block for lack of room; one crash renews it. */
-function evict(state: QuarantineState, key: string, nowMs: number): QuarantineEffect[] {
-	startProbation(state, key, nowMs);
-	return release(state, key, 'too many blocks', nowMs);
-}
-
-function startProbation({blocks, probations}: QuarantineState, key: string, endedMs: number): void {
-	const {parts, strikes} = blocks.get(key)!;
-	probations.delete(key);
-	probations.set(key, {parts, strikes, untilMs: endedMs + probationMs});
-	if (probations.size > maxBlocks) {
-		probations.delete(probations.keys().next().value!);
-	}
-}
-
-/** Releases a block before its end. */
-function release(state: QuarantineState, key: string, reason: string, nowMs: number): QuarantineEffect[] {
-	setNewest(state.releasedMs, key, state.blocks.get(key)!.startedMs, maxBlocks);
-	return removeBlock(state, key, reason, nowMs);
-}
-
-function removeBlock(state: QuarantineState, key: string, reason: string, nowMs: number): QuarantineEffect[] {
-	const {startedMs, parts, strikes} = state.blocks.get(key)!;
-	state.blocks.delete(key);
-	state.revision++;
-	return [
-		{
-			type: 'log', level: 'info', message: 'parts released', fields: {
-				parts, strikes, reason, blockedForMs: Math.round(nowMs - startedMs),
-			},
-		},
-		{type: 'count', metric: 'quarantine_releases_total'},
-	];
-}
-
-function releaseExpired(state: QuarantineState, nowMs: number): QuarantineEffect[] {
-	return [...state.blocks].filter(([, {untilMs}]) => untilMs <= nowMs).flatMap(([key, {untilMs}]) => {
-		startProbation(state, key, untilMs);
-		return removeBlock(state, key, 'the block has ended', nowMs);
-	});
-}
-
-/** Releases blocks whose only part a server has produced output on since the block started, and removes such a part from the others; the same for ended blocks. */
-function clearSoundBlocks(state: QuarantineState, part: PartId, nowMs: number): QuarantineEffect[] {
-	for (const [key, probation] of state.probations) {
-		if (probation.parts.includes(part)) {
-			const parts = probation.parts.filter(other => other !== part);
-			state.probations.delete(key);
-			state.revision++;
-			if (parts.length > 0) {
-				state.probations.set(keyOf(parts), {...probation, parts});
-			}
-		}
-	}
-
-	const affected = [...state.blocks].filter(([, block]) => block.parts.includes(part) && soundTimeOf(state, part)! > block.startedMs);
-	return affected.flatMap(([key, block]) => {
-		const parts = block.parts.filter(other => other !== part);
-		const effects = release(state, key, `a server produced output on ${part}`, nowMs);
-		const isNarrowed = parts.length > 0 && !state.blocks.has(keyOf(parts));
-		return isNarrowed ? [...effects, ...addBlock(state, {...block, parts}, nowMs)] : effects;
-	});
-}
-
 function receiveNews(state: QuarantineState, from: VmId, {sound, crashes, blocks}: QuarantineNews, nowMs: number): QuarantineEffect[] {
 	const effects: QuarantineEffect[] = [];
 	for (const {part, ageMs} of sound) {
@@ -466,23 +291,3 @@
 	return [...effects, ...pushNews(state, nowMs)];
 }
 
-function receiveBlock(state: QuarantineState, block: Block, nowMs: number): QuarantineEffect[] {
-	const key = keyOf(block.parts);
-	const known = state.blocks.get(key);
-	const isReleased = (state.releasedMs.get(key) ?? -Infinity) + blockToleranceMs >= block.startedMs;
-	const isRefuted = block.parts.some(part => (soundTimeOf(state, part) ?? -Infinity) > block.startedMs);
-	if (isReleased || isRefuted) {
-		// The sender may have restored a block that was released while it was down.
-		scheduleStatements(state, block.parts, nowMs);
-	}
-
-	const knownEndMs = known?.untilMs ?? endOfLastBlock(state, key);
-	const isNewer = block.untilMs > knownEndMs + blockToleranceMs;
-	return block.untilMs > nowMs && isNewer && !isReleased && !isRefuted ? addBlock(state, block, nowMs) : [];
-}
-
-/** Time at which the last block of some parts ended, in milliseconds; `-Infinity` if it is not known. */
-function endOfLastBlock({probations}: QuarantineState, key: string): number {
-	const probation = probations.get(key);
-	return probation ? probation.untilMs - probationMs : -Infinity;
-}
--- a/src/common/quarantine/state.ts
+++ b/src/common/quarantine/state.ts
@@ -10,7 +10,7 @@
 /** Time for which a crash report that names a request counts, in milliseconds; requests that come rarely crash servers, too. */
 const requestReportValidityMs = 3_600_000;
 /** Maximum number of requests, and of other parts, whose last output is remembered; beyond it the oldest goes. */
-const maxSoundParts = 4096;
+export const maxSoundParts = 4096;
 /** Longest duration of a block, in milliseconds. */
 export const maxBlockMs = 3_600_000;
 /** Time after the end of a block in which one crash renews it, in milliseconds. */
--- a/src/common/quarantine/stored-blocks.test.ts
+++ b/src/common/quarantine/stored-blocks.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {QuarantineModel} from './fixtures.js';
-import {findBlock, nextTickMs, reduceQuarantine} from './quarantine.js';
+import {findBlock} from './blocks.js';
+import {nextTickMs, reduceQuarantine} from './quarantine.js';
 import {createQuarantine, maxBlockMs, probationMs} from './state.js';
 import {captureBlocks, decodeBlocks, encodeBlocks} from './stored-blocks.js';
 import type {StoredBlocks} from './stored-blocks.js';
--- a/src/node/quarantine/request-quarantine.ts
+++ b/src/node/quarantine/request-quarantine.ts
@@ -4,9 +4,8 @@
 import {SeededRandom} from '../../common/core/random.js';
 import type {VmId, VmIdentity} from '../../common/core/types.js';
 import {quarantineNewsSchema} from '../../common/quarantine/messages.js';
-import {
-	findBlock, nextTickMs, reduceQuarantine,
-} from '../../common/quarantine/quarantine.js';
+import {findBlock} from '../../common/quarantine/blocks.js';
+import {nextTickMs, reduceQuarantine} from '../../common/quarantine/quarantine.js';
 import {createQuarantine} from '../../common/quarantine/state.js';
 import type {QuarantineState} from '../../common/quarantine/state.js';
 import {captureBlocks} from '../../common/quarantine/stored-blocks.js';
