--- a/src/common/quarantine/crash-analysis.ts
+++ b/src/common/quarantine/crash-analysis.ts
@@ -104,7 +104,7 @@
 	}
 
 	const strongest = candidates.sort((a, b) => compareStrength(b, a) || a.reports.length - b.reports.length || compareText(a.part, b.part)).slice(0, maxCandidates);
-	return strongest.find(candidate => candidate.isSuspect && ((!isLatePart(candidate.part) && isBeyondDoubt(candidate.reports, candidate.crashes)) || !strongest.some(other => isRival(other, candidate))));
+	return strongest.find(candidate => candidate.isSuspect && (isExemptFromRivals(candidate) || !strongest.some(other => isRival(other, candidate))));
 }
 
 /** Returns a positive number if `a` explains the crashes better than `b`. */
@@ -118,6 +118,11 @@
 	return crashes.size >= minCrashesWhenDoubtful && Math.max(...times) - Math.min(...times) >= minMomentGapMs;
 }
 
+/** Whether a part is held responsible although other requests explain the crashes as well. Most streams that break late only ran beside the crashing one, so this never holds for them. */
+function isExemptFromRivals({part, reports, crashes}: Candidate): boolean {
+	return !isLatePart(part) && isBeyondDoubt(reports, crashes);
+}
+
 /** Whether `other` explains some of the crashes of `candidate` at least as well, by other requests. */
 function isRival(other: Candidate, candidate: Candidate): boolean {
 	return compareStrength(other, candidate) >= 0
