--- a/src/node/entry/model-request-runner.ts
+++ b/src/node/entry/model-request-runner.ts
@@ -13,6 +13,7 @@
 import {failureOf} from '../upstreams/call-error.js';
 import type {EngineAdapter} from '../upstreams/engine-adapter.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
+import {recordAttemptFailure} from './attempt-failure.js';
 import type {CompletionWriter} from './completion-writer.js';
 import type {Exchange} from './exchange.js';
 import type {ChatRequest} from './chat-completions.js';
@@ -289,20 +290,10 @@
 		}
 	}
 
-	/** Tells the quarantine how an attempt failed, and whether its engine is lost. */
 	private _recordFailure(tracked: TrackedAttempt, upstream: string, failure: CallFailure, signal: AbortSignal): void {
-		tracked.fail(failure, signal.aborted || failure.kind !== 'broken');
-		if (failure.kind === 'unreachable') {
-			this._services.quarantine.recordServerLost(upstream);
-		} else if (failure.kind === 'broken' && !signal.aborted) {
-			void this._checkReachable(upstream);
-		}
-	}
-
-	private async _checkReachable(upstream: string): Promise<void> {
-		if (await this._upstreams.isLost(upstream)) {
-			this._services.quarantine.recordServerLost(upstream);
-		}
+		recordAttemptFailure(this._services.quarantine, this._upstreams, {
+			tracked, upstream, failure, isAborted: signal.aborted,
+		});
 	}
 
 	private async _importCache(effect: Extract<ModelRequestEffect, {type: 'request/import'}>): Promise<void> {
--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -12,6 +12,7 @@
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import type {PlainUpstream, ServiceLimits, UpstreamRegistry} from '../upstreams/upstream-registry.js';
+import {recordAttemptFailure} from './attempt-failure.js';
 import type {Exchange} from './exchange.js';
 import {buildUpstreamHeaders, buildCallerHeaders} from './headers.js';
 import {createProblem} from './problems.js';
@@ -208,7 +209,7 @@
 			attempt.release();
 			if (!abortController.signal.aborted) {
 				const failure = failureOf(err);
-				this._recordEnd(attempt, failure);
+				this._recordFailure(attempt, failure);
 				if (failure.kind !== 'error') {
 					this._upstreams.recordResult(upstream.adapter.name, false);
 				}
@@ -244,22 +245,10 @@
 		attempt.response?.body.destroy();
 	}
 
-	/** Tells the quarantine how an attempt failed, and whether its server is lost. */
-	private _recordEnd({upstream, tracked}: Attempt, failure: CallFailure): void {
-		const {quarantine} = this._services;
-		const {name} = upstream.adapter;
-		tracked.fail(failure, failure.kind !== 'broken');
-		if (failure.kind === 'unreachable') {
-			quarantine.recordServerLost(name);
-		} else if (failure.kind === 'broken') {
-			void this._checkReachable(name);
-		}
-	}
-
-	private async _checkReachable(name: string): Promise<void> {
-		if (await this._upstreams.isLost(name)) {
-			this._services.quarantine.recordServerLost(name);
-		}
+	private _recordFailure({upstream, tracked}: Attempt, failure: CallFailure): void {
+		recordAttemptFailure(this._services.quarantine, this._upstreams, {
+			tracked, upstream: upstream.adapter.name, failure, isAborted: false,
+		});
 	}
 
 	private async _relayResponse(attempt: Attempt): Promise<void> {
@@ -284,7 +273,7 @@
 			if (exchange.res.destroyed) {
 				attempt.tracked.end('stopped');
 			} else {
-				this._recordEnd(attempt, failureOf(err));
+				this._recordFailure(attempt, failureOf(err));
 			}
 
 			this._dispatch({type: 'plain/body-broken'});
