--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -8,7 +8,7 @@
 import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
-import {discardBody} from '../upstreams/connection-pool.js';
+import {discardBody, isFramed} from '../upstreams/connection-pool.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
@@ -590,15 +590,20 @@
 			return;
 		}
 
+		const end = {
+			requestId, attempt, server: server.key, isFramed: isFramed(response.headers), wasReset: response.wasReset(), isWithinEvent: eventBuffer.hasPartialEvent, after: this._eventTracker.lastEventId,
+		};
 		if (response.wasReset() || eventBuffer.hasPartialEvent) {
 			this._trackedSend?.end('broken');
-			logger.log('warn', 'stream broke off', {
-				requestId, attempt, server: server.key, wasReset: response.wasReset(), after: this._eventTracker.lastEventId,
-			});
+			logger.log('warn', 'stream broke off', end);
 			this._dispatch({type: 'forward/broken', attempt, server: server.key});
 			return;
 		}
 
+		if (!isFramed(response.headers)) {
+			logger.log('info', 'stream ended with its connection', end);
+		}
+
 		this._trackedSend?.endWithAnswer(response.status === successStatus);
 		this._outcome = 'relayed';
 		exchange.res.end();
