--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -47,6 +47,8 @@
 	readonly crashes: ServerCrash[] = [];
 	/** Returns whether a server crashes shortly after it has begun to run a request with this body; prompts are read without harm. */
 	isCrashingRequest: ((req: IncomingMessage, body: string) => boolean) | undefined;
+	/** Writes the part of its answer that a server writes before such a request crashes it; nothing if undefined. */
+	writeBeforeCrash: ((req: IncomingMessage, res: ServerResponse) => void) | undefined;
 	/** Time that a plain request runs, in milliseconds. */
 	plainRunMs = 0;
 	/** Entries of another writer in the list, as JSON; the list names them first. */
@@ -127,6 +129,7 @@
 		const body = await text(req);
 		if (this.isCrashingRequest!(req, body)) {
 			this._recordRequest(options.id, req, res);
+			this.writeBeforeCrash?.(req, res);
 			await sleep(crashDelayMs);
 			if (server.listening) {
 				this._crash(options, server, born);
--- a/src/node/entry/plain-request-runner.test.ts
+++ b/src/node/entry/plain-request-runner.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import type {ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {bearerHeaders, startHarness, waitUntil} from './testing/harness.js';
 import {RawClient, waitUntilRefused} from './testing/raw-client.js';
@@ -112,6 +113,54 @@
 	assert.deepEqual([resent.status, resent.body, countRequests(deskServers)], [200, 'ran dog', 1]);
 });
 
+/** Writes a part of an answer that ends with its connection, and calls `onWritten` once the kernel has it. */
+function writeUnframed(res: ServerResponse, text: string, onWritten: () => void): void {
+	res.useChunkedEncodingByDefault = false;
+	res.writeHead(200, {connection: 'close'});
+	res.write(text, onWritten);
+}
+
+async function postRaw(address: string, key: string): Promise<RawClient> {
+	const client = await RawClient.connect(address);
+	client.send('POST /s/desk/entries HTTP/1.1', 'Host: entry', 'Authorization: Bearer key-a', `Idempotency-Key: ${key}`, 'Content-Length: 0', '', '');
+	await waitUntil(() => client.isClosed || client.received.endsWith('\r\n0\r\n\r\n'));
+	return client;
+}
+
+// Guards against a short answer that is framed as a whole one, at once or when it is replayed.
+test('an answer without framing is relayed without framing, and not recorded as a whole one', async t => {
+	const {url, address, deskServers} = await startHarness(t, {
+		deskHandlers: [(_req, res) => {
+			writeUnframed(res, 'ran', () => {
+				res.end();
+			});
+		}],
+	});
+	const client = await postRaw(address, 'k1');
+	assert.match(client.received, /^HTTP\/1\.1 200[^]*\r\n\r\nran$/);
+	assert.doesNotMatch(client.received, /transfer-encoding|content-length/i);
+	assert.deepEqual([client.isClosed, client.wasReset], [true, false]);
+	const resent = await readAnswer(await fetch(`${url}/s/desk/entries`, {...postInit('k1'), body: ''}));
+	assert.deepEqual([resent.code, resent.run, countRequests(deskServers)], ['outcome-not-recorded', 'unknown', 1]);
+});
+
+// Guards against an answer that ends early since its server is gone, and that its caller cannot tell from a whole one.
+test('an answer without framing whose server is gone at its end resets the connection of its caller, and its outcome is unknown', async t => {
+	const {url, address, deskServers} = await startHarness(t, {
+		deskHandlers: [(_req, res) => {
+			writeUnframed(res, 'ran', () => {
+				setTimeout(() => {
+					deskServers[0]!.close();
+				}, 20);
+			});
+		}],
+	});
+	const client = await postRaw(address, 'k1');
+	assert.deepEqual([client.isClosed, client.wasReset], [true, true]);
+	const resent = await readAnswer(await fetch(`${url}/s/desk/entries`, {...postInit('k1'), body: ''}));
+	assert.equal(resent.code, 'outcome-unknown');
+});
+
 test('a response over 16 KiB is relayed but not recorded, and a retry is refused with a code that says so', async t => {
 	const {url, deskServers} = await startHarness(t, {
 		deskHandlers: [(_req, res) => {
--- a/src/node/entry/testing/raw-client.ts
+++ b/src/node/entry/testing/raw-client.ts
@@ -15,12 +15,20 @@
 
 	received = '';
 	isClosed = false;
+	/** Whether the server has reset the connection. */
+	wasReset = false;
 
 	private constructor(readonly socket: Socket) {
 		socket.on('data', (data: Uint8Array) => {
 			this.received += new TextDecoder().decode(data);
 		});
-		socket.on('error', () => undefined);
+		socket.on('error', () => {
+			this.wasReset = true;
+		});
+		socket.on('end', () => {
+			// Node.js reports a reset that follows the last bytes as an end; the connection has no peer then.
+			this.wasReset ||= socket.remoteAddress === undefined;
+		});
 		socket.on('close', () => {
 			this.isClosed = true;
 		});
