entry: a response that ends with its connection is given up by a reset

What callers saw: one that speaks HTTP/1.0 gets no chunks, and a stream that the router gave up ended like a whole one: by a close. Cause: destroying a response closes its connection, which tells the end of a response only where a length or chunks do. Now such a connection is reset, wherever a response is given up: by its request, a slow reader, a malformed message behind the request, or the end of the process. A killed process still closes its connections.

--- a/src/node/entry/active-requests.ts
+++ b/src/node/entry/active-requests.ts
@@ -65,6 +65,13 @@
 		}
 	}
 
+	/** Ends the connections of all running requests. */
+	destroyConnections(): void {
+		for (const exchange of this._exchanges) {
+			exchange.destroyConnection();
+		}
+	}
+
 	/** Resolves when no request is running. */
 	async waitUntilIdle(): Promise<void> {
 		if (this._exchanges.size > 0) {
--- a/src/node/entry/caller-listener.ts
+++ b/src/node/entry/caller-listener.ts
@@ -80,6 +80,11 @@
 	const {_httpMessage: currentResponse} = socket as Socket & {_httpMessage?: ServerResponse};
 	const hasResponseBegun = currentResponse?.headersSent ?? false;
 	if (err.code === 'ECONNRESET' || !socket.writable || hasResponseBegun) {
+		if (hasResponseBegun && !currentResponse?.chunkedEncoding) {
+			// A close would look like the end of a response that ends with its connection.
+			socket.resetAndDestroy();
+		}
+
 		socket.destroy();
 		return;
 	}
--- a/src/node/entry/entry-server.ts
+++ b/src/node/entry/entry-server.ts
@@ -100,6 +100,7 @@
 
 		this._disposeController.abort();
 		const closed = this._closeListener();
+		this._activeRequests.destroyConnections();
 		this._server.closeAllConnections();
 		await closed;
 		this._upstreams.dispose();
--- a/src/node/entry/exchange.ts
+++ b/src/node/entry/exchange.ts
@@ -35,6 +35,7 @@
 	private readonly _slowReaderTimeoutMs: number;
 	private readonly _omitsTraceHeaders: boolean;
 	private _shouldCloseConnection: boolean;
+	private _hasContentLength = false;
 	private _isClosed = false;
 	private _stopReason: StopReason | undefined;
 	private _stopHandler: ((reason: StopReason) => void) | undefined;
@@ -77,6 +78,17 @@
 		this._shouldCloseConnection = true;
 	}
 
+	/** Makes the response end with its connection, as that of an upstream whose answer does not tell where it ends. Must be called before the head is written. */
+	omitFraming(): void {
+		this.res.useChunkedEncodingByDefault = false;
+		this.closeAfterResponse();
+	}
+
+	/** Whether the response has begun and ends with its connection, so that a caller cannot tell an early end from the right one. */
+	get endsWithConnection(): boolean {
+		return this.res.headersSent && !this._hasContentLength && !this.res.chunkedEncoding;
+	}
+
 	/** Sets the function that is called when the request is stopped, replacing any earlier one; calls it at once if the request was already stopped. */
 	onStop(handler: (reason: StopReason) => void): void {
 		this._stopHandler = handler;
@@ -88,6 +100,7 @@
 	/** Writes the status line and headers (alternating names and values). */
 	writeHead(status: number, headers: readonly string[], code?: string): void {
 		this.outcome = {status, ...(code !== undefined && {code})};
+		this._hasContentLength = headers.some((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length');
 		const closingHeaders = this._shouldCloseConnection ? ['connection', 'close'] : [];
 		const traceHeaders = this._omitsTraceHeaders ? [] : ['x-request-id', this.traceIds.requestId, 'traceparent', this.traceIds.traceparent];
 		this.res.writeHead(status, [...headers, ...traceHeaders, ...closingHeaders]);
@@ -170,8 +183,13 @@
 		clearInterval(slowReaderTimer);
 	}
 
-	/** Destroys the connection, so that the caller cannot mistake a partial response for a complete one. */
+	/** Ends the connection so that the caller cannot mistake a partial response for a complete one. */
 	destroyConnection(): void {
+		if (this.endsWithConnection && !this.res.writableFinished) {
+			// A close would look like the end of the response.
+			this.res.socket?.resetAndDestroy();
+		}
+
 		this.res.destroy();
 	}
 }
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -102,6 +102,7 @@
 		const closed = new Promise(resolve => {
 			this._server.close(resolve);
 		});
+		this._activeRequests.destroyConnections();
 		this._server.closeAllConnections();
 		await closed;
 	}
