upstreams: each response tells whether it is framed; whether an upstream is gone is asked by opening a connection

An answer whose transfer coding does not end with chunks ends with its connection, too, but counted as one that tells its end; one that has no body (204, 304, HEAD) was relayed without framing. Whether an upstream that broke an attempt off can be reached was asked by a request to /healthz or /v1/load, which waits for a slot, and by one caller at a time, while the others were told that it can. Now a connection is opened and closed, and concurrent calls share the result. Tests: connection-pool.test.ts, two.

--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -30,10 +30,12 @@
 	/** Lower-case names and values of the headers, alternating. */
 	readonly headers: readonly string[];
 	readonly body: Uint8Array;
+	/** Whether the answer itself tells where its body ends. If it does not, the body may have been cut short. */
+	readonly isFramed: boolean;
 };
 
 /** Reads the body of an answer to its end. Throws `CallError` if the body breaks off or is larger than `limitBytes`. */
-export async function bufferAnswer({status, headers, body, wasReset}: UpstreamResponse, limitBytes: number): Promise<BufferedAnswer> {
+export async function bufferAnswer({status, headers, body, isFramed, wasReset}: UpstreamResponse, limitBytes: number): Promise<BufferedAnswer> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	try {
@@ -54,7 +56,9 @@
 		throw new CallError('broken', true, 'the connection was reset within the answer');
 	}
 
-	return {status, headers, body: Buffer.concat(chunks, length)};
+	return {
+		status, headers, body: Buffer.concat(chunks, length), isFramed,
+	};
 }
 
 /** A request to a server, or a call that the router makes on its own behalf. */
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -5,7 +5,6 @@
 import type {LocalAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
-import {isFramed} from '../upstreams/connection-pool.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
@@ -87,22 +86,19 @@
 }
 
 /** Sends the caller a server's answer that has been read to its end. Does nothing if the connection is closed. */
-export function relayAnswer(exchange: Exchange, protocol: FleetProtocol, {status, headers, body}: BufferedAnswer): void {
+export function relayAnswer(exchange: Exchange, protocol: FleetProtocol, {status, headers, body, isFramed}: BufferedAnswer): void {
 	if (exchange.res.destroyed) {
 		return;
 	}
 
 	const callerHeaders = protocol.callerHeaders(headers);
-	if (isFramed(headers)) {
+	if (isFramed) {
 		const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
 		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
 		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(body.length)]);
 	} else {
-		// A body without framing ends when its connection closes, so it may have been cut short by a crash of the server.
-		// A content length would present it as complete. The body is therefore relayed without framing, and the caller's
-		// connection is closed at its end.
-		exchange.res.useChunkedEncodingByDefault = false;
-		exchange.closeAfterResponse();
+		// The server may have been cut short, which a content length would hide.
+		exchange.omitFraming();
 		exchange.writeHead(status, callerHeaders);
 	}
 
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -8,7 +8,7 @@
 import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf, ForeignAnswerError} from '../upstreams/call-error.js';
-import {discardBody, isFramed} from '../upstreams/connection-pool.js';
+import {discardBody} from '../upstreams/connection-pool.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
@@ -591,7 +591,7 @@
 		}
 
 		const end = {
-			requestId, attempt, server: server.key, isFramed: isFramed(response.headers), wasReset: response.wasReset(), isWithinEvent: eventBuffer.hasPartialEvent, after: this._eventTracker.lastEventId,
+			requestId, attempt, server: server.key, isFramed: response.isFramed, wasReset: response.wasReset(), isWithinEvent: eventBuffer.hasPartialEvent, after: this._eventTracker.lastEventId,
 		};
 		if (response.wasReset() || eventBuffer.hasPartialEvent) {
 			this._trackedSend?.end('broken');
@@ -600,7 +600,7 @@
 			return;
 		}
 
-		if (!isFramed(response.headers)) {
+		if (!response.isFramed) {
 			logger.log('info', 'stream ended with its connection', end);
 		}
 
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -41,6 +41,8 @@
 const maxGrants = 4096;
 /** Timeout of a probe, in milliseconds; the network round trip to a server takes only a few milliseconds. */
 const probeTimeoutMs = 250;
+/** Timeout of a check whether a server refuses connections, in milliseconds; several times the network round trip. The end of an answer without framing waits for it. */
+const reachabilityTimeoutMs = 50;
 
 /** The servers that requests are forwarded to, with their connections, ejections and retry budgets. */
 export class ServerFleet implements Disposable {
@@ -53,6 +55,8 @@
 	private readonly _grants = new Set<string>();
 	/** Servers that are being probed because another process reported them as unreachable. */
 	private readonly _serversBeingProbed = new Set<ServerKey>();
+	/** Checks in progress of whether a server can be reached. */
+	private readonly _reachabilityChecks = new Map<ServerKey, Promise<boolean>>();
 	private _isDisposed = false;
 
 	constructor(private readonly _options: ServerFleetOptions) {
@@ -218,6 +222,22 @@
 		}
 	}
 
+	/**
+	Returns whether a server that has closed the connection of an exchange is gone, because it refuses connections now. Such a server is
+	ejected. Concurrent calls share one check.
+	*/
+	async isLost(server: Server): Promise<boolean> {
+		const check = this._reachabilityChecks.get(server.key) ?? this.adapterFor(server).isReachable(reachabilityTimeoutMs);
+		this._reachabilityChecks.set(server.key, check);
+		const isReachable = await check;
+		this._reachabilityChecks.delete(server.key);
+		if (!isReachable) {
+			this.recordFailure(server, {isUnreachable: true, detail: 'the server closed a connection and refuses new ones'});
+		}
+
+		return !isReachable;
+	}
+
 	/** Suspends a server for `forMs` milliseconds because another process announced it; 0 ends the suspension early. */
 	applyAnnouncedSuspension(key: ServerKey, forMs: number, announcedBy: string): void {
 		const server = this.directory.get(key);
--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -133,6 +133,41 @@
 	}
 });
 
+// Guards against a body that ends with its connection and passes for one whose end the server states.
+test('an answer tells where its body ends by its length, by chunks as the last coding, or by having no body', async t => {
+	const heads: ReadonlyArray<readonly [head: string, isFramed: boolean, method?: 'HEAD']> = [
+		['200 OK\r\nContent-Length: 0\r\nConnection: close', true],
+		['200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close', true],
+		['200 OK\r\nTransfer-Encoding: gzip, Chunked\r\nConnection: close', true],
+		['200 OK\r\nTransfer-Encoding: gzip\r\nConnection: close', false],
+		['200 OK\r\nConnection: close', false],
+		['404 Not Found\r\nConnection: close', false],
+		['204 No Content\r\nConnection: close', true],
+		['200 OK\r\nConnection: close', true, 'HEAD'],
+	];
+	const pool = await startRawServer(t, (socket, request) => {
+		const [head] = heads[Number(/\/(\d+) /.exec(request)![1])]!;
+		socket.end(`HTTP/1.1 ${head}\r\n\r\n${/chunked/i.test(head) ? '0\r\n\r\n' : ''}`);
+	});
+	for (const [i, [head, isFramed, method = 'GET']] of heads.entries()) {
+		const response = await pool.call(testCall({path: `/${i}`, method}));
+		assert.equal(await text(response.body), '', head);
+		assert.equal(response.isFramed, isFramed, head);
+	}
+});
+
+test('an upstream is reachable while it accepts connections, even if it does not answer', async t => {
+	const open = await startRawServer(t, () => undefined);
+	assert.equal(await open.isReachable(answerTimeoutMs), true);
+	const closedServer = createServer();
+	closedServer.listen(0, '127.0.0.1');
+	await once(closedServer, 'listening');
+	const {port} = closedServer.address() as AddressInfo;
+	closedServer.close();
+	await once(closedServer, 'close');
+	assert.equal(await new ConnectionPool(`127.0.0.1:${port}`, new ManualClock()).isReachable(answerTimeoutMs), false);
+});
+
 // Guards against a whole answer that is given up because the server resets its connection afterwards.
 test('a reset right after an answer that tells its own end does not make it incomplete', async t => {
 	const answers = ['Content-Length: 5\r\n\r\nwhole', 'Connection: close\r\nContent-Length: 5\r\n\r\nwhole', 'Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'];
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -1,10 +1,12 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
+import {connect as connectSocket} from 'node:net';
 import type {Readable} from 'node:stream';
 import {buildConnector, Client, DecoratorHandler} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
+import {splitAddress} from '../address.js';
 import {CallError, ForeignAnswerError} from './call-error.js';
 
 /**
@@ -23,6 +25,13 @@
 /** Lowest status of a final response. */
 const firstFinalStatus = 200;
 
+/** Errors with which the network or the upstream's host refuses a connection; others, such as a lack of file descriptors, have their cause in this process. */
+const refusalCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EHOSTUNREACH', 'ENETUNREACH']);
+/** Statuses of answers without a body (204, No Content, and 304, Not Modified). */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+/** List of transfer codings that ends with `chunked`. */
+const chunkedPattern = /(?:^|,)\s*chunked\s*$/i;
+
 /** Status line of an answer. */
 const statusLinePattern = /HTTP\/1\.\d \d{3}/;
 
@@ -56,6 +65,8 @@
 	/** Headers as alternating lower-case names and values; the name is repeated for each value of a header. */
 	readonly headers: readonly string[];
 	readonly body: Readable;
+	/** Whether the answer itself tells where its body ends. The body of any other answer ends when its connection closes, whether or not it is whole. */
+	readonly isFramed: boolean;
 	/**
 	Returns whether a body without framing was truncated by a reset of its connection; the result is final once the body has ended.
 	Such a body ends when its connection closes, and undici reports a reset as its end, too.
@@ -138,9 +149,15 @@
 	return [reasonPhrase, ...headers].some(text => statusLinePattern.test(text));
 }
 
-/** Returns whether the headers tell where the body ends; a body without such headers ends when its connection closes. */
-export function isFramed(headers: readonly string[]): boolean {
-	return headers.some((name, i) => i % 2 === 0 && (name === 'content-length' || name === 'transfer-encoding'));
+/** Returns whether the head of an answer tells where its body ends (RFC 9112, section 6.3). */
+function isFramed(method: Dispatcher.HttpMethod, status: number, headers: readonly string[]): boolean {
+	if (method === 'HEAD' || bodilessStatuses.has(status)) {
+		return true;
+	}
+
+	// The codings of several header lines make one list, of which the last entry counts.
+	const transferEncoding = headers.findLast((_, i) => i % 2 === 1 && headers[i - 1] === 'transfer-encoding');
+	return transferEncoding === undefined ? headers.some((name, i) => i % 2 === 0 && name === 'content-length') : chunkedPattern.test(transferEncoding);
 }
 
 /** Pool of connections to one upstream, each used by one exchange at a time. Pools share nothing, so that a slow upstream does not delay calls to others. */
@@ -198,11 +215,13 @@
 				call.signal?.removeEventListener('abort', discardConnection);
 				this._release(connection, body);
 			});
+			const hasFraming = isFramed(call.method, statusCode, answerHeaders);
 			return {
 				status: statusCode,
 				headers: answerHeaders,
 				body,
-				wasReset: () => connection.wasReset && !isFramed(answerHeaders),
+				isFramed: hasFraming,
+				wasReset: () => connection.wasReset && !hasFraming,
 				confirm() {
 					connection.isConfirmed = true;
 				},
@@ -220,6 +239,26 @@
 		}
 	}
 
+	/** Opens a connection and closes it at once. Returns false if it is refused; a connection that is not open after `timeoutMs` tells nothing. */
+	async isReachable(timeoutMs: number): Promise<boolean> {
+		const socket = connectSocket({...splitAddress(this._address), timeout: timeoutMs});
+		try {
+			return await new Promise<boolean>(resolve => {
+				socket.once('connect', () => {
+					resolve(true);
+				});
+				socket.once('timeout', () => {
+					resolve(true);
+				});
+				socket.once('error', (err: NodeJS.ErrnoException) => {
+					resolve(!refusalCodes.has(err.code ?? ''));
+				});
+			});
+		} finally {
+			socket.destroy();
+		}
+	}
+
 	/** Closes idle connections at once and busy connections when their exchange ends. */
 	dispose(): void {
 		this._isDisposed = true;
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -8,7 +8,7 @@
 import {
 	cacheEventsReplySchema, callIdHeader, decodeEventSchema, engineErrorSchema, importReplySchema, loadReplySchema, orderStateSchema, prefillReplySchema, requestListSchema,
 } from '../../common/upstreams/engine-api.js';
-import {CallError, failureOf} from './call-error.js';
+import {CallError} from './call-error.js';
 import {discardBody} from './connection-pool.js';
 import {readEventStream} from './event-stream.js';
 import {IdentifyingAdapter} from './identifying-adapter.js';
@@ -155,17 +155,6 @@
 		}
 	}
 
-	/** Returns false if no connection to the engine can be opened. */
-	async isReachable(timeoutMs: number): Promise<boolean> {
-		try {
-			await this.fetchLoad({timeoutMs, isNewConnection: true});
-			return true;
-		} catch (err) {
-			this._logger.log('debug', 'engine not asked whether it can be reached', {upstream: this.name, err});
-			return failureOf(err).kind !== 'unreachable';
-		}
-	}
-
 	/** Closes all connections and stops retrying cancels. */
 	override destroy(): void {
 		this._destroyController.abort();
--- a/src/node/upstreams/plain-adapter.ts
+++ b/src/node/upstreams/plain-adapter.ts
@@ -1,6 +1,5 @@
 import type {UpstreamResponse, UpstreamCall} from './connection-pool.js';
 import {discardBody} from './connection-pool.js';
-import {failureOf} from './call-error.js';
 import {IdentifyingAdapter} from './identifying-adapter.js';
 
 export type PlainCall = Omit<UpstreamCall, 'isOwnAnswer' | 'exchangeId' | 'minIdleMs' | 'isNewConnection'> & {
@@ -25,20 +24,6 @@
 		});
 	}
 
-	/** Returns false if no connection to the server can be opened. */
-	async isReachable(timeoutMs: number): Promise<boolean> {
-		try {
-			const {body} = await this._pool.call({
-				method: 'GET', path: '/healthz', headers: [], headersTimeoutMs: timeoutMs, isNewConnection: true,
-			});
-			discardBody(body);
-			return true;
-		} catch (err) {
-			this._logger.log('debug', 'server not asked whether it can be reached', {upstream: this.name, err});
-			return failureOf(err).kind !== 'unreachable';
-		}
-	}
-
 	/** Requests `/healthz` on a new connection. Any status below 500 counts as healthy, since a service need not implement the path. */
 	override async probe(timeoutMs: number): Promise<boolean> {
 		try {
--- a/src/node/upstreams/upstream-adapter.ts
+++ b/src/node/upstreams/upstream-adapter.ts
@@ -40,6 +40,11 @@
 		this._pool.destroy();
 	}
 
+	/** Returns false if the upstream refuses connections; true if one is opened, or if none is within `timeoutMs`, which tells nothing. */
+	async isReachable(timeoutMs: number): Promise<boolean> {
+		return this._pool.isReachable(timeoutMs);
+	}
+
 	/** Sends an inexpensive idempotent request on a new connection; resolves to whether the answer shows, within `timeoutMs`, that the upstream works. */
 	abstract probe(timeoutMs: number): Promise<boolean>;
 }
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -60,8 +60,8 @@
 	private _drainedNames: ReadonlySet<string> = new Set();
 	private _leavingNames: ReadonlySet<string> = new Set();
 	private readonly _pendingCancels = new Set<Promise<void>>();
-	/** Upstreams that are being checked by `isLost`. */
-	private readonly _checkedNames = new Set<string>();
+	/** Checks in progress of whether an upstream can be reached, by its name. */
+	private readonly _reachabilityChecks = new Map<string, Promise<boolean>>();
 	private readonly _probeTimer: NodeJS.Timeout;
 
 	constructor(private readonly _options: UpstreamRegistryOptions) {
@@ -157,16 +157,17 @@
 		}
 	}
 
-	/** Returns whether no connection can be opened to an upstream that has broken an attempt off. While it is being checked, further calls return false at once. */
+	/** Returns whether an upstream that has ended an exchange refuses connections. Concurrent calls share one check. */
 	async isLost(name: string): Promise<boolean> {
 		const adapter = this._engines.get(name) ?? this._plainUpstreams.get(name)?.adapter;
-		if (!adapter || this._checkedNames.has(name)) {
+		if (!adapter) {
 			return false;
 		}
 
-		this._checkedNames.add(name);
-		const isReachable = await adapter.isReachable(reachabilityTimeoutMs);
-		this._checkedNames.delete(name);
+		const check = this._reachabilityChecks.get(name) ?? adapter.isReachable(reachabilityTimeoutMs);
+		this._reachabilityChecks.set(name, check);
+		const isReachable = await check;
+		this._reachabilityChecks.delete(name);
 		return !isReachable;
 	}
 
