forwarding: a stream without framing is passed on without framing, and its end is not made up

Cause: the head went out for chunks whatever the server's answer had, and the close of the server's connection became a last chunk, which states an end that no one had told. Now a stream without framing ends with its caller's connection: by a close where its server closed it between two events, by a reset where it broke off. If the server is gone at the end, the stream broke off. A stream that began in chunks and goes on at a server whose answer has no framing never ends as complete. A stream that broke off counts in the record of its server, as it does with chunks.

--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -554,6 +554,10 @@
 		const eventBuffer = new SseEventBuffer(this._eventTracker);
 		try {
 			if (!exchange.res.headersSent) {
+				if (!response.isFramed) {
+					exchange.omitFraming();
+				}
+
 				// Without a length, since another engine may go on with the stream in other bytes.
 				exchange.writeHead(response.status, withoutHeader(protocol.callerHeaders(response.headers), 'content-length'));
 				exchange.res.flushHeaders();
@@ -590,21 +594,36 @@
 			return;
 		}
 
+		const {isFramed} = response;
+		const wasReset = response.wasReset();
+		const isWithinEvent = eventBuffer.hasPartialEvent;
+		const isBroken = wasReset || isWithinEvent || (!isFramed && await this._dependencies.fleet.isLost(server));
+		if (this._isStale(attempt)) {
+			return;
+		}
+
 		const end = {
-			requestId, attempt, server: server.key, isFramed: response.isFramed, wasReset: response.wasReset(), isWithinEvent: eventBuffer.hasPartialEvent, after: this._eventTracker.lastEventId,
+			requestId, attempt, server: server.key, isFramed, wasReset, isWithinEvent, after: this._eventTracker.lastEventId,
 		};
-		if (response.wasReset() || eventBuffer.hasPartialEvent) {
+		if (isBroken) {
 			this._trackedSend?.end('broken');
 			logger.log('warn', 'stream broke off', end);
+			this._recordFailure(server, new CallError('broken', true, 'the stream broke off'), {isAborted: false, isUnreachable: false});
 			this._dispatch({type: 'forward/broken', attempt, server: server.key});
 			return;
 		}
 
-		if (!response.isFramed) {
+		if (!isFramed) {
 			logger.log('info', 'stream ended with its connection', end);
 		}
 
 		this._trackedSend?.endWithAnswer(response.status === successStatus);
+		if (!isFramed && !exchange.endsWithConnection) {
+			// The caller's answer began in chunks, and a last chunk would state that this one is complete, which nothing tells.
+			this._dispatch({type: 'forward/broken', attempt, server: server.key});
+			return;
+		}
+
 		this._outcome = 'relayed';
 		exchange.res.end();
 		this._dispatch({type: 'forward/completed', attempt});
