forwarding: an answer without framing whose server is gone at its end is not a whole one

What servers saw: a request that crashes its servers behind the head of such an answer crashed 35 of them in 6 s, since each short answer counted as a whole one, which shows the quarantine that the request is sound. Callers got the short answer as 200, and one that may be repeated was not. Now the end of an answer without framing waits until a connection to its server opens or is refused. If it is refused, the answer broke off: the quarantine and the server's record learn that, a safe request goes on at another server, and any other is answered 502.

--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -5,7 +5,7 @@
 import type {UntimedEvent} from '../../common/core/types.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
-import {failureOf} from '../upstreams/call-error.js';
+import {CallError, failureOf} from '../upstreams/call-error.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
 import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
@@ -171,6 +171,10 @@
 			return {type: 'forward/answered', status: buffered.status, isNotRun: true};
 		}
 
+		if (!buffered.isFramed && await fleet.isLost(server)) {
+			throw new CallError('broken', true, 'the server is gone at the end of an answer without framing');
+		}
+
 		trackedSend.endWithAnswer(buffered.status < firstServerErrorStatus);
 		this._answer = buffered;
 		fleet.directory.recordAnswer(server, buffered.status < firstServerErrorStatus, clock.nowMs() - sentMs, clock.nowMs());
