entry: the project's own interface does not make up the end of an answer without framing either

What callers saw: a short answer in chunks, framed as complete; with an idempotency key it was recorded, and replayed with a length. Cause: as in the forwarding, the head was written for chunks whatever the upstream's answer had, and the record knew the body only. Now the answer ends with its caller's connection, the connection is reset if the upstream is gone at its end (the outcome is then unknown), and a body without framing is not recorded: a retry is told so. Streams of engines have an end marker and JSON replies their own end, so that no other call is concerned.

--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -257,6 +257,10 @@
 		this._relayedResponse = response;
 		try {
 			if (!exchange.res.destroyed) {
+				if (!response.isFramed) {
+					exchange.omitFraming();
+				}
+
 				exchange.writeHead(response.status, buildCallerHeaders(response.headers));
 			}
 
@@ -268,6 +272,10 @@
 			if (response.wasReset()) {
 				throw new CallError('broken', true, 'the connection was reset before the response was complete');
 			}
+
+			if (!response.isFramed && await this._upstreams.isLost(attempt.upstream.adapter.name)) {
+				throw new CallError('broken', true, 'the upstream is gone at the end of a response without framing');
+			}
 		} catch (err) {
 			// If the caller is gone, the body ends for that reason.
 			if (exchange.res.destroyed) {
@@ -310,8 +318,9 @@
 	}
 
 	private _buildRecordedOutcome(): RecordedOutcome {
-		const {status, headers} = this._relayedResponse!;
-		const isRecorded = this._recordedBytes <= maxRecordedBodyBytes;
+		const {status, headers, isFramed} = this._relayedResponse!;
+		// A body without framing may have been cut short, and a replay would give it a length.
+		const isRecorded = isFramed && this._recordedBytes <= maxRecordedBodyBytes;
 		return {status, headers: toRecordedHeaders(headers), ...(isRecorded && {body: Buffer.concat(this._recordedChunks)})};
 	}
 }
