forwarding: a prefill answer that ends early with its connection is no evidence that the request is sound

Cause: the status alone made the prefill count as run to its end, before its body was read. Now only a body that can be read does, and one that ends early with its connection is broken off, as it is with a length or chunks.

--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -47,7 +47,7 @@
 	readonly crashes: ServerCrash[] = [];
 	/** Returns whether a server crashes shortly after it has begun to run a request with this body; prompts are read without harm. */
 	isCrashingRequest: ((req: IncomingMessage, body: string) => boolean) | undefined;
-	/** Writes the part of its answer that a server writes before such a request crashes it; nothing if undefined. */
+	/** Writes the part of its answer that a server writes before a request crashes it; nothing if undefined. */
 	writeBeforeCrash: ((req: IncomingMessage, res: ServerResponse) => void) | undefined;
 	/** Time that a plain request runs, in milliseconds. */
 	plainRunMs = 0;
@@ -99,6 +99,7 @@
 		const server = await this._listen((req, res) => {
 			if (stage === this.crashingStage && (stage === 'prefill') === (req.headers.stage === 'prefill') && this._isCrashing(req.headers)) {
 				this._recordRequest(id, req, res);
+				this.writeBeforeCrash?.(req, res);
 				this._crash(options, server, born);
 			} else if (this.isCrashingRequest && req.headers.stage !== 'prefill' && req.headers['expect-instance'] === id) {
 				void this._runUnlessCrashing(options, server, born, {req, res});
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -373,9 +373,13 @@
 		fleet.directory.beginWork(server, tokens);
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
-			const {status, headers, body} = await bufferAnswer(response, prefillAnswerLimitBytes);
-			trackedPrefill.endWithAnswer(status === successStatus);
-			const result = status === 200 ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
+			const {status, headers, body, isFramed} = await bufferAnswer(response, prefillAnswerLimitBytes);
+			const result = status === successStatus ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
+			if (status === successStatus && !result && !isFramed) {
+				throw new CallError('broken', true, 'the answer ended early with its connection');
+			}
+
+			trackedPrefill.endWithAnswer(result !== undefined);
 			if (!result) {
 				const isRejected = protocol.readServerAnswer(headers).isNotRun;
 				logger.log('info', 'prompt not prefilled', {
