--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -55,8 +55,6 @@
 	private readonly _grants = new Set<string>();
 	/** Servers that are being probed because another process reported them as unreachable. */
 	private readonly _serversBeingProbed = new Set<ServerKey>();
-	/** Checks in progress of whether a server can be reached. */
-	private readonly _reachabilityChecks = new Map<ServerKey, Promise<boolean>>();
 	private _isDisposed = false;
 
 	constructor(private readonly _options: ServerFleetOptions) {
@@ -224,13 +222,10 @@
 
 	/**
 	Returns whether a server that has closed the connection of an exchange is gone, because it refuses connections now. Such a server is
-	ejected. Concurrent calls share one check.
+	ejected. Each call makes its own check, since one that began earlier may have been passed before the server went.
 	*/
 	async isLost(server: Server): Promise<boolean> {
-		const check = this._reachabilityChecks.get(server.key) ?? this.adapterFor(server).isReachable(reachabilityTimeoutMs);
-		this._reachabilityChecks.set(server.key, check);
-		const isReachable = await check;
-		this._reachabilityChecks.delete(server.key);
+		const isReachable = await this.adapterFor(server).isReachable(reachabilityTimeoutMs);
 		if (!isReachable) {
 			this.recordFailure(server, {isUnreachable: true, detail: 'the server closed a connection and refuses new ones'});
 		}
--- a/src/node/upstreams/upstream-registry.ts
+++ b/src/node/upstreams/upstream-registry.ts
@@ -60,8 +60,6 @@
 	private _drainedNames: ReadonlySet<string> = new Set();
 	private _leavingNames: ReadonlySet<string> = new Set();
 	private readonly _pendingCancels = new Set<Promise<void>>();
-	/** Checks in progress of whether an upstream can be reached, by its name. */
-	private readonly _reachabilityChecks = new Map<string, Promise<boolean>>();
 	private readonly _probeTimer: NodeJS.Timeout;
 
 	constructor(private readonly _options: UpstreamRegistryOptions) {
@@ -157,18 +155,10 @@
 		}
 	}
 
-	/** Returns whether an upstream that has ended an exchange refuses connections. Concurrent calls share one check. */
+	/** Returns whether an upstream that has ended an exchange refuses connections. Each call makes its own check, since one that began earlier may have been passed before the upstream went. */
 	async isLost(name: string): Promise<boolean> {
 		const adapter = this._engines.get(name) ?? this._plainUpstreams.get(name)?.adapter;
-		if (!adapter) {
-			return false;
-		}
-
-		const check = this._reachabilityChecks.get(name) ?? adapter.isReachable(reachabilityTimeoutMs);
-		this._reachabilityChecks.set(name, check);
-		const isReachable = await check;
-		this._reachabilityChecks.delete(name);
-		return !isReachable;
+		return adapter !== undefined && !await adapter.isReachable(reachabilityTimeoutMs);
 	}
 
 	/** Cancels a request on an engine in the background; `waitForCancels` waits for it. `mayBeInFlight` is true if a call for the request may still be in flight. */
