--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -97,7 +97,7 @@
 		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
 		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(body.length)]);
 	} else {
-		// The server may have been cut short, which a content length would hide.
+		// The body may have been cut short, which a content length would hide.
 		exchange.omitFraming();
 		exchange.writeHead(status, callerHeaders);
 	}
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -550,8 +550,8 @@
 
 	/** Relays a stream event by event, so that one that breaks off can resume after its last complete event. */
 	private async _relayStream(attempt: number): Promise<void> {
-		const {exchange, requestId} = this._request;
-		const {protocol, logger} = this._dependencies;
+		const {exchange} = this._request;
+		const {protocol} = this._dependencies;
 		const response = this._response!;
 		const {server} = this._resources.reservation!;
 		this._eventTracker.discardPartialEvent();
@@ -594,14 +594,19 @@
 			return;
 		}
 
-		if (this._isStale(attempt)) {
-			return;
+		if (!this._isStale(attempt)) {
+			await this._endStream(attempt, response, eventBuffer.hasPartialEvent);
 		}
+	}
 
+	/** Ends the relay of a stream whose body has ended: only what the engine has told makes the caller's answer complete. */
+	private async _endStream(attempt: number, response: UpstreamResponse, isWithinEvent: boolean): Promise<void> {
+		const {exchange, requestId} = this._request;
+		const {fleet, logger} = this._dependencies;
+		const {server} = this._resources.reservation!;
 		const {isFramed} = response;
 		const wasReset = response.wasReset();
-		const isWithinEvent = eventBuffer.hasPartialEvent;
-		const isBroken = wasReset || isWithinEvent || (!isFramed && await this._dependencies.fleet.isLost(server));
+		const isBroken = wasReset || isWithinEvent || (!isFramed && await fleet.isLost(server));
 		if (this._isStale(attempt)) {
 			return;
 		}
@@ -623,7 +628,7 @@
 
 		this._trackedSend?.endWithAnswer(response.status === successStatus);
 		if (!isFramed && !exchange.endsWithConnection) {
-			// The caller's answer began in chunks, and a last chunk would state that this one is complete, which nothing tells.
+			// The caller's answer began in chunks, and nothing tells that a last chunk would be true.
 			this._dispatch({type: 'forward/broken', attempt, server: server.key});
 			return;
 		}
