--- a/src/common/configuration/forwarding.ts
+++ b/src/common/configuration/forwarding.ts
@@ -24,6 +24,8 @@
 	maxAttempts: z.int().min(1),
 	/** Whether the route can be called without an API key. */
 	isOpen: z.boolean(),
+	/** Regions whose upstreams may run the route's requests; every region may if absent. */
+	allowedRegions: z.array(z.string()).optional(),
 	targets: z.array(z.strictObject({service: z.string(), weight: z.number().nonnegative()})).min(1),
 });
 
@@ -45,6 +47,8 @@
 	healthPath: z.string(),
 	/** Maximum number of connections that each server accepts from all router processes together. */
 	maxConnections: z.int().min(1),
+	/** Number of requests per second that a server which has just started tolerates from all router processes together; absent if it tolerates any number. */
+	coldRequestsPerSecond: z.number().positive().optional(),
 	engine: forwardEngineSchema.optional(),
 });
 
@@ -54,6 +58,8 @@
 	keys: z.array(z.string()),
 	/** Priority of the customer's requests, in place of the priority of the route; the route's priority applies if absent. */
 	priority: z.int().optional(),
+	/** Regions whose upstreams may run the customer's requests; every region may if absent. If the route names regions too, both apply. */
+	allowedRegions: z.array(z.string()).optional(),
 	/** What the customer's rate limit counts: requests, or prompt and output tokens. */
 	unit: z.enum(['requests', 'tokens']),
 	/** Tokens that a request without token counts takes from the rate limit, if the unit is tokens. */
