membership: direct probes and their acknowledgements are datagrams

Cause: each process probes a random member every 500 ms. Change: PeerNetwork.sendDatagram sends small messages that may be lost as authenticated UDP datagrams to the same port; larger ones go over a connection, as do indirect probes, so that lost datagrams alone suspect no member for long.

--- a/src/common/membership/messages.ts
+++ b/src/common/membership/messages.ts
@@ -51,4 +51,12 @@
 });
 
 export type MemberRecord = z.infer<typeof memberRecordSchema>;
+/**
+Returns whether a message may be sent as a datagram: direct probes and their acknowledgements, which recur. A probe that is lost is
+repeated over a connection by other members, so the messages of indirect probes must not be datagrams.
+*/
+export function isDatagram(message: MembershipMessage): boolean {
+	return (message.type === 'membership.ping' && message.onBehalfOf === '') || (message.type === 'membership.ack' && message.of === '');
+}
+
 export type MembershipMessage = z.infer<typeof membershipMessageSchema>;
--- a/src/common/services/peer-network.ts
+++ b/src/common/services/peer-network.ts
@@ -17,6 +17,11 @@
 export abstract class PeerNetwork implements Disposable {
 	abstract readonly events: Emittery<PeerNetworkEvents>;
 
+	/** Sends a one-way message that may also arrive repeatedly, late or out of order, which is cheaper; by default, sends it like any other message. */
+	sendDatagram(to: VmId, message: PeerMessage): void {
+		this.send(to, message);
+	}
+
 	/** Sets the address (IP and port) at which the process on `vm` is reached. */
 	abstract setAddress(vm: VmId, address: string): void;
 	/** Registers the handler of a message type; each type can have only one handler. Messages that do not match the schema are rejected and counted. */
--- a/src/node/membership/membership-host.ts
+++ b/src/node/membership/membership-host.ts
@@ -7,9 +7,9 @@
 	createMembership, entryProcesses, nextTickMs, reduceMembership,
 } from '../../common/membership/membership.js';
 import type {MembershipState} from '../../common/membership/membership.js';
-import {membershipMessageSchema} from '../../common/membership/messages.js';
+import {isDatagram, membershipMessageSchema} from '../../common/membership/messages.js';
 import type {
-	MemberRecord, MembershipEffect, MembershipEvent, PlatformVmState, LocalMember,
+	MemberRecord, MembershipEffect, MembershipEvent, MembershipMessage, PlatformVmState, LocalMember,
 } from '../../common/membership/types.js';
 import {EntryProcessDirectory} from '../../common/scheduler/entry-process-directory.js';
 import type {EntryProcesses} from '../../common/scheduler/types.js';
@@ -142,7 +142,12 @@
 	private _registerEffects(): void {
 		const {network, count, logger} = this._options;
 		this._runtime.on('send', ({to, message}) => {
-			network.send(to, message);
+			if (isDatagram(message as MembershipMessage)) {
+				network.sendDatagram(to, message);
+			} else {
+				network.send(to, message);
+			}
+
 			this._onGossipSent?.(to, message.type === 'membership.members');
 		});
 		this._runtime.on('count', count);
--- a/src/node/scheduler/loopback-network.ts
+++ b/src/node/scheduler/loopback-network.ts
@@ -38,6 +38,14 @@
 		});
 	}
 
+	override sendDatagram(to: VmId, message: PeerMessage): void {
+		if (to === this._self.vm) {
+			this.send(to, message);
+		} else {
+			this._inner.sendDatagram(to, message);
+		}
+	}
+
 	override async request(to: VmId, message: PeerMessage, timeoutMs: number): Promise<unknown> {
 		if (to !== this._self.vm) {
 			return this._inner.request(to, message, timeoutMs);
--- a/src/node/transport/frame.ts
+++ b/src/node/transport/frame.ts
@@ -48,8 +48,34 @@
 	}
 
 	private _mac(payload: Uint8Array): Uint8Array {
-		const prefix = `${this._direction}:${this._sequence++}:`;
-		return createHmac('sha256', this._key).update(prefix).update(payload).digest().subarray(0, macBytes);
+		return computeMac(this._key, `${this._direction}:${this._sequence++}:`, payload);
+	}
+}
+
+/** Prefix of the authenticated data of a datagram; no frame of a connection begins with it. */
+const datagramPrefix = 'datagram:';
+
+function computeMac(key: Uint8Array, prefix: string, payload: Uint8Array): Uint8Array {
+	return createHmac('sha256', key).update(prefix).update(payload).digest().subarray(0, macBytes);
+}
+
+/** Encodes and authenticates a value as a datagram: truncated HMAC-SHA256, CBOR payload. Unlike a frame, a datagram may be replayed, so its receiver must tolerate repeated and old messages. */
+export function sealDatagram(key: Uint8Array, value: unknown): Uint8Array {
+	const payload = codec.encode(value);
+	return Buffer.concat([computeMac(key, datagramPrefix, payload), payload]);
+}
+
+/** Verifies and decodes a datagram; returns undefined if it is not authentic or not valid CBOR. */
+export function openDatagram(key: Uint8Array, bytes: Uint8Array): unknown {
+	const payload = bytes.subarray(macBytes);
+	if (bytes.length <= macBytes || !timingSafeEqual(bytes.subarray(0, macBytes), computeMac(key, datagramPrefix, payload))) {
+		return undefined;
+	}
+
+	try {
+		return codec.decode(payload) as unknown;
+	} catch {
+		return undefined;
 	}
 }
 
--- a/src/node/transport/messages.ts
+++ b/src/node/transport/messages.ts
@@ -22,5 +22,14 @@
 	z.strictObject({kind: z.literal('error'), id: z.int(), message: z.string()}),
 ]);
 
+/** A one-way message in a datagram, with the identity of its sender. `to` is the VM that it is meant for. */
+export const datagramSchema = z.strictObject({
+	cluster: z.string(),
+	to: z.string(),
+	vm: z.string(),
+	incarnation: z.int(),
+	body: z.looseObject({type: z.string()}),
+});
+
 export type Hello = z.infer<typeof helloSchema>;
 export type Envelope = z.infer<typeof envelopeSchema>;
--- a/src/node/transport/tcp-peer-network.test.ts
+++ b/src/node/transport/tcp-peer-network.test.ts
@@ -6,8 +6,11 @@
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
 import {setTimeout} from 'node:timers/promises';
+import Emittery from 'emittery';
 import {z} from 'zod';
 import {NullLogger} from '../../common/core/log.js';
+import type {PeerMessage} from '../../common/core/types.js';
+import {waitUntil} from '../entry/testing/harness.js';
 import {FrameCodec, maxPayloadBytes} from './frame.js';
 import {TcpPeerNetwork} from './tcp-peer-network.js';
 
@@ -189,3 +192,38 @@
 	});
 	assert.equal(await b.network.request('a', {type: 'slow'}, 10_000), 'done');
 });
+
+test('a datagram is delivered without a connection; one that is not authentic, not addressed to the process or of another cluster is refused and counted', async t => {
+	const {a, b} = await startPair(t);
+	const texts = new Emittery<{onText: string}>();
+	a.network.registerHandler('echo', echoSchema, (_from, {text}) => {
+		void texts.emit('onText', text);
+	});
+	const received = texts.once('onText');
+	b.network.sendDatagram('a', {type: 'echo', text: 'small'});
+	assert.equal(await received, 'small');
+
+	for (const overrides of [{cluster: 'other'}, {clusterKey: 'fedcba9876543210'}]) {
+		const stranger = await startNetwork(t, 'c', overrides);
+		stranger.network.setAddress('a', a.network.address);
+		const refusedBefore = a.counts.get('transport_refused_datagrams_total') ?? 0;
+		stranger.network.sendDatagram('a', {type: 'echo', text: 'forged'});
+		await waitUntil(() => (a.counts.get('transport_refused_datagrams_total') ?? 0) > refusedBefore);
+	}
+
+	b.network.setAddress('elsewhere', a.network.address);
+	b.network.sendDatagram('elsewhere', {type: 'echo', text: 'misdirected'});
+	await waitUntil(() => a.counts.get('transport_refused_datagrams_total') === 3);
+});
+
+test('a message that does not fit into a datagram is sent over a connection', async t => {
+	const {a, b} = await startPair(t);
+	const texts = new Emittery<{onText: string}>();
+	a.network.registerHandler('echo', echoSchema, (_from, {text}) => {
+		void texts.emit('onText', text);
+	});
+	const received = texts.once('onText');
+	b.network.sendDatagram('a', {type: 'echo', text: 'x'.repeat(5000)});
+	const text = await received;
+	assert.equal(text.length, 5000);
+});
--- a/src/node/transport/tcp-peer-network.ts
+++ b/src/node/transport/tcp-peer-network.ts
@@ -9,6 +9,7 @@
 import {PeerNetwork} from '../../common/services/peer-network.js';
 import type {MessageHandler, PeerNetworkEvents} from '../../common/services/peer-network.js';
 import {joinAddress, splitAddress} from '../address.js';
+import {DatagramChannel} from './datagram-channel.js';
 import type {Envelope} from './messages.js';
 import {PeerConnection, pingIntervalMs} from './peer-connection.js';
 
@@ -39,7 +40,7 @@
 };
 type PendingConnection = {readonly connection: PeerConnection; readonly queuedEnvelopes: Envelope[]};
 
-/** Sends messages between processes over authenticated TCP connections, which are opened on demand and closed when idle. */
+/** Sends messages between processes over authenticated TCP connections, which are opened on demand and closed when idle, and small messages that may be lost as datagrams to the same port. */
 export class TcpPeerNetwork extends PeerNetwork {
 	/** Starts listening and returns the network. Rejects if the address cannot be listened on, for example because it is in use. */
 	static async listen(options: PeerNetworkOptions): Promise<TcpPeerNetwork> {
@@ -49,6 +50,7 @@
 			network._server.once('error', reject);
 			network._server.listen(port, host, resolve);
 		});
+		await network._openDatagramChannel();
 		return network;
 	}
 
@@ -66,6 +68,8 @@
 	private readonly _activeInboundRequests = new Map<PeerConnection, number>();
 	private readonly _clusterKey: Uint8Array;
 	private readonly _checkTimer: NodeJS.Timeout;
+	/** Undefined if the network listens on an IPv6 address. */
+	private _datagrams: DatagramChannel | undefined;
 	private _nextRequestId = 1;
 	private _isDisposed = false;
 
@@ -98,6 +102,13 @@
 		this._sendOrQueue(to, {kind: 'one-way', body: message});
 	}
 
+	override sendDatagram(to: VmId, message: PeerMessage): void {
+		const address = this._addresses.get(to);
+		if (address === undefined || !this._datagrams?.trySend(to, address, message)) {
+			this.send(to, message);
+		}
+	}
+
 	override async request(to: VmId, message: PeerMessage, timeoutMs: number): Promise<unknown> {
 		const id = this._nextRequestId++;
 		return new Promise((resolve, reject) => {
@@ -125,11 +136,39 @@
 			this._rejectRequest(id, 'the network is shut down');
 		}
 
+		await this._datagrams?.dispose();
 		await new Promise(resolve => {
 			this._server.close(resolve);
 		});
 	}
 
+	private async _openDatagramChannel(): Promise<void> {
+		const {cluster, self, count} = this._options;
+		const {address: host, port, family} = this._server.address() as AddressInfo;
+		if (family !== 'IPv4') {
+			return;
+		}
+
+		try {
+			this._datagrams = await DatagramChannel.open({
+				cluster,
+				clusterKey: this._clusterKey,
+				self,
+				host,
+				port,
+				onMessage: (from, body) => {
+					void this._runHandler(from, body);
+				},
+				onRefused(reason) {
+					count('transport_refused_datagrams_total', {reason});
+				},
+			});
+		} catch (err) {
+			await this.dispose();
+			throw err;
+		}
+	}
+
 	/** Sends an envelope, or queues it until a connection is open. Returns false if the envelope was dropped. */
 	private _sendOrQueue(to: VmId, envelope: Envelope): boolean {
 		const connection = this._connections.get(to);
