forwarding: cold servers get no more requests than they tolerate, from all processes together

Cause: a server that has just started crashes under its usual share. The remaining cold time added a microsecond per millisecond to the delay of a plain server, nothing to an engine's cost, and 83 processes that know nothing of each other's sends have no bound together.

Change: for each cold server, rendezvous hashing names a few processes as senders, each with one turn in 1,050 ms. A sender must be among the first 6 live processes and among the first 15 known ones (for 6.7 a second, factor 1.5, slack 5), so the bound holds whatever the processes take for alive. Coldness is learned from the list (the publisher now sends an entry again if the server became cold again) and from Cold-Ms in answers. Servers without a turn are left out; a request with nothing else left gets 503 with Retry-After. Off unless the settings state the allowance and the service its rate.

The list-feed test listed servers at 2 s with the warm-up time of second 0, which now means that they became cold again: its list now shows 3,000 ms, and another assertion covers the case that it had by accident.

--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -188,15 +188,15 @@
 	assert.deepEqual(run([{type: 'forward/held', attempt: 1}], {takeRetry: () => false, hasAcceptingPrefillEngine: () => true}), ['hold -', 'prefill']);
 });
 
-test('a request is rejected immediately if every engine is paused for longer than the request may wait, and the reason tells paused, full and busy engines apart', () => {
-	const refusal = (nowMs: number, resumesInMs?: number, isPrefillBusy = false) => {
+test('a request is rejected immediately if every engine is paused for longer than the request may wait, and the reason tells paused, full, busy and cold engines apart', () => {
+	const refusal = (nowMs: number, resumesInMs?: number, isPrefillBusy = false, coldWaitMs?: number) => {
 		const state = createModelForward({
 			isResumable: false, maxAttempts: 1, memoryWaitPolicy: {maxWaitMs: 600, roundIntervalMs: 50, spareMemoryRatio: 0}, fullPoolRetryAfterMs: 2000,
 			takeRetry: () => true, hasAcceptingPrefillEngine: () => false, chargeFailedPrefill: () => undefined,
 		});
 		reduceModelForward(state, {type: 'forward/start', nowMs: 0});
 		const effects = reduceModelForward(state, {
-			type: 'forward/no-engine', attempt: 1, nowMs, resumesInMs, isPrefillBusy,
+			type: 'forward/no-engine', attempt: 1, nowMs, resumesInMs, isPrefillBusy, coldWaitMs,
 		});
 		return effects.map(effect => effect.type === 'forward/answer' ? effect.answer : effect.type);
 	};
@@ -204,6 +204,8 @@
 	assert.deepEqual(refusal(0, 2500), ['forward/release', {status: 503, reason: 'no engine takes work', retryAfterMs: 2500}]);
 	assert.deepEqual(refusal(0, 300), ['forward/wait']);
 	assert.deepEqual(refusal(700), ['forward/release', {status: 503, reason: 'no engine has room', retryAfterMs: 2000}]);
+	assert.deepEqual(refusal(0, undefined, false, 3000), ['forward/release', {status: 503, reason: 'the servers have just started and take few requests', retryAfterMs: 1000}]);
+	assert.deepEqual(refusal(0, undefined, false, 300), ['forward/wait'], 'a turn comes within the wait');
 	assert.deepEqual(refusal(700, undefined, true), ['forward/release', {status: 503, reason: 'the prefill engines are busy', retryAfterMs: 2000}]);
 });
 
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -3,6 +3,7 @@
 prefill engine, and sends the request to the decode engine, which fetches the KV cache and streams the output.
 */
 import type {BaseEvent, UntimedEvent} from '../core/types.js';
+import {coldRetryAfterMs, coldServersReason} from './cold-budget.js';
 import type {MemoryWaitPolicy} from './memory-wait.js';
 import type {
 	LocalAnswer, SendFailure, ServerKey, StopCause,
@@ -73,7 +74,9 @@
 	No engine is left to ask for a reservation. `resumesInMs` is set if every engine paused new work: the time until the first engine resumes, in
 	milliseconds. `isPrefillBusy` is set if no engine was asked because this process already has as many prompts at the prefill engines as it may.
 	*/
-	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number; readonly resumesInMs?: number | undefined; readonly isPrefillBusy?: boolean})
+	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number; readonly resumesInMs?: number | undefined; readonly isPrefillBusy?: boolean;
+		/** Set if engines are left out only because they are cold: the time until this process may send to the first of them, in milliseconds. */
+		readonly coldWaitMs?: number | undefined;})
 	| (BaseEvent<'forward/prefilled'> & {readonly attempt: number})
 	| (BaseEvent<'forward/prefill-failed'> & {readonly attempt: number; readonly server: ServerKey | undefined})
 	/** The head of a response arrived; `isNotRun` means that the engine reported that it did not run the request. */
@@ -259,7 +262,7 @@
 }
 
 /** Starts another round without the spare-memory requirement if this round had it; otherwise waits for memory if the policy allows it, or else rejects the request. */
-function handleNoEngine(state: ModelForwardState, {nowMs, resumesInMs = 0, isPrefillBusy = false}: EventOf<'forward/no-engine'>): ModelForwardEffect[] {
+function handleNoEngine(state: ModelForwardState, {nowMs, resumesInMs = 0, isPrefillBusy = false, coldWaitMs}: EventOf<'forward/no-engine'>): ModelForwardEffect[] {
 	if (state.isSpareRequired && state.refusedBy.size > 0) {
 		state.isSpareRequired = false;
 		state.refusedBy = new Set();
@@ -268,6 +271,10 @@
 
 	const {maxWaitMs, roundIntervalMs} = state.memoryWaitPolicy;
 	const waitedMs = nowMs - state.memoryWaitStartedMs;
+	if (coldWaitMs !== undefined && state.refusedBy.size === 0 && waitedMs + coldWaitMs > maxWaitMs) {
+		return failRequest(state, coldServersReason, coldRetryAfterMs(coldWaitMs));
+	}
+
 	if (resumesInMs > 0 && waitedMs + resumesInMs > maxWaitMs) {
 		return failRequest(state, 'no engine takes work', Math.max(resumesInMs, state.fullPoolRetryAfterMs));
 	}
--- a/src/common/forwarding/plain-forward.test.ts
+++ b/src/common/forwarding/plain-forward.test.ts
@@ -55,6 +55,18 @@
 	}), {seed: 5});
 });
 
+test('a request for which only cold servers without a turn are left is refused with the reason and a short retry delay', () => {
+	const refusal = (coldWaitMs: number) => {
+		const state = createPlainForward({isIdempotent: false, maxAttempts: 1, takeRetry: () => true});
+		reducePlainForward(state, {type: 'forward/start', nowMs: 0});
+		return reducePlainForward(state, {type: 'forward/no-server', coldWaitMs, nowMs: 0});
+	};
+
+	const answer = {status: 503, reason: 'the servers have just started and take few requests'};
+	assert.deepEqual(refusal(400), [{type: 'forward/answer', answer: {...answer, retryAfterMs: 400}}]);
+	assert.deepEqual(refusal(30_000), [{type: 'forward/answer', answer: {...answer, retryAfterMs: 1000}}]);
+});
+
 test('a request whose caller has gone is aborted and not answered', () => {
 	assert.deepEqual(run([{type: 'forward/stopped', cause: 'caller-gone'}, answered(200)]), ['send', 'abort']);
 });
--- a/src/common/forwarding/plain-forward.ts
+++ b/src/common/forwarding/plain-forward.ts
@@ -1,5 +1,6 @@
 /** State machine for a forwarded request to a plain service. */
 import type {BaseEvent} from '../core/types.js';
+import {coldRetryAfterMs, coldServersReason} from './cold-budget.js';
 import type {LocalAnswer, SendFailure, StopCause} from './types.js';
 
 /** Maximum number of resends of a request after sends that certainly did not run. */
@@ -28,8 +29,11 @@
 
 export type PlainForwardEvent =
 	| BaseEvent<'forward/start'>
-	/** No server is left to send to. `resumesInMs` is set if every server paused new work: the time until the first server resumes, in milliseconds. */
-	| (BaseEvent<'forward/no-server'> & {readonly resumesInMs?: number | undefined})
+	/**
+	No server is left to send to. `resumesInMs` is set if every server paused new work: the time until the first server resumes, in milliseconds.
+	`coldWaitMs` is set if servers are left out only because they are cold: the time until this process may send to the first of them, in milliseconds.
+	*/
+	| (BaseEvent<'forward/no-server'> & {readonly resumesInMs?: number | undefined; readonly coldWaitMs?: number | undefined})
 	/** The complete response of a server arrived; `isNotRun` means that the server reported that it did not run the request. */
 	| (BaseEvent<'forward/answered'> & {readonly status: number; readonly isNotRun: boolean})
 	| (BaseEvent<'forward/failed'> & {readonly failure: SendFailure})
@@ -62,7 +66,7 @@
 		}
 
 		case 'forward/no-server': {
-			return state.hasServerAnswer ? relay(state) : end(state, 'no usable server', event.resumesInMs ?? retryAfterNoServerMs);
+			return state.hasServerAnswer ? relay(state) : endWithoutServer(state, event);
 		}
 
 		case 'forward/blocked': {
@@ -93,6 +97,12 @@
 	return [{type: 'forward/relay'}];
 }
 
+function endWithoutServer(state: PlainForwardState, {resumesInMs, coldWaitMs}: Extract<PlainForwardEvent, {type: 'forward/no-server'}>): PlainForwardEffect[] {
+	return coldWaitMs === undefined
+		? end(state, 'no usable server', resumesInMs ?? retryAfterNoServerMs)
+		: end(state, coldServersReason, coldRetryAfterMs(coldWaitMs));
+}
+
 /** Ends with 502 if the request may have run, and with 503 only if it certainly did not. */
 function end(state: PlainForwardState, reason: string, retryAfterMs: number): PlainForwardEffect[] {
 	state.phase = 'ended';
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -1,5 +1,6 @@
 import type {SeededRandom} from '../core/random.js';
 import {OutlierEjection} from '../requests/outlier-ejection.js';
+import type {ColdBudget, ColdRate} from './cold-budget.js';
 import {ServerNotices} from './server-notices.js';
 import {serverKey} from './types.js';
 import type {EngineStage, ServerKey, ServerRecord} from './types.js';
@@ -22,6 +23,8 @@
 const statisticsDecayMs = 2000;
 /** Time after a successful prefill for which the prefill engine is expected to accept further prompts, in milliseconds. */
 const prefillSuccessValidityMs = 1000;
+/** Expected extra latency of a cold server whose requests are limited, in milliseconds. */
+const coldDelayMs = 40;
 /** Expected extra latency of a server in another zone, in milliseconds: one round trip between zones. */
 const otherZoneDelayMs = 1;
 /** Time for which an engine that refused a reservation or a prompt is ranked last, in milliseconds. */
@@ -70,6 +73,8 @@
 	/** Maximum number of exchanges that this process may have in progress with one server. */
 	readonly maxInFlight: number;
 	readonly nowMs: number;
+	/** What the servers of the service tolerate while they are cold; undefined if they need no protection. */
+	readonly coldRate?: ColdRate | undefined;
 };
 
 /** Servers of all services on the platform's list, with the load and health that this process observed, and the choice among them. */
@@ -81,7 +86,8 @@
 	private readonly _servers = new Map<ServerKey, Server>();
 	private readonly _byService = new Map<string, Server[]>();
 
-	constructor(private readonly _random: SeededRandom) {}
+	/** `cold` is undefined if cold servers need no protection. */
+	constructor(private readonly _random: SeededRandom, readonly cold?: ColdBudget) {}
 
 	get servers(): Iterable<Server> {
 		return this._servers.values();
@@ -89,10 +95,11 @@
 
 	/**
 	Replaces the list; servers that are no longer listed get no new work. Returns the keys of servers that were added, changed their state
-	or stage, or were removed.
+	or stage, were removed, or are newly known to be cold. `requestedMs` is the time at which the list was requested.
 	*/
-	update(records: readonly ServerRecord[], nowMs: number): {readonly added: ServerKey[]; readonly changed: ServerKey[]; readonly removed: ServerKey[]} {
-		this.listRequestedAtMs = nowMs;
+	update(records: readonly ServerRecord[], requestedMs: number, nowMs = requestedMs): Record<'added' | 'changed' | 'removed' | 'cold', ServerKey[]> {
+		const isFirst = this.listRequestedAtMs === undefined;
+		this.listRequestedAtMs = requestedMs;
 		const listed = new Map<ServerKey, ServerRecord>();
 		for (const record of records) {
 			const key = serverKey(record);
@@ -102,6 +109,7 @@
 			}
 		}
 
+		const cold = this.cold?.update(listed, requestedMs, nowMs, key => !isFirst && !this._servers.has(key)) ?? [];
 		const added: ServerKey[] = [];
 		const changed: ServerKey[] = [];
 		const removed = [...this._servers.keys()].filter(key => !listed.has(key));
@@ -131,7 +139,9 @@
 			this._byService.set(server.record.service, servers);
 		}
 
-		return {added, changed, removed};
+		return {
+			added, changed, removed, cold,
+		};
 	}
 
 	get(key: ServerKey): Server | undefined {
@@ -187,6 +197,17 @@
 		return earliestMs > 0 && earliestMs < Infinity ? earliestMs : undefined;
 	}
 
+	/**
+	Returns the time until this process may send to the first of the servers that are left out only because they are cold, in milliseconds; undefined
+	if a server may be used, or if none could be used even if it were warm.
+	*/
+	coldWaitMs(query: ServerQuery): number | undefined {
+		const {coldRate, nowMs} = query;
+		const servers = coldRate ? this._candidates({...query, coldRate: undefined}) : [];
+		const waitMs = Math.min(...servers.map(({key}) => this.cold?.waitMs(key, coldRate!, nowMs) ?? 0));
+		return waitMs > 0 && waitMs < Infinity ? waitMs : undefined;
+	}
+
 	/** Begins an exchange with a plain server. */
 	beginExchange(server: Server, nowMs: number): PlainExchange {
 		const exchange = {startedMs: nowMs};
@@ -246,11 +267,12 @@
 	}
 
 	/** Returns the servers that may be used for the query. Ejected servers are included only if all usable servers are ejected, since the fault may then lie with this process. */
-	private _candidates({service, stage, exclude, maxInFlight, nowMs}: ServerQuery): Server[] {
+	private _candidates({service, stage, exclude, maxInFlight, nowMs, coldRate}: ServerQuery): Server[] {
 		const ready = this.readyServers(service, stage).filter(server => this._isUsable(server, nowMs));
 		const healthy = ready.filter(({ejection}) => !ejection.isEjected);
 		const usable = healthy.length > 0 ? healthy : ready;
-		return usable.filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
+		const mayBegin = (key: ServerKey) => !coldRate || !this.cold || this.cold.mayBegin(key, coldRate, nowMs);
+		return usable.filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight && mayBegin(key));
 	}
 
 	private _isUsable(server: Server, nowMs: number): boolean {
@@ -271,10 +293,12 @@
 		const {latencyMs, failureShare} = decayedStatistics(server, nowMs);
 		const [oldest] = exchanges;
 		const overdueByMs = oldest ? Math.max(0, nowMs - oldest.startedMs - overdueAfterMs(server)) : 0;
-		const baseMs = latencyMs + (failureShare * failurePenaltyFactor * initialLatencyMs);
+		const isCold = this.cold !== undefined && this.cold.coldForMs(server.key, nowMs) > 0;
+		const baseMs = latencyMs + (isCold ? coldDelayMs : 0) + (failureShare * failurePenaltyFactor * initialLatencyMs);
 		const queueFactor = 1 + (inFlight / Math.max(1, record.slots));
 		const jitter = 0.9 + (this._random.integer(0, 1000) / 5000);
-		return ((baseMs + overdueByMs) * queueFactor * jitter) + (record.coldLeftMs / 1000) + (record.zone === zone ? 0 : otherZoneDelayMs);
+		const extraMs = this.cold ? 0 : record.coldLeftMs / 1000;
+		return ((baseMs + overdueByMs) * queueFactor * jitter) + extraMs + (record.zone === zone ? 0 : otherZoneDelayMs);
 	}
 }
 
--- a/src/common/forwarding/server-list-feed.test.ts
+++ b/src/common/forwarding/server-list-feed.test.ts
@@ -54,9 +54,14 @@
 	assert.equal(publisher.apply(list.map(record => ({...record, coldLeftMs: 4000})), 1000), false);
 	const [unchanged, received] = sync(1010);
 	assert.deepEqual([unchanged.isWhole, unchanged.changed.length, unchanged.removed.length, received.isChanged], [false, 0, 0, false]);
-	assert.equal(publisher.apply([{...list[0]!, state: 'leaving'}, ...list.slice(2)], 2000), true);
+	const warming = list.map(record => ({...record, coldLeftMs: 3000}));
+	assert.equal(publisher.apply([{...warming[0]!, state: 'leaving'}, ...warming.slice(2)], 2000), true);
 	const [update] = sync(2010);
 	assert.deepEqual([update.isWhole, update.changed.length, update.removed.length], [false, 1, 1]);
+	// A longer remaining time means that the server has become cold again.
+	const later = warming.map(record => ({...record, coldLeftMs: 2000}));
+	assert.equal(publisher.apply([{...later[0]!, state: 'leaving'}, {...later[2]!, coldLeftMs: 5000}, ...later.slice(3)], 3000), true);
+	assert.deepEqual(sync(3010)[0].changed.map(({id, coldLeftMs}) => `${id} ${coldLeftMs}`), ['s2 5000']);
 });
 
 test('the age of a list includes the time that the reply was in transit', () => {
--- a/src/common/forwarding/server-list-feed.ts
+++ b/src/common/forwarding/server-list-feed.ts
@@ -31,7 +31,11 @@
 	return a.term === b.term && a.version === b.version;
 }
 
-type Entry = {readonly record: ServerRecord; readonly version: number};
+/** Difference of the times at which a server is warm, in milliseconds, from which two records state different times. */
+const warmTimeToleranceMs = 500;
+
+/** `requestedMs` is the time at which the list with the record was requested. */
+type Entry = {readonly record: ServerRecord; readonly version: number; readonly requestedMs: number};
 
 /** The server list with its recent changes, at the process that polls the list. */
 export class ServerListPublisher {
@@ -58,8 +62,8 @@
 			const key = serverKey(record);
 			listedKeys.add(key);
 			const known = this._entries.get(key);
-			if (!known || !isEquivalent(known.record, record)) {
-				this._entries.set(key, {record, version: nextVersion});
+			if (!known || !isEquivalent(known, record, requestedMs)) {
+				this._entries.set(key, {record, version: nextVersion, requestedMs});
 				isChanged = true;
 			}
 		}
@@ -98,9 +102,13 @@
 	}
 }
 
-/** Whether two records of a server are so similar that receivers need no update. The remaining warm-up time changes with every poll, so only whether a server is warm is compared. */
-function isEquivalent(a: ServerRecord, b: ServerRecord): boolean {
-	return a.state === b.state && a.stage === b.stage && a.slots === b.slots && a.zone === b.zone && (a.coldLeftMs > 0) === (b.coldLeftMs > 0);
+/**
+Whether a record differs so little from the known one that receivers need no update. The remaining warm-up time changes with every poll,
+so the times at which the server is warm are compared: a later one means that it has become cold again.
+*/
+function isEquivalent({record: a, requestedMs: knownMs}: Entry, b: ServerRecord, requestedMs: number): boolean {
+	const isColder = b.coldLeftMs > 0 && requestedMs + b.coldLeftMs > knownMs + a.coldLeftMs + warmTimeToleranceMs;
+	return a.state === b.state && a.stage === b.stage && a.slots === b.slots && a.zone === b.zone && (a.coldLeftMs > 0) === (b.coldLeftMs > 0) && !isColder;
 }
 
 /** The list of a receiver after an update. */
--- a/src/common/membership/rendezvous.ts
+++ b/src/common/membership/rendezvous.ts
@@ -21,3 +21,15 @@
 	scored.sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1));
 	return scored.map(({node}) => node);
 }
+
+/** Returns how many of the nodes rank before `self` for a key, in the order of `rankByRendezvous`. `self` need not be among the nodes. */
+export function rendezvousPosition(key: string, self: string, nodes: Iterable<string>): number {
+	const ownScore = hashString(`${key}|${self}`);
+	let position = 0;
+	for (const node of nodes) {
+		const score = hashString(`${key}|${node}`);
+		position += score > ownScore || (score === ownScore && node < self) ? 1 : 0;
+	}
+
+	return position;
+}
--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -31,9 +31,12 @@
 	async reserve(server: Server, {tokens, ttlMs, minFreeTokens}: {readonly tokens: number; readonly ttlMs: number; readonly minFreeTokens: number}): Promise<ReservationResult> {
 		const {fleet, protocol, clock} = this._dependencies;
 		fleet.directory.beginWork(server, tokens);
+		fleet.recordColdRequest(server, ttlMs);
+		// A cold engine gets no trial reservation, which would cost two more requests of the few that it takes.
+		const needsTrial = minFreeTokens > 0 && fleet.coldForMs(server) === 0;
 		let isReserved = false;
 		try {
-			if (minFreeTokens > 0 && !await this._hasRoom(server, tokens + minFreeTokens)) {
+			if (needsTrial && !await this._hasRoom(server, tokens + minFreeTokens)) {
 				fleet.directory.recordRefusal(server, clock.nowMs());
 				return {kind: 'refused'};
 			}
@@ -115,6 +118,7 @@
 
 	private async _release(server: Server, call: ServerCall, timeoutMs: number): Promise<void> {
 		const {fleet, protocol} = this._dependencies;
+		fleet.recordColdRequest(server);
 		await fleet.adapterFor(server).call(call, timeoutMs, {
 			// The answer to a release is empty, and one that belongs to another release does no harm.
 			isOwnAnswer: ({text}) => protocol.readReservationId(text) === undefined,
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -44,6 +44,8 @@
 	Applies only if the status of the answer rejects the request for overload.
 	*/
 	readonly retryAfterMs: number | undefined;
+	/** Time for which the server remains cold, in milliseconds; undefined if it states none. */
+	readonly coldForMs: number | undefined;
 };
 
 /** A call that the router makes to a server on its own behalf, not for a caller. */
--- a/src/node/forwarding/fleet-settings.ts
+++ b/src/node/forwarding/fleet-settings.ts
@@ -1,3 +1,4 @@
+import type {ColdAllowance} from '../../common/forwarding/cold-budget.js';
 import type {WindowedRetryBudgetLimits} from '../../common/forwarding/windowed-retry-budget.js';
 
 /** Resources of a VM that one process may use. */
@@ -12,9 +13,6 @@
 	readonly linkBitsPerSecond: number;
 };
 
-/** Bound on the requests that a cold server receives in any second: the rate that it tolerates times `factor`, plus `slack`. */
-export type ColdAllowance = {readonly factor: number; readonly slack: number};
-
 /** Settings of a process that forwards requests by host and path, in addition to those of every process. */
 export type FleetSettings = {
 	/** Name of the VM on the platform; identifies this process in logs and in orders to engines. */
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../common/core/clock.js';
 import type {Logger} from '../../common/core/log.js';
 import type {PartId} from '../../common/quarantine/types.js';
+import type {Server} from '../../common/forwarding/server-directory.js';
 import type {LocalAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
@@ -74,6 +75,16 @@
 	});
 }
 
+/** Charges a request, or a prefill call for it, to the budget of a cold server as it is sent. */
+export function recordColdSend({requestId, service}: ForwardRequest, {fleet, metrics, logger}: ForwardDependencies, server: Server): void {
+	if (fleet.recordColdRequest(server)) {
+		metrics.count('forward_cold_sends_total', {service: service.name});
+		logger.log('info', 'request sent to a cold server', {
+			requestId, server: server.key, coldForMs: Math.round(fleet.coldForMs(server)), listAgeMs: fleet.listAgeMs(),
+		});
+	}
+}
+
 /** Sends the caller an answer that the router generates itself. Does nothing if an answer has already begun or the connection is closed. */
 export function sendLocalAnswer({exchange}: Pick<ForwardRequest, 'exchange'>, protocol: FleetProtocol, {status, reason, retryAfterMs}: LocalAnswer): void {
 	const body = new TextEncoder().encode(JSON.stringify({status, detail: reason}));
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -2,7 +2,7 @@
 import type {ModelForwardState, ModelForwardEffect, ModelForwardInput} from '../../common/forwarding/model-forward.js';
 import {memoryWaitPolicy, fullPoolRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
-import type {Server} from '../../common/forwarding/server-directory.js';
+import type {Server, ServerQuery} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {prefillParts} from '../../common/quarantine/parts.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
@@ -14,7 +14,9 @@
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {HttpMethod} from './forward-adapter.js';
-import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
+import {
+	recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
+} from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 import type {ServerRequestFacts} from './fleet-protocol.js';
 import {SseEventBuffer} from './sse-event-buffer.js';
@@ -198,11 +200,11 @@
 		}
 	}
 
-	private _selectionCriteria(exclude: ReadonlySet<ServerKey>, zone: string) {
+	private _selectionCriteria(exclude: ReadonlySet<ServerKey>, zone: string): ServerQuery {
 		const {fleet, clock} = this._dependencies;
 		const {service} = this._request;
 		return {
-			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(),
+			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(), coldRate: fleet.coldRate(service),
 		};
 	}
 
@@ -219,11 +221,13 @@
 		const {service, requestId} = this._request;
 		this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
 		const isPrefillBusy = !this._hasPrefillSlot;
-		const server = isPrefillBusy ? undefined : fleet.directory.chooseDecodeEngine(this._selectionCriteria(exclude, zone));
+		const query = this._selectionCriteria(exclude, zone);
+		const server = isPrefillBusy ? undefined : fleet.directory.chooseDecodeEngine(query);
 		if (!server) {
+			const coldWaitMs = isPrefillBusy ? undefined : fleet.directory.coldWaitMs({...query, stage: 'decode'});
 			this._releasePrefillSlot();
 			this._dispatchLater({
-				type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), 'decode'), isPrefillBusy,
+				type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), 'decode'), isPrefillBusy, coldWaitMs,
 			});
 			return;
 		}
@@ -371,6 +375,7 @@
 		const startedMs = clock.nowMs();
 		const trackedPrefill = quarantine.track(server.key, requestId, parts);
 		fleet.directory.beginWork(server, tokens);
+		recordColdSend(this._request, this._dependencies, server);
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body, isFramed} = await bufferAnswer(response, prefillAnswerLimitBytes);
@@ -461,6 +466,7 @@
 			fleet.countSend(service.name);
 		}
 
+		recordColdSend(this._request, this._dependencies, server);
 		reservation.isUsed = true;
 		if (prefilledCache) {
 			prefilledCache.isUsed = true;
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -1,6 +1,6 @@
 import {createPlainForward, reducePlainForward} from '../../common/forwarding/plain-forward.js';
 import type {PlainForwardState, PlainForwardEffect, PlainForwardEvent} from '../../common/forwarding/plain-forward.js';
-import type {Server} from '../../common/forwarding/server-directory.js';
+import type {Server, ServerQuery} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import type {UntimedEvent} from '../../common/core/types.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
@@ -8,7 +8,9 @@
 import {CallError, failureOf} from '../upstreams/call-error.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
-import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
+import {
+	recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
+} from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 
 /** Maximum size of a server's answer, in bytes; the whole answer is held in memory before it is relayed. */
@@ -88,12 +90,12 @@
 		}
 	}
 
-	private _chooseServer(): Server | undefined {
+	private _query(): ServerQuery {
 		const {fleet, clock, zone} = this._dependencies;
 		const {service} = this._request;
-		return fleet.directory.choose({
-			service: service.name, zone, exclude: this._triedServers, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(),
-		});
+		return {
+			service: service.name, zone, exclude: this._triedServers, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(), coldRate: fleet.coldRate(service),
+		};
 	}
 
 	private async _send(): Promise<void> {
@@ -110,17 +112,20 @@
 			return;
 		}
 
-		const server = this._chooseServer();
+		const query = this._query();
+		const server = fleet.directory.choose(query);
 		if (!server) {
+			const coldWaitMs = fleet.directory.coldWaitMs(query);
 			// Dispatched later, because the reducer must not be re-entered while its effects are being executed.
 			queueMicrotask(() => {
-				this._dispatch({type: 'forward/no-server', resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs())});
+				this._dispatch({type: 'forward/no-server', resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs()), coldWaitMs});
 			});
 			return;
 		}
 
 		this._triedServers.add(server.key);
 		const sentMs = clock.nowMs();
+		recordColdSend(this._request, this._dependencies, server);
 		if (this._state.sends === 1) {
 			fleet.countSend(service.name);
 		} else {
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -2,16 +2,28 @@
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
 import {SeededRandom} from '../../common/core/random.js';
+import {ColdBudget} from '../../common/forwarding/cold-budget.js';
+import type {ColdAllowance, ColdRate} from '../../common/forwarding/cold-budget.js';
 import {PrefillLimiter} from '../../common/forwarding/prefill-limiter.js';
 import {WindowedRetryBudget} from '../../common/forwarding/windowed-retry-budget.js';
 import type {WindowedRetryBudgetLimits} from '../../common/forwarding/windowed-retry-budget.js';
 import {ServerDirectory} from '../../common/forwarding/server-directory.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, ServerRecord} from '../../common/forwarding/types.js';
+import type {ForwardService} from '../../common/configuration/forwarding.js';
+import type {EntryProcesses} from '../../common/scheduler/types.js';
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {ForwardAdapter} from './forward-adapter.js';
 import type {FleetProtocol} from './fleet-protocol.js';
 
+export type ColdFleetOptions = {
+	readonly allowance: ColdAllowance;
+	/** Name of the VM of this process. */
+	readonly self: string;
+	/** All known processes that forward requests. */
+	readonly processes: () => EntryProcesses;
+};
+
 export type ServerFleetOptions = {
 	readonly protocol: Pick<FleetProtocol, 'readServerAnswer'>;
 	readonly clock: Clock;
@@ -20,6 +32,8 @@
 	readonly retries: WindowedRetryBudgetLimits;
 	/** Number of processes that forward requests. */
 	readonly processCount: () => number;
+	/** Protection of cold servers; absent if they need none. */
+	readonly cold?: ColdFleetOptions | undefined;
 	/** Tells the other processes that this one cannot reach a server. */
 	readonly announceUnreachable: (key: ServerKey) => void;
 	/** Tells the other processes to send a server no work for `forMs` milliseconds; 0 ends the suspension early. */
@@ -35,6 +49,10 @@
 changes a second or two late, and keeps crashed servers for some seconds.
 */
 const misdirectedSuspensionMs = 3000;
+/** Maximum number of servers that one log line names. */
+const maxLoggedServers = 20;
+/** Requests that one turn may cause at a cold engine within a second: a reservation or a prefill call, and the run or the release that follows it. */
+const engineRequestsPerTurn = 2;
 /** Status with which a server rejects requests for some time (HTTP 503, Service Unavailable). */
 const overloadedStatus = 503;
 /** Number of granted reservations that are remembered; far more than this process asks for while a connection may carry a late copy. */
@@ -59,7 +77,7 @@
 
 	constructor(private readonly _options: ServerFleetOptions) {
 		this.random = new SeededRandom(_options.seed);
-		this.directory = new ServerDirectory(this.random);
+		this.directory = new ServerDirectory(this.random, _options.cold && new ColdBudget({..._options.cold, startedMs: _options.clock.nowMs()}));
 	}
 
 	/**
@@ -71,11 +89,15 @@
 			return;
 		}
 
-		const {added, changed, removed} = this.directory.update(records, requestedMs);
+		const {added, changed, removed, cold} = this.directory.update(records, requestedMs, this._options.clock.nowMs());
 		for (const key of removed) {
 			this._options.onServerLost(key);
 		}
 
+		if (cold.length > 0) {
+			this._options.logger.log('info', 'servers are cold', {servers: cold.slice(0, maxLoggedServers), count: cold.length, listAgeMs: this.listAgeMs()});
+		}
+
 		for (const [key, adapter] of this._adapters) {
 			if (!this.directory.get(key)) {
 				adapter.dispose();
@@ -138,6 +160,23 @@
 		return true;
 	}
 
+	/** What the servers of a service tolerate while they are cold; undefined if they need no protection. */
+	coldRate({coldRequestsPerSecond, engine}: ForwardService): ColdRate | undefined {
+		return this._options.cold && coldRequestsPerSecond !== undefined
+			? {requestsPerSecond: coldRequestsPerSecond, requestsPerTurn: engine ? engineRequestsPerTurn : 1}
+			: undefined;
+	}
+
+	/** Charges a request that is sent now to the budget of the server, if it is cold. If another request of the same turn follows, it does so within `followedWithinMs` milliseconds. Returns whether the server is cold. */
+	recordColdRequest({key}: Server, followedWithinMs = 0): boolean {
+		return this.directory.cold?.recordRequest(key, this._options.clock.nowMs(), followedWithinMs) ?? false;
+	}
+
+	/** Time for which the server remains cold and takes few requests, in milliseconds; 0 if it is warm or needs no protection. */
+	coldForMs({key}: Server): number {
+		return this.directory.cold?.coldForMs(key, this._options.clock.nowMs()) ?? 0;
+	}
+
 	countSend(service: string): void {
 		this._retryBudget(service).countSend(this._options.clock.nowMs());
 	}
@@ -259,7 +298,7 @@
 	/** Applies what a server states about itself in the headers of any answer, since the platform's list would show it only later. */
 	private _applyNotices(key: ServerKey, {status, headers}: Pick<UpstreamResponse, 'status' | 'headers'>): void {
 		const {protocol, clock, logger, announceLeaving} = this._options;
-		const {isLeaving, retryAfterMs} = protocol.readServerAnswer(headers);
+		const {isLeaving, retryAfterMs, coldForMs} = protocol.readServerAnswer(headers);
 		const {notices} = this.directory;
 		const nowMs = clock.nowMs();
 		if (isLeaving && notices.recordLeaving(key, nowMs)) {
@@ -267,6 +306,10 @@
 			announceLeaving(key);
 		}
 
+		if (coldForMs !== undefined && coldForMs > 0 && this.directory.cold?.recordNotice(key, coldForMs, nowMs)) {
+			logger.log('info', 'server says that it is cold', {server: key, forMs: Math.round(coldForMs), listAgeMs: this.listAgeMs()});
+		}
+
 		if (status === overloadedStatus && retryAfterMs !== undefined && notices.recordPause(key, retryAfterMs, nowMs)) {
 			logger.log('info', 'server wants no work', {server: key, forMs: Math.round(retryAfterMs), listAgeMs: this.listAgeMs()});
 		}
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -517,6 +517,7 @@
 		seed: self.incarnation,
 		retries: fleetSettings.retries,
 		processCount,
+		...(fleetSettings.coldAllowance && {cold: {allowance: fleetSettings.coldAllowance, self: self.vm, processes: () => membership.entries}}),
 		announceUnreachable(key) {
 			statusBroadcaster.announceUnreachable(key);
 		},
