forwarding: requests run only in the regions that their route and customer name

Cause: allowedRegions of routes and customers were read and nothing came of them.

Change: the handler turns the regions (the common ones, if route and customer name some) into zones by the settings; the directory leaves out servers elsewhere before ejections, refusals or coldness count, so decode engines, prefill engines (and with them the KV cache) and retries stay inside. Without a ready server there the request gets 503 before its body is read. Entry-point answers name VMs in the caller's region or in regions that all routes of the host allow.

--- a/src/common/forwarding/route-table.ts
+++ b/src/common/forwarding/route-table.ts
@@ -40,9 +40,12 @@
 	match(host: string, path: string): ForwardRoute | undefined {
 		const query = path.indexOf('?');
 		const pathname = query === -1 ? path : path.slice(0, query);
-		const name = host.toLowerCase();
-		const routes = this._routesByHost.get(name) ?? this._routesByHost.get(name.replace(/:\d+$/, ''));
-		return routes?.find(({pathPrefix}) => pathname.startsWith(pathPrefix));
+		return this._routesOf(host).find(({pathPrefix}) => pathname.startsWith(pathPrefix));
+	}
+
+	/** Returns the regions that each route of the host names, without the routes that name none; `host` may include a port. */
+	namedRegions(host: string): string[][] {
+		return this._routesOf(host).flatMap(({allowedRegions}) => allowedRegions ? [allowedRegions] : []);
 	}
 
 	/** Returns the customer that owns an API key; undefined for an unknown key. */
@@ -53,6 +56,11 @@
 	service(name: string): ForwardService | undefined {
 		return this._services.get(name);
 	}
+
+	private _routesOf(host: string): readonly ForwardRoute[] {
+		const name = host.toLowerCase();
+		return this._routesByHost.get(name) ?? this._routesByHost.get(name.replace(/:\d+$/, '')) ?? [];
+	}
 }
 
 /** Chooses the service for a request among the targets of its route, in proportion to their weights; `random` is in [0, 1). */
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -75,6 +75,8 @@
 	readonly nowMs: number;
 	/** What the servers of the service tolerate while they are cold; undefined if they need no protection. */
 	readonly coldRate?: ColdRate | undefined;
+	/** Zones whose servers may be chosen; all zones if undefined. */
+	readonly allowedZones?: ReadonlySet<string> | undefined;
 };
 
 /** Servers of all services on the platform's list, with the load and health that this process observed, and the choice among them. */
@@ -148,9 +150,10 @@
 		return this._servers.get(key);
 	}
 
-	/** Returns the ready servers of a service, limited to a stage if one is given. */
-	readyServers(service: string, stage?: EngineStage): Server[] {
-		return (this._byService.get(service) ?? []).filter(({record}) => record.state === 'ready' && (stage === undefined || record.stage === stage));
+	/** Returns the ready servers of a service, limited to a stage and to zones if they are given. */
+	readyServers(service: string, stage?: EngineStage, allowedZones?: ReadonlySet<string>): Server[] {
+		return (this._byService.get(service) ?? []).filter(({record}) =>
+			record.state === 'ready' && (stage === undefined || record.stage === stage) && (allowedZones?.has(record.zone) ?? true));
 	}
 
 	/** Returns the server with the lowest expected latency; undefined if none may be used. */
@@ -181,8 +184,8 @@
 	Whether some usable prefill engine recently succeeded for this process and has neither failed nor refused work since then, so that the engine is
 	likely to accept another prompt.
 	*/
-	hasAcceptingPrefillEngine(service: string, nowMs: number): boolean {
-		return this.readyServers(service, 'prefill').some(server => server.isSound && nowMs - server.sampledMs <= prefillSuccessValidityMs && this._isUsable(server, nowMs));
+	hasAcceptingPrefillEngine(service: string, nowMs: number, allowedZones?: ReadonlySet<string>): boolean {
+		return this.readyServers(service, 'prefill', allowedZones).some(server => server.isSound && nowMs - server.sampledMs <= prefillSuccessValidityMs && this._isUsable(server, nowMs));
 	}
 
 	/** Whether the server accepts requests: it has announced neither that it is leaving nor a pause that has not ended yet. */
@@ -191,8 +194,8 @@
 	}
 
 	/** Returns the time until the first paused server of a service resumes work, in milliseconds; undefined if a server accepts work or no server is paused. */
-	earliestResumeInMs(service: string, nowMs: number, stage?: EngineStage): number | undefined {
-		const pausesMs = this.readyServers(service, stage).map(({key}) => this.notices.unavailableForMs(key, nowMs)).filter(pauseMs => pauseMs < Infinity);
+	earliestResumeInMs(service: string, nowMs: number, stage?: EngineStage, allowedZones?: ReadonlySet<string>): number | undefined {
+		const pausesMs = this.readyServers(service, stage, allowedZones).map(({key}) => this.notices.unavailableForMs(key, nowMs)).filter(pauseMs => pauseMs < Infinity);
 		const earliestMs = Math.min(...pausesMs);
 		return earliestMs > 0 && earliestMs < Infinity ? earliestMs : undefined;
 	}
@@ -267,8 +270,8 @@
 	}
 
 	/** Returns the servers that may be used for the query. Ejected servers are included only if all usable servers are ejected, since the fault may then lie with this process. */
-	private _candidates({service, stage, exclude, maxInFlight, nowMs, coldRate}: ServerQuery): Server[] {
-		const ready = this.readyServers(service, stage).filter(server => this._isUsable(server, nowMs));
+	private _candidates({service, stage, exclude, maxInFlight, nowMs, coldRate, allowedZones}: ServerQuery): Server[] {
+		const ready = this.readyServers(service, stage, allowedZones).filter(server => this._isUsable(server, nowMs));
 		const healthy = ready.filter(({ejection}) => !ejection.isEjected);
 		const usable = healthy.length > 0 ? healthy : ready;
 		const mayBegin = (key: ServerKey) => !coldRate || !this.cold || this.cold.mayBegin(key, coldRate, nowMs);
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -4,6 +4,8 @@
 import restana from 'restana';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
+import {chooseEntryRegions} from '../../common/forwarding/allowed-regions.js';
+import type {RegionByZone} from '../../common/forwarding/allowed-regions.js';
 import type {MemberRecord} from '../../common/membership/types.js';
 import {splitAddress} from '../address.js';
 import type {ControlAdminClient} from '../control/control-admin-client.js';
@@ -26,6 +28,9 @@
 	readonly adminClient: ControlAdminClient;
 	readonly logger: Logger;
 	readonly members: () => readonly MemberRecord[];
+	/** Returns the regions that each route of a host names, without the routes that name none. */
+	readonly namedRegions: (host: string) => string[][];
+	readonly regionByZone: RegionByZone;
 	readonly isReady: () => boolean;
 	readonly listen: {readonly operators: string; readonly ready: string; readonly directory: string; readonly metrics: string};
 	readonly metrics: PromMetrics;
@@ -138,13 +143,19 @@
 		sendJson(res, 200, source);
 	}
 
-	/** Sends the addresses of the live entry VMs that are not draining, those in the caller's zone first. Sends suspect VMs only if no such VM is alive. */
+	/**
+	Sends the addresses of the live entry VMs that are not draining, those in the caller's zone first. Sends suspect VMs only if no such VM is alive.
+	If routes of the host name regions, VMs in other regions than these and the caller's are left out.
+	*/
 	private _sendEntryPoints(req: IncomingMessage, res: ServerResponse): void {
-		const {protocol, members} = this._options;
-		const {zone} = protocol.readEntryPointQuery(new URL(req.url!, 'http://directory').searchParams);
+		const {protocol, members, namedRegions, regionByZone} = this._options;
+		const {host, zone, region} = protocol.readEntryPointQuery(new URL(req.url!, 'http://directory').searchParams);
 		const usable = members().filter(({roles, status, isDraining}) => roles.includes('entry') && status !== 'dead' && !isDraining);
 		const alive = usable.filter(({status}) => status === 'alive');
-		const chosen = (alive.length > 0 ? alive : usable).sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone)).slice(0, maxEntryPoints);
+		const allowed = chooseEntryRegions(alive.length > 0 ? alive : usable, {
+			namedRegions: host === undefined ? [] : namedRegions(host), callerRegion: region ?? regionByZone.get(zone ?? ''), regionByZone,
+		});
+		const chosen = [...allowed].sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone)).slice(0, maxEntryPoints);
 		sendJson(res, 200, protocol.entryPointAnswer(chosen.flatMap(({callerAddress}) => callerAddress ?? []), entryAnswerValidityMs));
 	}
 }
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -97,7 +97,12 @@
 	| {readonly ok: false; readonly reason: string};
 
 /** A caller's query for the entry points of a host. */
-export type EntryPointQuery = {readonly host: string | undefined; readonly zone: string | undefined};
+export type EntryPointQuery = {
+	readonly host: string | undefined;
+	/** Region and zone of the caller. */
+	readonly region: string | undefined;
+	readonly zone: string | undefined;
+};
 
 /**
 Header names, message formats and calls that a platform's callers, servers and operators use. Implementations only
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -1,5 +1,9 @@
 import type {IncomingMessage} from 'node:http';
-import type {ForwardCustomer} from '../../common/configuration/forwarding.js';
+import type {ForwardCustomer, ForwardRoute, ForwardService} from '../../common/configuration/forwarding.js';
+import {
+	allowedRegions, noAllowedServerReason, noAllowedServerRetryMs, zonesOf,
+} from '../../common/forwarding/allowed-regions.js';
+import type {RegionByZone} from '../../common/forwarding/allowed-regions.js';
 import {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
@@ -37,6 +41,8 @@
 
 export type ForwardHandlerOptions = ForwardDependencies & {
 	readonly access: AccessService;
+	/** Region of each availability zone. */
+	readonly regionByZone: RegionByZone;
 	/** Returns whether the process still runs for as long as the request may need, given the time at which the request's deadline passes, in milliseconds. */
 	readonly hasTimeFor: (deadlineMs: number, isResumable: boolean) => boolean;
 };
@@ -87,6 +93,7 @@
 			throw stoppingRefusal();
 		}
 
+		const allowedZones = this._findAllowedZones(route, customer, service);
 		this._refuseBlocked(caller.requestId!, normalizeParts(caller.promptParts));
 		const {limits} = this._routeTable!.forwarding;
 		const version = this._version;
@@ -105,6 +112,7 @@
 			customer: customer?.name,
 			route,
 			service,
+			allowedZones,
 			body,
 			fingerprint,
 			parts,
@@ -126,6 +134,27 @@
 		this._reportEnd(request, result, version);
 	}
 
+	/** Returns the regions that each route of the host names, without the routes that name none. */
+	namedRegions(host: string): string[][] {
+		return this._routeTable?.namedRegions(host) ?? [];
+	}
+
+	/** Returns the zones whose servers may run the request; undefined if all may. Throws `ForwardRefusal` if the service has no server there. */
+	private _findAllowedZones(route: ForwardRoute, customer: ForwardCustomer | undefined, service: ForwardService): ReadonlySet<string> | undefined {
+		const {fleet, regionByZone, logger} = this._options;
+		const regions = allowedRegions(route, customer);
+		const zones = zonesOf(regions, regionByZone);
+		const {directory} = fleet;
+		if (zones && directory.listRequestedAtMs !== undefined && directory.readyServers(service.name, undefined, zones).length === 0) {
+			logger.log('info', 'no server in the allowed regions', {
+				route: route.name, tenant: customer?.name, service: service.name, regions, listAgeMs: fleet.listAgeMs(),
+			});
+			throw new ForwardRefusal(503, noAllowedServerReason, noAllowedServerRetryMs);
+		}
+
+		return zones;
+	}
+
 	/** Throws `ForwardRefusal` if servers crash on requests with these parts. */
 	private _refuseBlocked(requestId: string, parts: readonly PartId[]): void {
 		const {quarantine} = this._options;
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -31,6 +31,8 @@
 	readonly customer: string | undefined;
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
+	/** Zones whose servers may run the request and keep the KV cache of its prompt; all zones if undefined. */
+	readonly allowedZones: ReadonlySet<string> | undefined;
 	readonly body: Uint8Array;
 	/** Identifies the request by its contents: another attempt of the caller has the same fingerprint. */
 	readonly fingerprint: PartId;
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -88,7 +88,7 @@
 			chargeFailedPrefill() {
 				_dependencies.fleet.recordRequest(service.name);
 			},
-			hasAcceptingPrefillEngine: nowMs => _dependencies.fleet.directory.hasAcceptingPrefillEngine(service.name, nowMs),
+			hasAcceptingPrefillEngine: nowMs => _dependencies.fleet.directory.hasAcceptingPrefillEngine(service.name, nowMs, _request.allowedZones),
 			takeRetry: (_nowMs, requests) => _dependencies.fleet.takeRetry(service.name, requests),
 		});
 		this._reservedTokens = reservedTokens(prompt);
@@ -202,9 +202,9 @@
 
 	private _selectionCriteria(exclude: ReadonlySet<ServerKey>, zone: string): ServerQuery {
 		const {fleet, clock} = this._dependencies;
-		const {service} = this._request;
+		const {service, allowedZones} = this._request;
 		return {
-			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(), coldRate: fleet.coldRate(service),
+			allowedZones, service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(), coldRate: fleet.coldRate(service),
 		};
 	}
 
@@ -227,7 +227,7 @@
 			const coldWaitMs = isPrefillBusy ? undefined : fleet.directory.coldWaitMs({...query, stage: 'decode'});
 			this._releasePrefillSlot();
 			this._dispatchLater({
-				type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), 'decode'), isPrefillBusy, coldWaitMs,
+				type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), 'decode', query.allowedZones), isPrefillBusy, coldWaitMs,
 			});
 			return;
 		}
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -92,9 +92,9 @@
 
 	private _query(): ServerQuery {
 		const {fleet, clock, zone} = this._dependencies;
-		const {service} = this._request;
+		const {service, allowedZones} = this._request;
 		return {
-			service: service.name, zone, exclude: this._triedServers, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(), coldRate: fleet.coldRate(service),
+			service: service.name, zone, exclude: this._triedServers, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(), coldRate: fleet.coldRate(service), allowedZones,
 		};
 	}
 
@@ -118,7 +118,7 @@
 			const coldWaitMs = fleet.directory.coldWaitMs(query);
 			// Dispatched later, because the reducer must not be re-entered while its effects are being executed.
 			queueMicrotask(() => {
-				this._dispatch({type: 'forward/no-server', resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs()), coldWaitMs});
+				this._dispatch({type: 'forward/no-server', resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), undefined, query.allowedZones), coldWaitMs});
 			});
 			return;
 		}
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -509,6 +509,7 @@
 		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
 	} = core;
 	const client = createControlClient(core);
+	const regionByZone = new Map([[settings.zone, settings.region], ...fleetSettings.regionByZone]);
 	const processCount = () => Math.max(1, membership.entries.live.length);
 	const fleet = disposables.add(new ServerFleet({
 		protocol,
@@ -556,6 +557,7 @@
 		clock,
 		zone: settings.zone,
 		access: client.access,
+		regionByZone,
 		host,
 		port,
 		stopWithinMs: fleetSettings.stopWithinMs,
@@ -617,6 +619,8 @@
 			...createStateDump(core, undefined), running: server.runningRequests, isDraining: server.isDraining, servers: [...fleet.directory.servers],
 		}),
 		members: () => membership.members,
+		namedRegions: host => server.handler.namedRegions(host),
+		regionByZone,
 		isReady: () => server.handler.isConfigured && !server.isDraining,
 		listen: {operators: settings.listen.operators, ...fleetSettings.listen},
 	}));
