forwarding: a process's share in a cold server is computed when the known processes change; zones that come back may be presumed cold

Cause: with 400 processes and 63 cold servers one computation of all shares took 27 ms of a whole core, four times a second while requests asked for them.

ServerDirectory.presumeCold(zone) is for zones that come back from an evacuation.

--- a/src/common/forwarding/cold-budget.ts
+++ b/src/common/forwarding/cold-budget.ts
@@ -11,8 +11,8 @@
 const windowMs = 1000;
 /** Minimum time between two turns of a process at a server, in milliseconds: longer than a window, since the requests take different times to the server. */
 const minTurnIntervalMs = 1050;
-/** Time for which the senders of a server are remembered, in milliseconds; members that appear or fail later count only after this time. */
-const sendersValidityMs = 250;
+/** Time for which this process's share in a server is kept although the known processes have changed, in milliseconds. */
+const shareValidityMs = 500;
 /** How far the platform's list lags behind the servers, in milliseconds. */
 const listLagMs = 1000;
 /** Time for which a server is presumed cold if no list tells, in milliseconds; long enough for a list to arrive while the reader of the list changes. */
@@ -40,7 +40,7 @@
 	readonly self: string;
 	/** Start of this process, in milliseconds. Until a turn's length has passed, requests of its predecessor on the VM may still count. */
 	readonly startedMs: number;
-	/** All known processes that send requests; dead ones must stay known for some minutes. */
+	/** Returns all known processes that send requests; the same object until they change. Dead ones must stay known for some minutes. */
 	readonly processes: () => EntryProcesses;
 };
 
@@ -49,6 +49,8 @@
 	/** Position of this process among all known processes, and among those that are alive. */
 	readonly position: number;
 	readonly livePosition: number;
+	/** Known processes from which the positions were computed, and when. */
+	readonly processes: EntryProcesses;
 	readonly computedMs: number;
 };
 
@@ -185,11 +187,14 @@
 	}
 
 	private _share(key: ServerKey, server: ColdServer, nowMs: number): Share {
-		if (!server.share || nowMs - server.share.computedMs >= sendersValidityMs) {
-			const {live, dead} = this._options.processes();
+		const processes = this._options.processes();
+		if (!server.share || (server.share.processes !== processes && nowMs - server.share.computedMs >= shareValidityMs)) {
+			const {live, dead} = processes;
 			const livePosition = rendezvousPosition(key, this._options.self, live.map(({vm}) => vm));
 			const deadPosition = rendezvousPosition(key, this._options.self, dead.map(({vm}) => vm));
-			server.share = {livePosition, position: livePosition + deadPosition, computedMs: nowMs};
+			server.share = {
+				livePosition, position: livePosition + deadPosition, processes, computedMs: nowMs,
+			};
 		}
 
 		return server.share;
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -211,6 +211,15 @@
 		return waitMs > 0 && waitMs < Infinity ? waitMs : undefined;
 	}
 
+	/** Takes the servers of a zone for cold until a list that must show it by now tells otherwise; to be called when the zone comes back into service. */
+	presumeCold(zone: string, nowMs: number): void {
+		for (const {key, record} of this._servers.values()) {
+			if (record.zone === zone) {
+				this.cold?.presumeCold(key, nowMs);
+			}
+		}
+	}
+
 	/** Begins an exchange with a plain server. */
 	beginExchange(server: Server, nowMs: number): PlainExchange {
 		const exchange = {startedMs: nowMs};
