--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -36,6 +36,8 @@
 /** Servers of one platform and the list that names them. */
 export class PlatformServers {
 	readonly receivedRequests: ReceivedRequest[] = [];
+	/** Time for which the list says that each server remains cold, in milliseconds. */
+	coldLeftMs = 0;
 	/** Ids of the reservations that engines hold. */
 	readonly reservations = new Set<string>();
 	/** Handler that is called first for each request. If it returns true, it has handled the request, and the default behaviour is skipped. */
@@ -66,7 +68,8 @@
 	/** Starts the server of the list and returns its IP address and port. */
 	async startList(): Promise<string> {
 		return addressOf(await this._listen((_req, res) => {
-			const entries = [...this._listEntries, {id: 7, state: 'odd'}].map(entry => JSON.stringify(entry));
+			const listed = this._listEntries.map(entry => ({...entry, coldLeftMs: this.coldLeftMs}));
+			const entries = [...listed, {id: 7, state: 'odd'}].map(entry => JSON.stringify(entry));
 			res.end(`{"instances":[${[...this.foreignEntries, ...entries].join(',')}],"next":null}`);
 		}));
 	}
@@ -108,7 +111,7 @@
 			}
 		}, port);
 		const entry = {
-			service, id, address: addressOf(server), zone: 'z1', version: 'v1', slots: 8, state, coldLeftMs: 0, born, ...(stage && {stage, models: []}),
+			service, id, address: addressOf(server), zone: 'z1', version: 'v1', slots: 8, state, born, ...(stage && {stage, models: []}),
 		};
 		const former = this._listEntries.findIndex(({address}) => address === entry.address);
 		this._listEntries.splice(former === -1 ? this._listEntries.length : former, former === -1 ? 0 : 1, entry);
