forwarding: a lagging list does not shorten the time that a server states; cold servers without a rate are ranked as before

Cause: a list was applied at once if it stated any remaining time, so a list from before a notice (or before a zone's return) cut 3,000 ms to the 200 ms that it still showed, and the server got its usual share while cold. Second, with an allowance in the settings every cold plain server counted 40 ms slower, and each request to it was logged and counted, also if its service states no rate and so nothing limits it.

Change: a list that was requested too early to show the statement may lengthen the time, not shorten it. The ranking, the log line and the counter need the service's rate.

--- a/src/common/forwarding/cold-budget.test.ts
+++ b/src/common/forwarding/cold-budget.test.ts
@@ -226,6 +226,35 @@
 	assert.equal(budget.coldForMs(serverKey(warm), 3000), 0);
 });
 
+test('a list that may show an earlier state does not shorten the time for which a cold server says that it remains cold', () => {
+	const {budget} = new SimulatedVm('x', vmNames, vmNames);
+	const record = coldRecord('a', 400);
+	const update = (coldLeftMs: number, requestedMs: number) => budget.update(new Map([[serverKey(record), {...record, coldLeftMs}]]), requestedMs, requestedMs, () => false);
+	update(400, 0);
+	budget.recordNotice(serverKey(record), 3000, 100);
+	update(200, 200);
+	assert.equal(budget.coldForMs(serverKey(record), 200), 2900);
+	update(1900, 1200);
+	assert.equal(budget.coldForMs(serverKey(record), 1200), 1900);
+	budget.presumeCold(serverKey(record), 2000);
+	update(300, 2900);
+	assert.equal(budget.coldForMs(serverKey(record), 2900), 4100);
+});
+
+test('a cold server of a service that states no rate is ranked as if nothing protected cold servers', () => {
+	const records = [{...coldRecord('cold', 3000), zone: 'z1'}, {...buildServer({id: 'warm'}), zone: 'z1'}];
+	const shareOfCold = (cold?: ColdBudget) => {
+		const directory = new ServerDirectory(new SeededRandom(1), cold);
+		directory.update(records, 0);
+		return Array.from({length: 100}, () => directory.choose({
+			service: 'desk', zone: 'z1', exclude: new Set(), maxInFlight: 10, nowMs: 100,
+		})!.record.id).filter(id => id === 'cold').length;
+	};
+
+	assert.equal(shareOfCold(new SimulatedVm('x', ['x'], ['x']).budget), shareOfCold());
+	assert.ok(shareOfCold() > 0);
+});
+
 test('the directory leaves out cold servers without a turn, and tells how long a request would have to wait for one', () => {
 	const directory = new ServerDirectory(new SeededRandom(1), new ColdBudget({
 		allowance, self: 'x', startedMs: 0, processes: () => ({live: identities(['x']), dead: []}),
--- a/src/common/forwarding/cold-budget.ts
+++ b/src/common/forwarding/cold-budget.ts
@@ -59,7 +59,7 @@
 	coldUntilMs: number;
 	/** Record that stated the time last. A process that does not poll the list keeps the same record until it changes. */
 	record: ServerRecord | undefined;
-	/** Time at which a list must have been requested at least for its statement that the server is warm to count, in milliseconds. */
+	/** Time at which a list must have been requested at least for it to shorten the time for which the server is cold, in milliseconds. */
 	heedsListFromMs: number;
 	/** Time of the next turn, in milliseconds. */
 	nextTurnMs: number;
@@ -102,7 +102,8 @@
 
 				// Nobody has sent requests to a server that was not listed before.
 				const known = this._getOrCreate(key, isNew(key) ? this._options.startedMs : nowMs);
-				known.coldUntilMs = requestedMs + record.coldLeftMs;
+				const warmMs = requestedMs + record.coldLeftMs;
+				known.coldUntilMs = requestedMs < known.heedsListFromMs ? Math.max(known.coldUntilMs, warmMs) : warmMs;
 				known.heedsListFromMs = Math.max(known.heedsListFromMs, requestedMs);
 				known.record = record;
 			} else if (!isCold && server && requestedMs >= server.heedsListFromMs) {
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -300,16 +300,16 @@
 	}
 
 	/** Estimates the latency of the next request to a plain server, in milliseconds, with jitter that spreads requests over servers of similar latency. */
-	private _delayMs(server: Server, {zone, nowMs}: ServerQuery): number {
+	private _delayMs(server: Server, {zone, nowMs, coldRate}: ServerQuery): number {
 		const {record, inFlight, exchanges} = server;
 		const {latencyMs, failureShare} = decayedStatistics(server, nowMs);
 		const [oldest] = exchanges;
 		const overdueByMs = oldest ? Math.max(0, nowMs - oldest.startedMs - overdueAfterMs(server)) : 0;
-		const isCold = this.cold !== undefined && this.cold.coldForMs(server.key, nowMs) > 0;
+		const isCold = coldRate !== undefined && this.cold !== undefined && this.cold.coldForMs(server.key, nowMs) > 0;
 		const baseMs = latencyMs + (isCold ? coldDelayMs : 0) + (failureShare * failurePenaltyFactor * initialLatencyMs);
 		const queueFactor = 1 + (inFlight / Math.max(1, record.slots));
 		const jitter = 0.9 + (this._random.integer(0, 1000) / 5000);
-		const extraMs = this.cold ? 0 : record.coldLeftMs / 1000;
+		const extraMs = coldRate ? 0 : record.coldLeftMs / 1000;
 		return ((baseMs + overdueByMs) * queueFactor * jitter) + extraMs + (record.zone === zone ? 0 : otherZoneDelayMs);
 	}
 }
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -79,7 +79,7 @@
 
 /** Charges a request, or a prefill call for it, to the budget of a cold server as it is sent. */
 export function recordColdSend({requestId, service}: ForwardRequest, {fleet, metrics, logger}: ForwardDependencies, server: Server): void {
-	if (fleet.recordColdRequest(server)) {
+	if (fleet.recordColdRequest(server) && fleet.coldRate(service)) {
 		metrics.count('forward_cold_sends_total', {service: service.name});
 		logger.log('info', 'request sent to a cold server', {
 			requestId, server: server.key, coldForMs: Math.round(fleet.coldForMs(server)), listAgeMs: fleet.listAgeMs(),
