forwarding: an engine on which the request failed is asked again before a refusal because the others are cold

Cause: the refusal at once also took requests for which one warm engine was left out only because it had just failed.

Change: the refusal at once needs that no engine refused or failed in this round; the next round decides.

--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -209,6 +209,14 @@
 	assert.deepEqual(refusal(700, undefined, true), ['forward/release', {status: 503, reason: 'the prefill engines are busy', retryAfterMs: 2000}]);
 });
 
+test('an engine on which the request failed is asked again before the request is rejected because all others are cold', () => {
+	const cold = {type: 'forward/no-engine' as const, attempt: 1, coldWaitMs: 3000};
+	const steps: Step[] = [{type: 'forward/hold-failed', attempt: 1, server: 'd1'}, cold];
+	assert.deepEqual(run(steps), ['hold -', 'hold -d1', 'wait']);
+	assert.deepEqual(run([...steps, {type: 'forward/wake'}]), ['hold -', 'hold -d1', 'wait', 'hold -']);
+	assert.deepEqual(run([...steps, {type: 'forward/wake'}, cold]).slice(4), ['release', '503 retry-after']);
+});
+
 // Guards against a request with a blocked prompt that is sent on, and against a refusal that says "not run" although an engine may have run the request.
 test('a request whose prompt is blocked ends at once: as not run before its first send, and without that promise afterwards', () => {
 	const blocked = (attempt: number): Step => ({
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -271,7 +271,7 @@
 
 	const {maxWaitMs, roundIntervalMs} = state.memoryWaitPolicy;
 	const waitedMs = nowMs - state.memoryWaitStartedMs;
-	if (coldWaitMs !== undefined && state.refusedBy.size === 0 && waitedMs + coldWaitMs > maxWaitMs) {
+	if (coldWaitMs !== undefined && state.refusedBy.size + state.failedOn.size === 0 && waitedMs + coldWaitMs > maxWaitMs) {
 		return failRequest(state, coldServersReason, coldRetryAfterMs(coldWaitMs));
 	}
 
