check: the known regions are read in one place

Cause: checkFiles had a copy of readKnownRegions as a nested conditional, and nothing called the function. No change of behaviour; platform/check and cli/check pass (aarch64).

--- a/src/cli/check.ts
+++ b/src/cli/check.ts
@@ -38,7 +38,7 @@
 
 /** Checks files. Throws if a file cannot be read, or if the configuration to compare with cannot be read or parsed. */
 export async function checkFiles(files: readonly string[], options: CheckOptions, format: CheckFormat): Promise<FileReport[]> {
-	const knownRegions = options.regions ? new Set(options.regions) : (options.settings === undefined ? undefined : format.readRegions(readFileSync(options.settings, 'utf8')));
+	const knownRegions = readKnownRegions(options, format);
 	const before = await readBefore(options, format);
 	return files.map(file => {
 		const {kind, issues, configuration} = format.parse(readFileSync(file, 'utf8'));
