--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -44,6 +44,8 @@
 	Applies only if the status of the answer rejects the request for overload.
 	*/
 	readonly retryAfterMs: number | undefined;
+	/** Time for which the server remains cold, in milliseconds; undefined if it states none. */
+	readonly coldForMs: number | undefined;
 };
 
 /** A call that the router makes to a server on its own behalf, not for a caller. */
@@ -95,7 +97,12 @@
 	| {readonly ok: false; readonly reason: string};
 
 /** A caller's query for the entry points of a host. */
-export type EntryPointQuery = {readonly host: string | undefined; readonly zone: string | undefined};
+export type EntryPointQuery = {
+	readonly host: string | undefined;
+	/** Region and zone of the caller. */
+	readonly region: string | undefined;
+	readonly zone: string | undefined;
+};
 
 /**
 Header names, message formats and calls that a platform's callers, servers and operators use. Implementations only
