control: operators evacuate a zone; nothing more is sent to its servers

Cause: no call and no state existed; an operator could not take a zone's servers out of use. Change: the replicated drains have a third target, zone. POST and DELETE on the operators' port read the drains through the leader and propose a change only if one is needed, only while the operator still waits and only if the zone has not changed since the read, so that a late copy does not undo a later order. The view carries the evacuated zones; the directory offers none of their servers for requests, prefills, reservations, stage orders and probes. A service whose servers are all evacuated is refused at once with 503.

--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -19,6 +19,8 @@
 export type PlatformServerOptions = {
 	readonly service: string;
 	readonly id: string;
+	/** Availability zone, "z1" by default. */
+	readonly zone?: string;
 	readonly stage?: 'prefill' | 'decode';
 	readonly state?: 'ready' | 'draining';
 };
@@ -94,7 +96,7 @@
 
 	private async _startServer(options: PlatformServerOptions, port: number, born: number): Promise<void> {
 		const {
-			service, id, stage, state = 'ready',
+			service, id, zone = 'z1', stage, state = 'ready',
 		} = options;
 		const server = await this._listen((req, res) => {
 			if (stage === this.crashingStage && (stage === 'prefill') === (req.headers.stage === 'prefill') && this._isCrashing(req.headers)) {
@@ -108,7 +110,7 @@
 			}
 		}, port);
 		const entry = {
-			service, id, address: addressOf(server), zone: 'z1', version: 'v1', slots: 8, state, coldLeftMs: 0, born, ...(stage && {stage, models: []}),
+			service, id, address: addressOf(server), zone, version: 'v1', slots: 8, state, coldLeftMs: 0, born, ...(stage && {stage, models: []}),
 		};
 		const former = this._listEntries.findIndex(({address}) => address === entry.address);
 		this._listEntries.splice(former === -1 ? this._listEntries.length : former, former === -1 ? 0 : 1, entry);
--- a/src/common/access/view.ts
+++ b/src/common/access/view.ts
@@ -23,6 +23,8 @@
 	readonly drainedUpstreams: Set<string>;
 	/** Entry VMs that operators have drained. */
 	readonly drainedVms: Set<VmId>;
+	/** Availability zones whose upstreams operators have evacuated. */
+	readonly evacuatedZones: Set<string>;
 	/** Current leases by name. */
 	readonly leases: Map<string, LeaseView>;
 };
@@ -36,6 +38,7 @@
 		digestsByKeyId: new Map(),
 		drainedUpstreams: new Set(),
 		drainedVms: new Set(),
+		evacuatedZones: new Set(),
 		leases: new Map(),
 	};
 }
@@ -64,7 +67,7 @@
 		}
 
 		case 'drain': {
-			const drained = change.target === 'vm' ? view.drainedVms : view.drainedUpstreams;
+			const drained = {vm: view.drainedVms, upstream: view.drainedUpstreams, zone: view.evacuatedZones}[change.target];
 			if (change.draining) {
 				drained.add(change.name);
 			} else {
@@ -94,6 +97,7 @@
 		configuration,
 		drainedUpstreams: new Set(state.drainedUpstreams),
 		drainedVms: new Set(state.drainedVms),
+		evacuatedZones: new Set(state.evacuatedZones),
 		leases: new Map(state.leases),
 	};
 }
--- a/src/common/control/apply.test.ts
+++ b/src/common/control/apply.test.ts
@@ -41,6 +41,12 @@
 	};
 }
 
+function evacuate(changeId: string, draining: boolean, unchangedSince?: number, name = 'z1'): Command {
+	return {
+		type: 'drain.set', changeId, target: 'zone', name, draining, ...(unchangedSince !== undefined && {unchangedSince}),
+	};
+}
+
 /** Applies commands to an empty state. Returns the state, the outcomes and their kinds. */
 function applyAll(commands: readonly Command[], limits: ControlLimits = controlLimits) {
 	const state = createReplicatedState();
@@ -197,6 +203,8 @@
 	fc.tuple(ids, ids, fc.boolean()).map(([changeId, name, draining]): Command => ({
 		type: 'drain.set', changeId: `d${changeId}${name}${draining}`, target: 'vm', name, draining,
 	})),
+	fc.tuple(ids, ids, fc.boolean(), fc.option(fc.nat({max: 20}), {nil: undefined})).map(([changeId, name, draining, revision]): Command => (
+		evacuate(`z${changeId}${name}${draining}`, draining, revision, name))),
 	fc.nat({max: 2 * hourMs}).map((elapsedMs): Command => ({type: 'clock.advance', elapsedMs})),
 );
 
@@ -245,3 +253,33 @@
 	]);
 	assert.deepEqual(state.history.map(({version, source}) => [version, new TextDecoder().decode(source)]), [[3, 'v3'], [7, 'first'], [9, 'v9']]);
 });
+
+test('an evacuation that is repeated changes nothing, and an order that was read before a later one for its zone is refused', () => {
+	const {state, outcomes} = applyAll([
+		evacuate('a', true, 0),
+		evacuate('b', true, 0),
+		evacuate('other zone', true, 0, 'z2'),
+		evacuate('c', false, 1),
+		evacuate('late', true, 1),
+		evacuate('d', false, 1),
+		evacuate('next', true, 3),
+	]);
+	const done = (revision: number) => ({kind: 'done', revision});
+	assert.deepEqual(outcomes, [done(1), done(1), done(2), done(3), {kind: 'refused', code: 'stale'}, done(3), done(4)]);
+	assert.deepEqual([...restoreState(structuredClone(snapshotState(state))).drains.keys()], ['zone/z2', 'zone/z1']);
+});
+
+test('an order is refused if changes after the revision that it was read at are no longer kept', () => {
+	const limits = {...controlLimits, changes: 2};
+	const {outcomes} = applyAll([...['a', 'b', 'c', 'd'].map(name => evacuate(name, true, undefined, name)), evacuate('old', true, 1), evacuate('recent', true, 2)], limits);
+	assert.deepEqual(outcomes.slice(4), [{kind: 'refused', code: 'stale'}, {kind: 'done', revision: 5}]);
+});
+
+test('a snapshot from before there were evacuations is restored, and its drains stay in force', () => {
+	const {state} = applyAll([{
+		type: 'drain.set', changeId: 'a', target: 'upstream', name: 'engine-1', draining: true,
+	}]);
+	const restored = restoreState(structuredClone(snapshotState(state)));
+	assert.deepEqual(applyCommand(restored, evacuate('b', true, 1)), {kind: 'done', revision: 2});
+	assert.deepEqual([...restored.drains.values()], [{target: 'upstream', name: 'engine-1'}, {target: 'zone', name: 'z1'}]);
+});
--- a/src/common/control/apply.ts
+++ b/src/common/control/apply.ts
@@ -105,12 +105,26 @@
 	return {kind: 'done', revision: appendChange(state, {kind: 'key-withdrawn', keyId}, limits)};
 }
 
-function setDrain(state: ReplicatedState, {target, name, draining}: CommandOf<'drain.set'>, limits: ControlLimits): Outcome {
+/** Returns whether the drain may have changed after `revision`; true if that is no longer known. */
+function mayHaveChanged({changes, revision: current}: ReplicatedState, {target, name}: CommandOf<'drain.set'>, revision: number): boolean {
+	const oldestRetained = changes[0]?.revision ?? current + 1;
+	return revision + 1 < oldestRetained || changes.some(change =>
+		change.kind === 'drain' && change.target === target && change.name === name && change.revision > revision);
+}
+
+function setDrain(state: ReplicatedState, command: CommandOf<'drain.set'>, limits: ControlLimits): Outcome {
+	const {
+		target, name, draining, unchangedSince,
+	} = command;
 	const key = `${target}/${name}`;
 	if (state.drains.has(key) === draining) {
 		return {kind: 'done', revision: state.revision};
 	}
 
+	if (unchangedSince !== undefined && mayHaveChanged(state, command, unchangedSince)) {
+		return refuse('stale');
+	}
+
 	if (draining && state.drains.size >= limits.drains) {
 		return refuse('too-many');
 	}
--- a/src/common/control/messages.ts
+++ b/src/common/control/messages.ts
@@ -27,6 +27,9 @@
 	tenant: idSchema, service: idSchema, idempotencyKey: z.string().min(1).max(256),
 };
 
+/** What a drain stops new work for: an entry VM, an upstream, or all upstreams of an availability zone. */
+const drainTargetSchema = z.enum(['vm', 'upstream', 'zone']);
+
 const leaseIdentity = {name: idSchema, holder: idSchema, incarnation: incarnationSchema};
 
 /** Commands of the replicated state machine. Durations are in milliseconds of log time, which only `clock.advance` moves forward. */
@@ -81,7 +84,13 @@
 	/** Releases a lease that the sender holds with this epoch. */
 	z.strictObject({type: z.literal('lease.release'), ...leaseIdentity, epoch: z.int()}),
 	z.strictObject({
-		type: z.literal('drain.set'), changeId: idSchema, target: z.enum(['vm', 'upstream']), name: idSchema, draining: z.boolean(),
+		type: z.literal('drain.set'),
+		changeId: idSchema,
+		target: drainTargetSchema,
+		name: idSchema,
+		draining: z.boolean(),
+		/** If present, the command is refused as `stale` if this drain was changed after this revision. */
+		unchangedSince: revisionSchema.optional(),
 	}),
 	/** Records an order to an upstream, which the holder of the lease `orders` carries out. */
 	z.strictObject({
@@ -146,7 +155,7 @@
 	}),
 	z.strictObject({kind: z.literal('key-withdrawn'), revision: revisionSchema, keyId: idSchema}),
 	z.strictObject({
-		kind: z.literal('drain'), revision: revisionSchema, target: z.enum(['vm', 'upstream']), name: idSchema, draining: z.boolean(),
+		kind: z.literal('drain'), revision: revisionSchema, target: drainTargetSchema, name: idSchema, draining: z.boolean(),
 	}),
 	/** A lease has changed its holder, or is free if `holder` is absent. */
 	z.strictObject({
@@ -297,7 +306,12 @@
 		keys: z.array(z.strictObject({keyId: idSchema, tenant: idSchema, revision: revisionSchema})),
 		next: revisionSchema.optional(),
 	}),
-	z.strictObject({what: z.literal('drains'), drains: z.array(z.strictObject({target: z.enum(['vm', 'upstream']), name: idSchema}))}),
+	z.strictObject({
+		what: z.literal('drains'),
+		/** Revision of the replicated state that the drains were read at. */
+		revision: revisionSchema,
+		drains: z.array(z.strictObject({target: drainTargetSchema, name: idSchema})),
+	}),
 	z.strictObject({what: z.literal('orders'), orders: z.array(orderRecordSchema)}),
 	z.strictObject({what: z.literal('leases'), leases: z.array(z.strictObject({name: idSchema, holder: vmIdentitySchema.optional(), epoch: z.int()}))}),
 	z.strictObject({what: z.literal('claim'), outcome: outcomeSchema}),
@@ -330,6 +344,7 @@
 
 export type Command = z.infer<typeof commandSchema>;
 export type CommandOf<T extends Command['type']> = Extract<Command, {type: T}>;
+export type DrainTarget = z.infer<typeof drainTargetSchema>;
 export type Outcome = z.infer<typeof outcomeSchema>;
 export type Change = z.infer<typeof changeSchema>;
 export type ViewPage = z.infer<typeof viewPageSchema>;
--- a/src/common/control/queries.ts
+++ b/src/common/control/queries.ts
@@ -109,7 +109,7 @@
 		}
 
 		case 'drains': {
-			return {what: 'drains', drains: [...state.drains.values()]};
+			return {what: 'drains', revision: state.revision, drains: [...state.drains.values()]};
 		}
 
 		case 'orders': {
--- a/src/common/control/state.ts
+++ b/src/common/control/state.ts
@@ -1,6 +1,8 @@
 import type {VmIdentity} from '../core/types.js';
 import type {RecordedOutcome} from '../services/claim-service.js';
-import type {Change, OrderRecord, Outcome} from './messages.js';
+import type {
+	Change, DrainTarget, OrderRecord, Outcome,
+} from './messages.js';
 
 /** Limits of the replicated state. All members must use the same values, since command outcomes depend on them. */
 export const controlLimits = {
@@ -84,8 +86,8 @@
 	readonly outcomes: Map<string, StoredOutcome>;
 	/** Valid API keys, keyed by key id. */
 	readonly keys: Map<string, KeyRecord>;
-	/** VMs and upstreams that are draining, keyed by `target/name`. */
-	readonly drains: Map<string, {readonly target: 'vm' | 'upstream'; readonly name: string}>;
+	/** VMs and upstreams that are draining and zones that are evacuated, keyed by `target/name`. */
+	readonly drains: Map<string, {readonly target: DrainTarget; readonly name: string}>;
 	readonly leases: Map<string, Lease>;
 	readonly orders: Map<string, OrderRecord>;
 	/** Claims, keyed by the result of `claimKey` and in order of expiry. */
@@ -128,7 +130,7 @@
 	readonly history: ConfigurationVersion[];
 	readonly outcomes: Array<[string, StoredOutcome]>;
 	readonly keys: KeyRecord[];
-	readonly drains: Array<{readonly target: 'vm' | 'upstream'; readonly name: string}>;
+	readonly drains: Array<{readonly target: DrainTarget; readonly name: string}>;
 	readonly leases: Array<[string, Lease]>;
 	readonly orders: OrderRecord[];
 	readonly claims: Array<[string, Claim]>;
--- a/src/common/forwarding/server-directory.test.ts
+++ b/src/common/forwarding/server-directory.test.ts
@@ -164,3 +164,27 @@
 	directory.recordFailure(prefill!, false, 2400);
 	assert.equal(directory.hasAcceptingPrefillEngine('desk', 2500), false);
 });
+
+test('servers of an evacuated zone get no work, not even if all others fail, until the evacuation is withdrawn', () => {
+	const directory = buildDirectory([
+		buildServer({id: 'a'}), buildServer({id: 'b', zone: 'z2'}), ...['prefill', 'decode'].flatMap(stage => ['z1', 'z2'].map(zone =>
+			buildServer({
+				id: `${stage}-${zone}`, zone, service: 'models', stage: stage as 'prefill' | 'decode',
+			}))),
+	]);
+	const model = query({service: 'models'});
+	directory.setEvacuatedZones(new Set(['z1']));
+	assert.deepEqual(chosenIds(directory, query()), ['b']);
+	assert.deepEqual(chosenIds(directory, model, 'chooseDecodeEngine'), ['decode-z2']);
+	assert.deepEqual(chosenIds(directory, model, 'choosePrefillEngine'), ['prefill-z2']);
+	const [a, b] = [...directory.servers];
+	directory.recordFailure(b!, true, 0);
+	assert.deepEqual(chosenIds(directory, query()), ['b']);
+	assert.equal(directory.isAcceptingWork(a!, 0), false, 'a reservation that was made before is not used');
+	assert.equal(directory.isServiceEvacuated('desk'), false);
+	directory.setEvacuatedZones(new Set(['z1', 'z2']));
+	assert.deepEqual([...chosenIds(directory, query()), ...chosenIds(directory, model, 'chooseDecodeEngine')], ['none', 'none']);
+	assert.deepEqual(['desk', 'models', 'unknown'].map(service => directory.isServiceEvacuated(service)), [true, true, false]);
+	directory.setEvacuatedZones(new Set());
+	assert.deepEqual(chosenIds(directory, model, 'chooseDecodeEngine'), ['decode-z1']);
+});
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -80,6 +80,7 @@
 	readonly notices = new ServerNotices();
 	private readonly _servers = new Map<ServerKey, Server>();
 	private readonly _byService = new Map<string, Server[]>();
+	private _evacuatedZones: ReadonlySet<string> = new Set();
 
 	constructor(private readonly _random: SeededRandom) {}
 
@@ -138,9 +139,29 @@
 		return this._servers.get(key);
 	}
 
-	/** Returns the ready servers of a service, limited to a stage if one is given. */
+	get evacuatedZones(): ReadonlySet<string> {
+		return this._evacuatedZones;
+	}
+
+	/** Sets the availability zones whose servers get no work. */
+	setEvacuatedZones(zones: ReadonlySet<string>): void {
+		this._evacuatedZones = zones;
+	}
+
+	isEvacuated({record}: Server): boolean {
+		return this._evacuatedZones.has(record.zone);
+	}
+
+	/** Whether a service has ready servers, all of them in evacuated zones. */
+	isServiceEvacuated(service: string): boolean {
+		return this._evacuatedZones.size > 0 && this.readyServers(service).length === 0
+			&& (this._byService.get(service) ?? []).some(({record}) => record.state === 'ready');
+	}
+
+	/** Returns the ready servers of a service outside evacuated zones, limited to a stage if one is given. */
 	readyServers(service: string, stage?: EngineStage): Server[] {
-		return (this._byService.get(service) ?? []).filter(({record}) => record.state === 'ready' && (stage === undefined || record.stage === stage));
+		return (this._byService.get(service) ?? []).filter(server =>
+			server.record.state === 'ready' && (stage === undefined || server.record.stage === stage) && !this.isEvacuated(server));
 	}
 
 	/** Returns the server with the lowest expected latency; undefined if none may be used. */
@@ -175,9 +196,9 @@
 		return this.readyServers(service, 'prefill').some(server => server.isSound && nowMs - server.sampledMs <= prefillSuccessValidityMs && this._isUsable(server, nowMs));
 	}
 
-	/** Whether the server accepts requests: it has announced neither that it is leaving nor a pause that has not ended yet. */
-	isAcceptingWork({key}: Server, nowMs: number): boolean {
-		return this.notices.unavailableForMs(key, nowMs) === 0;
+	/** Whether requests may be sent to the server: its zone is not evacuated, and it has announced neither that it is leaving nor a pause that has not ended yet. */
+	isAcceptingWork(server: Server, nowMs: number): boolean {
+		return !this.isEvacuated(server) && this.notices.unavailableForMs(server.key, nowMs) === 0;
 	}
 
 	/** Returns the time until the first paused server of a service resumes work, in milliseconds; undefined if a server accepts work or no server is paused. */
--- a/src/common/services/access-service.ts
+++ b/src/common/services/access-service.ts
@@ -21,6 +21,8 @@
 	readonly drainedUpstreams: ReadonlySet<string>;
 	/** Entry VMs that operators have drained. */
 	readonly drainedVms: ReadonlySet<VmId>;
+	/** Availability zones that operators have evacuated: nothing is sent to the upstreams there. */
+	readonly evacuatedZones: ReadonlySet<string>;
 	/** Current leases by name. */
 	readonly leases: ReadonlyMap<string, LeaseView>;
 };
--- a/src/node/control/control-admin-client.ts
+++ b/src/node/control/control-admin-client.ts
@@ -153,8 +153,20 @@
 	}
 
 	async listDrains(): Promise<DrainEntry[]> {
-		const result = await this._read({what: 'drains'}) as ResultOf<'drains'>;
-		return result.drains;
+		const {drains} = await this.readDrains();
+		return drains;
+	}
+
+	/** Reads the drains and the revision that they were read at. */
+	async readDrains(timeoutMs = operationTimeoutMs): Promise<Pick<ResultOf<'drains'>, 'drains' | 'revision'>> {
+		return await this._read({what: 'drains'}, timeoutMs) as ResultOf<'drains'>;
+	}
+
+	/** Evacuates a zone or withdraws its evacuation, unless that was changed after the revision `unchangedSince`; the change is then refused as `stale`. */
+	async setEvacuation(zone: string, isEvacuated: boolean, unchangedSince: number, timeoutMs: number): Promise<ChangeResult> {
+		return toChangeResult(await this._propose({
+			type: 'drain.set', changeId: randomUUID(), target: 'zone', name: zone, draining: isEvacuated, unchangedSince,
+		}, timeoutMs));
 	}
 
 	/** Records an order, which the holder of the lease `orders` carries out. */
--- a/src/node/entry/testing/services.ts
+++ b/src/node/entry/testing/services.ts
@@ -59,7 +59,7 @@
 	async setConfiguration(configuration: SharedConfiguration, drainedUpstreams: readonly string[] = []): Promise<void> {
 		const revision = (this._view?.revision ?? 0) + 1;
 		this._view = {
-			revision, version: revision, configuration, drainedUpstreams: new Set(drainedUpstreams), drainedVms: new Set(), leases: new Map(),
+			revision, version: revision, configuration, drainedUpstreams: new Set(drainedUpstreams), drainedVms: new Set(), evacuatedZones: new Set(), leases: new Map(),
 		};
 		await this.events.emit('onViewChanged', this._view);
 	}
--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -121,7 +121,12 @@
 		});
 	}
 
+	/** Tells the engine to release memory, unless nothing may be sent to it any more; it then does so at the end of the time to live. */
 	private async _releaseOnEngine(server: Server, call: ServerCall): Promise<void> {
+		if (this._dependencies.fleet.directory.isEvacuated(server)) {
+			return;
+		}
+
 		try {
 			await this._release(server, call, releaseTimeoutMs);
 		} catch (err) {
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -7,6 +7,7 @@
 import type {MemberRecord} from '../../common/membership/types.js';
 import {splitAddress} from '../address.js';
 import type {ControlAdminClient} from '../control/control-admin-client.js';
+import type {EvacuationOrders} from '../control/evacuation-orders.js';
 import {startListening} from '../entry/caller-listener.js';
 import type {PromMetrics} from '../observability/prom-metrics.js';
 import {stringifyState} from '../operators/operator-server.js';
@@ -20,10 +21,15 @@
 const configurationLimitBytes = 8 * 1024 * 1024;
 /** Timeout of the operation on the replicated state that an operator's call starts, in milliseconds; longer than the second or so after which an operator tries another process. */
 const operatorTimeoutMs = 2500;
+/** Maximum length of the name of an availability zone. */
+const maxZoneNameLength = 128;
 
 export type FleetHttpServersOptions = {
 	readonly protocol: FleetProtocol;
 	readonly adminClient: ControlAdminClient;
+	readonly evacuations: EvacuationOrders;
+	/** Whether the deployment has an availability zone of this name. */
+	readonly isKnownZone: (zone: string) => boolean;
 	readonly logger: Logger;
 	readonly members: () => readonly MemberRecord[];
 	readonly isReady: () => boolean;
@@ -43,6 +49,8 @@
 		await httpServers._listen(operators, service => {
 			service.put(paths.configuration, httpServers._handleErrors(async (req, res) => httpServers._publishConfiguration(req, res)));
 			service.get(paths.configuration, httpServers._handleErrors(async (_req, res) => httpServers._sendConfiguration(res)));
+			service.post(`${paths.evacuations}/:zone`, httpServers._handleErrors(async (req, res) => httpServers._setEvacuation(req, res, true)));
+			service.delete(`${paths.evacuations}/:zone`, httpServers._handleErrors(async (req, res) => httpServers._setEvacuation(req, res, false)));
 		});
 		await httpServers._listen(ready, service => {
 			service.get(paths.ready, (_req, res) => {
@@ -128,6 +136,32 @@
 		sendJson(res, 200, JSON.stringify({version: result.version}));
 	}
 
+	/** Evacuates a zone or withdraws its evacuation. Answers once a quorum has stored the change. The withdrawal for an unknown zone changes nothing. */
+	private async _setEvacuation(req: IncomingMessage, res: ServerResponse, isEvacuated: boolean): Promise<void> {
+		const {evacuations, isKnownZone, logger, metrics} = this._options;
+		const zone = decodeName((req as IncomingMessage & {params: Record<string, string>}).params.zone!);
+		if (zone === undefined || (isEvacuated && !isKnownZone(zone))) {
+			logger.log('warn', 'evacuation refused', {zone, isEvacuated, reason: 'unknown zone'});
+			sendJson(res, 404, JSON.stringify({error: 'the deployment has no zone of this name'}));
+			return;
+		}
+
+		const {socket} = req;
+		const result = await evacuations.execute({zone, isEvacuated, isAwaited: () => !socket.destroyed && !socket.readableEnded}, operatorTimeoutMs);
+		metrics.count('evacuation_orders_total', {outcome: result.kind});
+		if (result.kind === 'done') {
+			logger.log('info', 'evacuation acknowledged', {
+				zone, isEvacuated, revision: result.revision, isChanged: result.isChanged,
+			});
+			sendJson(res, 200, JSON.stringify({zone, evacuated: isEvacuated}));
+			return;
+		}
+
+		const reason = result.kind === 'refused' ? result.code : 'the operator left';
+		logger.log('warn', 'evacuation not carried out', {zone, isEvacuated, reason});
+		sendJson(res, 503, JSON.stringify({error: reason}));
+	}
+
 	private async _sendConfiguration(res: ServerResponse): Promise<void> {
 		const {source} = await this._options.adminClient.getConfiguration(undefined, operatorTimeoutMs);
 		if (source === undefined) {
@@ -154,6 +188,16 @@
 	res.end(body);
 }
 
+/** Decodes a name from a path; undefined if it is malformed or too long. */
+function decodeName(encoded: string): string | undefined {
+	try {
+		const name = decodeURIComponent(encoded);
+		return name.length > 0 && name.length <= maxZoneNameLength ? name : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
 /** Reads a body as UTF-8 text; undefined if it is larger than `limitBytes`. */
 async function readText(req: IncomingMessage, limitBytes: number): Promise<string | undefined> {
 	const chunks: Uint8Array[] = [];
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -102,8 +102,8 @@
 translate and make no decisions. A method that reads one value returns undefined if the value is absent or malformed.
 */
 export abstract class FleetProtocol {
-	/** Paths of the HTTP interfaces that the router serves. */
-	abstract readonly paths: {readonly configuration: string; readonly entryPoints: string; readonly ready: string};
+	/** Paths of the HTTP interfaces that the router serves. The name of a zone follows `evacuations`. */
+	abstract readonly paths: {readonly configuration: string; readonly evacuations: string; readonly entryPoints: string; readonly ready: string};
 
 	/** Reads the headers of a caller's request. `headers` contains names and values, alternating. */
 	abstract readCallerRequest(headers: readonly string[]): CallerRequest;
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -26,6 +26,9 @@
 /** Retry delay that a refusal advises, in milliseconds, when the customer has used up its rate and it is not known when its bucket will cover the request. */
 const rateLimitRetryMs = 1000;
 
+/** Retry delay that a refusal advises when all servers of the service are in evacuated zones, in milliseconds; evacuations last for minutes. */
+const evacuatedRetryMs = 5000;
+
 /** Thrown to refuse a request; the router then answers the caller itself, with this status, reason and retry delay. */
 export class ForwardRefusal extends Error {
 	override readonly name = 'ForwardRefusal';
@@ -157,6 +160,10 @@
 		}
 
 		const service = table.service(chooseTarget(route, this._options.fleet.random.next()))!;
+		if (this._options.fleet.directory.isServiceEvacuated(service.name)) {
+			throw new ForwardRefusal(503, 'the zones of all servers of the service are evacuated', evacuatedRetryMs);
+		}
+
 		return {route, service, tenant: customer};
 	}
 
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -47,6 +47,8 @@
 			void this._handle(req, res);
 		});
 		_options.access.events.on('onViewChanged', view => {
+			// First, since the handler lets requests pass once it is configured.
+			_options.fleet.setEvacuatedZones(view.evacuatedZones, view.revision);
 			this.handler.configure(view);
 			const limits = view.configuration.forwarding?.limits;
 			if (limits) {
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -55,6 +55,8 @@
 	private readonly _grants = new Set<string>();
 	/** Servers that are being probed because another process reported them as unreachable. */
 	private readonly _serversBeingProbed = new Set<ServerKey>();
+	/** Ejected servers whose probing ended because their zone is evacuated. */
+	private readonly _unprobedServers = new Set<ServerKey>();
 	private _isDisposed = false;
 
 	constructor(private readonly _options: ServerFleetOptions) {
@@ -73,6 +75,7 @@
 
 		const {added, changed, removed} = this.directory.update(records, requestedMs);
 		for (const key of removed) {
+			this._unprobedServers.delete(key);
 			this._options.onServerLost(key);
 		}
 
@@ -90,6 +93,24 @@
 		}
 	}
 
+	/** Applies the evacuated zones of the shared state at `revision`. Nothing more is sent to the servers there; running exchanges may finish. */
+	setEvacuatedZones(zones: ReadonlySet<string>, revision: number): void {
+		const {evacuatedZones} = this.directory;
+		if (zones.size === evacuatedZones.size && [...zones].every(zone => evacuatedZones.has(zone))) {
+			return;
+		}
+
+		this.directory.setEvacuatedZones(zones);
+		this._options.logger.log('info', 'evacuated zones changed', {zones: [...zones], before: [...evacuatedZones], revision});
+		for (const key of this._unprobedServers) {
+			const server = this.directory.get(key);
+			if (server && !this.directory.isEvacuated(server)) {
+				this._unprobedServers.delete(key);
+				this._scheduleProbe(server);
+			}
+		}
+	}
+
 	/** Time since the list in use was requested, in milliseconds; undefined before the first list. */
 	listAgeMs(): number | undefined {
 		const {listRequestedAtMs} = this.directory;
@@ -203,7 +224,7 @@
 	/** Probes a server that another process reported as unreachable, and ejects the server if the probe fails, so that no request of this process has to discover the failure. */
 	async probeReported(key: ServerKey, announcedBy: string): Promise<void> {
 		const server = this.directory.get(key);
-		if (!server || server.ejection.isEjected || this._serversBeingProbed.has(key)) {
+		if (!server || server.ejection.isEjected || this.directory.isEvacuated(server) || this._serversBeingProbed.has(key)) {
 			return;
 		}
 
@@ -279,6 +300,11 @@
 				return;
 			}
 
+			if (this.directory.isEvacuated(server)) {
+				this._unprobedServers.add(server.key);
+				return;
+			}
+
 			const isReached = await this.adapterFor(server).probe(probeTimeoutMs);
 			if (server.ejection.recordProbe(isReached, clock.nowMs())) {
 				this._options.logger.log('info', 'server readmitted', {server: server.key});
--- a/src/node/forwarding/stage-balancer.ts
+++ b/src/node/forwarding/stage-balancer.ts
@@ -159,7 +159,7 @@
 		const adapter = fleet.adapterFor(server);
 		const reportAnswer = await adapter.call(protocol.buildReportCall(record.id), engineCallTimeoutMs, {isNewConnection: true});
 		const report = reportAnswer.status === 200 ? protocol.readReport(reportAnswer.text) : undefined;
-		if (!report || report.isBusy || report.stage === stage || this._options.lease.epoch !== epoch) {
+		if (!report || report.isBusy || report.stage === stage || this._options.lease.epoch !== epoch || fleet.directory.isEvacuated(server)) {
 			this._pausedUntilMs = clock.nowMs() + rejectedOrderPauseMs;
 			return;
 		}
--- a/src/node/observability/state-dump.ts
+++ b/src/node/observability/state-dump.ts
@@ -47,6 +47,7 @@
 		keys: access.view.keysByDigest.size,
 		drainedUpstreams: publishedView?.drainedUpstreams,
 		drainedVms: publishedView?.drainedVms,
+		evacuatedZones: publishedView?.evacuatedZones,
 		leases: publishedView?.leases,
 	};
 }
--- a/src/node/scheduler/fixtures.ts
+++ b/src/node/scheduler/fixtures.ts
@@ -80,7 +80,7 @@
 	constructor(configuration: SharedConfiguration) {
 		super();
 		this._view = {
-			revision: 1, version: 1, configuration, drainedUpstreams: new Set(), drainedVms: new Set(), leases: new Map(),
+			revision: 1, version: 1, configuration, drainedUpstreams: new Set(), drainedVms: new Set(), evacuatedZones: new Set(), leases: new Map(),
 		};
 	}
 
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -25,6 +25,7 @@
 import {ControlLeaseStore} from './control/control-lease-store.js';
 import {ControlLeaderClient} from './control/control-leader-client.js';
 import {ControlAdminClient} from './control/control-admin-client.js';
+import {EvacuationOrders} from './control/evacuation-orders.js';
 import {ControlServer} from './control/control-server.js';
 import {EntryServer} from './entry/entry-server.js';
 import {GossipEntryPointService} from './membership/gossip-entry-point-service.js';
@@ -504,6 +505,11 @@
 	}
 }
 
+/** Returns a function that tells whether the deployment has a zone of a given name: one of the settings, this process's own, or a listed server's. Any name passes if the settings name no zones. */
+function createZoneCheck(ownZone: string, {regionByZone}: FleetSettings, fleet: ServerFleet): (zone: string) => boolean {
+	return zone => regionByZone.size === 0 || regionByZone.has(zone) || zone === ownZone || [...fleet.directory.servers].some(({record}) => record.zone === zone);
+}
+
 async function startForwarding(core: CoreComponents, fleetSettings: FleetSettings, protocol: FleetProtocol): Promise<FleetComponents> {
 	const {
 		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
@@ -610,10 +616,16 @@
 	disposables.add(await FleetHttpServers.start({
 		protocol,
 		adminClient,
+		evacuations: new EvacuationOrders(adminClient, clock),
+		isKnownZone: createZoneCheck(settings.zone, fleetSettings, fleet),
 		logger,
 		metrics,
 		dump: () => ({
-			...createStateDump(core, undefined), running: server.runningRequests, isDraining: server.isDraining, servers: [...fleet.directory.servers],
+			...createStateDump(core, undefined),
+			running: server.runningRequests,
+			isDraining: server.isDraining,
+			evacuatedZones: [...fleet.directory.evacuatedZones],
+			servers: [...fleet.directory.servers],
 		}),
 		members: () => membership.members,
 		isReady: () => server.handler.isConfigured && !server.isDraining,
