membership: losses of many members, and what a suspended member missed, are known within the directory's bound

Cause: a message had room for 8 records, so after the loss of a third of 83 members the records of the lost ones waited in the queues: some members still listed lost ones as alive 7 s later, and entry-point answers named them. A member that was suspended or cut off learned of losses that nobody gossiped about any more only by a page every 5 s, which a lost member may have been asked for. Change: 16 further records of suspect and dead members fit into a message; alive ones have the room that they had, so a cold start costs as before. After 1 s without any message, a member reads the whole list of the first one that it hears.

--- a/src/common/membership/membership.test.ts
+++ b/src/common/membership/membership.test.ts
@@ -202,3 +202,41 @@
 	fleet.advance(330_000);
 	assert.equal(fleet.recordOf('vm-0', 'vm-3'), undefined);
 });
+
+/** Time after which no answer may name a member that was lost, in milliseconds. */
+const namedLimitMs = 7000;
+
+/** Returns the members that some running member would name in an entry-point answer although they are down. */
+function namedLostMembers(fleet: SimulatedFleet): string[] {
+	return [...fleet.members.keys()].filter(vm => fleet.down.has(vm) && !fleet.hasAgreementOn(vm, record => record?.status !== 'alive'));
+}
+
+test('7 s after a zone with a third of the members is lost, no member lists any of them as alive', () => {
+	for (let seed = 1; seed <= 3; seed++) {
+		const fleet = makeConvergedFleet(83, seed);
+		for (const vm of [...fleet.members.keys()].filter((_, i) => i % 3 === 2)) {
+			fleet.down.add(vm);
+		}
+
+		fleet.advance(namedLimitMs);
+		assert.deepEqual(namedLostMembers(fleet), [], `seed ${seed}`);
+	}
+});
+
+test('a member that was suspended or cut off lists no member as alive, 4 s after it returns, that was lost meanwhile', () => {
+	for (let seed = 1; seed <= 6; seed++) {
+		const fleet = makeConvergedFleet(40, seed);
+		fleet.advance(seed * 700);
+		fleet.down.add('vm-5');
+		fleet.advance(2000);
+		for (const vm of ['vm-7', 'vm-8', 'vm-9']) {
+			fleet.down.add(vm);
+		}
+
+		// Long enough that nobody gossips about the lost members any more.
+		fleet.advance(30_000);
+		fleet.down.delete('vm-5');
+		fleet.advance(4000);
+		assert.deepEqual(namedLostMembers(fleet), [], `seed ${seed}`);
+	}
+});
--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -1,5 +1,5 @@
 import type {VmId} from '../core/types.js';
-import {maxPageRecords, maxUpdates} from './messages.js';
+import {maxFailureUpdates, maxPageRecords, maxUpdates} from './messages.js';
 import {changeSelf, mergeRecord, shuffledLiveMembers} from './state.js';
 import type {MembershipState, Probe} from './state.js';
 import type {
@@ -82,7 +82,7 @@
 	}
 
 	if (nowMs >= state.nextSyncMs) {
-		state.nextSyncMs = nowMs + (state.members.size === 0 ? aloneRetryIntervalMs : state.options.syncIntervalMs);
+		state.nextSyncMs = nowMs + syncIntervalMs(state);
 		effects.push(...syncWithRandomMember(state));
 	}
 
@@ -94,6 +94,15 @@
 	return effects;
 }
 
+/** Returns the time until the next page is requested, in milliseconds, unless an answer brings it forward. */
+function syncIntervalMs({members, isCatchingUp, options}: MembershipState): number {
+	if (members.size === 0) {
+		return aloneRetryIntervalMs;
+	}
+
+	return isCatchingUp ? options.probeIntervalMs : options.syncIntervalMs;
+}
+
 /** Declares suspects dead after the suspicion timeout and removes dead members after the retention period. */
 function expireMembers(state: MembershipState, nowMs: number): MembershipEffect[] {
 	const effects: MembershipEffect[] = [];
@@ -117,10 +126,12 @@
 /**
 Records that a message has arrived. If this process may have been cut off until now, also restarts the suspicion timeout of all suspects and
 pings each suspect at once, because the regular probes would reach some suspects only after their timeout, when they can no longer refute.
+Then reads the member list of the sender, because nobody may gossip any more about members that were lost meanwhile.
 */
-function endIsolation(state: MembershipState, nowMs: number): MembershipEffect[] {
+function endIsolation(state: MembershipState, from: VmId, nowMs: number): MembershipEffect[] {
 	const effects: MembershipEffect[] = [];
-	for (const [vm, member] of isIsolated(state, nowMs) ? state.members : []) {
+	const wasIsolated = isIsolated(state, nowMs);
+	for (const [vm, member] of wasIsolated ? state.members : []) {
 		if (member.record.status === 'suspect') {
 			member.statusChangedMs = nowMs;
 			effects.push(ping(state, state.nextSequence++, vm, ''));
@@ -128,6 +139,13 @@
 	}
 
 	state.lastReceivedMs = nowMs;
+	if (wasIsolated && state.members.size > 0) {
+		state.isCatchingUp = true;
+		state.cursor = '';
+		state.nextSyncMs = nowMs + syncIntervalMs(state);
+		effects.push(requestPage(state, from));
+	}
+
 	return effects;
 }
 
@@ -203,11 +221,11 @@
 	return record && record.status !== 'alive' ? [record] : [];
 }
 
-/** Returns up to `maxUpdates` records to piggyback on a message: the record of this process, that of the receiver if the receiver is listed as suspect or dead, and the updates sent least often. */
+/** Returns up to `maxUpdates` records to piggyback on a message: the record of this process, that of the receiver if the receiver is listed as suspect or dead, and the updates sent least often; and up to `maxFailureUpdates` further records of suspect and dead members. */
 function piggyback(state: MembershipState, to: VmId): MemberRecord[] {
 	const records = [state.self, ...failureRecordOf(state, to)];
 	const vms = new Set(records.map(({vm}) => vm));
-	const updates = state.updates.take(maxUpdates - records.length, state.members.size).filter(({vm}) => !vms.has(vm));
+	const updates = state.updates.take(maxUpdates - records.length, maxFailureUpdates, state.members.size).filter(({vm}) => !vms.has(vm));
 	return [...records, ...updates];
 }
 
@@ -235,7 +253,7 @@
 }
 
 function handleMessage(state: MembershipState, {from, message, nowMs}: EventOf<'membership/message'>): MembershipEffect[] {
-	const effects = endIsolation(state, nowMs);
+	const effects = endIsolation(state, from.vm, nowMs);
 	effects.push(...message.updates.flatMap(record => mergeRecord(state, record, nowMs)));
 	switch (message.type) {
 		case 'membership.ping': {
@@ -258,8 +276,7 @@
 		}
 
 		case 'membership.members': {
-			handlePage(state, message, effects.length > 0, nowMs);
-			return effects;
+			return [...effects, ...handlePage(state, message, {from: from.vm, hasChanges: effects.length > 0, nowMs})];
 		}
 	}
 }
@@ -286,9 +303,15 @@
 	return send(to, {type: 'membership.members', ...(next !== undefined && {next}), updates: [...failureRecordOf(state, to), ...page]});
 }
 
-/** Advances the page cursor. While the received pages change the local list, as after a join or the loss of a zone, the next page is requested after a probe interval instead of the longer sync interval. */
-function handlePage(state: MembershipState, {next}: MessageOf<'membership.members'>, hasChanges: boolean, nowMs: number): void {
+/** Advances the page cursor. While the received pages change the local list, as after a join or the loss of a zone, the next page is requested after a probe interval instead of the longer sync interval. While this process catches up, requests the next page from the same member at once. */
+function handlePage(state: MembershipState, {next}: MessageOf<'membership.members'>, {from, hasChanges, nowMs}: {readonly from: VmId; readonly hasChanges: boolean; readonly nowMs: number}): MembershipEffect[] {
 	state.cursor = next ?? '';
+	if (state.isCatchingUp) {
+		state.isCatchingUp = next !== undefined;
+		state.nextSyncMs = nowMs + syncIntervalMs(state);
+		return next === undefined ? [] : [requestPage(state, from)];
+	}
+
 	state.hasPassChanges ||= hasChanges;
 	if (state.hasPassChanges) {
 		state.nextSyncMs = Math.min(state.nextSyncMs, nowMs + state.options.probeIntervalMs);
@@ -297,6 +320,8 @@
 	if (next === undefined) {
 		state.hasPassChanges = hasChanges;
 	}
+
+	return [];
 }
 
 function updateSelf(state: MembershipState, {load, isDraining, nowMs}: EventOf<'membership/self'>): void {
--- a/src/common/membership/messages.ts
+++ b/src/common/membership/messages.ts
@@ -2,6 +2,8 @@
 
 /** Maximum number of member records in a message that is not a page of the member list. */
 export const maxUpdates = 8;
+/** Maximum number of further records of suspect and dead members in a message that is not a page of the member list. They keep a loss of many members from spreading slowly. */
+export const maxFailureUpdates = 16;
 /** Maximum number of member records in a page of the member list. */
 export const maxPageRecords = 50;
 
@@ -24,7 +26,7 @@
 	load: z.int().min(0).max(100),
 });
 
-const updatesSchema = z.array(memberRecordSchema).max(maxUpdates);
+const updatesSchema = z.array(memberRecordSchema).max(maxUpdates + maxFailureUpdates);
 
 export const membershipMessageSchema = z.discriminatedUnion('type', [
 	/** Probe. `onBehalfOf` names the member that requested an indirect probe and is empty in a direct probe. */
--- a/src/common/membership/state.ts
+++ b/src/common/membership/state.ts
@@ -58,6 +58,8 @@
 	lastReceivedMs: number;
 	/** Whether a page of the current pass through the member list, or the last page of the previous pass, has changed the list of this process. */
 	hasPassChanges: boolean;
+	/** Whether this process reads the whole member list of others because it may have missed updates while it was cut off or suspended. */
+	isCatchingUp: boolean;
 	/** VM name after which the next requested page starts; empty for the first page. */
 	cursor: string;
 	/** VMs to contact while they are not in the member list. */
@@ -100,6 +102,7 @@
 		nextSequence: 1,
 		lastReceivedMs: 0,
 		hasPassChanges: false,
+		isCatchingUp: false,
 		cursor: '',
 		seeds: [],
 		leaving: new Set(),
--- a/src/common/membership/update-queue.ts
+++ b/src/common/membership/update-queue.ts
@@ -22,10 +22,11 @@
 		this._updates.set(record.vm, {record, sends: 0});
 	}
 
-	/** Returns up to `maxCount` updates for one message and removes those that have reached the transmission limit. */
-	take(maxCount: number, memberCount: number): MemberRecord[] {
+	/** Returns up to `maxCount` updates for one message, and up to `maxFailures` further ones of suspect and dead members. Removes those that have reached the transmission limit. */
+	take(maxCount: number, maxFailures: number, memberCount: number): MemberRecord[] {
 		const transmissionLimit = transmissionsPerDoubling * Math.ceil(Math.log2(memberCount + 2));
-		const chosen = [...this._updates.values()].sort((a, b) => a.sends - b.sends).slice(0, maxCount);
+		const queued = [...this._updates.values()].sort((a, b) => a.sends - b.sends);
+		const chosen = [...queued.slice(0, maxCount), ...queued.slice(maxCount).filter(({record}) => record.status !== 'alive').slice(0, maxFailures)];
 		for (const update of chosen) {
 			update.sends++;
 			if (update.sends >= transmissionLimit) {
