membership: entry-point answers name VMs in proportion to their capacity

Change: each member announces its capacity in its own record (processor, limited by the link), and an answer samples the VMs by it.

--- a/src/common/membership/membership.ts
+++ b/src/common/membership/membership.ts
@@ -303,8 +303,15 @@
 	return send(to, {type: 'membership.members', ...(next !== undefined && {next}), updates: [...failureRecordOf(state, to), ...page]});
 }
 
+type PageArrival = {
+	readonly from: VmId;
+	/** Whether the page has changed the list of this process. */
+	readonly hasChanges: boolean;
+	readonly nowMs: number;
+};
+
 /** Advances the page cursor. While the received pages change the local list, as after a join or the loss of a zone, the next page is requested after a probe interval instead of the longer sync interval. While this process catches up, requests the next page from the same member at once. */
-function handlePage(state: MembershipState, {next}: MessageOf<'membership.members'>, {from, hasChanges, nowMs}: {readonly from: VmId; readonly hasChanges: boolean; readonly nowMs: number}): MembershipEffect[] {
+function handlePage(state: MembershipState, {next}: MessageOf<'membership.members'>, {from, hasChanges, nowMs}: PageArrival): MembershipEffect[] {
 	state.cursor = next ?? '';
 	if (state.isCatchingUp) {
 		state.isCatchingUp = next !== undefined;
--- a/src/common/membership/messages.ts
+++ b/src/common/membership/messages.ts
@@ -24,6 +24,8 @@
 	isDraining: z.boolean(),
 	/** Capacity in use, in percent. */
 	load: z.int().min(0).max(100),
+	/** Capacity of the VM for callers' requests, in thousandths of a core; absent if its limits are not known. */
+	capacity: z.int().min(1).optional(),
 });
 
 const updatesSchema = z.array(memberRecordSchema).max(maxUpdates + maxFailureUpdates);
--- a/src/node/forwarding/fleet-http-servers.test.ts
+++ b/src/node/forwarding/fleet-http-servers.test.ts
@@ -38,6 +38,7 @@
 			isKnownZone: () => true,
 			logger: new NullLogger(),
 			members: () => [],
+			random: () => 0,
 			isReady: () => true,
 			listen: {
 				operators: `127.0.0.1:${operators}`, ready: `127.0.0.1:${ready}`, directory: `127.0.0.1:${directory}`, metrics: `127.0.0.1:${metricsPort}`,
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -4,6 +4,7 @@
 import restana from 'restana';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
+import {sampleEntryPoints} from '../../common/membership/entry-point-sample.js';
 import type {MemberRecord} from '../../common/membership/types.js';
 import {splitAddress} from '../address.js';
 import type {ControlAdminClient} from '../control/control-admin-client.js';
@@ -32,6 +33,8 @@
 	readonly isKnownZone: (zone: string) => boolean;
 	readonly logger: Logger;
 	readonly members: () => readonly MemberRecord[];
+	/** Returns a random number in [0, 1). */
+	readonly random: () => number;
 	readonly isReady: () => boolean;
 	readonly listen: {readonly operators: string; readonly ready: string; readonly directory: string; readonly metrics: string};
 	readonly metrics: PromMetrics;
@@ -172,13 +175,13 @@
 		sendJson(res, 200, source);
 	}
 
-	/** Sends the addresses of the live entry VMs that are not draining, those in the caller's zone first. Sends suspect VMs only if no such VM is alive. */
+	/** Sends the addresses of the live entry VMs that are not draining, those in the caller's zone first and large ones more often. Sends suspect VMs only if no such VM is alive. */
 	private _sendEntryPoints(req: IncomingMessage, res: ServerResponse): void {
-		const {protocol, members} = this._options;
+		const {protocol, members, random} = this._options;
 		const {zone} = protocol.readEntryPointQuery(new URL(req.url!, 'http://directory').searchParams);
 		const usable = members().filter(({roles, status, isDraining}) => roles.includes('entry') && status !== 'dead' && !isDraining);
 		const alive = usable.filter(({status}) => status === 'alive');
-		const chosen = (alive.length > 0 ? alive : usable).sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone)).slice(0, maxEntryPoints);
+		const chosen = sampleEntryPoints(alive.length > 0 ? alive : usable, {zone, maxCount: maxEntryPoints, random});
 		sendJson(res, 200, protocol.entryPointAnswer(chosen.flatMap(({callerAddress}) => callerAddress ?? []), entryAnswerValidityMs));
 	}
 }
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -11,6 +11,7 @@
 	CountEffect, VmId, VmIdentity,
 } from '../common/core/types.js';
 import type {ConsensusTimings} from '../common/consensus/types.js';
+import {announcedCapacity} from '../common/membership/entry-point-sample.js';
 import type {LocalMember} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
 import type {
@@ -148,6 +149,8 @@
 	readonly peerAddressOf?: (vm: VmId) => string;
 	/** Whether the process receives the platform's server list from the leader; false by default. */
 	readonly followsServerList?: boolean;
+	/** Capacity that this VM announces to the other members, in thousandths of a core; absent if it announces none. */
+	readonly capacity?: number;
 	/** Fields added to every log line. */
 	readonly logContext?: Readonly<Record<string, string>>;
 };
@@ -202,7 +205,7 @@
 
 	const leaderClient = new ControlLeaderClient({network, clock, controlVms});
 	const membership = disposables.add(new MembershipHost({
-		self: describeSelf(settings, self),
+		self: {...describeSelf(settings, self), ...(cluster.capacity !== undefined && {capacity: cluster.capacity})},
 		seeds: [...seeds],
 		network,
 		clock,
@@ -423,6 +426,7 @@
 				// The name of a VM is its IP address, and all VMs use the same port for peers.
 				peerAddressOf: vm => `${vm}:${port}`,
 				followsServerList: fleetSettings.serverList !== undefined,
+				...(fleetSettings.vmLimits && {capacity: announcedCapacity(fleetSettings.vmLimits)}),
 				logContext: {node: fleetSettings.node},
 			});
 			const fleet = await startForwarding(core, fleetSettings, protocol);
@@ -628,6 +632,7 @@
 			servers: [...fleet.directory.servers],
 		}),
 		members: () => membership.members,
+		random: () => fleet.random.next(),
 		isReady: () => server.handler.isConfigured && !server.isDraining,
 		listen: {operators: settings.listen.operators, ...fleetSettings.listen},
 	}));
