--- a/src/node/forwarding/stage-balancer.test.ts
+++ b/src/node/forwarding/stage-balancer.test.ts
@@ -35,7 +35,7 @@
 	}
 }
 
-/** Builds a stage balancer whose ticks the test runs itself. The pool has one prefill engine too many unless the test passes other `ids`. */
+/** Builds a stage balancer whose ticks the test runs itself. The pool has one prefill engine too many unless the test passes other `ids`. Engines are in zone z1, those whose id ends in `-z2` in zone z2. */
 async function buildBalancer(t: TestContext, {epoch, isLeader = true, ids = ['p1', 'p2', 'p3', 'd1', 'd2', 'd3']}: {epoch: number; isLeader?: boolean; ids?: readonly string[]}) {
 	const orders: Array<{readonly body: unknown; readonly expectedServer: unknown}> = [];
 	const server = await TestServer.start((req, res, body) => {
@@ -63,7 +63,7 @@
 		announceLeaving: () => undefined, onServerLost: () => undefined,
 	});
 	const records: ServerRecord[] = ids.map(id => buildServer({
-		id, address: server.address, stage: id.startsWith('p') ? 'prefill' : 'decode',
+		id, address: server.address, zone: id.endsWith('-z2') ? 'z2' : 'z1', stage: id.startsWith('p') ? 'prefill' : 'decode',
 	}));
 	const balancer = new StageBalancer({
 		clock,
@@ -95,7 +95,7 @@
 		service: 'desk', zone: 'z1', exclude: new Set(), maxInFlight: 10, nowMs: clock.nowMs(),
 	})?.record.id;
 	return {
-		advanceAndTick, orders, announced, chooseDecode,
+		advanceAndTick, orders, announced, chooseDecode, fleet,
 	};
 }
 
@@ -150,3 +150,18 @@
 	await advanceAndTick(minOrderGapMs);
 	assert.equal(orders.length, 0);
 });
+
+test('the pool is balanced among the engines outside evacuated zones, and those inside get no orders', async t => {
+	const {advanceAndTick, orders, fleet} = await buildBalancer(t, {epoch: 1, ids: ['p1', 'p2', 'd1', 'd2', 'd3-z2', 'd4-z2', 'd5-z2', 'd6-z2']});
+	await advanceAndTick(0);
+	await advanceAndTick(imbalanceElapsedMs);
+	assert.equal(orders.length, 0);
+	fleet.setEvacuatedZones(new Set(['z1']), 1);
+	await advanceAndTick(0);
+	await advanceAndTick(imbalanceElapsedMs);
+	assert.deepEqual(orders.map(({body, expectedServer}) => [(body as {stage: string}).stage, expectedServer]), [['prefill', 'd3-z2']]);
+	fleet.setEvacuatedZones(new Set(['z1', 'z2']), 2);
+	await advanceAndTick(imbalanceElapsedMs);
+	await advanceAndTick(imbalanceElapsedMs);
+	assert.equal(orders.length, 1);
+});
