control: a lost leader is passed over while the operator of an evacuation still waits

Cause: a control VM had 1 s to answer a read, as long as an operator waits for one process, so with a lost leader each process in turn would give the order up as that of an operator who has left. Change: the first attempt of the read has 250 ms, and each further one twice as long.

--- a/src/node/control/control-admin-client.ts
+++ b/src/node/control/control-admin-client.ts
@@ -157,9 +157,9 @@
 		return drains;
 	}
 
-	/** Reads the drains and the revision that they were read at. */
-	async readDrains(timeoutMs = operationTimeoutMs): Promise<Pick<ResultOf<'drains'>, 'drains' | 'revision'>> {
-		return await this._read({what: 'drains'}, timeoutMs) as ResultOf<'drains'>;
+	/** Reads the drains and the revision that they were read at. The first control VM has `firstAttemptMs` milliseconds to answer. */
+	async readDrains(timeoutMs = operationTimeoutMs, firstAttemptMs?: number): Promise<Pick<ResultOf<'drains'>, 'drains' | 'revision'>> {
+		return await this._leaderClient.read({what: 'drains'}, timeoutMs, firstAttemptMs) as ResultOf<'drains'>;
 	}
 
 	/** Evacuates a zone or withdraws its evacuation, unless that was changed after the revision `unchangedSince`; the change is then refused as `stale`. */
--- a/src/node/control/control-leader-client.ts
+++ b/src/node/control/control-leader-client.ts
@@ -16,6 +16,10 @@
 /** Maximum number of leader hints that are followed in a row without a delay. */
 const maxRedirects = 2;
 
+type LeaderReplySchema = z.ZodType<{kind: string; leader?: VmId}>;
+
+type Timeouts = {readonly timeoutMs: number; readonly firstAttemptMs: number};
+
 export type ControlLeaderClientOptions = {
 	readonly network: PeerNetwork;
 	readonly clock: Clock;
@@ -46,23 +50,28 @@
 	Rejects with `TimeoutError` if the outcome is not known in time; the command may still have taken effect.
 	*/
 	async propose(command: Command, timeoutMs: number): Promise<Outcome> {
-		const reply = await this._requestFromLeader({type: 'control/propose', command}, proposeReplySchema, 'outcome', timeoutMs);
+		const reply = await this._requestFromLeader({type: 'control/propose', command}, proposeReplySchema, 'outcome', {timeoutMs, firstAttemptMs: attemptTimeoutMs});
 		return (reply as {outcome: Outcome}).outcome;
 	}
 
-	/** Reads the replicated state, including everything committed before the query arrived. Rejects with `TimeoutError` if no leader answers in time. */
-	async read(query: ReadQuery, timeoutMs: number): Promise<ReadResult> {
-		const reply = await this._requestFromLeader({type: 'control/read', query}, readReplySchema, 'result', timeoutMs);
+	/**
+	Reads the replicated state, including everything committed before the query arrived. Rejects with `TimeoutError` if no leader answers in time.
+	The first control VM has `firstAttemptMs` milliseconds to answer; that doubles with each attempt, up to the usual time.
+	*/
+	async read(query: ReadQuery, timeoutMs: number, firstAttemptMs = attemptTimeoutMs): Promise<ReadResult> {
+		const reply = await this._requestFromLeader({type: 'control/read', query}, readReplySchema, 'result', {timeoutMs, firstAttemptMs});
 		return (reply as {result: ReadResult}).result;
 	}
 
-	private async _requestFromLeader<S extends z.ZodType<{kind: string; leader?: VmId}>>(message: PeerMessage, schema: S, expectedKind: string, timeoutMs: number): Promise<z.output<S>> {
+	private async _requestFromLeader<S extends LeaderReplySchema>(message: PeerMessage, schema: S, expectedKind: string, {timeoutMs, firstAttemptMs}: Timeouts): Promise<z.output<S>> {
 		const {clock} = this._options;
 		const deadlineMs = clock.nowMs() + timeoutMs;
 		let redirects = 0;
+		let attemptMs = firstAttemptMs;
 		for (let remainingMs = timeoutMs; remainingMs > 0; remainingMs = deadlineMs - clock.nowMs()) {
 			const target = this._target;
-			const reply = target === undefined ? undefined : await this._tryRequest(target, message, schema, Math.min(remainingMs, attemptTimeoutMs));
+			const reply = target === undefined ? undefined : await this._tryRequest(target, message, schema, Math.min(remainingMs, attemptMs));
+			attemptMs = Math.min(attemptMs * 2, attemptTimeoutMs);
 			if (reply?.kind === expectedKind) {
 				return reply;
 			}
--- a/src/node/control/evacuation-orders.test.ts
+++ b/src/node/control/evacuation-orders.test.ts
@@ -96,3 +96,22 @@
 	}, clock);
 	await assert.rejects(orders.execute({zone: 'z1', isEvacuated: true, isAwaited: () => true}, timeoutMs), {name: 'TimeoutError'});
 });
+
+test('a lost leader is passed over before the operator goes to another process', async t => {
+	const {cluster, adminClient, execute} = await startCluster(t);
+	await adminClient.listDrains();
+	cluster.hub.disconnectedVms.add('control-1');
+	cluster.consensus.isolatedVms.add('control-1');
+	cluster.consensus.elect('control-2');
+	const attempts: number[] = [];
+	const network = cluster.hub.networks.get('vm-1')!;
+	const request = network.request.bind(network);
+	network.request = async (to, message, ms) => {
+		attempts.push(ms);
+		return request(to, message, ms);
+	};
+
+	const result = await execute(true);
+	assert.equal(result.kind, 'done');
+	assert.deepEqual(attempts, [250, 500, 1000], 'a read that the lost leader does not answer, one at the next leader, and the proposal');
+});
