--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -11,6 +11,7 @@
 	CountEffect, VmId, VmIdentity,
 } from '../common/core/types.js';
 import type {ConsensusTimings} from '../common/consensus/types.js';
+import {announcedCapacity} from '../common/membership/entry-point-sample.js';
 import type {LocalMember} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
 import type {
@@ -25,6 +26,7 @@
 import {ControlLeaseStore} from './control/control-lease-store.js';
 import {ControlLeaderClient} from './control/control-leader-client.js';
 import {ControlAdminClient} from './control/control-admin-client.js';
+import {EvacuationOrders} from './control/evacuation-orders.js';
 import {ControlServer} from './control/control-server.js';
 import {EntryServer} from './entry/entry-server.js';
 import {GossipEntryPointService} from './membership/gossip-entry-point-service.js';
@@ -147,6 +149,8 @@
 	readonly peerAddressOf?: (vm: VmId) => string;
 	/** Whether the process receives the platform's server list from the leader; false by default. */
 	readonly followsServerList?: boolean;
+	/** Capacity that this VM announces to the other members, in thousandths of a core; absent if it announces none. */
+	readonly capacity?: number;
 	/** Fields added to every log line. */
 	readonly logContext?: Readonly<Record<string, string>>;
 };
@@ -201,7 +205,7 @@
 
 	const leaderClient = new ControlLeaderClient({network, clock, controlVms});
 	const membership = disposables.add(new MembershipHost({
-		self: describeSelf(settings, self),
+		self: {...describeSelf(settings, self), ...(cluster.capacity !== undefined && {capacity: cluster.capacity})},
 		seeds: [...seeds],
 		network,
 		clock,
@@ -422,6 +426,7 @@
 				// The name of a VM is its IP address, and all VMs use the same port for peers.
 				peerAddressOf: vm => `${vm}:${port}`,
 				followsServerList: fleetSettings.serverList !== undefined,
+				...(fleetSettings.vmLimits && {capacity: announcedCapacity(fleetSettings.vmLimits)}),
 				logContext: {node: fleetSettings.node},
 			});
 			const fleet = await startForwarding(core, fleetSettings, protocol);
@@ -504,6 +509,11 @@
 	}
 }
 
+/** Returns a function that tells whether the deployment has a zone of a given name: one of the settings, this process's own, or a listed server's. Any name passes if the settings name no zones. */
+function createZoneCheck(ownZone: string, {regionByZone}: FleetSettings, fleet: ServerFleet): (zone: string) => boolean {
+	return zone => regionByZone.size === 0 || regionByZone.has(zone) || zone === ownZone || [...fleet.directory.servers].some(({record}) => record.zone === zone);
+}
+
 async function startForwarding(core: CoreComponents, fleetSettings: FleetSettings, protocol: FleetProtocol): Promise<FleetComponents> {
 	const {
 		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
@@ -613,14 +623,21 @@
 	disposables.add(await FleetHttpServers.start({
 		protocol,
 		adminClient,
+		evacuations: new EvacuationOrders(adminClient, clock),
+		isKnownZone: createZoneCheck(settings.zone, fleetSettings, fleet),
 		logger,
 		metrics,
 		dump: () => ({
-			...createStateDump(core, undefined), running: server.runningRequests, isDraining: server.isDraining, servers: [...fleet.directory.servers],
+			...createStateDump(core, undefined),
+			running: server.runningRequests,
+			isDraining: server.isDraining,
+			evacuatedZones: [...fleet.directory.evacuatedZones],
+			servers: [...fleet.directory.servers],
 		}),
 		members: () => membership.members,
 		namedRegions: host => server.handler.namedRegions(host),
 		regionByZone,
+		random: () => fleet.random.next(),
 		isReady: () => server.handler.isConfigured && !server.isDraining,
 		listen: {operators: settings.listen.operators, ...fleetSettings.listen},
 	}));
