--- a/src/common/forwarding/memory-wait.ts
+++ b/src/common/forwarding/memory-wait.ts
@@ -31,13 +31,17 @@
 	readonly spareMemoryRatio: number;
 };
 
+/** Returns whether an earlier attempt of the caller has used up a part of its time; `waitMs` is the caller's remaining time and `timeoutMs` the route's timeout, in milliseconds. */
+export function isCallerRetry({waitMs, timeoutMs}: {readonly waitMs: number; readonly timeoutMs: number}): boolean {
+	return waitMs < timeoutMs - callerRetryMarginMs;
+}
+
 /**
 Returns how long and how often a model request asks for memory on a full pool. `waitMs` is the caller's remaining time, `timeoutMs` the
 route's timeout and `targetMs` the route's latency objective; all in milliseconds.
 */
 export function memoryWaitPolicy({waitMs, timeoutMs, targetMs}: {readonly waitMs: number; readonly timeoutMs: number; readonly targetMs: number}): MemoryWaitPolicy {
-	const isCallerRetry = waitMs < timeoutMs - callerRetryMarginMs;
-	return isCallerRetry
+	return isCallerRetry({waitMs, timeoutMs})
 		? {maxWaitMs: callerRetryMaxWaitMs, roundIntervalMs: callerRetryIntervalMs, spareMemoryRatio: callerRetrySpareMemoryRatio}
 		: {maxWaitMs: targetMs * firstAttemptWaitShare, roundIntervalMs: firstAttemptIntervalMs, spareMemoryRatio: 0};
 }
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -4,6 +4,7 @@
 */
 import type {BaseEvent, UntimedEvent} from '../core/types.js';
 import type {MemoryWaitPolicy} from './memory-wait.js';
+import type {RequestPriority, ReservationRound} from './priority-policy.js';
 import type {
 	LocalAnswer, SendFailure, ServerKey, StopCause,
 } from './types.js';
@@ -24,6 +25,8 @@
 	readonly memoryWaitPolicy: MemoryWaitPolicy;
 	/** `Retry-After` for the caller if the pool stays full, in milliseconds. */
 	readonly fullPoolRetryAfterMs: number;
+	/** Competition with requests of other priorities; undefined if all requests of the service have the same priority. */
+	readonly priority?: Pick<RequestPriority, 'planRound' | 'recordRefusedRound' | 'recordGranted'> | undefined;
 	/**
 	Takes as many requests from the service's retry budget as a retry adds at the engines (`requests`), and returns whether the budget had that many
 	left. With 0, takes nothing and returns whether the budget is not overdrawn.
@@ -46,6 +49,8 @@
 	attempt: number;
 	/** Whether the current round of reservation calls requires engines to keep spare memory beyond the reservation. */
 	isSpareRequired: boolean;
+	/** How the current round goes; undefined if all requests of the service have the same priority. */
+	round: ReservationRound | undefined;
 	/** Engines that refused a reservation in the current round of calls. */
 	refusedBy: Set<ServerKey>;
 	/** Engines on which the request failed; they are not asked again until the request waits for memory. */
@@ -126,6 +131,7 @@
 		memoryWaitStartedMs: 0,
 		attempt: 0,
 		isSpareRequired: true,
+		round: undefined,
 		refusedBy: new Set(),
 		failedOn: new Set(),
 		prefillCalls: 0,
@@ -153,12 +159,11 @@
 		}
 
 		case 'forward/held': {
-			return handleReservation(state, event.nowMs);
+			return handleGrant(state, event.nowMs);
 		}
 
 		case 'forward/hold-refused': {
-			state.refusedBy.add(event.server);
-			return requestReservation(state);
+			return handleRefusal(state, event);
 		}
 
 		case 'forward/hold-failed': {
@@ -203,12 +208,7 @@
 		}
 
 		case 'forward/wake': {
-			if (state.phase !== 'waiting') {
-				return [];
-			}
-
-			state.phase = 'holding';
-			return startReservationRound(state);
+			return wake(state, event.nowMs);
 		}
 
 		case 'forward/stopped': {
@@ -222,7 +222,7 @@
 
 function startAttempt(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
 	beginAttempt(state, nowMs);
-	return startReservationRound(state);
+	return startReservationRound(state, nowMs);
 }
 
 function beginAttempt(state: ModelForwardState, nowMs: number): void {
@@ -234,8 +234,9 @@
 }
 
 /** Starts a round of reservation calls that requires spare memory; if engines refuse, `handleNoEngine` asks again without that requirement. */
-function startReservationRound(state: ModelForwardState): ModelForwardEffect[] {
-	state.isSpareRequired = true;
+function startReservationRound(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
+	state.round = state.priority?.planRound(nowMs, state.hasForwardedHead);
+	state.isSpareRequired = state.round?.isSpareFirst ?? true;
 	state.refusedBy = new Set();
 	return requestReservation(state);
 }
@@ -246,6 +247,25 @@
 	}];
 }
 
+function wake(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
+	if (state.phase !== 'waiting') {
+		return [];
+	}
+
+	state.phase = 'holding';
+	return startReservationRound(state, nowMs);
+}
+
+function handleGrant(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
+	state.priority?.recordGranted(state.refusedBy.size);
+	return handleReservation(state, nowMs);
+}
+
+function handleRefusal(state: ModelForwardState, {server, nowMs}: EventOf<'forward/hold-refused'>): ModelForwardEffect[] {
+	state.refusedBy.add(server);
+	return state.refusedBy.size >= (state.round?.maxEngines ?? Infinity) ? handleNoEngine(state, {nowMs}) : requestReservation(state);
+}
+
 function requestPrefill(state: ModelForwardState): ModelForwardEffect[] {
 	state.prefillCalls++;
 	return [{type: 'forward/prefill', attempt: state.attempt, exclude: state.failedOn}];
@@ -258,18 +278,25 @@
 	return state.phase === 'prefilling' ? requestPrefill(state) : [{type: 'forward/send', attempt: state.attempt}];
 }
 
+type NoEngineFacts = Omit<EventOf<'forward/no-engine'>, 'type' | 'attempt'>;
+
 /** Starts another round without the spare-memory requirement if this round had it; otherwise waits for memory if the policy allows it, or else rejects the request. */
-function handleNoEngine(state: ModelForwardState, {nowMs, resumesInMs = 0, isPrefillBusy = false}: EventOf<'forward/no-engine'>): ModelForwardEffect[] {
+function handleNoEngine(state: ModelForwardState, {nowMs, resumesInMs = 0, isPrefillBusy = false}: NoEngineFacts): ModelForwardEffect[] {
 	if (state.isSpareRequired && state.refusedBy.size > 0) {
 		state.isSpareRequired = false;
 		state.refusedBy = new Set();
 		return requestReservation(state);
 	}
 
-	const {maxWaitMs, roundIntervalMs} = state.memoryWaitPolicy;
+	if (state.round && state.refusedBy.size > 0) {
+		state.priority?.recordRefusedRound(state.round, nowMs);
+	}
+
+	const {maxWaitMs, roundIntervalMs} = state.round ?? state.memoryWaitPolicy;
+	const {fullPoolRetryAfterMs} = state.round ?? state;
 	const waitedMs = nowMs - state.memoryWaitStartedMs;
 	if (resumesInMs > 0 && waitedMs + resumesInMs > maxWaitMs) {
-		return failRequest(state, 'no engine takes work', Math.max(resumesInMs, state.fullPoolRetryAfterMs));
+		return failRequest(state, 'no engine takes work', Math.max(resumesInMs, fullPoolRetryAfterMs));
 	}
 
 	if (waitedMs + roundIntervalMs <= maxWaitMs) {
@@ -279,7 +306,7 @@
 		return [{type: 'forward/wait', durationMs: roundIntervalMs}];
 	}
 
-	return failRequest(state, isPrefillBusy ? 'the prefill engines are busy' : 'no engine has room', state.fullPoolRetryAfterMs);
+	return failRequest(state, isPrefillBusy ? 'the prefill engines are busy' : 'no engine has room', fullPoolRetryAfterMs);
 }
 
 /** Calls another prefill engine if one failed, the attempt has a call left and the retry budget is not overdrawn; otherwise lets the decode engine prefill the prompt. */
--- a/src/common/forwarding/prefill-limiter.ts
+++ b/src/common/forwarding/prefill-limiter.ts
@@ -13,6 +13,8 @@
 const limitDecreaseFactor = 0.6;
 /** Share of the latency objective within which a prompt should be prefilled; the rest is left for the memory reservation and the first output token. */
 const prefillTargetShare = 0.45;
+/** Time for which a request that got no place is owed the next one before less urgent requests, in milliseconds; twice the interval at which it asks again. */
+const owedPlaceMs = 100;
 
 type ServiceState = {
 	/** Number of prompts that may be in flight; below one, a single prompt may be in flight and the next prompt is sent only after a pause. */
@@ -22,6 +24,10 @@
 	lastDurationMs: number;
 	/** Time at which the last prefill ended, in milliseconds; `-Infinity` before the first prefill. */
 	lastEndedMs: number;
+	/** Rank of the most urgent request that got no place; `Infinity` if none is owed one. */
+	owedRank: number;
+	/** Time until which that request is owed the next place, in milliseconds. */
+	owedUntilMs: number;
 };
 
 /**
@@ -34,17 +40,27 @@
 
 	/**
 	Takes a place for a prompt and returns true, or returns false if no further prompt may be sent now. A service without
-	prefill engines is not limited. Each place taken must be returned with `release`.
+	prefill engines is not limited. Each place taken must be returned with `release`. A request of lower `rank` is more urgent: while
+	one that got no place may still come back for it, less urgent requests get none.
 	*/
-	tryAcquire(service: string, engines: number, nowMs: number): boolean {
+	tryAcquire(service: string, engines: number, nowMs: number, rank = 0): boolean {
 		const serviceState = this._getOrCreateServiceState(service);
 		serviceState.limit = Math.min(serviceState.limit, Math.max(1, maxPromptsPerEngine * engines));
 		// A limit below one means a pause after each prefill.
 		const pauseMs = serviceState.limit < 1 ? ((1 / serviceState.limit) - 1) * serviceState.lastDurationMs : 0;
 		if (engines > 0 && (serviceState.inFlight >= Math.max(1, Math.floor(serviceState.limit)) || nowMs - serviceState.lastEndedMs < pauseMs)) {
+			owePlace(serviceState, rank, nowMs);
 			return false;
 		}
 
+		if (engines > 0 && rank > serviceState.owedRank && nowMs < serviceState.owedUntilMs) {
+			return false;
+		}
+
+		if (rank <= serviceState.owedRank) {
+			serviceState.owedRank = Infinity;
+		}
+
 		serviceState.inFlight++;
 		return true;
 	}
@@ -71,7 +87,7 @@
 		let serviceState = this._serviceStates.get(service);
 		if (!serviceState) {
 			serviceState = {
-				limit: initialLimit, inFlight: 0, lastDurationMs: 0, lastEndedMs: Number.NEGATIVE_INFINITY,
+				limit: initialLimit, inFlight: 0, lastDurationMs: 0, lastEndedMs: Number.NEGATIVE_INFINITY, owedRank: Infinity, owedUntilMs: 0,
 			};
 			this._serviceStates.set(service, serviceState);
 		}
@@ -79,3 +95,11 @@
 		return serviceState;
 	}
 }
+
+/** Notes that a request of this rank got no place, unless a more urgent one is owed the next place. */
+function owePlace(serviceState: ServiceState, rank: number, nowMs: number): void {
+	if (rank <= serviceState.owedRank || nowMs >= serviceState.owedUntilMs) {
+		serviceState.owedRank = rank;
+		serviceState.owedUntilMs = nowMs + owedPlaceMs;
+	}
+}
--- a/src/common/forwarding/route-table.ts
+++ b/src/common/forwarding/route-table.ts
@@ -1,14 +1,17 @@
 import type {
 	ForwardRoute, ForwardService, ForwardCustomer, Forwarding,
 } from '../configuration/forwarding.js';
+import {PriorityRanks} from './priority-ranks.js';
 
 /** Lookup tables for the forwarding section of the configuration; built once per configuration version. */
 export class RouteTable {
+	readonly priorityRanks: PriorityRanks;
 	private readonly _routesByHost = new Map<string, ForwardRoute[]>();
 	private readonly _customersByKey = new Map<string, ForwardCustomer>();
 	private readonly _services = new Map<string, ForwardService>();
 
 	constructor(readonly forwarding: Forwarding) {
+		this.priorityRanks = new PriorityRanks(forwarding);
 		for (const route of forwarding.routes) {
 			const host = route.host.toLowerCase();
 			const routes = this._routesByHost.get(host) ?? [];
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -30,6 +30,8 @@
 	readonly prefill?: {readonly address: string; readonly handle: string};
 	/** Id of the memory reservation on the server that the request uses. */
 	readonly reservationId?: string;
+	/** Level of the request among those that compete for the server, from 0, the most urgent, to 9; absent if all have the same priority. */
+	readonly priorityLevel?: number | undefined;
 };
 
 /** Values from the headers of a server's answer. */
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -3,6 +3,7 @@
 import {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
+import {priorityLevel} from '../../common/forwarding/priority-ranks.js';
 import {stoppingRetryMs} from '../../common/forwarding/types.js';
 import {normalizeParts} from '../../common/quarantine/parts.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
@@ -88,7 +89,7 @@
 		}
 
 		this._refuseBlocked(caller.requestId!, normalizeParts(caller.promptParts));
-		const {limits} = this._routeTable!.forwarding;
+		const {forwarding: {limits}, priorityRanks} = this._routeTable!;
 		const version = this._version;
 		const body = await readBody(exchange, {
 			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, bodyMemory: this._bodyMemory, customer: customer?.name ?? '',
@@ -105,6 +106,7 @@
 			customer: customer?.name,
 			route,
 			service,
+			priority: isModel ? priorityRanks.rankOf(service.name, route, customer) : undefined,
 			body,
 			fingerprint,
 			parts,
@@ -195,14 +197,20 @@
 		}
 	}
 
-	private _reportEnd({exchange, requestId, fingerprint, route, customer, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
+	private _reportEnd({
+		exchange, requestId, fingerprint, route, customer, service, priority,
+	}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
 		const {logger, metrics, clock} = this._options;
 		const elapsedMs = Math.round(clock.nowMs() - exchange.startedAtMs);
 		const status = exchange.outcome?.status;
 		metrics.count('forward_requests_total', {route: route.name, status: String(status ?? 0)});
 		metrics.observe('forward_request_ms', elapsedMs, {route: route.name});
+		if (priority) {
+			metrics.count('forward_priority_requests_total', {level: String(priorityLevel(priority)), status: String(status ?? 0)});
+		}
+
 		logger.log('info', 'request ended', {
-			requestId, fingerprint, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
+			requestId, fingerprint, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs, priority: priority?.rank,
 		});
 	}
 }
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '../../common/core/clock.js';
 import type {Logger} from '../../common/core/log.js';
 import type {PartId} from '../../common/quarantine/types.js';
+import type {PriorityRank} from '../../common/forwarding/priority-ranks.js';
 import type {LocalAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
@@ -30,6 +31,8 @@
 	readonly customer: string | undefined;
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
+	/** Rank among the priorities of the service's requests; undefined if they all have the same priority. */
+	readonly priority: PriorityRank | undefined;
 	readonly body: Uint8Array;
 	/** Identifies the request by its contents: another attempt of the caller has the same fingerprint. */
 	readonly fingerprint: PartId;
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -1,6 +1,8 @@
 import {createModelForward, reduceModelForward} from '../../common/forwarding/model-forward.js';
 import type {ModelForwardState, ModelForwardEffect, ModelForwardInput} from '../../common/forwarding/model-forward.js';
-import {memoryWaitPolicy, fullPoolRetryAfterMs} from '../../common/forwarding/memory-wait.js';
+import {memoryWaitPolicy, fullPoolRetryAfterMs, isCallerRetry} from '../../common/forwarding/memory-wait.js';
+import {RequestPriority} from '../../common/forwarding/priority-policy.js';
+import {priorityLevel} from '../../common/forwarding/priority-ranks.js';
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
@@ -57,6 +59,7 @@
 	private readonly _state: ModelForwardState;
 	private readonly _eventTracker = new SseEventTracker();
 	private readonly _reservedTokens: number;
+	private readonly _priority: RequestPriority | undefined;
 	private _abort = new AbortController();
 	private readonly _resources: EngineResources;
 	/** Memory that another engine has reserved for a run that is silent, until the request goes on there or the memory is released. */
@@ -76,13 +79,24 @@
 	private _finish!: () => void;
 
 	constructor(private readonly _dependencies: ForwardDependencies, private readonly _request: ForwardRequest) {
-		const {route, service, requestId, caller: {prompt}} = _request;
+		const {
+			route, service, requestId, priority, caller: {prompt},
+		} = _request;
+		const waitMs = _request.callerDeadlineMs - _request.exchange.startedAtMs;
+		const base = {
+			memoryWaitPolicy: memoryWaitPolicy({waitMs, timeoutMs: route.timeoutMs, targetMs: route.targetMs}),
+			fullPoolRetryAfterMs: fullPoolRetryAfterMs(_dependencies.fleet.random.next()),
+		};
+		this._priority = priority && new RequestPriority({
+			...base, priority, service: service.name, shortage: _dependencies.fleet.roomShortage,
+			isCallerRetry: isCallerRetry({waitMs, timeoutMs: route.timeoutMs}), waitMs, random: _dependencies.fleet.random.next(),
+		});
 		this._resources = new EngineResources(_dependencies, requestId);
 		this._state = createModelForward({
 			isResumable: route.isResumable,
 			maxAttempts: route.maxAttempts,
-			memoryWaitPolicy: memoryWaitPolicy({waitMs: _request.callerDeadlineMs - _request.exchange.startedAtMs, timeoutMs: route.timeoutMs, targetMs: route.targetMs}),
-			fullPoolRetryAfterMs: fullPoolRetryAfterMs(_dependencies.fleet.random.next()),
+			...base,
+			priority: this._priority,
 			chargeFailedPrefill() {
 				_dependencies.fleet.recordRequest(service.name);
 			},
@@ -138,6 +152,7 @@
 			}
 
 			case 'forward/wait': {
+				this._releasePrefillSlot();
 				this._wakeTimer = setTimeout(() => {
 					this._dispatch({type: 'forward/wake'});
 				}, effect.durationMs);
@@ -216,8 +231,8 @@
 		}
 
 		const {fleet, logger, clock, zone} = this._dependencies;
-		const {service, requestId} = this._request;
-		this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
+		const {service, requestId, priority} = this._request;
+		this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name, this._state.hasForwardedHead ? 0 : this._priority?.effectiveRank);
 		const isPrefillBusy = !this._hasPrefillSlot;
 		const server = isPrefillBusy ? undefined : fleet.directory.chooseDecodeEngine(this._selectionCriteria(exclude, zone));
 		if (!server) {
@@ -242,7 +257,8 @@
 
 			this._resources.reservation = result.reservation;
 			logger.log('info', 'request placed', {
-				requestId, attempt, server: server.key, tokens: this._reservedTokens, isSpacious, ownTokens: server.tokens, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
+				requestId, attempt, server: server.key, tokens: this._reservedTokens, isSpacious, ownTokens: server.tokens, priority: priority?.rank,
+				keptRatio: this._state.round?.keptRatio, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
 			});
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
@@ -320,7 +336,8 @@
 	/** Memory that an engine must have free in addition to the reservation, in tokens of KV cache. */
 	private _minFreeTokens(isSpacious: boolean): number {
 		const {service} = this._request;
-		return Math.max(this._reservedTokens * this._state.memoryWaitPolicy.spareMemoryRatio, isSpacious ? minFreeTokens(service.engine?.cacheTokens ?? 0) : 0);
+		const keptRatio = this._state.round?.keptRatio ?? this._state.memoryWaitPolicy.spareMemoryRatio;
+		return Math.max(Math.ceil(this._reservedTokens * keptRatio), isSpacious ? minFreeTokens(service.engine?.cacheTokens ?? 0) : 0);
 	}
 
 	private _isStale(attempt: number): boolean {
@@ -421,13 +438,16 @@
 	}
 
 	private _serverRequest(server: Server, facts: Partial<ServerRequestFacts>, headersTimeoutMs: number, signal: AbortSignal) {
-		const {exchange: {req}, body, callerDeadlineMs, customer, caller} = this._request;
+		const {
+			exchange: {req}, body, callerDeadlineMs, customer, caller, priority,
+		} = this._request;
 		return {
 			requestId: this._request.requestId,
 			method: req.method as HttpMethod,
 			path: req.url!,
 			headers: this._dependencies.protocol.serverHeaders(req.rawHeaders, {
-				waitMs: callerDeadlineMs - this._dependencies.clock.nowMs(), serverId: server.record.id, customer, lastEventId: this._eventTracker.lastEventId ?? caller.lastEventId, ...facts,
+				waitMs: callerDeadlineMs - this._dependencies.clock.nowMs(), serverId: server.record.id, customer, lastEventId: this._eventTracker.lastEventId ?? caller.lastEventId,
+				priorityLevel: priority && priorityLevel(priority), ...facts,
 			}),
 			...(body.length > 0 && {body}),
 			headersTimeoutMs,
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -2,6 +2,7 @@
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
 import {SeededRandom} from '../../common/core/random.js';
+import {RoomShortage} from '../../common/forwarding/room-shortage.js';
 import {PrefillLimiter} from '../../common/forwarding/prefill-limiter.js';
 import {WindowedRetryBudget} from '../../common/forwarding/windowed-retry-budget.js';
 import type {WindowedRetryBudgetLimits} from '../../common/forwarding/windowed-retry-budget.js';
@@ -48,6 +49,7 @@
 export class ServerFleet implements Disposable {
 	readonly directory: ServerDirectory;
 	readonly random: SeededRandom;
+	readonly roomShortage = new RoomShortage();
 	private readonly _adapters = new Map<ServerKey, ForwardAdapter>();
 	private readonly _prefillLimiter = new PrefillLimiter();
 	private readonly _retryBudgets = new Map<string, WindowedRetryBudget>();
@@ -168,10 +170,10 @@
 
 	/**
 	Takes one of the slots that limit how many prompts this process sends to the prefill engines of a service at the same time.
-	Returns false if no slot is free. `releasePrefillSlot` frees the slot.
+	Returns false if no slot is free, or if a more urgent request (of lower `rank`) waits for one. `releasePrefillSlot` frees the slot.
 	*/
-	acquirePrefillSlot(service: string): boolean {
-		return this._prefillLimiter.tryAcquire(service, this.directory.readyServers(service, 'prefill').length, this._options.clock.nowMs());
+	acquirePrefillSlot(service: string, rank = 0): boolean {
+		return this._prefillLimiter.tryAcquire(service, this.directory.readyServers(service, 'prefill').length, this._options.clock.nowMs(), rank);
 	}
 
 	releasePrefillSlot(service: string): void {
