forwarding: requests of different priorities compete for engine memory by rank

Cause: nothing read the priorities of routes and customers. A request waits on a full pool for two thirds of its own objective, so the kind with the longest objective, the least urgent, asked most often and was served most.

Change: trunk reservation. Where the requests of a model service can have different priorities, each has a rank. Callers' second attempts go after first attempts of their rank and before less urgent ones. Prefill slots of a VM go to the more urgent first.

--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -217,3 +217,33 @@
 		type: 'forward/failed', attempt: 1, failure: {mayHaveRun: true, detail: 'closed'}, server: 'd1',
 	}, blocked(2)], {isResumable: true, maxAttempts: 2}), ['hold -', 'prefill', 'send', 'release', 'hold -d1', 'release', '502']);
 });
+
+test('a request that yields to more urgent ones gives up its round after as many engines as it may ask, and its refusal carries the later retry', () => {
+	const recorded: string[] = [];
+	const round = {
+		isSpareFirst: false, keptRatio: 1, maxEngines: 2, fullPoolRetryAfterMs: 5000,
+	};
+	const priority = {
+		planRound: () => round,
+		recordRefusedRound() {
+			recorded.push('refused');
+		},
+		recordGranted(refusals: number) {
+			recorded.push(`granted after ${refusals}`);
+		},
+	};
+	const refusedTwice = [reservationRefused('d1'), reservationRefused('d2')];
+	const steps: Step[] = [...refusedTwice, {type: 'forward/wake'}, reservationRefused('d1'), {type: 'forward/held', attempt: 1}];
+	assert.deepEqual(run(steps, {priority}), ['no-spare hold -', 'no-spare hold -d1', 'wait', 'no-spare hold -', 'no-spare hold -d1', 'prefill']);
+	assert.deepEqual(recorded, ['refused', 'granted after 1']);
+	const state = createModelForward({
+		isResumable: false, maxAttempts: 1, memoryWaitPolicy: {maxWaitMs: 0, roundIntervalMs: 50, spareMemoryRatio: 0}, fullPoolRetryAfterMs: 2000,
+		priority, takeRetry: () => true, hasAcceptingPrefillEngine: () => false, chargeFailedPrefill: () => undefined,
+	});
+	const effects = [{type: 'forward/start'} as const, ...refusedTwice].flatMap(step => reduceModelForward(state, {...step, nowMs: 0}));
+	assert.deepEqual(effects.at(-1), {type: 'forward/answer', answer: {status: 503, reason: 'no engine has room beside that kept for others', retryAfterMs: 5000}});
+	recorded.splice(2);
+	// An engine that failed or a busy prefill window shows no lack of memory.
+	run([{type: 'forward/no-engine', attempt: 1, isPrefillBusy: true}], {priority});
+	assert.equal(recorded.length, 2);
+});
--- a/src/common/forwarding/prefill-limiter.test.ts
+++ b/src/common/forwarding/prefill-limiter.test.ts
@@ -82,3 +82,18 @@
 	limiter.release('models');
 	assert.equal(limiter.tryAcquire('models', 1, 0), true);
 });
+
+test('a more urgent request that got no place gets the next one, unless it does not come back for it', () => {
+	const limiter = new PrefillLimiter();
+	assert.equal(limiter.tryAcquire('models', 1, 0, 2), true);
+	assert.equal(limiter.tryAcquire('models', 1, 0, 2), false);
+	assert.equal(limiter.tryAcquire('models', 1, 0, 1), false);
+	limiter.release('models');
+	assert.equal(limiter.tryAcquire('models', 1, 50, 2), false);
+	assert.equal(limiter.tryAcquire('models', 1, 50, 1), true);
+	limiter.release('models');
+	assert.equal(limiter.tryAcquire('models', 1, 50, 2), true);
+	assert.equal(limiter.tryAcquire('models', 1, 60, 0), false);
+	limiter.release('models');
+	assert.equal(limiter.tryAcquire('models', 1, 300, 2), true);
+});
--- a/src/common/forwarding/priority-policy.ts
+++ b/src/common/forwarding/priority-policy.ts
@@ -1,5 +1,4 @@
 /** How requests of different priorities compete for the memory of model engines. */
-import type {MemoryWaitPolicy} from './memory-wait.js';
 import type {PriorityRank} from './priority-ranks.js';
 import type {RoomShortage} from './room-shortage.js';
 
@@ -22,10 +21,6 @@
 	readonly keptRatio: number;
 	/** Maximum number of engines to ask. */
 	readonly maxEngines: number;
-	/** Longest wait for memory, in milliseconds. */
-	readonly maxWaitMs: number;
-	/** Time until the next round, in milliseconds. */
-	readonly roundIntervalMs: number;
 	/** `Retry-After` for the caller if no engine has room, in milliseconds. */
 	readonly fullPoolRetryAfterMs: number;
 };
@@ -34,8 +29,6 @@
 	readonly service: string;
 	readonly priority: PriorityRank;
 	readonly shortage: RoomShortage;
-	/** How the request waits for memory if no more urgent request is short of it. */
-	readonly memoryWaitPolicy: MemoryWaitPolicy;
 	/** `Retry-After` on a full pool if no more urgent request is short of memory, in milliseconds. */
 	readonly fullPoolRetryAfterMs: number;
 	/** Whether an earlier attempt of the caller has been refused. */
@@ -59,14 +52,12 @@
 	/** Decides how the next round goes. A stream that has begun competes as the most urgent, since breaking it off wastes its output. */
 	planRound(nowMs: number, hasBegun: boolean): ReservationRound {
 		this._rounds++;
-		const {memoryWaitPolicy: {maxWaitMs, roundIntervalMs}, fullPoolRetryAfterMs, waitMs, priority: {ranks}} = this._options;
+		const {fullPoolRetryAfterMs, waitMs, priority: {ranks}} = this._options;
 		const yieldRatio = hasBegun ? 0 : this._yieldRatio(nowMs);
 		return {
 			isSpareFirst: !this._isAnyShort(ranks, nowMs),
 			keptRatio: yieldRatio + (hasBegun ? 0 : this._callerRetryRatio(nowMs)),
 			maxEngines: yieldRatio > 0 ? maxYieldingEngines : Infinity,
-			maxWaitMs: maxWaitMs / (1 + yieldRatio),
-			roundIntervalMs: roundIntervalMs * (1 + yieldRatio),
 			fullPoolRetryAfterMs: Math.max(fullPoolRetryAfterMs, Math.min(fullPoolRetryAfterMs * (1 + yieldRatio), waitMs * maxRetryAfterShare)),
 		};
 	}
