--- a/src/common/forwarding/priority-ranks.ts
+++ b/src/common/forwarding/priority-ranks.ts
@@ -21,13 +21,21 @@
 	private readonly _prioritiesByService = new Map<string, number[]>();
 
 	constructor({routes, services, tenants: customers}: Pick<Forwarding, 'routes' | 'services' | 'tenants'>) {
-		for (const {name, engine} of services) {
-			if (engine) {
-				const ownRoutes = routes.filter(({targets}) => targets.some(({service, weight}) => service === name && weight > 0));
-				const priorities = ownRoutes.flatMap(route => customers.length === 0 || route.isOpen ? [route.priority] : customers.map(customer => priorityOf(route, customer)));
-				this._prioritiesByService.set(name, [...new Set(priorities)].sort((a, b) => a - b));
+		const customerPriorities = customers.flatMap(({priority}) => priority ?? []);
+		const isRouteDecisive = customers.length === 0 || customerPriorities.length < customers.length;
+		const sets = new Map(services.filter(({engine}) => engine).map(({name}) => [name, new Set<number>()]));
+		for (const {targets, priority, isOpen} of routes) {
+			const priorities = [...(isOpen || isRouteDecisive ? [priority] : []), ...(isOpen ? [] : customerPriorities)];
+			for (const {service} of targets.filter(({weight}) => weight > 0)) {
+				for (const possible of priorities) {
+					sets.get(service)?.add(possible);
+				}
 			}
 		}
+
+		for (const [service, priorities] of sets) {
+			this._prioritiesByService.set(service, [...priorities].sort((a, b) => a - b));
+		}
 	}
 
 	/** Returns the rank of a request of a service; undefined if all requests of the service have the same priority, or if it is no model service. */
