--- a/src/node/forwarding/fleet-http-servers.test.ts
+++ b/src/node/forwarding/fleet-http-servers.test.ts
@@ -38,6 +38,8 @@
 			isKnownZone: () => true,
 			logger: new NullLogger(),
 			members: () => [],
+			namedRegions: () => [],
+			regionByZone: new Map(),
 			random: () => 0,
 			isReady: () => true,
 			listen: {
