forwarding: engines are ranked by the expected end of their work, and requests leave a zone when that pays

Cause: engines were ranked by tokens in progress of this process alone, as if all were equally fast; another zone cost a constant. Change: EngineRanking (one per service and stage) ranks for ServerDirectory: tokens x slowness, a random part that gives engines shares in proportion to their speed, and the toll of ZoneChoice. Streams and prefills are measured; grants and refusals feed the pressure. Pools whose engines are alike, and zones with so few engines that all are asked sooner than a transfer is done, are ranked as before. The log line 'request placed', forward_placements_total and zoneChoices of the state dump show the decision with its inputs.

--- /dev/null
+++ b/src/common/forwarding/engine-ranking.ts
@@ -0,0 +1,146 @@
+import type {SeededRandom} from '../core/random.js';
+import {
+	WorkReference, medianSpeedLog, slowness, speedSpread,
+} from './engine-speed.js';
+import type {Server, ServerQuery} from './server-directory.js';
+import type {EngineStage} from './types.js';
+import {ZoneChoice} from './zone-choice.js';
+import type {ZoneRoom} from './zone-choice.js';
+
+/** Multiple of an engine's tokens that a failure share of 1 adds to its cost. */
+const failurePenaltyFactor = 10;
+/** Cost added to an engine outside the preferred zone, in tokens at typical speed: KV cache transfers between zones are slower and more expensive. */
+const otherZonePenaltyTokens = 2000;
+/** Cost added to an engine that refused work for lack of room, in tokens; more than any engine holds. */
+const fullPenaltyTokens = 1e9;
+/** Interval at which the median speed and the zones of the pool are determined again, in milliseconds. */
+const updateIntervalMs = 500;
+
+/**
+Random part of an engine's cost, in tokens, and the power of its speed to which the probability of its choice is proportional. Prompts queue at
+prefill engines, and queues of equal duration need shares in proportion to the speed. Decode engines that are faster also free their memory earlier,
+and refuse at once when they are full.
+*/
+const spreads: Readonly<Record<EngineStage, {readonly tokens: number; readonly exponent: number}>> = {
+	prefill: {tokens: otherZonePenaltyTokens / 10, exponent: 1},
+	decode: {tokens: otherZonePenaltyTokens, exponent: 2},
+};
+
+/** Why a request is served by another zone. */
+export type DepartureReason =
+	/** Its own zone has no usable engine. */
+	| 'no-engine-at-home'
+	/** Waiting at home would take longer than the transfer. */
+	| 'leaving-pays'
+	/** The engines at home that were asked refused it, or have more work. */
+	| 'home-refused';
+
+/** What a choice rested on: the engine's slowness, the number of samples behind it, the zone's pressure, and the fraction of requests that leaves. */
+export type RankingFacts = {readonly slowness: number; readonly speedSamples: number; readonly pressure: number; readonly leavingFraction: number};
+
+/** Ranks the engines of one service and stage by the expected end of the work ahead and by the cost of leaving the zone. */
+export class EngineRanking {
+	readonly zones = new ZoneChoice();
+	private readonly _reference = new WorkReference();
+	private _medianLog = 0;
+	private _updatedMs = Number.NEGATIVE_INFINITY;
+
+	constructor(private readonly _stage: EngineStage) {}
+
+	/** Records how long an engine took per unit of its work; `size` is the size of the work, of which only similar ones are compared. */
+	recordWork({speed}: Server, size: number, msPerUnit: number, nowMs: number): void {
+		const ratioLog = msPerUnit > 0 ? this._reference.compare(size, msPerUnit) : undefined;
+		if (ratioLog !== undefined) {
+			speed.record(ratioLog, nowMs);
+		}
+	}
+
+	/** Returns how long the engine takes for its work, as a multiple of what the pool's median engine takes. */
+	slownessOf({speed}: Server, nowMs: number): number {
+		return slowness(speed, this._medianLog, nowMs);
+	}
+
+	/** Returns the candidate with the lowest cost; undefined if none should be asked. `usable` returns the usable engines of the pool, also those that the request has tried. */
+	choose(candidates: readonly Server[], usable: () => readonly Server[], query: ServerQuery, random: SeededRandom): Server | undefined {
+		const {zone: home, nowMs, tokens = 0} = query;
+		this._update(usable, nowMs);
+		const {zone: preferred, mayAskOthers} = candidates.every(({record}) => record.zone === home)
+			? {zone: home, mayAskOthers: true}
+			: this.zones.choose({
+				home, tokens, nowMs, rooms: () => this._rooms(usable(), nowMs),
+			}, random);
+		const {tokens: spreadTokens, exponent} = spreads[this._stage];
+		const toll = (zone: string) => zone === preferred ? 0 : (zone === home || preferred === home ? 1 : 2);
+		return lowestCostServer(candidates.filter(({record: {zone}}) => mayAskOthers || zone === home || zone === preferred), server => {
+			const serverSlowness = this.slownessOf(server, nowMs);
+			return (server.fullUntilMs > nowMs ? fullPenaltyTokens : 0) + (server.tokens * serverSlowness * (1 + (server.failureShare * failurePenaltyFactor)))
+				+ (toll(server.record.zone) * otherZonePenaltyTokens) + (speedSpread(serverSlowness, exponent, random.next()) * spreadTokens);
+		});
+	}
+
+	/** Returns why the chosen engine is not one of the request's own zone; undefined if it is. */
+	departureReason(server: Server, usable: readonly Server[], {zone: home, nowMs}: ServerQuery): DepartureReason | undefined {
+		if (server.record.zone === home) {
+			return undefined;
+		}
+
+		if (!usable.some(({record}) => record.zone === home)) {
+			return 'no-engine-at-home';
+		}
+
+		return this.zones.leavingFractionAt(nowMs) > 0 ? 'leaving-pays' : 'home-refused';
+	}
+
+	describe(server: Server, nowMs: number): RankingFacts {
+		return {
+			slowness: rounded(this.slownessOf(server, nowMs)),
+			speedSamples: rounded(server.speed.weightAt(nowMs)),
+			pressure: rounded(this.zones.pressureAt(server.record.zone, nowMs)),
+			leavingFraction: rounded(this.zones.leavingFractionAt(nowMs)),
+		};
+	}
+
+	private _rooms(usable: readonly Server[], nowMs: number): ZoneRoom[] {
+		const rooms = new Map<string, {zone: string; capacity: number; full: number; engines: number}>();
+		for (const server of usable) {
+			const {zone} = server.record;
+			const room = rooms.get(zone) ?? {
+				zone, capacity: 0, full: 0, engines: 0,
+			};
+			room.capacity += 1 / this.slownessOf(server, nowMs);
+			room.full += server.fullUntilMs > nowMs ? 1 : 0;
+			room.engines++;
+			rooms.set(zone, room);
+		}
+
+		return [...rooms.values()].map(({zone, capacity, full, engines}) => ({zone, capacity, fullShare: full / engines}));
+	}
+
+	/** Determines the pool's median speed again, and forgets zones that have no engines any more. */
+	private _update(usable: () => readonly Server[], nowMs: number): void {
+		if (nowMs - this._updatedMs >= updateIntervalMs) {
+			const pool = usable();
+			this._updatedMs = nowMs;
+			this._medianLog = medianSpeedLog(pool.map(({speed}) => speed), nowMs);
+			this.zones.retainZones(new Set(pool.map(({record}) => record.zone)));
+		}
+	}
+}
+
+function rounded(value: number): number {
+	return Math.round(value * 100) / 100;
+}
+
+export function lowestCostServer(servers: readonly Server[], cost: (server: Server) => number): Server | undefined {
+	let chosen: Server | undefined;
+	let least = Infinity;
+	for (const server of servers) {
+		const value = cost(server);
+		if (value < least) {
+			least = value;
+			chosen = server;
+		}
+	}
+
+	return chosen;
+}
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -1,5 +1,8 @@
 import type {SeededRandom} from '../core/random.js';
 import {OutlierEjection} from '../requests/outlier-ejection.js';
+import {EngineRanking, lowestCostServer} from './engine-ranking.js';
+import type {DepartureReason, RankingFacts} from './engine-ranking.js';
+import {SpeedEstimate} from './engine-speed.js';
 import {ServerNotices} from './server-notices.js';
 import {serverKey} from './types.js';
 import type {EngineStage, ServerKey, ServerRecord} from './types.js';
@@ -8,10 +11,7 @@
 const sampleWeight = 0.1;
 /** Latency assumed for a server without samples, in milliseconds. */
 const initialLatencyMs = 20;
-/**
-Penalty for failures: a failure share of 1 adds this multiple of the initial latency to a plain server's expected latency, and this
-multiple of an engine's tokens to the engine's cost.
-*/
+/** Penalty for failures: a failure share of 1 adds this multiple of the initial latency to a plain server's expected latency. */
 const failurePenaltyFactor = 10;
 /** Multiple of a server's average latency after which its answer is overdue. */
 const overdueFactor = 3;
@@ -26,8 +26,6 @@
 const otherZoneDelayMs = 1;
 /** Time for which an engine that refused a reservation or a prompt is ranked last, in milliseconds. */
 const refusalPenaltyMs = 100;
-/** Cost added to an engine in another zone, in tokens: KV cache transfers between zones are slower and more expensive. */
-const otherZonePenaltyTokens = 2000;
 
 /** An exchange in progress with a plain server. */
 export type PlainExchange = {readonly startedMs: number};
@@ -58,6 +56,8 @@
 	/** Whether the last sample was a success and the server has not refused work since. */
 	isSound: boolean;
 	readonly ejection: OutlierEjection;
+	/** How long the engine takes for its work, compared with the others. */
+	readonly speed: SpeedEstimate;
 };
 
 /** Conditions for the choice of a server. */
@@ -69,6 +69,8 @@
 	readonly exclude: ReadonlySet<ServerKey>;
 	/** Maximum number of exchanges that this process may have in progress with one server. */
 	readonly maxInFlight: number;
+	/** Size of the request's prompt in tokens; 0 if absent. */
+	readonly tokens?: number;
 	readonly nowMs: number;
 };
 
@@ -80,6 +82,7 @@
 	readonly notices = new ServerNotices();
 	private readonly _servers = new Map<ServerKey, Server>();
 	private readonly _byService = new Map<string, Server[]>();
+	private readonly _rankings = new Map<string, EngineRanking>();
 
 	constructor(private readonly _random: SeededRandom) {}
 
@@ -151,20 +154,41 @@
 
 	/** Returns the decode engine with the lowest cost, mainly the tokens that this process has reserved on it; undefined if no engine may be used. Engines that recently refused a reservation rank last. */
 	chooseDecodeEngine(query: ServerQuery): Server | undefined {
-		const candidates = this._candidates({...query, stage: 'decode'});
-		const cost = ({tokens, fullUntilMs, record, failureShare}: Server) =>
-			(fullUntilMs > query.nowMs ? 1e9 : 0) + (tokens * (1 + (failureShare * failurePenaltyFactor)))
-			+ (record.zone === query.zone ? 0 : otherZonePenaltyTokens) + this._random.integer(0, otherZonePenaltyTokens);
-		return lowestCostServer(candidates, cost);
+		return this._chooseEngine({...query, stage: 'decode'}, 'decode');
 	}
 
 	/** Returns the prefill engine with the lowest cost, mainly the tokens that this process has queued on it; undefined if no engine may be used. The query's zone, which is the zone of the decode engine, is preferred. */
 	choosePrefillEngine(query: ServerQuery): Server | undefined {
-		const candidates = this._candidates({...query, stage: 'prefill'});
-		const cost = ({tokens, record, failureShare, fullUntilMs}: Server) =>
-			(fullUntilMs > query.nowMs ? 1e9 : 0) + (tokens * (1 + (failureShare * failurePenaltyFactor)))
-			+ (record.zone === query.zone ? 0 : otherZonePenaltyTokens) + this._random.integer(0, otherZonePenaltyTokens / 10);
-		return lowestCostServer(candidates, cost);
+		return this._chooseEngine({...query, stage: 'prefill'}, 'prefill');
+	}
+
+	/** Returns why a decode engine that was chosen is in another zone than the request; undefined if it is not. */
+	departureReason(server: Server, query: ServerQuery): DepartureReason | undefined {
+		return this._ranking(query.service, 'decode').departureReason(server, this._usableServers({...query, stage: 'decode'}), query);
+	}
+
+	/** Returns what the ranking assumes of an engine and its zone, for the log. */
+	describeRanking(server: Server, nowMs: number): RankingFacts | undefined {
+		const {service, stage} = server.record;
+		return stage && this._ranking(service, stage).describe(server, nowMs);
+	}
+
+	/** Returns the state of the choice among zones, by service and stage, for the state dump. */
+	dumpRankings(nowMs: number): unknown {
+		return Object.fromEntries([...this._rankings].map(([pool, {zones}]) => [pool, zones.dump(nowMs)]));
+	}
+
+	/** Records how long an engine took for its work, per unit; only work of similar `size` is compared. */
+	recordWork(server: Server, size: number, msPerUnit: number, nowMs: number): void {
+		const {service, stage} = server.record;
+		if (stage) {
+			this._ranking(service, stage).recordWork(server, size, msPerUnit, nowMs);
+		}
+	}
+
+	/** Records that an engine has granted a reservation. */
+	recordGrant(server: Server, nowMs: number): void {
+		this._recordRoom(server, false, nowMs);
 	}
 
 	/**
@@ -225,6 +249,7 @@
 	recordRefusal(server: Server, nowMs: number): void {
 		server.fullUntilMs = nowMs + refusalPenaltyMs;
 		server.isSound = false;
+		this._recordRoom(server, true, nowMs);
 	}
 
 	/** Stops new work for a server until `untilMs`; a time in the past ends the suspension. */
@@ -237,6 +262,9 @@
 		server.ejection.recordSuccess();
 		this._recordSample(server, isSuccess, latencyMs, nowMs);
 		server.ejection.recordProbe(true, 0);
+		if (isSuccess && server.record.stage === 'prefill') {
+			this._recordRoom(server, false, nowMs);
+		}
 	}
 
 	/** Records a failed exchange and returns whether the failure ejects the server. An unreachable server is ejected immediately. */
@@ -253,6 +281,32 @@
 		return usable.filter(({key, inFlight}) => !exclude.has(key) && inFlight < maxInFlight);
 	}
 
+	private _chooseEngine(query: ServerQuery, stage: EngineStage): Server | undefined {
+		return this._ranking(query.service, stage).choose(this._candidates(query), () => this._usableServers(query), query, this._random);
+	}
+
+	private _usableServers({service, stage, nowMs}: ServerQuery): Server[] {
+		return this.readyServers(service, stage).filter(server => !server.ejection.isEjected && this._isUsable(server, nowMs));
+	}
+
+	/** Records whether an engine had room for a request. */
+	private _recordRoom({record: {service, stage, zone}}: Server, isRefused: boolean, nowMs: number): void {
+		if (stage) {
+			this._ranking(service, stage).zones.recordAnswer(zone, isRefused, nowMs);
+		}
+	}
+
+	private _ranking(service: string, stage: EngineStage): EngineRanking {
+		const key = `${service} ${stage}`;
+		let ranking = this._rankings.get(key);
+		if (!ranking) {
+			ranking = new EngineRanking(stage);
+			this._rankings.set(key, ranking);
+		}
+
+		return ranking;
+	}
+
 	private _isUsable(server: Server, nowMs: number): boolean {
 		return server.suspendedUntilMs <= nowMs && this.isAcceptingWork(server, nowMs);
 	}
@@ -281,7 +335,7 @@
 function createServer(key: ServerKey, record: ServerRecord): Server {
 	return {
 		key, record, inFlight: 0, exchanges: new Set(), tokens: 0, fullUntilMs: 0, suspendedUntilMs: 0,
-		latencyMs: initialLatencyMs, failureShare: 0, sampledMs: 0, isSound: false, ejection: new OutlierEjection(),
+		latencyMs: initialLatencyMs, failureShare: 0, sampledMs: 0, isSound: false, ejection: new OutlierEjection(), speed: new SpeedEstimate(),
 	};
 }
 
@@ -295,17 +349,3 @@
 function overdueAfterMs({latencyMs}: Server): number {
 	return Math.max(latencyMs, initialLatencyMs) * overdueFactor;
 }
-
-function lowestCostServer(servers: readonly Server[], cost: (server: Server) => number): Server | undefined {
-	let chosen: Server | undefined;
-	let least = Infinity;
-	for (const server of servers) {
-		const value = cost(server);
-		if (value < least) {
-			least = value;
-			chosen = server;
-		}
-	}
-
-	return chosen;
-}
--- /dev/null
+++ b/src/common/forwarding/stream-pace.ts
@@ -0,0 +1,31 @@
+/** Duration of a window in which the time per event is measured, in milliseconds; long enough to hold several events, and short enough to show a slow spell. */
+const windowMs = 100;
+/** Time that the reader may take for what has arrived, in milliseconds; beyond it, the time between events is no longer the engine's. */
+const maxReaderDelayMs = 5;
+
+/** Measures how long an engine takes per event of a stream, from the arrival of its events. */
+export class StreamPace {
+	private _startedMs: number | undefined;
+	private _startedAtEvent = 0;
+
+	/** Records the number of events so far. Returns the time per event in milliseconds at the end of a window; undefined within it. */
+	record(eventCount: number, nowMs: number): number | undefined {
+		const durationMs = this._startedMs === undefined ? Infinity : nowMs - this._startedMs;
+		if (durationMs < windowMs) {
+			return undefined;
+		}
+
+		const events = eventCount - this._startedAtEvent;
+		const msPerEvent = this._startedMs !== undefined && events > 0 ? durationMs / events : undefined;
+		this._startedMs = nowMs;
+		this._startedAtEvent = eventCount;
+		return msPerEvent;
+	}
+
+	/** Records how long the caller took to accept what arrived. Drops the window if it was too long. */
+	recordReaderDelay(delayMs: number): void {
+		if (delayMs > maxReaderDelayMs) {
+			this._startedMs = undefined;
+		}
+	}
+}
--- a/src/common/forwarding/zone-choice.ts
+++ b/src/common/forwarding/zone-choice.ts
@@ -11,6 +11,8 @@
 const maxPressure = 0.98;
 /** Pressure at home below which other zones are not considered. */
 const minPressure = 0.3;
+/** Time between two rounds of reservation calls, in milliseconds. If asking all other zones takes longer, a request rather waits for the next round. */
+const roundIntervalMs = 50;
 /** Pressure from which a zone is expected to refuse a request that another zone cannot serve. */
 const fullPressure = 0.9;
 /** Round trips that a request makes to an engine before its output begins: reservation, and request. */
@@ -60,7 +62,7 @@
 
 type Load = {readonly zone: string; readonly capacity: number; readonly load: number};
 
-/** Pressure of the zones on one pool of engines, and the fractions of this process's requests that leave its own zone. The state dump prints the private fields by name. */
+/** Pressure of the zones on one pool of engines, and the fractions of this process's requests that leave its own zone. */
 export class ZoneChoice {
 	private readonly _pressures = new Map<string, {value: number; sampledMs: number}>();
 	private _leaving = new Map<string, number>();
@@ -93,11 +95,27 @@
 		}
 
 		const rooms = query.rooms();
-		const mayAskOthers = !rooms.some(({zone}) => zone === home) || rooms.some(room => this._refusalShare(room, nowMs) < fullPressure);
+		const own = rooms.find(({zone}) => zone === home);
+		if (own && own.capacity * refusedCallMs <= transferMs(query.tokens)) {
+			// All engines at home are asked sooner than a transfer is done.
+			return {zone: home, mayAskOthers: true};
+		}
+
+		const othersCallsMs = sum(rooms.filter(room => room !== own).map(({capacity}) => capacity)) * refusedCallMs;
+		const mayAskOthers = !own || othersCallsMs <= roundIntervalMs || rooms.some(room => this._refusalShare(room, nowMs) < fullPressure);
 		this._approach(this._targetFractions(query, rooms), nowMs);
 		return {zone: this.leavingFractionAt(nowMs) < minLeavingFraction ? home : this._draw(home, random), mayAskOthers};
 	}
 
+	/** Returns the pressures with their ages, and the fractions of the last decision, for the state dump. */
+	dump(nowMs: number): unknown {
+		return {
+			pressures: [...this._pressures].map(([zone, {value, sampledMs}]) => ({zone, pressure: value, ageMs: nowMs - sampledMs})),
+			leaving: Object.fromEntries(this._leaving),
+			decidedAgeMs: nowMs - this._decidedMs,
+		};
+	}
+
 	/** Drops zones that have no servers any more. */
 	retainZones(zones: ReadonlySet<string>): void {
 		for (const zone of this._pressures.keys()) {
--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -50,6 +50,7 @@
 			}
 
 			isReserved = true;
+			fleet.directory.recordGrant(server, clock.nowMs());
 			return {
 				kind: 'held', reservation: {
 					server, id: reservationId, tokens, isUsed: false,
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -3,6 +3,7 @@
 import {memoryWaitPolicy, fullPoolRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
 import type {Server} from '../../common/forwarding/server-directory.js';
+import {StreamPace} from '../../common/forwarding/stream-pace.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {prefillParts} from '../../common/quarantine/parts.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
@@ -51,6 +52,8 @@
 const seekIntervalMs = 100;
 /** Time after the deadline of the request for which an answer's headers are still awaited, in milliseconds; the server may have sent them before the deadline. */
 const headersSlackMs = 100;
+/** Size by which the pace of streams is compared; the time per event hardly depends on the length of a stream. */
+const streamSize = 1;
 
 /** Forwards one request to a model service: executes the effects of the lifecycle reducer and dispatches their results to the reducer. */
 export class ModelForwarder {
@@ -202,7 +205,7 @@
 		const {fleet, clock} = this._dependencies;
 		const {service} = this._request;
 		return {
-			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(),
+			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), tokens: this._request.caller.prompt?.promptTokens ?? 0, nowMs: clock.nowMs(),
 		};
 	}
 
@@ -215,7 +218,7 @@
 			return;
 		}
 
-		const {fleet, logger, clock, zone} = this._dependencies;
+		const {fleet, logger, clock, zone, metrics} = this._dependencies;
 		const {service, requestId} = this._request;
 		this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
 		const isPrefillBusy = !this._hasPrefillSlot;
@@ -241,8 +244,11 @@
 			}
 
 			this._resources.reservation = result.reservation;
+			const departure = fleet.directory.departureReason(server, this._selectionCriteria(exclude, zone));
+			metrics.count('forward_placements_total', {service: service.name, departure: departure ?? 'none'});
 			logger.log('info', 'request placed', {
 				requestId, attempt, server: server.key, tokens: this._reservedTokens, isSpacious, ownTokens: server.tokens, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
+				...fleet.directory.describeRanking(server, clock.nowMs()), ...(departure && {departure, fromZone: zone, toZone: server.record.zone}),
 			});
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
@@ -405,6 +411,10 @@
 
 			fleet.directory.recordAnswer(server, true, clock.nowMs() - startedMs, clock.nowMs());
 			fleet.recordPrefillDuration(service.name, clock.nowMs() - startedMs, route.targetMs);
+			if (tokens > 0) {
+				fleet.directory.recordWork(server, tokens, (clock.nowMs() - startedMs) / tokens, clock.nowMs());
+			}
+
 			this._resources.prefilledCache = prefilledCache;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
@@ -551,11 +561,12 @@
 	/** Relays a stream event by event, so that one that breaks off can resume after its last complete event. */
 	private async _relayStream(attempt: number): Promise<void> {
 		const {exchange} = this._request;
-		const {protocol} = this._dependencies;
+		const {protocol, fleet, clock} = this._dependencies;
 		const response = this._response!;
 		const {server} = this._resources.reservation!;
 		this._eventTracker.discardPartialEvent();
 		const eventBuffer = new SseEventBuffer(this._eventTracker);
+		const pace = new StreamPace();
 		try {
 			if (!exchange.res.headersSent) {
 				if (!response.isFramed) {
@@ -576,7 +587,14 @@
 				if (completeEvents.length > 0) {
 					this._armStallTimer(attempt, server.key, eventGapTimeoutMs);
 					this._recordEvent();
+					const receivedMs = clock.nowMs();
+					const msPerEvent = pace.record(this._eventTracker.eventCount, receivedMs);
+					if (msPerEvent !== undefined) {
+						fleet.directory.recordWork(server, streamSize, msPerEvent, receivedMs);
+					}
+
 					await exchange.write(completeEvents);
+					pace.recordReaderDelay(clock.nowMs() - receivedMs);
 				}
 
 				if (eventBuffer.fault !== undefined) {
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -613,7 +613,8 @@
 		logger,
 		metrics,
 		dump: () => ({
-			...createStateDump(core, undefined), running: server.runningRequests, isDraining: server.isDraining, servers: [...fleet.directory.servers],
+			...createStateDump(core, undefined), running: server.runningRequests, isDraining: server.isDraining,
+			servers: [...fleet.directory.servers], zoneChoices: fleet.directory.dumpRankings(clock.nowMs()),
 		}),
 		members: () => membership.members,
 		isReady: () => server.handler.isConfigured && !server.isDraining,
