forwarding: processes tell each other the speed of servers that differ, along with gossip

Cause: one VM of many sees a given engine about once a minute, so its own estimates are nearly empty. The typical duration takes what is known of the engine out of its samples, and windows of one stream count once.

--- a/src/common/forwarding/engine-ranking.ts
+++ b/src/common/forwarding/engine-ranking.ts
@@ -1,6 +1,6 @@
 import type {SeededRandom} from '../core/random.js';
 import {
-	WorkReference, medianSpeedLog, slowness, speedSpread,
+	WorkReference, slowness, speedSpread,
 } from './engine-speed.js';
 import type {Server, ServerQuery} from './server-directory.js';
 import type {EngineStage} from './types.js';
@@ -13,7 +13,7 @@
 const otherZonePenaltyTokens = 2000;
 /** Cost added to an engine that refused work for lack of room, in tokens; more than any engine holds. */
 const fullPenaltyTokens = 1e9;
-/** Interval at which the median speed and the zones of the pool are determined again, in milliseconds. */
+/** Interval at which the zones of the pool are determined again, in milliseconds. */
 const updateIntervalMs = 500;
 
 /**
@@ -42,22 +42,21 @@
 export class EngineRanking {
 	readonly zones = new ZoneChoice();
 	private readonly _reference = new WorkReference();
-	private _medianLog = 0;
 	private _updatedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _stage: EngineStage) {}
 
 	/** Records how long an engine took per unit of its work; `size` is the size of the work, of which only similar ones are compared. */
-	recordWork({speed}: Server, size: number, msPerUnit: number, nowMs: number): void {
-		const ratioLog = msPerUnit > 0 ? this._reference.compare(size, msPerUnit) : undefined;
+	recordWork({key, speed}: Server, size: number, msPerUnit: number, nowMs: number): void {
+		const ratioLog = msPerUnit > 0 ? this._reference.compare(size, msPerUnit, {source: key, knownLog: speed.steadyAt(nowMs).log}) : undefined;
 		if (ratioLog !== undefined) {
 			speed.record(ratioLog, nowMs);
 		}
 	}
 
-	/** Returns how long the engine takes for its work, as a multiple of what the pool's median engine takes. */
+	/** Returns how long the engine takes for its work, as a multiple of what is typical of the pool. */
 	slownessOf({speed}: Server, nowMs: number): number {
-		return slowness(speed, this._medianLog, nowMs);
+		return slowness(speed, nowMs);
 	}
 
 	/** Returns the candidate with the lowest cost; undefined if none should be asked. `usable` returns the usable engines of the pool, also those that the request has tried. */
@@ -116,13 +115,11 @@
 		return [...rooms.values()].map(({zone, capacity, full, engines}) => ({zone, capacity, fullShare: full / engines}));
 	}
 
-	/** Determines the pool's median speed again, and forgets zones that have no engines any more. */
+	/** Forgets zones that have no engines any more. */
 	private _update(usable: () => readonly Server[], nowMs: number): void {
 		if (nowMs - this._updatedMs >= updateIntervalMs) {
-			const pool = usable();
 			this._updatedMs = nowMs;
-			this._medianLog = medianSpeedLog(pool.map(({speed}) => speed), nowMs);
-			this.zones.retainZones(new Set(pool.map(({record}) => record.zone)));
+			this.zones.retainZones(new Set(usable().map(({record}) => record.zone)));
 		}
 	}
 }
--- a/src/common/forwarding/engine-speed.ts
+++ b/src/common/forwarding/engine-speed.ts
@@ -1,14 +1,21 @@
 /** Estimates how long servers take for their work, compared with the other servers of their pool. */
 
-/** Samples of one size class that are needed before durations are compared with them. */
-const minReferenceSamples = 4;
-/** Smallest and largest step by which the typical duration follows a sample, as a difference of logarithms. */
-const minReferenceStep = 0.02;
-const maxReferenceStep = 0.3;
+/** Samples of one size class that are needed before durations are compared with their median. */
+const minReferenceSamples = 5;
+/** Step by which the typical duration follows a sample, as a difference of logarithms: the first one divided by the number of samples, but at least the last one. */
+const firstReferenceStep = 0.8;
+const lastReferenceStep = 0.03;
+/**
+Share of a server's known slowness that is taken out of its samples before the typical duration learns from them. It aligns the typical durations of all
+processes, and is below 1 so that the slownesses of all servers cannot drift together.
+*/
+const alignedShare = 0.9;
 /** Number of samples after which the long-run estimate follows each new sample by the same share. */
 const maxWeight = 12;
 /** Weight from which an estimate is used. */
-export const minUsedWeight = 2;
+export const minUsedWeight = 0.9;
+/** Minimum time between samples that the long-run estimate follows, in milliseconds: the windows of one stream are alike. */
+const steadyIntervalMs = 500;
 /** Time constant with which the weight of an estimate decays without samples, in milliseconds. */
 const weightDecayMs = 120_000;
 /** Deviation from the long-run estimate that may be a spell, as a difference of logarithms: a factor of 1.5. */
@@ -22,28 +29,59 @@
 /** Bound on how much slower or faster than typical a server is taken to be, as a difference of logarithms: a factor of 4. */
 const maxDeviation = Math.log(4);
 
+type SizeClass = {
+	/** First samples, until there are enough for a median. */
+	readonly firstLogs: number[];
+	medianLog: number | undefined;
+	samples: number;
+	lastSource: unknown;
+};
+
 /** Typical durations of the work of one pool, by size. */
 export class WorkReference {
-	private readonly _classes = new Map<number, {medianLog: number; samples: number}>();
+	private readonly _classes = new Map<number, SizeClass>();
 
 	/**
-	Compares the duration per unit of work with that of the work of similar size (within a factor of 2) seen before, and learns from it. Returns
-	the logarithm of the ratio; undefined as long as too little is known.
+	Compares the duration per unit of work with that of the work of similar size (within a factor of 2) seen before, and learns from it unless the
+	sample before came from the same source. `knownLog` is the logarithm of the source's slowness, 0 if it is unknown. Returns the logarithm of the ratio; undefined as long as too little is known.
 	*/
-	compare(size: number, msPerUnit: number): number | undefined {
+	compare(size: number, msPerUnit: number, {source, knownLog}: {readonly source: unknown; readonly knownLog: number}): number | undefined {
 		const log = Math.log(msPerUnit);
-		const sizeClass = Math.round(Math.log2(Math.max(1, size)));
-		const known = this._classes.get(sizeClass);
-		if (!known) {
-			this._classes.set(sizeClass, {medianLog: log, samples: 1});
-			return undefined;
+		const sizeClass = this._sizeClass(size);
+		const {medianLog} = sizeClass;
+		if (sizeClass.lastSource !== source) {
+			sizeClass.lastSource = source;
+			learn(sizeClass, log - (knownLog * alignedShare));
 		}
 
-		const deviation = log - known.medianLog;
-		known.samples++;
-		const step = Math.max(minReferenceStep, maxReferenceStep / known.samples);
-		known.medianLog += Math.max(-step, Math.min(step, deviation));
-		return known.samples > minReferenceSamples ? deviation : undefined;
+		return medianLog === undefined ? undefined : log - medianLog;
+	}
+
+	private _sizeClass(size: number): SizeClass {
+		const exponent = Math.round(Math.log2(Math.max(1, size)));
+		let sizeClass = this._classes.get(exponent);
+		if (!sizeClass) {
+			sizeClass = {
+				firstLogs: [], medianLog: undefined, samples: 0, lastSource: undefined,
+			};
+			this._classes.set(exponent, sizeClass);
+		}
+
+		return sizeClass;
+	}
+}
+
+/** Moves the median of a size class towards a sample. */
+function learn(sizeClass: SizeClass, log: number): void {
+	sizeClass.samples++;
+	if (sizeClass.medianLog !== undefined) {
+		sizeClass.medianLog += clamp(log - sizeClass.medianLog, Math.max(lastReferenceStep, firstReferenceStep / sizeClass.samples));
+		return;
+	}
+
+	sizeClass.firstLogs.push(log);
+	if (sizeClass.firstLogs.length === minReferenceSamples) {
+		sizeClass.medianLog = sizeClass.firstLogs.splice(0).sort((a, b) => a - b)[Math.floor(minReferenceSamples / 2)];
 	}
 }
 
@@ -60,6 +98,7 @@
 	private _steadyLog = 0;
 	private _weight = 0;
 	private _updatedMs = 0;
+	private _followedMs = Number.NEGATIVE_INFINITY;
 	private _outlier: {readonly log: number; readonly atMs: number} | undefined;
 	private _spell: {log: number; readonly sinceMs: number; untilMs: number} | undefined;
 
@@ -68,26 +107,17 @@
 		const log = clamp(ratioLog, maxDeviation);
 		const deviation = log - this._steadyLog;
 		const isOutlier = this.weightAt(nowMs) >= minUsedWeight && Math.abs(deviation) > spellThreshold;
-		if (!isOutlier) {
+		if (isOutlier) {
+			this._recordOutlier(log, nowMs);
+		} else {
 			this._outlier = undefined;
 			this._spell = undefined;
-			this._follow(deviation, nowMs);
-			return;
 		}
 
-		if (this._spell && nowMs < this._spell.untilMs) {
-			this._continueSpell(this._spell, log, nowMs);
-			return;
+		if (nowMs - this._followedMs >= steadyIntervalMs) {
+			this._followedMs = nowMs;
+			this._follow(isOutlier ? clamp(deviation, spellThreshold) : deviation, nowMs);
 		}
-
-		this._spell = undefined;
-		const outlier = this._outlier;
-		if (outlier && nowMs - outlier.atMs <= spellValidityMs && Math.sign(outlier.log - this._steadyLog) === Math.sign(deviation)) {
-			this._spell = {log: (outlier.log + log) / 2, sinceMs: outlier.atMs, untilMs: nowMs + spellValidityMs};
-		}
-
-		this._outlier = {log, atMs: nowMs};
-		this._follow(clamp(deviation, spellThreshold), nowMs);
 	}
 
 	/** Combines the estimate with that of another process. The combined weight is the greater of both, so that what returns to its origin does not count twice. */
@@ -120,12 +150,24 @@
 		return this._weight * Math.exp(-Math.max(0, nowMs - this._updatedMs) / weightDecayMs);
 	}
 
+	private _recordOutlier(log: number, nowMs: number): void {
+		const outlier = this._outlier;
+		this._outlier = {log, atMs: nowMs};
+		if (this._spell && nowMs < this._spell.untilMs) {
+			this._continueSpell(this._spell, log, nowMs);
+			return;
+		}
+
+		const isSecond = outlier !== undefined && nowMs - outlier.atMs <= spellValidityMs && (outlier.log > this._steadyLog) === (log > this._steadyLog);
+		this._spell = isSecond ? {log: (outlier.log + log) / 2, sinceMs: outlier.atMs, untilMs: nowMs + spellValidityMs} : undefined;
+	}
+
 	private _continueSpell(spell: NonNullable<SpeedEstimate['_spell']>, log: number, nowMs: number): void {
 		spell.log = (spell.log + log) / 2;
 		spell.untilMs = nowMs + spellValidityMs;
 		if (nowMs - spell.sinceMs > maxSpellMs) {
 			this._steadyLog = spell.log;
-			this._weight = minUsedWeight;
+			this._weight = 1;
 			this._updatedMs = nowMs;
 			this._spell = undefined;
 			this._outlier = undefined;
@@ -139,17 +181,10 @@
 	}
 }
 
-/** Returns a server's slowness: its durations as a multiple of those of the pool's median server. 1 if the difference is small or too little is known. */
-export function slowness(estimate: SpeedEstimate, medianLog: number, nowMs: number): number {
-	const log = estimate.logAt(nowMs);
-	const deviation = log === undefined ? 0 : clamp(log - medianLog, maxDeviation);
-	return Math.abs(deviation) <= deadBand ? 1 : Math.exp(deviation);
-}
-
-/** Returns the median of the long-run estimates that are known, as a logarithm; 0 if there are none. */
-export function medianSpeedLog(estimates: readonly SpeedEstimate[], nowMs: number): number {
-	const logs = estimates.map(estimate => estimate.steadyAt(nowMs)).filter(({weight}) => weight >= minUsedWeight).map(({log}) => log).sort((a, b) => a - b);
-	return logs[Math.floor(logs.length / 2)] ?? 0;
+/** Returns a server's slowness: its durations as a multiple of the pool's typical ones. 1 if the difference is small or too little is known. */
+export function slowness(estimate: SpeedEstimate, nowMs: number): number {
+	const log = estimate.logAt(nowMs) ?? 0;
+	return Math.abs(log) <= deadBand ? 1 : Math.exp(log);
 }
 
 /**
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -11,6 +11,7 @@
 	CountEffect, VmId, VmIdentity,
 } from '../common/core/types.js';
 import type {ConsensusTimings} from '../common/consensus/types.js';
+import {SpeedNews, speedNewsSchema} from '../common/forwarding/speed-news.js';
 import type {LocalMember} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
 import type {
@@ -504,6 +505,21 @@
 	}
 }
 
+/** Shares what this process learns about the speed of servers, along with gossip. */
+function startSpeedNews({network, clock, membership, quarantine}: CoreComponents, {directory}: ServerFleet): void {
+	const speedNews = new SpeedNews();
+	network.registerHandler('forwarding/speeds', speedNewsSchema, (_from, message) => {
+		speedNews.apply(message, directory.servers, clock.nowMs());
+	});
+	membership.setGossipCompanion((to, isPage) => {
+		quarantine.accompanyGossip(to, isPage);
+		const message = speedNews.take(directory.servers, clock.nowMs());
+		if (message) {
+			network.send(to, message);
+		}
+	});
+}
+
 async function startForwarding(core: CoreComponents, fleetSettings: FleetSettings, protocol: FleetProtocol): Promise<FleetComponents> {
 	const {
 		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
@@ -545,6 +561,7 @@
 			fleet.recordAnnouncedShutdown(key, announcedBy);
 		},
 	});
+	startSpeedNews(core, fleet);
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = disposables.add(new ForwardServer({
 		protocol,
