--- a/src/common/forwarding/engine-ranking.ts
+++ b/src/common/forwarding/engine-ranking.ts
@@ -70,7 +70,8 @@
 			}, random);
 		const {tokens: spreadTokens, exponent} = spreads[this._stage];
 		const toll = (zone: string) => zone === preferred ? 0 : (zone === home || preferred === home ? 1 : 2);
-		return lowestCostServer(candidates.filter(({record: {zone}}) => mayAskOthers || zone === home || zone === preferred), server => {
+		const askable = mayAskOthers ? candidates : candidates.filter(({record: {zone}}) => zone === home || zone === preferred);
+		return lowestCostServer(askable, server => {
 			const serverSlowness = this.slownessOf(server, nowMs);
 			return (server.fullUntilMs > nowMs ? fullPenaltyTokens : 0) + (server.tokens * serverSlowness * (1 + (server.failureShare * failurePenaltyFactor)))
 				+ (toll(server.record.zone) * otherZonePenaltyTokens) + (speedSpread(serverSlowness, exponent, random.next()) * spreadTokens);
--- a/src/common/forwarding/engine-speed.ts
+++ b/src/common/forwarding/engine-speed.ts
@@ -147,7 +147,7 @@
 
 	/** Returns the number of samples that the estimate rests on, which decays while there are none. */
 	weightAt(nowMs: number): number {
-		return this._weight * Math.exp(-Math.max(0, nowMs - this._updatedMs) / weightDecayMs);
+		return this._weight === 0 ? 0 : this._weight * Math.exp(-Math.max(0, nowMs - this._updatedMs) / weightDecayMs);
 	}
 
 	private _recordOutlier(log: number, nowMs: number): void {
--- a/src/common/forwarding/speed-news.test.ts
+++ b/src/common/forwarding/speed-news.test.ts
@@ -32,7 +32,7 @@
 				}
 			}
 
-			const message = news.take(directory.servers, nowMs);
+			const message = news.take(directory, nowMs);
 			if (message) {
 				counts.messages++;
 				counts.speeds += message.speeds.length;
@@ -77,5 +77,5 @@
 	const [{directory, news}] = buildProcesses(1) as [Process];
 	news.apply({type: 'forwarding/speeds', speeds: [[12_345, 50, 5]]}, directory.servers, 0);
 	assert.ok([...directory.servers].every(({speed}) => speed.weightAt(0) === 0));
-	assert.equal(news.take(directory.servers, 0), undefined);
+	assert.equal(news.take(directory, 0), undefined);
 });
--- a/src/common/forwarding/speed-news.ts
+++ b/src/common/forwarding/speed-news.ts
@@ -1,7 +1,7 @@
 /** What processes tell each other about the speed of servers: a few bytes per server that differs from the others, along with gossip. */
 import {z} from 'zod';
 import {minUsedWeight} from './engine-speed.js';
-import type {Server} from './server-directory.js';
+import type {Server, ServerDirectory} from './server-directory.js';
 import type {ServerKey} from './types.js';
 
 /** Maximum number of servers in one message. */
@@ -30,17 +30,16 @@
 	private _searchedMs = Number.NEGATIVE_INFINITY;
 
 	/** Returns the speeds to send with the next gossip message; undefined if there is no news. */
-	take(servers: Iterable<Server>, nowMs: number): SpeedNewsMessage | undefined {
-		const known = new Map([...servers].map(server => [server.key, server]));
+	take(directory: Pick<ServerDirectory, 'servers' | 'get'>, nowMs: number): SpeedNewsMessage | undefined {
 		if (nowMs - this._searchedMs >= searchIntervalMs) {
 			this._searchedMs = nowMs;
-			this._search(known, nowMs);
+			this._search(directory, nowMs);
 		}
 
 		const speeds: SpeedNewsMessage['speeds'] = [];
 		for (const [key, item] of this._told) {
-			const server = known.get(key);
-			if (server && item.sends < transmissionsPerChange && speeds.length < maxServersPerMessage) {
+			const server = item.sends < transmissionsPerChange && speeds.length < maxServersPerMessage ? directory.get(key) : undefined;
+			if (server) {
 				item.sends++;
 				const {log, weight} = server.speed.steadyAt(nowMs);
 				speeds.push([hashKey(key), Math.round(log * stepsPerUnit), Math.max(1, Math.round(weight))]);
@@ -73,16 +72,16 @@
 		this._told.set(key, {log: speed.steadyAt(nowMs).log, sends: 0});
 	}
 
-	private _search(known: ReadonlyMap<ServerKey, Server>, nowMs: number): void {
+	private _search(directory: Pick<ServerDirectory, 'servers' | 'get'>, nowMs: number): void {
 		for (const key of this._told.keys()) {
-			if (!known.has(key)) {
+			if (!directory.get(key)) {
 				this._told.delete(key);
 			}
 		}
 
-		for (const [key, server] of known) {
+		for (const server of directory.servers) {
 			const {log, weight} = server.speed.steadyAt(nowMs);
-			if (weight >= minUsedWeight && Math.abs(log - (this._told.get(key)?.log ?? 0)) > minToldChange) {
+			if (weight >= minUsedWeight && Math.abs(log - (this._told.get(server.key)?.log ?? 0)) > minToldChange) {
 				this._tell(server, nowMs);
 			}
 		}
--- a/src/common/forwarding/zone-choice.test.ts
+++ b/src/common/forwarding/zone-choice.test.ts
@@ -4,7 +4,6 @@
 import {ZoneChoice, leavingFractions, transferMs} from './zone-choice.js';
 
 const tokens = 5000;
-const vmsPerZone = 18;
 const enginesPerZone = 12;
 const slotsPerEngine = 4;
 const serviceMs = 500;
@@ -22,13 +21,14 @@
 	readonly zonesWithoutEngines?: readonly string[];
 	readonly seed: number;
 	readonly seconds?: number;
+	readonly vmsPerZone?: number;
 	readonly isCentral?: boolean;
 	/** Whether every request stays at home as long as an engine there has not refused it. */
 	readonly isHomeFirst?: boolean;
 };
 
 /** Plays the requests of many processes that choose zones on their own, and returns what became of them. */
-function simulate({loads, zonesWithoutEngines = [], seed, seconds = 15, isCentral = false, isHomeFirst = false}: Scenario) {
+function simulate({loads, zonesWithoutEngines = [], seed, seconds = 15, vmsPerZone = 18, isCentral = false, isHomeFirst = false}: Scenario) {
 	const random = new SeededRandom(seed);
 	const zones = Object.keys(loads);
 	const engines = zones.filter(zone => !zonesWithoutEngines.includes(zone)).flatMap(zone => Array.from({length: enginesPerZone}, (): Engine => ({zone, endsMs: []})));
@@ -133,6 +133,13 @@
 	assert.ok(own.callsPerRequest < homeFirst.callsPerRequest * 0.6, `${own.callsPerRequest} calls, home first ${homeFirst.callsPerRequest}`);
 });
 
+test('72 VMs in the overloaded zone, each of which sees a quarter as much: the regret is at most 15 ms a request, and they do not all leave at once', () => {
+	const own = simulate({loads: overloadedHome, seed: 1, vmsPerZone: 72});
+	const central = simulate({loads: overloadedHome, seed: 1, isCentral: true});
+	assert.ok(own.meanCostMs <= central.meanCostMs + 15, `${own.meanCostMs} ms, central ${central.meanCostMs} ms`);
+	assert.ok(own.leftShare <= central.leftShare + 0.05, `${own.leftShare}, central ${central.leftShare}`);
+});
+
 test('what leaves an overloaded zone does not swing: each second about the same number of requests leaves', () => {
 	const {leftBySecond} = simulate({loads: overloadedHome, seed: 2});
 	const settled = leftBySecond.slice(1);
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -513,7 +513,7 @@
 	});
 	membership.setGossipCompanion((to, isPage) => {
 		quarantine.accompanyGossip(to, isPage);
-		const message = speedNews.take(directory.servers, clock.nowMs());
+		const message = speedNews.take(directory, clock.nowMs());
 		if (message) {
 			network.send(to, message);
 		}
