--- a/src/common/forwarding/engine-ranking.ts
+++ b/src/common/forwarding/engine-ranking.ts
@@ -79,12 +79,12 @@
 	}
 
 	/** Returns why the chosen engine is not one of the request's own zone; undefined if it is. */
-	departureReason(server: Server, usable: readonly Server[], {zone: home, nowMs}: ServerQuery): DepartureReason | undefined {
+	departureReason(server: Server, usable: () => readonly Server[], {zone: home, nowMs}: ServerQuery): DepartureReason | undefined {
 		if (server.record.zone === home) {
 			return undefined;
 		}
 
-		if (!usable.some(({record}) => record.zone === home)) {
+		if (!usable().some(({record}) => record.zone === home)) {
 			return 'no-engine-at-home';
 		}
 
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -164,7 +164,7 @@
 
 	/** Returns why a decode engine that was chosen is in another zone than the request; undefined if it is not. */
 	departureReason(server: Server, query: ServerQuery): DepartureReason | undefined {
-		return this._ranking(query.service, 'decode').departureReason(server, this._usableServers({...query, stage: 'decode'}), query);
+		return this._ranking(query.service, 'decode').departureReason(server, () => this._usableServers({...query, stage: 'decode'}), query);
 	}
 
 	/** Returns what the ranking assumes of an engine and its zone, for the log. */
