--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -11,6 +11,7 @@
 	CountEffect, VmId, VmIdentity,
 } from '../common/core/types.js';
 import type {ConsensusTimings} from '../common/consensus/types.js';
+import {SpeedNews, speedNewsSchema} from '../common/forwarding/speed-news.js';
 import {announcedCapacity} from '../common/membership/entry-point-sample.js';
 import type {LocalMember} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
@@ -514,6 +515,21 @@
 	return zone => regionByZone.size === 0 || regionByZone.has(zone) || zone === ownZone || [...fleet.directory.servers].some(({record}) => record.zone === zone);
 }
 
+/** Shares what this process learns about the speed of servers, along with gossip. */
+function startSpeedNews({network, clock, membership, quarantine}: CoreComponents, {directory}: ServerFleet): void {
+	const speedNews = new SpeedNews();
+	network.registerHandler('forwarding/speeds', speedNewsSchema, (_from, message) => {
+		speedNews.apply(message, directory.servers, clock.nowMs());
+	});
+	membership.setGossipCompanion((to, isPage) => {
+		quarantine.accompanyGossip(to, isPage);
+		const message = speedNews.take(directory, clock.nowMs());
+		if (message) {
+			network.sendDatagram(to, message);
+		}
+	});
+}
+
 async function startForwarding(core: CoreComponents, fleetSettings: FleetSettings, protocol: FleetProtocol): Promise<FleetComponents> {
 	const {
 		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
@@ -557,6 +573,7 @@
 			fleet.recordAnnouncedShutdown(key, announcedBy);
 		},
 	});
+	startSpeedNews(core, fleet);
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = disposables.add(new ForwardServer({
 		protocol,
@@ -633,6 +650,7 @@
 			isDraining: server.isDraining,
 			evacuatedZones: [...fleet.directory.evacuatedZones],
 			servers: [...fleet.directory.servers],
+			zoneChoices: fleet.directory.dumpRankings(clock.nowMs()),
 		}),
 		members: () => membership.members,
 		namedRegions: host => server.handler.namedRegions(host),
