forwarding: entry-point answers look at the routes of a host only if some route names regions

Cause: each query for entry points walked over all routes of the host, of which a configuration may have thousands, also where no route names a region. No change of answers.

--- a/src/common/forwarding/route-table.ts
+++ b/src/common/forwarding/route-table.ts
@@ -7,8 +7,10 @@
 	private readonly _routesByHost = new Map<string, ForwardRoute[]>();
 	private readonly _customersByKey = new Map<string, ForwardCustomer>();
 	private readonly _services = new Map<string, ForwardService>();
+	private readonly _hasNamedRegions: boolean;
 
 	constructor(readonly forwarding: Forwarding) {
+		this._hasNamedRegions = forwarding.routes.some(({allowedRegions}) => allowedRegions !== undefined);
 		for (const route of forwarding.routes) {
 			const host = route.host.toLowerCase();
 			const routes = this._routesByHost.get(host) ?? [];
@@ -45,7 +47,7 @@
 
 	/** Returns the regions that each route of the host names, without the routes that name none; `host` may include a port. */
 	namedRegions(host: string): string[][] {
-		return this._routesOf(host).flatMap(({allowedRegions}) => allowedRegions ? [allowedRegions] : []);
+		return this._hasNamedRegions ? this._routesOf(host).flatMap(({allowedRegions}) => allowedRegions ? [allowedRegions] : []) : [];
 	}
 
 	/** Returns the customer that owns an API key; undefined for an unknown key. */
