forwarding: a turn at a cold engine ends when the engine refuses the reservation

Cause: a reservation holds the turn for its lifetime of 2 s, since a run follows. After a refusal or a failed call none follows, and the sender, one of three, gave the engine nothing for the rest of its cold time.

Change: without a reservation the turn ends at once, and the next one begins after the usual 1,050 ms.

--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -21,7 +21,7 @@
 	reservation: MemoryReservation | undefined;
 	prefilledCache: PrefilledCache | undefined;
 
-	constructor(private readonly _dependencies: ForwardDependencies, private readonly _requestId: string) {}
+	constructor(private readonly _dependencies: Pick<ForwardDependencies, 'fleet' | 'protocol' | 'clock' | 'logger'>, private readonly _requestId: string) {}
 
 	/**
 	Reserves memory for `tokens` tokens on a decode engine, provided that the engine has room for `minFreeTokens` tokens more. The
@@ -61,6 +61,8 @@
 		} finally {
 			if (!isReserved) {
 				fleet.directory.endWork(server, tokens);
+				// No run follows, so the turn ends here.
+				fleet.recordColdRequest(server);
 			}
 		}
 	}
