--- a/src/common/forwarding/server-directory.test.ts
+++ b/src/common/forwarding/server-directory.test.ts
@@ -173,7 +173,7 @@
 			}))),
 	]);
 	const model = query({service: 'models'});
-	directory.setEvacuatedZones(new Set(['z1']));
+	directory.setEvacuatedZones(new Set(['z1']), 0);
 	assert.deepEqual(chosenIds(directory, query()), ['b']);
 	assert.deepEqual(chosenIds(directory, model, 'chooseDecodeEngine'), ['decode-z2']);
 	assert.deepEqual(chosenIds(directory, model, 'choosePrefillEngine'), ['prefill-z2']);
@@ -182,9 +182,9 @@
 	assert.deepEqual(chosenIds(directory, query()), ['b']);
 	assert.equal(directory.isAcceptingWork(a!, 0), false, 'a reservation that was made before is not used');
 	assert.equal(directory.isServiceEvacuated('desk'), false);
-	directory.setEvacuatedZones(new Set(['z1', 'z2']));
+	directory.setEvacuatedZones(new Set(['z1', 'z2']), 0);
 	assert.deepEqual([...chosenIds(directory, query()), ...chosenIds(directory, model, 'chooseDecodeEngine')], ['none', 'none']);
 	assert.deepEqual(['desk', 'models', 'unknown'].map(service => directory.isServiceEvacuated(service)), [true, true, false]);
-	directory.setEvacuatedZones(new Set());
+	directory.setEvacuatedZones(new Set(), 0);
 	assert.deepEqual(chosenIds(directory, model, 'chooseDecodeEngine'), ['decode-z1']);
 });
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -158,9 +158,13 @@
 		return this._evacuatedZones;
 	}
 
-	/** Sets the availability zones whose servers get no work. */
-	setEvacuatedZones(zones: ReadonlySet<string>): void {
+	/** Sets the availability zones whose servers get no work. Servers of a zone that comes back into service may have become cold meanwhile. */
+	setEvacuatedZones(zones: ReadonlySet<string>, nowMs: number): void {
+		const returned = [...this._evacuatedZones].filter(zone => !zones.has(zone));
 		this._evacuatedZones = zones;
+		for (const zone of returned) {
+			this.presumeCold(zone, nowMs);
+		}
 	}
 
 	isEvacuated({record}: Server): boolean {
--- a/src/node/forwarding/server-fleet.ts
+++ b/src/node/forwarding/server-fleet.ts
@@ -124,7 +124,7 @@
 			return;
 		}
 
-		this.directory.setEvacuatedZones(zones);
+		this.directory.setEvacuatedZones(zones, this._options.clock.nowMs());
 		this._options.logger.log('info', 'evacuated zones changed', {zones: [...zones], before: [...evacuatedZones], revision});
 		for (const key of this._unprobedServers) {
 			const server = this.directory.get(key);
