--- a/src/common/forwarding/cold-budget.test.ts
+++ b/src/common/forwarding/cold-budget.test.ts
@@ -276,10 +276,15 @@
 	assert.equal(directory.choose({...query(3100), coldRate: undefined}), chosen, 'a service that states no rate is not limited');
 	assert.equal(directory.choose(query(5000)), chosen);
 	assert.equal(directory.coldWaitMs(query(5000)), undefined);
-	directory.presumeCold('z2', 5200);
+	const evacuateAndReturn = (zone: string) => {
+		directory.setEvacuatedZones(new Set([zone]), 5200);
+		directory.setEvacuatedZones(new Set(), 5200);
+	};
+
+	evacuateAndReturn('z2');
 	assert.equal(directory.choose(query(5200)), chosen);
 	directory.cold!.recordRequest(chosen.key, 5200);
-	directory.presumeCold('z1', 5200);
+	evacuateAndReturn('z1');
 	assert.equal(directory.choose(query(5200)), undefined, 'its zone has come back into service');
 	directory.update([buildServer({id: 'cold'})], 6200);
 	assert.equal(directory.choose(query(6200)), chosen, 'a list requested since then says that it is warm');
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -163,7 +163,7 @@
 		const returned = [...this._evacuatedZones].filter(zone => !zones.has(zone));
 		this._evacuatedZones = zones;
 		for (const zone of returned) {
-			this.presumeCold(zone, nowMs);
+			this._presumeCold(zone, nowMs);
 		}
 	}
 
@@ -261,15 +261,6 @@
 		return waitMs > 0 && waitMs < Infinity ? waitMs : undefined;
 	}
 
-	/** Takes the servers of a zone for cold until a list that must show it by now tells otherwise; to be called when the zone comes back into service. */
-	presumeCold(zone: string, nowMs: number): void {
-		for (const {key, record} of this._servers.values()) {
-			if (record.zone === zone) {
-				this.cold?.presumeCold(key, nowMs);
-			}
-		}
-	}
-
 	/** Begins an exchange with a plain server. */
 	beginExchange(server: Server, nowMs: number): PlainExchange {
 		const exchange = {startedMs: nowMs};
@@ -367,6 +358,15 @@
 		return ranking;
 	}
 
+	/** Takes the servers of a zone for cold until a list that must show it by now tells otherwise. */
+	private _presumeCold(zone: string, nowMs: number): void {
+		for (const {key, record} of this._servers.values()) {
+			if (record.zone === zone) {
+				this.cold?.presumeCold(key, nowMs);
+			}
+		}
+	}
+
 	private _isUsable(server: Server, nowMs: number): boolean {
 		return server.suspendedUntilMs <= nowMs && this.isAcceptingWork(server, nowMs);
 	}
