control: the late answer of a slow leader to the read of an evacuation counts

Cause: the read of an evacuation order gave the leader 250 ms and then dropped its answer. With a leader and others that answer after 350 ms or more, each copy of an order needed over a second (250, a redirect, and the read again) for its read, its operator had left by then, and nothing was ever proposed, although the leader was sound. Change: after 250 ms another control VM is asked in addition; the first result counts, and the control VM that gave it stays the target. The usual reads and proposals are as before.

--- a/src/node/control/control-admin-client.ts
+++ b/src/node/control/control-admin-client.ts
@@ -157,9 +157,9 @@
 		return drains;
 	}
 
-	/** Reads the drains and the revision that they were read at. The first control VM has `firstAttemptMs` milliseconds to answer. */
-	async readDrains(timeoutMs = operationTimeoutMs, firstAttemptMs?: number): Promise<Pick<ResultOf<'drains'>, 'drains' | 'revision'>> {
-		return await this._leaderClient.read({what: 'drains'}, timeoutMs, firstAttemptMs) as ResultOf<'drains'>;
+	/** Reads the drains and the revision that they were read at. If the first control VM has not answered after `firstPatienceMs` milliseconds, another one is asked in addition. */
+	async readDrains(timeoutMs = operationTimeoutMs, firstPatienceMs?: number): Promise<Pick<ResultOf<'drains'>, 'drains' | 'revision'>> {
+		return await this._leaderClient.read({what: 'drains'}, timeoutMs, firstPatienceMs) as ResultOf<'drains'>;
 	}
 
 	/** Evacuates a zone or withdraws its evacuation, unless that was changed after the revision `unchangedSince`; the change is then refused as `stale`. */
--- a/src/node/control/control-leader-client.ts
+++ b/src/node/control/control-leader-client.ts
@@ -18,7 +18,14 @@
 
 type LeaderReplySchema = z.ZodType<{kind: string; leader?: VmId}>;
 
-type Timeouts = {readonly timeoutMs: number; readonly firstAttemptMs: number};
+type Timeouts = {
+	readonly timeoutMs: number;
+	/** Time after which another control VM is asked in addition, in milliseconds; doubles with each attempt, up to the time that an attempt has. */
+	readonly firstPatienceMs: number;
+};
+
+/** Reply of the control VM that was asked; undefined if there was none. */
+type Attempt<R> = {readonly target: VmId; readonly reply: R | undefined};
 
 export type ControlLeaderClientOptions = {
 	readonly network: PeerNetwork;
@@ -50,29 +57,39 @@
 	Rejects with `TimeoutError` if the outcome is not known in time; the command may still have taken effect.
 	*/
 	async propose(command: Command, timeoutMs: number): Promise<Outcome> {
-		const reply = await this._requestFromLeader({type: 'control/propose', command}, proposeReplySchema, 'outcome', {timeoutMs, firstAttemptMs: attemptTimeoutMs});
+		const reply = await this._requestFromLeader({type: 'control/propose', command}, proposeReplySchema, 'outcome', {timeoutMs, firstPatienceMs: attemptTimeoutMs});
 		return (reply as {outcome: Outcome}).outcome;
 	}
 
 	/**
 	Reads the replicated state, including everything committed before the query arrived. Rejects with `TimeoutError` if no leader answers in time.
-	The first control VM has `firstAttemptMs` milliseconds to answer; that doubles with each attempt, up to the usual time.
+	If the first control VM has not answered after `firstPatienceMs` milliseconds, another one is asked in addition, and the first result counts.
 	*/
-	async read(query: ReadQuery, timeoutMs: number, firstAttemptMs = attemptTimeoutMs): Promise<ReadResult> {
-		const reply = await this._requestFromLeader({type: 'control/read', query}, readReplySchema, 'result', {timeoutMs, firstAttemptMs});
+	async read(query: ReadQuery, timeoutMs: number, firstPatienceMs = attemptTimeoutMs): Promise<ReadResult> {
+		const reply = await this._requestFromLeader({type: 'control/read', query}, readReplySchema, 'result', {timeoutMs, firstPatienceMs});
 		return (reply as {result: ReadResult}).result;
 	}
 
-	private async _requestFromLeader<S extends LeaderReplySchema>(message: PeerMessage, schema: S, expectedKind: string, {timeoutMs, firstAttemptMs}: Timeouts): Promise<z.output<S>> {
+	private async _requestFromLeader<S extends LeaderReplySchema>(message: PeerMessage, schema: S, expectedKind: string, {timeoutMs, firstPatienceMs}: Timeouts): Promise<z.output<S>> {
 		const {clock} = this._options;
 		const deadlineMs = clock.nowMs() + timeoutMs;
 		let redirects = 0;
-		let attemptMs = firstAttemptMs;
+		let patienceMs = firstPatienceMs;
+		// Results of all attempts so far; those without a result stay pending.
+		const results: Array<Promise<Attempt<z.output<S>>>> = [];
 		for (let remainingMs = timeoutMs; remainingMs > 0; remainingMs = deadlineMs - clock.nowMs()) {
 			const target = this._target;
-			const reply = target === undefined ? undefined : await this._tryRequest(target, message, schema, Math.min(remainingMs, attemptMs));
-			attemptMs = Math.min(attemptMs * 2, attemptTimeoutMs);
+			let outcome: Attempt<z.output<S>> | undefined;
+			if (target !== undefined) {
+				const attempt = this._tryRequest(target, message, schema, Math.min(remainingMs, attemptTimeoutMs));
+				results.push(resultOf(attempt, expectedKind));
+				outcome = await raceFor([attempt, ...results], Math.min(remainingMs, patienceMs));
+			}
+
+			patienceMs = Math.min(patienceMs * 2, attemptTimeoutMs);
+			const reply = outcome?.reply;
 			if (reply?.kind === expectedKind) {
+				this._switchTarget(target, outcome!.target);
 				return reply;
 			}
 
@@ -87,12 +104,12 @@
 		throw new TimeoutError(`no control VM answered within ${timeoutMs} ms`, errorContext({step: message.type, peer: this._target}));
 	}
 
-	private async _tryRequest<S extends z.ZodType>(target: VmId, message: PeerMessage, schema: S, timeoutMs: number): Promise<z.output<S> | undefined> {
+	private async _tryRequest<S extends LeaderReplySchema>(target: VmId, message: PeerMessage, schema: S, timeoutMs: number): Promise<Attempt<z.output<S>>> {
 		try {
-			return schema.parse(await this._options.network.request(target, message, timeoutMs));
+			return {target, reply: schema.parse(await this._options.network.request(target, message, timeoutMs))};
 		} catch {
 			// The control VM is unreachable or slow, or its reply is invalid; another one may answer.
-			return undefined;
+			return {target, reply: undefined};
 		}
 	}
 
@@ -103,3 +120,22 @@
 		}
 	}
 }
+
+/** Settles like the attempt if its reply is of the expected kind, and else never. */
+async function resultOf<R extends {kind: string}>(attempt: Promise<Attempt<R>>, expectedKind: string): Promise<Attempt<R>> {
+	const outcome = await attempt;
+	return outcome.reply?.kind === expectedKind ? outcome : new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function -- never settles
+}
+
+/** Returns what the first of the promises resolves with, or undefined after `timeoutMs` milliseconds. */
+async function raceFor<T>(promises: ReadonlyArray<Promise<T>>, timeoutMs: number): Promise<T | undefined> {
+	let timer: NodeJS.Timeout | undefined;
+	const expiry = new Promise<undefined>(resolve => {
+		timer = setTimeout(resolve, timeoutMs, undefined);
+	});
+	try {
+		return await Promise.race([...promises, expiry]);
+	} finally {
+		clearTimeout(timer);
+	}
+}
--- a/src/node/control/evacuation-orders.test.ts
+++ b/src/node/control/evacuation-orders.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
 import {ManualClock} from '../../common/core/clock.js';
+import type {PeerMessage, VmId} from '../../common/core/types.js';
 import {EvacuationOrders} from './evacuation-orders.js';
 import type {EvacuationOrder} from './evacuation-orders.js';
 import {makeConfigurationDocument, TestCluster, waitUntil} from './test-helper.js';
@@ -97,21 +98,59 @@
 	await assert.rejects(orders.execute({zone: 'z1', isEvacuated: true, isAwaited: () => true}, timeoutMs), {name: 'TimeoutError'});
 });
 
-test('a lost leader is passed over before the operator goes to another process', async t => {
+/** Records the requests of `vm-1`, and lets `answer` replace their replies. */
+function interceptRequests(cluster: TestCluster, answer: (to: VmId, message: PeerMessage, ask: () => Promise<unknown>) => Promise<unknown>): string[] {
+	const requests: string[] = [];
+	const network = cluster.hub.networks.get('vm-1')!;
+	const request = network.request.bind(network);
+	network.request = async (to, message, ms) => {
+		requests.push(`${message.type} ${to}`);
+		const timeout = request('nobody', message, ms);
+		return Promise.race([answer(to, message, async () => request(to, message, ms)), timeout]);
+	};
+
+	return requests;
+}
+
+test('a lost leader is passed over before the time of the read at the lost leader is over', async t => {
 	const {cluster, adminClient, execute} = await startCluster(t);
 	await adminClient.listDrains();
 	cluster.hub.disconnectedVms.add('control-1');
 	cluster.consensus.isolatedVms.add('control-1');
 	cluster.consensus.elect('control-2');
-	const attempts: number[] = [];
-	const network = cluster.hub.networks.get('vm-1')!;
-	const request = network.request.bind(network);
-	network.request = async (to, message, ms) => {
-		attempts.push(ms);
-		return request(to, message, ms);
-	};
+	let isFirstOpen = true;
+	const requests = interceptRequests(cluster, async (to, _message, ask) => {
+		assert.ok(isFirstOpen, 'the read at the lost leader is still open');
+		try {
+			return await ask();
+		} finally {
+			isFirstOpen &&= to !== 'control-1';
+		}
+	});
+	const result = await execute(true);
+	assert.equal(result.kind, 'done');
+	assert.deepEqual(requests, ['control/read control-1', 'control/read control-2', 'control/propose control-2']);
+});
+
+test('the late answer of a slow leader is used although another process was asked meanwhile', async t => {
+	const {cluster, execute} = await startCluster(t);
+	let onAsked: (() => void) | undefined;
+	const asked = new Promise<void>(resolve => {
+		onAsked = resolve;
+	});
+	const requests = interceptRequests(cluster, async (to, {type}, ask) => {
+		if (to === 'control-2') {
+			onAsked?.();
+			return new Promise(() => {}); // eslint-disable-line @typescript-eslint/no-empty-function -- never answers
+		}
+
+		if (type === 'control/read') {
+			await asked;
+		}
 
+		return ask();
+	});
 	const result = await execute(true);
 	assert.equal(result.kind, 'done');
-	assert.deepEqual(attempts, [250, 500, 1000], 'a read that the lost leader does not answer, one at the next leader, and the proposal');
+	assert.deepEqual(requests, ['control/read control-1', 'control/read control-2', 'control/propose control-1']);
 });
--- a/src/node/control/evacuation-orders.ts
+++ b/src/node/control/evacuation-orders.ts
@@ -2,8 +2,8 @@
 import {errorContext, TimeoutError} from '../../common/core/errors.js';
 import type {ControlAdminClient} from './control-admin-client.js';
 
-/** Time after which an unanswered read is sent to another control VM, in milliseconds; it doubles with each attempt. Short, so that a lost leader is passed over while the operator still waits. */
-const firstReadAttemptMs = 250;
+/** Time after which an unanswered read is also sent to another control VM, in milliseconds; it doubles with each attempt. Short, so that a lost leader is passed over while the operator still waits. */
+const readPatienceMs = 250;
 
 /** An operator's order to evacuate an availability zone, or to withdraw its evacuation. */
 export type EvacuationOrder = {
@@ -34,7 +34,7 @@
 	async execute({zone, isEvacuated, isAwaited}: EvacuationOrder, timeoutMs: number): Promise<EvacuationResult> {
 		const deadlineMs = this._clock.nowMs() + timeoutMs;
 		for (;;) {
-			const {drains, revision} = await this._adminClient.readDrains(this._remainingMs(deadlineMs), firstReadAttemptMs);
+			const {drains, revision} = await this._adminClient.readDrains(this._remainingMs(deadlineMs), readPatienceMs);
 			if (drains.some(({target, name}) => target === 'zone' && name === zone) === isEvacuated) {
 				return {kind: 'done', revision, isChanged: false};
 			}
