--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -6,7 +6,6 @@
 import path from 'node:path';
 import process from 'node:process';
 import {spec as Spec} from 'node:test/reporters';
-import {pipeline} from 'node:stream';
 import {run} from 'node:test';
 
 const sourceFolders = ['src', 'platform', 'fakes', 'scripts'];
@@ -14,6 +13,8 @@
 const concurrency = 5;
 /** Timeout of one test file, in milliseconds, so that a process that does not end fails the run instead of blocking it. */
 const fileTimeoutMs = 180_000;
+/** End of the names of test files that run after the others, one at a time, since they measure the memory of a process under load. */
+const serialSuffix = '.serial.test.ts';
 const knownRedFile = 'KNOWN-RED.txt';
 const pathFilters = process.argv.slice(2);
 
@@ -30,16 +31,28 @@
 	.map(line => line.slice('test: '.length).trim()));
 const knownFailures: string[] = [];
 
-const stream = run({files, concurrency, timeout: fileTimeoutMs});
-stream.on('test:fail', event => {
-	if (knownRedTitles.has(event.name)) {
-		knownFailures.push(event.name);
-	} else {
-		process.exitCode = 1;
+/** Runs the files and prints their results; resolves when all of them have ended. */
+async function runFiles(selected: string[], maxAtATime: number): Promise<void> {
+	if (selected.length === 0) {
+		return;
 	}
-});
-pipeline(stream, new Spec(), process.stdout, () => {
-	for (const name of knownFailures) {
-		console.log(`known failure, see ${knownRedFile}: ${name}`);
+
+	const stream = run({files: selected, concurrency: maxAtATime, timeout: fileTimeoutMs});
+	stream.on('test:fail', event => {
+		if (knownRedTitles.has(event.name)) {
+			knownFailures.push(event.name);
+		} else {
+			process.exitCode = 1;
+		}
+	});
+	// The output stays open for the next files.
+	for await (const text of stream.compose(new Spec())) {
+		process.stdout.write(text as string);
 	}
-});
+}
+
+await runFiles(files.filter(file => !file.endsWith(serialSuffix)), concurrency);
+await runFiles(files.filter(file => file.endsWith(serialSuffix)), 1);
+for (const name of knownFailures) {
+	console.log(`known failure, see ${knownRedFile}: ${name}`);
+}
