--- /dev/null
+++ b/src/common/memory/connection-book.ts
@@ -0,0 +1,98 @@
+/** What is done with a new connection: it is kept, kept in place of the waiting connection `victim`, or refused. */
+export type ConnectionDecision<T> = {readonly outcome: 'accepted' | 'refused'; readonly victim?: T};
+
+/** Time without a request after which a waiting connection may be closed in favour of a new one, in milliseconds. */
+const minWaitMs = 1000;
+/** Memory that a head of the smallest lines occupies once it is parsed, as a multiple of its bytes. */
+const parsedHeadFactor = 8;
+/** Memory of one parsed head at most, in bytes; the parser keeps a bounded number of header lines. */
+const maxParsedHeadBytes = 98_304;
+
+/** Open connections of callers, and since when each of them waits for a request. */
+export class ConnectionBook<T> {
+	/** Time since which each connection without a running request waits, in milliseconds; ordered by that time. */
+	private readonly _waitingSinceMs = new Map<T, number>();
+	private readonly _runningRequests = new Map<T, number>();
+
+	/** @param _maxConnections - largest number of open connections */
+	constructor(private readonly _maxConnections: number) {}
+
+	/** Number of open connections. */
+	get size(): number {
+		return this._waitingSinceMs.size + this._runningRequests.size;
+	}
+
+	/** Connections without a running request, the one that waits longest first. */
+	get waiting(): ReadonlyMap<T, number> {
+		return this._waitingSinceMs;
+	}
+
+	/** Adds a connection unless it is refused. The victim, if any, is removed. */
+	add(connection: T, nowMs: number): ConnectionDecision<T> {
+		if (this.size < this._maxConnections) {
+			this._waitingSinceMs.set(connection, nowMs);
+			return {outcome: 'accepted'};
+		}
+
+		const [oldest] = this._waitingSinceMs;
+		if (!oldest || nowMs - oldest[1] < minWaitMs) {
+			return {outcome: 'refused'};
+		}
+
+		this.remove(oldest[0]);
+		this._waitingSinceMs.set(connection, nowMs);
+		return {outcome: 'accepted', victim: oldest[0]};
+	}
+
+	beginRequest(connection: T): void {
+		const running = this._runningRequests.get(connection);
+		if (running !== undefined || this._waitingSinceMs.delete(connection)) {
+			this._runningRequests.set(connection, (running ?? 0) + 1);
+		}
+	}
+
+	endRequest(connection: T, nowMs: number): void {
+		const running = this._runningRequests.get(connection);
+		if (running === undefined) {
+			return;
+		}
+
+		if (running > 1) {
+			this._runningRequests.set(connection, running - 1);
+		} else {
+			this._runningRequests.delete(connection);
+			this._waitingSinceMs.set(connection, nowMs);
+		}
+	}
+
+	remove(connection: T): void {
+		this._waitingSinceMs.delete(connection);
+		this._runningRequests.delete(connection);
+	}
+}
+
+/** Number of waiting connections up to which their heads cannot occupy more than `limitBytes`. */
+export function harmlessConnections(limitBytes: number): number {
+	return Math.floor(limitBytes / maxParsedHeadBytes);
+}
+
+/**
+Chooses the connections to close so that heads that have not ended occupy at most `limitBytes`: those with the largest heads, of equal ones those that
+come first.
+@param heads - connections and the bytes of their heads so far
+*/
+export function chooseUnendedHeads<T>(heads: ReadonlyArray<readonly [connection: T, bytes: number]>, limitBytes: number): T[] {
+	const costs = heads.filter(([, bytes]) => bytes > 0).map(([connection, bytes]) => [connection, Math.min(maxParsedHeadBytes, bytes * parsedHeadFactor)] as const);
+	let excess = costs.reduce((sum, [, cost]) => sum + cost, 0) - limitBytes;
+	const chosen: T[] = [];
+	for (const [connection, cost] of excess > 0 ? costs.sort(([, a], [, b]) => b - a) : []) {
+		if (excess <= 0) {
+			break;
+		}
+
+		chosen.push(connection);
+		excess -= cost;
+	}
+
+	return chosen;
+}
--- /dev/null
+++ b/src/common/memory/memory-plan.ts
@@ -0,0 +1,55 @@
+/** Resources of the VM that the plan divides. */
+export type PlannedVm = {
+	/** Memory above which the process is killed, in bytes. */
+	readonly memoryBytes: number;
+	/** Number of file descriptors. */
+	readonly descriptors: number;
+};
+
+/** How the memory and the descriptors of a VM are divided. */
+export type MemoryPlan = {
+	/** Memory that callers may make the process hold, in bytes. */
+	readonly totalBytes: number;
+	/** Memory that heads which have not ended may occupy, in bytes. */
+	readonly headBytes: number;
+	/** Largest number of open connections of callers. */
+	readonly maxCallers: number;
+	/** Largest number of open connections to the other HTTP ports, those of operators, of the directory, of readiness checks and of metrics together. */
+	readonly maxServiceCallers: number;
+	/** Largest number of connections of peers that have not proved who they are. */
+	readonly maxUnprovenPeers: number;
+};
+
+/** Memory of a process under load without what callers make it hold, in bytes. */
+const baseBytes = 110_000_000;
+/** Part of the memory above the base that is given out; the rest is for copies that are not collected yet. */
+const grantedShare = 0.5;
+/** Memory that is given out at least, in bytes; several times a body of the usual limit. */
+const minTotalBytes = 20_971_520;
+/** Memory that is given out where the VM's memory is not known, in bytes. */
+const defaultTotalBytes = 67_108_864;
+const headBytes = 16_777_216;
+/** Descriptors that are reserved for files outside the data folder. */
+const reservedDescriptors = 200;
+/** Parts of the other descriptors; the rest is for connections to servers and peers and for data files. */
+const callerShare = 0.4;
+const serviceShare = 0.1;
+const unprovenShare = 0.2;
+/** Limits where the VM's descriptors are not known. */
+const defaultConnections = {maxCallers: 10_000, maxServiceCallers: 1000, maxUnprovenPeers: 1000};
+
+/** Divides the resources of a VM; those of a VM that states no limits are taken as ample. */
+export function planMemory(vm: PlannedVm | undefined): MemoryPlan {
+	if (!vm) {
+		return {totalBytes: defaultTotalBytes, headBytes, ...defaultConnections};
+	}
+
+	const descriptors = Math.max(0, vm.descriptors - reservedDescriptors);
+	return {
+		totalBytes: Math.max(minTotalBytes, Math.floor((vm.memoryBytes - baseBytes) * grantedShare)),
+		headBytes,
+		maxCallers: Math.max(1, Math.floor(descriptors * callerShare)),
+		maxServiceCallers: Math.max(1, Math.floor(descriptors * serviceShare)),
+		maxUnprovenPeers: Math.max(1, Math.floor(descriptors * unprovenShare)),
+	};
+}
--- a/src/common/requests/fault-isolation.test.ts
+++ b/src/common/requests/fault-isolation.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {SeededRandom} from '../core/random.js';
+import {MemoryBudget} from '../memory/memory-budget.js';
 import type {UpstreamCandidate} from './load-balancing.js';
 import {chooseUpstream} from './load-balancing.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {consecutiveFailuresToEject, minProbeDelayMs, OutlierEjection} from './outlier-ejection.js';
 import {RetryBudget} from './retry-budget.js';
-import {BodyMemoryBudget} from './body-memory.js';
 
 function candidate(name: string, fields: Partial<UpstreamCandidate> = {}): UpstreamCandidate {
 	return {
@@ -110,10 +110,13 @@
 });
 
 test('one customer cannot exhaust the memory for request bodies', () => {
-	const bodyMemory = new BodyMemoryBudget(100);
-	assert.equal(bodyMemory.tryReserve('big', 25), true);
-	assert.equal(bodyMemory.tryReserve('big', 1), false);
-	assert.equal(bodyMemory.tryReserve('small', 25), true);
-	bodyMemory.release('big', 25);
-	assert.equal(bodyMemory.usedBytes, 25);
+	const memory = new MemoryBudget({totalBytes: 100, maxOwnerShare: 0.25});
+	const big = memory.open('body', 'big', 0);
+	const small = memory.open('body', 'small', 0);
+	assert.equal(memory.resize(big, 25, 0).outcome, 'granted');
+	assert.equal(memory.resize(big, 26, 0).outcome, 'refused');
+	assert.equal(memory.resize(memory.open('body', 'big', 0), 1, 0).outcome, 'refused');
+	assert.equal(memory.resize(small, 25, 0).outcome, 'granted');
+	memory.release(big);
+	assert.equal(memory.usedBytes, 25);
 });
--- a/src/node/entry/chat-handler.ts
+++ b/src/node/entry/chat-handler.ts
@@ -1,8 +1,8 @@
 import type {ModelService, Profile, SharedConfiguration} from '../../common/configuration/types.js';
-import type {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import {LearnedRatio} from '../../common/scheduler/learned-ratio.js';
 import {estimateTokens} from '../../common/upstreams/prompt-prefix.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
+import type {MemoryKeeper} from '../memory/memory-keeper.js';
 import {JsonCompletionWriter, StreamingCompletionWriter} from './completion-writer.js';
 import {readBody} from './request-body.js';
 import type {ChatRequest} from './chat-completions.js';
@@ -31,7 +31,7 @@
 
 	constructor(
 		private readonly _services: EntryServices,
-		private readonly _options: EntryOptions & {readonly limits: EntryLimits; readonly bodyMemory: BodyMemoryBudget},
+		private readonly _options: EntryOptions & {readonly limits: EntryLimits; readonly memory: MemoryKeeper},
 		private readonly _admission: AdmissionController,
 		private readonly _upstreams: UpstreamRegistry,
 	) {}
@@ -40,7 +40,7 @@
 		const {configuration} = this._admission.requireView();
 		const {tenant: customer} = this._admission.authenticate(exchange);
 		const body = await readBody(exchange, {
-			maxBytes: largestBodyLimitBytes(configuration), timeoutMs: this._options.limits.bodyTimeoutMs, bodyMemory: this._options.bodyMemory, customer,
+			maxBytes: largestBodyLimitBytes(configuration), timeoutMs: this._options.limits.bodyTimeoutMs, memory: this._options.memory, customer,
 		});
 		const request = this._route(configuration, body);
 		exchange.serviceName = request.chat.service;
--- a/src/node/entry/entry-server.ts
+++ b/src/node/entry/entry-server.ts
@@ -3,8 +3,8 @@
 import restana from 'restana';
 import type {Disposable} from '../../common/core/disposable.js';
 import {SeededRandom} from '../../common/core/random.js';
-import {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import {UpstreamRegistry} from '../upstreams/upstream-registry.js';
+import {MemoryKeeper} from '../memory/memory-keeper.js';
 import {createCallerServer, startListening} from './caller-listener.js';
 import {ChatHandler} from './chat-handler.js';
 import {Exchange} from './exchange.js';
@@ -17,13 +17,16 @@
 
 type Handler = (exchange: Exchange) => Promise<void>;
 
+/** Largest fraction (0 to 1) of the memory for request bodies that one customer may occupy. */
+const maxCustomerShare = 0.25;
+
 /** HTTP server for callers: authenticates and rate-limits their requests and runs them on upstreams. */
 export class EntryServer implements Disposable {
 	private readonly _limits: EntryLimits;
 	private readonly _server: Server;
 	private readonly _upstreams: UpstreamRegistry;
 	private readonly _activeRequests = new ActiveRequests();
-	private readonly _bodyMemory: BodyMemoryBudget;
+	private readonly _memory: MemoryKeeper;
 	private readonly _unsubscribers: Array<() => void>;
 	private readonly _disposeController = new AbortController();
 	private _entryPointAnswersExpireAtMs = 0;
@@ -34,7 +37,9 @@
 			clock, metrics, logger, access,
 		} = _services;
 		this._limits = {...defaultEntryLimits, ..._options.limits};
-		this._bodyMemory = new BodyMemoryBudget(this._limits.bodyMemoryBytes);
+		this._memory = new MemoryKeeper({
+			totalBytes: this._limits.bodyMemoryBytes, maxOwnerShare: maxCustomerShare, clock, logger, metrics,
+		});
 		this._upstreams = new UpstreamRegistry({
 			zone: _options.zone, random: new SeededRandom(_options.seed), clock, metrics, logger,
 		});
@@ -63,7 +68,7 @@
 		return {
 			isDraining: this._drainPromise !== undefined,
 			running: this._activeRequests.runningCount,
-			bodyBytes: this._bodyMemory.usedBytes,
+			bodyBytes: this._memory.usedBytes,
 			...this._upstreams.dumpState(),
 		};
 	}
@@ -140,7 +145,7 @@
 	}
 
 	private _addRoutes(): void {
-		const options = {...this._options, limits: this._limits, bodyMemory: this._bodyMemory};
+		const options = {...this._options, limits: this._limits, memory: this._memory};
 		const admission = new AdmissionController(this._services, this._options.zone, this._activeRequests, this._upstreams);
 		const chat = new ChatHandler(this._services, options, admission, this._upstreams);
 		const plain = new PlainHandler(this._services, options, admission, this._upstreams);
--- a/src/node/entry/exchange.ts
+++ b/src/node/entry/exchange.ts
@@ -61,6 +61,11 @@
 		});
 	}
 
+	/** Time after which a caller that reads no data is disconnected, in milliseconds. */
+	get slowReaderTimeoutMs(): number {
+		return this._slowReaderTimeoutMs;
+	}
+
 	get stopReason(): StopReason | undefined {
 		return this._stopReason;
 	}
--- a/src/node/entry/plain-handler.ts
+++ b/src/node/entry/plain-handler.ts
@@ -1,12 +1,12 @@
 import {createHash} from 'node:crypto';
 import type {Profile, Route, SharedConfiguration} from '../../common/configuration/types.js';
-import type {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import type {RouteMatch} from '../../common/requests/route-match.js';
 import {matchRoute, parseTarget} from '../../common/requests/route-match.js';
 import {normalizeParts} from '../../common/quarantine/parts.js';
 import type {PartId} from '../../common/quarantine/types.js';
 import {fingerprintOf} from '../quarantine/fingerprint.js';
 import type {UpstreamRegistry} from '../upstreams/upstream-registry.js';
+import type {MemoryKeeper} from '../memory/memory-keeper.js';
 import {readBody} from './request-body.js';
 import type {Exchange} from './exchange.js';
 import type {AdmissionController} from './admission-controller.js';
@@ -32,7 +32,7 @@
 export class PlainHandler {
 	constructor(
 		private readonly _services: EntryServices,
-		private readonly _options: {readonly limits: EntryLimits; readonly bodyMemory: BodyMemoryBudget},
+		private readonly _options: {readonly limits: EntryLimits; readonly memory: MemoryKeeper},
 		private readonly _admission: AdmissionController,
 		private readonly _upstreams: UpstreamRegistry,
 	) {}
@@ -54,7 +54,7 @@
 		exchange.serviceName = serviceName;
 		const profile = configuration.profiles[configuration.services[serviceName]!.profile]!;
 		const body = await readBody(exchange, {
-			maxBytes: profile.bodyLimit, timeoutMs: this._options.limits.bodyTimeoutMs, bodyMemory: this._options.bodyMemory, customer: customerOf(exchange),
+			maxBytes: profile.bodyLimit, timeoutMs: this._options.limits.bodyTimeoutMs, memory: this._options.memory, customer: customerOf(exchange),
 		});
 		const parts = normalizeParts([fingerprintOf({
 			method: exchange.req.method!, host: serviceName, target: upstreamTarget, customer: exchange.identity?.tenant, body,
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -1,7 +1,8 @@
-import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import restana from 'restana';
+import type {MemoryPlan} from '../../common/memory/memory-plan.js';
+import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
 import type {MemberRecord} from '../../common/membership/types.js';
@@ -10,6 +11,9 @@
 import {startListening} from '../entry/caller-listener.js';
 import type {PromMetrics} from '../observability/prom-metrics.js';
 import {stringifyState} from '../operators/operator-server.js';
+import type {MemoryKeeper} from '../memory/memory-keeper.js';
+import {BodyCollector} from '../memory/body-collector.js';
+import {ConnectionGuard} from '../memory/connection-guard.js';
 import type {FleetProtocol} from './fleet-protocol.js';
 
 /** Time for which a caller may use an entry-point answer before it has to ask again, in milliseconds. */
@@ -24,6 +28,9 @@
 export type FleetHttpServersOptions = {
 	readonly protocol: FleetProtocol;
 	readonly adminClient: ControlAdminClient;
+	readonly memory: MemoryKeeper;
+	readonly plan: MemoryPlan;
+	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly members: () => readonly MemberRecord[];
 	readonly isReady: () => boolean;
@@ -57,6 +64,7 @@
 		});
 		await httpServers._listen(metrics, service => {
 			service.get('/metrics', httpServers._handleErrors(async (_req, res) => {
+				options.memory.updateGauges();
 				res.writeHead(200, {'content-type': options.metrics.contentType});
 				res.end(await options.metrics.render());
 			}));
@@ -68,10 +76,17 @@
 	}
 
 	private readonly _servers: Server[] = [];
+	private readonly _guard: ConnectionGuard;
 
-	private constructor(private readonly _options: FleetHttpServersOptions) {}
+	private constructor(private readonly _options: FleetHttpServersOptions) {
+		const {maxServiceCallers, headBytes} = _options.plan;
+		this._guard = new ConnectionGuard({
+			..._options, ports: 'services', maxConnections: maxServiceCallers, headBytes,
+		});
+	}
 
 	async dispose(): Promise<void> {
+		this._guard.dispose();
 		await Promise.all(this._servers.map(async server => {
 			const closed = new Promise(resolve => {
 				server.close(resolve);
@@ -83,6 +98,7 @@
 
 	private async _listen(address: string, addRoutes: (service: restana.Service<restana.Protocol.HTTP>) => void): Promise<void> {
 		const server = createServer();
+		this._guard.watch(server);
 		addRoutes(restana({server, prioRequestsProcessing: false}));
 		const {host, port} = splitAddress(address);
 		await startListening(server, host, port);
@@ -104,7 +120,7 @@
 
 	private async _publishConfiguration(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {protocol, adminClient, logger} = this._options;
-		const source = await readText(req, configurationLimitBytes);
+		const source = await this._readText(req, res);
 		if (source === undefined) {
 			sendJson(res, 413, JSON.stringify({error: 'the configuration is too large'}));
 			return;
@@ -128,6 +144,40 @@
 		sendJson(res, 200, JSON.stringify({version: result.version}));
 	}
 
+	/** Reads a body as UTF-8 text; undefined if it is too large. Rejects if there is no memory for it, or if it stalls while others need its memory. */
+	private async _readText(req: IncomingMessage, res: ServerResponse): Promise<string | undefined> {
+		const holding = this._options.memory.open('configuration', 'operators', () => {
+			req.destroy(new Error('the body stalled while memory was needed'));
+		});
+		const collector = new BodyCollector(holding);
+		res.once('close', () => {
+			holding.release();
+		});
+		const isWhole = await new Promise<boolean>((resolve, reject) => {
+			const onData = (chunk: Uint8Array) => {
+				if (collector.length + chunk.length > configurationLimitBytes) {
+					resolve(false);
+				} else if (collector.add(chunk)) {
+					return;
+				}
+
+				req.off('data', onData).resume();
+				collector.drop();
+				reject(new Error('no memory is left for a configuration'));
+			};
+
+			req.on('data', onData);
+			req.once('end', () => {
+				resolve(true);
+			});
+			req.once('error', reject);
+			req.once('close', () => {
+				reject(new Error('the connection closed within the body'));
+			});
+		});
+		return isWhole ? new TextDecoder().decode(collector.take()) : undefined;
+	}
+
 	private async _sendConfiguration(res: ServerResponse): Promise<void> {
 		const {source} = await this._options.adminClient.getConfiguration(undefined, operatorTimeoutMs);
 		if (source === undefined) {
@@ -153,19 +203,3 @@
 	res.writeHead(status, {'content-type': 'application/json', 'content-length': new TextEncoder().encode(body).length});
 	res.end(body);
 }
-
-/** Reads a body as UTF-8 text; undefined if it is larger than `limitBytes`. */
-async function readText(req: IncomingMessage, limitBytes: number): Promise<string | undefined> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	for await (const chunk of req as AsyncIterable<Uint8Array>) {
-		length += chunk.length;
-		if (length > limitBytes) {
-			return undefined;
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks, length).toString('utf8');
-}
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -2,6 +2,7 @@
 import type {Dispatcher} from 'undici';
 import {CallError, ForeignAnswerError} from '../upstreams/call-error.js';
 import type {UpstreamResponse, UpstreamCall} from '../upstreams/connection-pool.js';
+import {ByteBlocks} from '../../common/memory/byte-blocks.js';
 import {UpstreamAdapter} from '../upstreams/upstream-adapter.js';
 import type {UpstreamOptions} from '../upstreams/upstream-adapter.js';
 import type {Clock} from '../../common/core/clock.js';
@@ -34,19 +35,31 @@
 	readonly isFramed: boolean;
 };
 
-/** Reads the body of an answer to its end. Throws `CallError` if the body breaks off or is larger than `limitBytes`. */
-export async function bufferAnswer({status, headers, body, isFramed, wasReset}: UpstreamResponse, limitBytes: number): Promise<BufferedAnswer> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
+/**
+Reads the body of an answer to its end. Throws `CallError` if the body breaks off or is larger than `limitBytes`, or if `reserve` returns false.
+@param reserve - called with the memory that the body is about to occupy, in bytes; returns whether there is room
+*/
+export async function bufferAnswer(
+	{
+		status, headers, body, isFramed, wasReset,
+	}: UpstreamResponse,
+	limitBytes: number,
+	reserve: (bytes: number) => boolean = () => true,
+): Promise<BufferedAnswer> {
+	const blocks = new ByteBlocks();
 	try {
 		for await (const chunk of body as AsyncIterable<Uint8Array>) {
-			length += chunk.length;
-			if (length > limitBytes) {
+			if (blocks.length + chunk.length > limitBytes) {
 				body.destroy();
 				throw new CallError('broken', true, `the answer has more than ${limitBytes} bytes`);
 			}
 
-			chunks.push(chunk);
+			if (!reserve(blocks.capacityWith(chunk.length))) {
+				body.destroy();
+				throw new CallError('broken', true, 'there is no memory for the answer');
+			}
+
+			blocks.append(chunk);
 		}
 	} catch (err) {
 		throw CallError.from(err, {mayHaveBeenSent: true, isTimeout: false});
@@ -57,7 +70,7 @@
 	}
 
 	return {
-		status, headers, body: Buffer.concat(chunks, length), isFramed,
+		status, headers, body: blocks.take(), isFramed,
 	};
 }
 
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -1,6 +1,5 @@
 import type {IncomingMessage} from 'node:http';
 import type {ForwardCustomer} from '../../common/configuration/forwarding.js';
-import {BodyMemoryBudget} from '../../common/requests/body-memory.js';
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
 import {stoppingRetryMs} from '../../common/forwarding/types.js';
@@ -19,8 +18,12 @@
 import type {CallerRequest} from './fleet-protocol.js';
 import {StartupGate} from './startup-gate.js';
 
-/** Memory limit for all request bodies together, in bytes. */
-const bodyMemoryLimitBytes = 32 * 1024 * 1024;
+/** Memory of a request without its body, in bytes: its head, the connection to the server and the bookkeeping. */
+const requestBytes = 24_576;
+/** Retry delay that a refusal for lack of memory advises, in milliseconds. */
+const noMemoryRetryMs = 1000;
+/** Memory that a body may occupy besides its bytes, in bytes. */
+const bodyOverheadBytes = 131_072;
 /** Maximum time that a request waits for rate tokens of its customer, in milliseconds; half the latency objective of a model request. */
 const maxAllowanceWaitMs = 450;
 /** Retry delay that a refusal advises, in milliseconds, when the customer has used up its rate and it is not known when its bucket will cover the request. */
@@ -43,7 +46,6 @@
 
 /** Decides whether a caller's request is forwarded, and forwards it. */
 export class ForwardHandler {
-	private readonly _bodyMemory = new BodyMemoryBudget(bodyMemoryLimitBytes);
 	private _routeTable: RouteTable | undefined;
 	private _version = 0;
 	private readonly _startupGate: StartupGate;
@@ -66,12 +68,14 @@
 			this._routeTable = new RouteTable(configuration.forwarding);
 			this._version = version;
 			this._startupGate.open();
+			this._options.memory.ensureShare(configuration.forwarding.limits.bodyBytes + bodyOverheadBytes);
 		}
 	}
 
 	/** Handles a request. Resolves when the request has ended. Rejects with `ForwardRefusal` or `ProblemError` if the request is not forwarded. */
 	async handle(exchange: Exchange): Promise<void> {
 		const {req} = exchange;
+		this._reserveRequest(exchange);
 		const caller = this._options.protocol.readCallerRequest(req.rawHeaders);
 		await this._startupGate.waitUntilOpen(caller.waitMs ?? 0);
 		if (exchange.stopReason !== undefined) {
@@ -90,8 +94,9 @@
 		this._refuseBlocked(caller.requestId!, normalizeParts(caller.promptParts));
 		const {limits} = this._routeTable!.forwarding;
 		const version = this._version;
+		const owner = customer?.name ?? `address ${req.socket.remoteAddress}`;
 		const body = await readBody(exchange, {
-			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, bodyMemory: this._bodyMemory, customer: customer?.name ?? '',
+			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, memory: this._options.memory, customer: owner,
 		});
 		const fingerprint = fingerprintOf({
 			method: req.method!, host: req.headers.host ?? '', target: req.url!, customer: customer?.name, body,
@@ -103,6 +108,7 @@
 			caller,
 			requestId: caller.requestId!,
 			customer: customer?.name,
+			owner,
 			route,
 			service,
 			body,
@@ -126,6 +132,18 @@
 		this._reportEnd(request, result, version);
 	}
 
+	/** Throws `ForwardRefusal` if there is no memory for another request. */
+	private _reserveRequest(exchange: Exchange): void {
+		const holding = this._options.memory.open('request', undefined, () => undefined);
+		exchange.res.once('close', () => {
+			holding.release();
+		});
+		if (!holding.resize(requestBytes)) {
+			exchange.closeAfterResponse();
+			throw new ForwardRefusal(503, 'no memory is left for another request', noMemoryRetryMs);
+		}
+	}
+
 	/** Throws `ForwardRefusal` if servers crash on requests with these parts. */
 	private _refuseBlocked(requestId: string, parts: readonly PartId[]): void {
 		const {quarantine} = this._options;
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -6,6 +6,7 @@
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import type {MemoryKeeper} from '../memory/memory-keeper.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
 import type {ServerFleet} from './server-fleet.js';
@@ -17,6 +18,7 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly clock: Clock;
+	readonly memory: MemoryKeeper;
 	readonly zone: string;
 	/** Aborted when the process ends before the requests that are still running could. */
 	readonly shutdownSignal: AbortSignal;
@@ -28,6 +30,8 @@
 	readonly caller: CallerRequest;
 	readonly requestId: string;
 	readonly customer: string | undefined;
+	/** Whose share of the memory the request counts against: the customer or, on open routes, the caller's address. */
+	readonly owner: string;
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
 	readonly body: Uint8Array;
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -2,6 +2,8 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Disposable} from '../../common/core/disposable.js';
+import type {MemoryPlan} from '../../common/memory/memory-plan.js';
+import {ConnectionGuard} from '../memory/connection-guard.js';
 import {createCallerServer, startListening} from '../entry/caller-listener.js';
 import {Exchange} from '../entry/exchange.js';
 import {ProblemError} from '../entry/problems.js';
@@ -23,6 +25,7 @@
 export type ForwardServerOptions = Omit<ForwardHandlerOptions, 'hasTimeFor' | 'shutdownSignal'> & {
 	readonly host: string;
 	readonly port: number;
+	readonly plan: MemoryPlan;
 	/** Time from the start of a drain until the process is killed, in milliseconds. */
 	readonly stopWithinMs: number;
 	/** Time for which callers may still use this process after entry-point answers have ceased to name it, in milliseconds. */
@@ -33,6 +36,7 @@
 export class ForwardServer implements Disposable {
 	readonly handler: ForwardHandler;
 	private readonly _server: Server;
+	private readonly _guard: ConnectionGuard;
 	private readonly _activeRequests = new ActiveRequests();
 	private readonly _shutdown = new AbortController();
 	private _stopAtMs: number | undefined;
@@ -42,7 +46,12 @@
 		this.handler = new ForwardHandler({
 			..._options, shutdownSignal: this._shutdown.signal, hasTimeFor: (deadlineMs, isResumable) => this._hasTimeFor(deadlineMs, isResumable),
 		});
-		this._server = createCallerServer(defaultEntryLimits, _options.metrics);
+		const {metrics, plan: {maxCallers, headBytes}} = _options;
+		this._server = createCallerServer({...defaultEntryLimits, maxConnections: Number.POSITIVE_INFINITY}, metrics);
+		this._guard = new ConnectionGuard({
+			..._options, ports: 'callers', maxConnections: maxCallers, headBytes,
+		});
+		this._guard.watch(this._server);
 		this._server.on('request', (req, res) => {
 			void this._handle(req, res);
 		});
@@ -102,6 +111,7 @@
 		const closed = new Promise(resolve => {
 			this._server.close(resolve);
 		});
+		this._guard.dispose();
 		this._activeRequests.destroyConnections();
 		this._server.closeAllConnections();
 		await closed;
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -12,6 +12,7 @@
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
+import {StreamWriter} from './stream-writer.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {HttpMethod} from './forward-adapter.js';
 import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
@@ -59,6 +60,7 @@
 	private readonly _reservedTokens: number;
 	private _abort = new AbortController();
 	private readonly _resources: EngineResources;
+	private readonly _writer: StreamWriter;
 	/** Memory that another engine has reserved for a run that is silent, until the request goes on there or the memory is released. */
 	private _foundReservation: MemoryReservation | undefined;
 	/** Whether the request occupies one of the prefill slots of this process. */
@@ -78,6 +80,7 @@
 	constructor(private readonly _dependencies: ForwardDependencies, private readonly _request: ForwardRequest) {
 		const {route, service, requestId, caller: {prompt}} = _request;
 		this._resources = new EngineResources(_dependencies, requestId);
+		this._writer = new StreamWriter(_request, _dependencies.memory);
 		this._state = createModelForward({
 			isResumable: route.isResumable,
 			maxAttempts: route.maxAttempts,
@@ -576,7 +579,7 @@
 				if (completeEvents.length > 0) {
 					this._armStallTimer(attempt, server.key, eventGapTimeoutMs);
 					this._recordEvent();
-					await exchange.write(completeEvents);
+					this._writer.write(completeEvents);
 				}
 
 				if (eventBuffer.fault !== undefined) {
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -6,6 +6,7 @@
 import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
+import {AnswerMemory} from './answer-memory.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
 import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
@@ -25,9 +26,11 @@
 	private _outcome = 'unfinished';
 	private _isDeadlineExceeded = false;
 	private _finish!: () => void;
+	private readonly _answerMemory: AnswerMemory;
 
 	constructor(private readonly _dependencies: ForwardDependencies, private readonly _request: ForwardRequest) {
 		const {route, service} = _request;
+		this._answerMemory = new AnswerMemory(_request, _dependencies.memory);
 		this._state = createPlainForward({
 			isIdempotent: route.repeat === 'safe',
 			maxAttempts: route.maxAttempts,
@@ -165,7 +168,7 @@
 			headersTimeoutMs: Math.max(1, deadlineMs - sentMs + 100),
 			signal,
 		});
-		const buffered = await bufferAnswer(response, answerLimitBytes);
+		const buffered = await bufferAnswer(response, answerLimitBytes, bytes => this._answerMemory.resize(bytes));
 		if (protocol.readServerAnswer(buffered.headers).isNotRun) {
 			trackedSend.end('inconclusive');
 			return {type: 'forward/answered', status: buffered.status, isNotRun: true};
@@ -198,5 +201,6 @@
 	private _relay(): void {
 		this._outcome = 'relayed';
 		relayAnswer(this._request.exchange, this._dependencies.protocol, this._answer!);
+		this._answerMemory.recordMove();
 	}
 }
--- a/src/node/transport/frame.ts
+++ b/src/node/transport/frame.ts
@@ -61,16 +61,19 @@
 	private _bufferedBytes = 0;
 	private _neededBytes = headerBytes;
 
-	/** Adds received bytes and returns the frames that they complete. Throws `ProtocolError` if a frame declares an oversized payload, before buffering the payload. */
-	push(chunk: Uint8Array): RawFrame[] {
+	/**
+	Adds received bytes and yields the frames that they complete. Throws `ProtocolError` if a frame declares an oversized payload, before buffering
+	the payload. Every frame must be taken.
+	@param maxBytes - returns the maximum size of the next frame's payload, in bytes, after the frames before it were handled
+	*/
+	* push(chunk: Uint8Array, maxBytes = () => maxPayloadBytes): Generator<RawFrame> {
 		this._chunks.push(chunk);
 		this._bufferedBytes += chunk.length;
-		const frames: RawFrame[] = [];
 		while (this._bufferedBytes >= this._neededBytes) {
 			const joined = this._chunks.length === 1 ? this._chunks[0]! : Buffer.concat(this._chunks);
 			const payloadBytes = new DataView(joined.buffer, joined.byteOffset).getUint32(0);
-			if (payloadBytes > maxPayloadBytes) {
-				throw new ProtocolError(`a frame announces ${payloadBytes} bytes, over the limit of ${maxPayloadBytes}`, errorContext({step: 'transport.split'}));
+			if (payloadBytes > maxBytes()) {
+				throw new ProtocolError(`a frame announces ${payloadBytes} bytes, over the limit of ${maxBytes()}`, errorContext({step: 'transport.split'}));
 			}
 
 			const frameEnd = headerBytes + payloadBytes;
@@ -80,12 +83,10 @@
 				break;
 			}
 
-			frames.push({mac: joined.subarray(lengthFieldBytes, headerBytes), payload: joined.subarray(headerBytes, frameEnd)});
 			this._chunks = [joined.subarray(frameEnd)];
 			this._bufferedBytes = joined.length - frameEnd;
 			this._neededBytes = headerBytes;
+			yield {mac: joined.subarray(lengthFieldBytes, headerBytes), payload: joined.subarray(headerBytes, frameEnd)};
 		}
-
-		return frames;
 	}
 }
--- a/src/node/transport/peer-connection.ts
+++ b/src/node/transport/peer-connection.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import {errorContext, ProtocolError} from '../../common/core/errors.js';
 import type {VmIdentity} from '../../common/core/types.js';
-import {FrameCodec, FrameSplitter} from './frame.js';
+import {FrameCodec, FrameSplitter, maxPayloadBytes} from './frame.js';
 import type {RawFrame} from './frame.js';
 import {envelopeSchema, helloSchema, protocolVersion} from './messages.js';
 import type {Envelope, Hello} from './messages.js';
@@ -21,6 +21,9 @@
 /** Maximum number of bytes buffered in one socket; further messages are dropped instead of queued. */
 const maxQueuedBytes = 4_194_304;
 
+/** Maximum size of a frame's payload before the peer has proved that it knows the cluster key, in bytes. */
+const maxHandshakeBytes = 4096;
+
 export type ConnectionOptions = {
 	readonly cluster: string;
 	readonly clusterKey: Uint8Array;
@@ -160,7 +163,7 @@
 
 		this._unansweredSinceMs = undefined;
 		try {
-			for (const frame of this._splitter.push(chunk)) {
+			for (const frame of this._splitter.push(chunk, () => this._isReady ? maxPayloadBytes : maxHandshakeBytes)) {
 				this._handleFrame(frame);
 			}
 		} catch (err) {
--- a/src/node/transport/tcp-peer-network.ts
+++ b/src/node/transport/tcp-peer-network.ts
@@ -19,6 +19,7 @@
 because the target machine is still starting, TCP retransmits it only after a second, so a new connection attempt after this timeout gets through sooner.
 */
 const connectTimeoutMs = 300;
+const defaultMaxUnprovenPeers = 1000;
 /** Delay between a failed connection attempt and the next one, in milliseconds. */
 const redialDelayMs = 100;
 
@@ -31,6 +32,8 @@
 	/** Increments a counter metric, such as those for refused messages, dropped messages and closed connections. */
 	readonly count: (metric: string, labels: Readonly<Record<string, string>>) => void;
 	readonly logger: Logger;
+	/** Largest number of accepted connections whose peers have not proved that they know the cluster key, 1000 by default; the oldest of them makes room for a new one. */
+	readonly maxUnprovenPeers?: number;
 };
 
 type RegisteredHandler = {schema: z.ZodType; handler: MessageHandler<unknown>};
@@ -61,6 +64,8 @@
 	private readonly _pendingConnections = new Map<VmId, PendingConnection>();
 	private readonly _redialAfterMs = new Map<VmId, number>();
 	private readonly _allConnections = new Set<PeerConnection>();
+	/** Accepted connections whose peers have not proved that they know the cluster key, the oldest first. */
+	private readonly _unprovenConnections = new Set<PeerConnection>();
 	private readonly _pendingRequests = new Map<number, PendingRequest>();
 	/** Number of requests from the peer whose handler is still running, by connection. */
 	private readonly _activeInboundRequests = new Map<PeerConnection, number>();
@@ -73,7 +78,7 @@
 		super();
 		this._clusterKey = Buffer.from(_options.clusterKey);
 		this._server = createServer(socket => {
-			this._allConnections.add(this._createConnection(socket, false));
+			this._accept(socket);
 		});
 		this._checkTimer = setInterval(() => {
 			this._checkConnections();
@@ -172,6 +177,17 @@
 		return pendingConnection;
 	}
 
+	private _accept(socket: Socket): void {
+		const connection = this._createConnection(socket, false);
+		this._allConnections.add(connection);
+		this._unprovenConnections.add(connection);
+		if (this._unprovenConnections.size > (this._options.maxUnprovenPeers ?? defaultMaxUnprovenPeers)) {
+			const [oldest] = this._unprovenConnections;
+			this._options.count('transport_refused_total', {reason: 'too-many-unproven'});
+			oldest!.close(undefined);
+		}
+	}
+
 	private _createConnection(socket: Socket, isDialer: boolean): PeerConnection {
 		return new PeerConnection(socket, isDialer, {cluster: this._options.cluster, clusterKey: this._clusterKey, self: this._options.self}, {
 			onReady: connection => {
@@ -192,6 +208,7 @@
 
 	private _onReady(connection: PeerConnection): void {
 		const peer = connection.peer!;
+		this._unprovenConnections.delete(connection);
 		this._connections.set(peer.vm, connection);
 		const pendingConnection = this._pendingConnections.get(peer.vm);
 		if (pendingConnection) {
@@ -218,6 +235,7 @@
 
 	private _onClose(connection: PeerConnection, err: Error | undefined): void {
 		this._allConnections.delete(connection);
+		this._unprovenConnections.delete(connection);
 		this._activeInboundRequests.delete(connection);
 		if (err) {
 			this._options.count('transport_closed_total', {reason: err.name});
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -16,6 +16,7 @@
 import type {
 	MemberChangeReply, ProcessEffect, ProcessEvent, ProcessState, Replica,
 } from '../common/reducer.js';
+import {planMemory} from '../common/memory/memory-plan.js';
 import {splitAddress} from './address.js';
 import {SystemClock} from './clock.js';
 import {decodeConfiguration} from './control/configuration-codec.js';
@@ -30,6 +31,7 @@
 import {GossipEntryPointService} from './membership/gossip-entry-point-service.js';
 import {MembershipHost} from './membership/membership-host.js';
 import {PlatformListPoller} from './membership/platform-list-poller.js';
+import {MemoryKeeper} from './memory/memory-keeper.js';
 import {JsonLogger} from './observability/json-logger.js';
 import {LoadReporter} from './observability/load-reporter.js';
 import {PromMetrics} from './observability/prom-metrics.js';
@@ -41,7 +43,7 @@
 import {ServerStatusBroadcaster} from './forwarding/server-status-broadcaster.js';
 import {FleetHttpServers, entryAnswerValidityMs} from './forwarding/fleet-http-servers.js';
 import type {FleetProtocol} from './forwarding/fleet-protocol.js';
-import type {FleetSettings} from './forwarding/fleet-settings.js';
+import type {FleetSettings, VmLimits} from './forwarding/fleet-settings.js';
 import {ForwardServer} from './forwarding/forward-server.js';
 import {ServerFleet} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
@@ -147,6 +149,8 @@
 	readonly peerAddressOf?: (vm: VmId) => string;
 	/** Whether the process receives the platform's server list from the leader; false by default. */
 	readonly followsServerList?: boolean;
+	/** Limits of the VM; absent if they are not known. */
+	readonly vmLimits?: VmLimits;
 	/** Fields added to every log line. */
 	readonly logContext?: Readonly<Record<string, string>>;
 };
@@ -169,6 +173,7 @@
 			metrics.count(metric, labels);
 		},
 		logger,
+		maxUnprovenPeers: planMemory(cluster.vmLimits).maxUnprovenPeers,
 	}));
 	for (const peer of settings.control) {
 		if (peer.vm !== vm) {
@@ -399,6 +404,9 @@
 /** Longest time for which callers use an entry-point answer, as a multiple of the validity that the answer states. */
 const entryAnswerRetentionFactor = 3;
 
+/** Largest fraction (0 to 1) of the memory that one customer of a `FleetProcess` may occupy. */
+const maxCustomerShare = 0.5;
+
 /** Components that a `FleetProcess` has in addition to `CoreComponents`. */
 type FleetComponents = {
 	readonly server: ForwardServer;
@@ -423,6 +431,7 @@
 				peerAddressOf: vm => `${vm}:${port}`,
 				followsServerList: fleetSettings.serverList !== undefined,
 				logContext: {node: fleetSettings.node},
+				...(fleetSettings.vmLimits && {vmLimits: fleetSettings.vmLimits}),
 			});
 			const fleet = await startForwarding(core, fleetSettings, protocol);
 			trackControlVms(core, fleetSettings);
@@ -509,6 +518,10 @@
 		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
 	} = core;
 	const client = createControlClient(core);
+	const plan = planMemory(fleetSettings.vmLimits);
+	const memory = new MemoryKeeper({
+		totalBytes: plan.totalBytes, maxOwnerShare: maxCustomerShare, clock, logger, metrics,
+	});
 	const processCount = () => Math.max(1, membership.entries.live.length);
 	const fleet = disposables.add(new ServerFleet({
 		protocol,
@@ -553,6 +566,8 @@
 		metrics,
 		logger,
 		clock,
+		memory,
+		plan,
 		zone: settings.zone,
 		access: client.access,
 		host,
@@ -610,6 +625,9 @@
 	disposables.add(await FleetHttpServers.start({
 		protocol,
 		adminClient,
+		memory,
+		plan,
+		clock,
 		logger,
 		metrics,
 		dump: () => ({
