--- a/src/common/memory/byte-blocks.ts
+++ b/src/common/memory/byte-blocks.ts
@@ -1,5 +1,5 @@
 /** Sizes of the first and of the largest blocks, in bytes. */
-const minBlockBytes = 1024;
+const minBlockBytes = 64;
 const maxBlockBytes = 65_536;
 
 /** Collects the chunks of a body in blocks, so that small chunks cost no more memory than their bytes. */
@@ -18,6 +18,11 @@
 		return this._capacity;
 	}
 
+	/** Whether the bytes can be taken without a copy. */
+	get isInOneBlock(): boolean {
+		return this._blocks.length <= 1;
+	}
+
 	/** Memory of the blocks after `bytes` more bytes, in bytes. */
 	capacityWith(bytes: number): number {
 		const missing = this._length + bytes - this._capacity;
@@ -47,6 +52,14 @@
 		return joined;
 	}
 
+	/** Returns all bytes in parts, which are not copied, and empties the collection. */
+	takeParts(): Uint8Array[] {
+		const free = this._capacity - this._length;
+		const parts = this._blocks.map((block, i) => i === this._blocks.length - 1 ? block.subarray(0, block.length - free) : block);
+		this.clear();
+		return parts;
+	}
+
 	/** Drops all bytes. */
 	clear(): void {
 		this._blocks.length = 0;
--- /dev/null
+++ b/src/common/memory/connection-book.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {chooseUnendedHeads, ConnectionBook, harmlessConnections} from './connection-book.js';
+
+test('a new connection over the limit takes the place of the one that waits longest, and is refused while none has waited for a second', () => {
+	const book = new ConnectionBook<string>(2);
+	assert.equal(book.add('a', 0).outcome, 'accepted');
+	book.add('b', 10);
+	assert.deepEqual(book.add('c', 999), {outcome: 'refused'});
+	assert.deepEqual(book.add('c', 1000), {outcome: 'accepted', victim: 'a'});
+	assert.equal(book.size, 2);
+});
+
+test('a connection with a running request is not closed in favour of a new one; it waits anew when its last request has ended', () => {
+	const book = new ConnectionBook<string>(1);
+	book.add('a', 0);
+	book.beginRequest('a');
+	book.beginRequest('a');
+	book.endRequest('a', 100);
+	assert.equal(book.add('b', 5000).outcome, 'refused');
+	book.endRequest('a', 5000);
+	assert.equal(book.add('b', 5999).outcome, 'refused');
+	assert.deepEqual(book.add('b', 6000), {outcome: 'accepted', victim: 'a'});
+	book.endRequest('a', 6001);
+	assert.equal(book.size, 1);
+});
+
+test('the largest unended heads are closed until the rest fits', () => {
+	const heads = [['none', 0], ['small', 1000], ['large', 9000], ['middle', 2000]] as const;
+	assert.deepEqual(chooseUnendedHeads(heads, 32_768 + 24_000), []);
+	assert.deepEqual(chooseUnendedHeads(heads, 32_768 + 23_999), ['large']);
+	assert.deepEqual(chooseUnendedHeads(heads, 8000), ['large', 'middle']);
+	assert.deepEqual(chooseUnendedHeads(heads, 0), ['large', 'middle', 'small']);
+});
+
+test('heads of as many connections as are harmless are never closed', () => {
+	const count = harmlessConnections(1_000_000);
+	assert.ok(count > 0);
+	assert.deepEqual(chooseUnendedHeads(Array.from({length: count}, (_, i) => [i, 16_384] as const), 1_000_000), []);
+});
--- a/src/common/memory/connection-book.ts
+++ b/src/common/memory/connection-book.ts
@@ -5,8 +5,10 @@
 const minWaitMs = 1000;
 /** Memory that a head of the smallest lines occupies once it is parsed, as a multiple of its bytes. */
 const parsedHeadFactor = 8;
-/** Memory of one parsed head at most, in bytes; the parser keeps a bounded number of header lines. */
-const maxParsedHeadBytes = 98_304;
+/** Largest number of header lines of a request that the parser keeps; a request with as many or more is refused. */
+export const maxHeaderLines = 256;
+/** Memory of one parsed head at most, in bytes: its text and its header lines. */
+const maxParsedHeadBytes = 32_768;
 
 /** Open connections of callers, and since when each of them waits for a request. */
 export class ConnectionBook<T> {
--- a/src/common/memory/memory-plan.ts
+++ b/src/common/memory/memory-plan.ts
@@ -21,11 +21,11 @@
 };
 
 /** Memory of a process under load without what callers make it hold, in bytes. */
-const baseBytes = 110_000_000;
+const baseBytes = 118_000_000;
 /** Part of the memory above the base that is given out; the rest is for copies that are not collected yet. */
-const grantedShare = 0.5;
+const grantedShare = 0.4;
 /** Memory that is given out at least, in bytes; several times a body of the usual limit. */
-const minTotalBytes = 20_971_520;
+const minTotalBytes = 12_582_912;
 /** Memory that is given out where the VM's memory is not known, in bytes. */
 const defaultTotalBytes = 67_108_864;
 const headBytes = 16_777_216;
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -1,6 +1,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import restana from 'restana';
+import {maxHeaderLines} from '../../common/memory/connection-book.js';
 import type {MemoryPlan} from '../../common/memory/memory-plan.js';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
@@ -98,6 +99,7 @@
 
 	private async _listen(address: string, addRoutes: (service: restana.Service<restana.Protocol.HTTP>) => void): Promise<void> {
 		const server = createServer();
+		server.maxHeadersCount = maxHeaderLines;
 		this._guard.watch(server);
 		addRoutes(restana({server, prioRequestsProcessing: false}));
 		const {host, port} = splitAddress(address);
@@ -146,7 +148,7 @@
 
 	/** Reads a body as UTF-8 text; undefined if it is too large. Rejects if there is no memory for it, or if it stalls while others need its memory. */
 	private async _readText(req: IncomingMessage, res: ServerResponse): Promise<string | undefined> {
-		const holding = this._options.memory.open('configuration', 'operators', () => {
+		const holding = this._options.memory.open('configuration', undefined, () => {
 			req.destroy(new Error('the body stalled while memory was needed'));
 		});
 		const collector = new BodyCollector(holding);
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {CallError, ForeignAnswerError} from '../upstreams/call-error.js';
 import type {UpstreamResponse, UpstreamCall} from '../upstreams/connection-pool.js';
@@ -30,7 +29,7 @@
 	readonly status: number;
 	/** Lower-case names and values of the headers, alternating. */
 	readonly headers: readonly string[];
-	readonly body: Uint8Array;
+	readonly body: ByteBlocks;
 	/** Whether the answer itself tells where its body ends. If it does not, the body may have been cut short. */
 	readonly isFramed: boolean;
 };
@@ -54,7 +53,8 @@
 				throw new CallError('broken', true, `the answer has more than ${limitBytes} bytes`);
 			}
 
-			if (!reserve(blocks.capacityWith(chunk.length))) {
+			const capacity = blocks.capacityWith(chunk.length);
+			if (capacity > blocks.capacity && !reserve(capacity)) {
 				body.destroy();
 				throw new CallError('broken', true, 'there is no memory for the answer');
 			}
@@ -70,7 +70,7 @@
 	}
 
 	return {
-		status, headers, body: blocks.take(), isFramed,
+		status, headers, body: blocks, isFramed,
 	};
 }
 
@@ -172,7 +172,7 @@
 				isNewConnection,
 			});
 			const buffered = await bufferAnswer(response, callAnswerLimitBytes);
-			const answer = {status: buffered.status, text: Buffer.from(buffered.body).toString('utf8')};
+			const answer = {status: buffered.status, text: new TextDecoder().decode(buffered.body.take())};
 			const isOwn = isOwnAnswer?.(answer);
 			if (isOwn) {
 				response.confirm();
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -96,15 +96,22 @@
 	}
 
 	const callerHeaders = protocol.callerHeaders(headers);
+	const {length} = body;
+	const parts = body.takeParts();
 	if (isFramed) {
 		const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
 		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
-		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(body.length)]);
+		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(length)]);
 	} else {
 		// The body may have been cut short, which a content length would hide.
 		exchange.omitFraming();
 		exchange.writeHead(status, callerHeaders);
 	}
 
-	exchange.res.end(body);
+	// Each part is written by itself: to join them would need the memory of the answer once more.
+	for (const part of parts.slice(0, -1)) {
+		exchange.res.write(part);
+	}
+
+	exchange.res.end(parts.at(-1));
 }
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Disposable} from '../../common/core/disposable.js';
+import {maxHeaderLines} from '../../common/memory/connection-book.js';
 import type {MemoryPlan} from '../../common/memory/memory-plan.js';
 import {ConnectionGuard} from '../memory/connection-guard.js';
 import {createCallerServer, startListening} from '../entry/caller-listener.js';
@@ -51,6 +52,7 @@
 		this._guard = new ConnectionGuard({
 			..._options, ports: 'callers', maxConnections: maxCallers, headBytes,
 		});
+		this._server.maxHeadersCount = maxHeaderLines;
 		this._guard.watch(this._server);
 		this._server.on('request', (req, res) => {
 			void this._handle(req, res);
@@ -130,6 +132,10 @@
 		const exchange = new Exchange(req, res, {nowMs: this._options.clock.nowMs(), shouldCloseConnection: this.isDraining, omitsTraceHeaders: true});
 		this._activeRequests.add(exchange);
 		try {
+			if (req.rawHeaders.length >= 2 * maxHeaderLines) {
+				throw new ProblemError('headers-too-large', {detail: `the request has ${maxHeaderLines} header lines or more`});
+			}
+
 			await this.handler.handle(exchange);
 			await exchange.waitUntilClosed();
 		} catch (err) {
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -377,7 +377,7 @@
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body, isFramed} = await bufferAnswer(response, prefillAnswerLimitBytes);
-			const result = status === successStatus ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
+			const result = status === successStatus ? protocol.readPrefill(new TextDecoder().decode(body.take())) : undefined;
 			if (status === successStatus && !result && !isFramed) {
 				throw new CallError('broken', true, 'the answer ended early with its connection');
 			}
--- a/src/node/memory/body-collector.ts
+++ b/src/node/memory/body-collector.ts
@@ -35,7 +35,13 @@
 	/** Returns all bytes. The body is whole: it is no longer closed when memory is needed. */
 	take(): Uint8Array {
 		this._holding.recordMove(false);
-		return this._blocks.take();
+		const {capacity, isInOneBlock} = this._blocks;
+		const body = this._blocks.take();
+		if (!isInOneBlock) {
+			this._holding.recordCopy(capacity);
+		}
+
+		return body;
 	}
 
 	/** Drops all bytes and frees their memory. */
--- a/src/node/memory/memory-keeper.ts
+++ b/src/node/memory/memory-keeper.ts
@@ -1,10 +1,10 @@
-import process from 'node:process';
 import type {Clock} from '../../common/core/clock.js';
 import type {Logger} from '../../common/core/log.js';
 import {MemoryBudget} from '../../common/memory/memory-budget.js';
 import type {Holder, HolderKind, MemoryLimits} from '../../common/memory/memory-budget.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import {BoundedLog} from './bounded-log.js';
+import {BufferCollector} from './buffer-collector.js';
 
 export type MemoryKeeperOptions = MemoryLimits & {
 	readonly clock: Clock;
@@ -26,6 +26,11 @@
 		this._keeper.recordMove(this._holder, isClosable);
 	}
 
+	/** Records that memory of this holding was copied and the first copy dropped, in bytes. */
+	recordCopy(bytes: number): void {
+		this._keeper.recordCopy(bytes);
+	}
+
 	/** Frees the memory; later calls have no effect. */
 	release(): void {
 		this._keeper.release(this._holder);
@@ -36,13 +41,15 @@
 export class MemoryKeeper {
 	private readonly _budget: MemoryBudget;
 	private readonly _log: BoundedLog;
-	/** Memory that was released since the collector ran last, in bytes. */
-	private _uncollectedBytes = 0;
+	private readonly _collector: BufferCollector;
 	private readonly _closers = new Map<Holder, () => void>();
 
 	constructor(private readonly _options: MemoryKeeperOptions) {
 		this._budget = new MemoryBudget(_options);
 		this._log = new BoundedLog(_options.logger, _options.clock);
+		this._collector = new BufferCollector(() => {
+			_options.metrics.count('memory_collections_total');
+		});
 	}
 
 	/** Memory of all holders, in bytes. */
@@ -63,15 +70,9 @@
 	}
 
 	resize(holder: Holder, bytes: number): boolean {
-		this._collectReleased();
 		const nowMs = this._options.clock.nowMs();
 		const before = holder.bytes;
-		const usedBefore = this._budget.usedBytes;
 		const {outcome, limit, victims} = this._budget.resize(holder, bytes, nowMs);
-		if (outcome === 'granted') {
-			this._uncollectedBytes += Math.max(0, usedBefore + bytes - before - this._budget.usedBytes, before - bytes);
-		}
-
 		if (limit !== undefined) {
 			this._report(holder, bytes - before, {outcome, limit, victims}, nowMs);
 		}
@@ -81,6 +82,10 @@
 			this._closers.delete(victim);
 		}
 
+		if (outcome === 'granted') {
+			this._collector.record(Math.abs(bytes - before), Math.max(bytes, before), this._budget.usedBytes);
+		}
+
 		return outcome === 'granted';
 	}
 
@@ -88,9 +93,12 @@
 		this._budget.recordMove(holder, isClosable, this._options.clock.nowMs());
 	}
 
+	recordCopy(bytes: number): void {
+		this._collector.record(bytes, bytes, this._budget.usedBytes);
+	}
+
 	release(holder: Holder): void {
 		this._closers.delete(holder);
-		this._uncollectedBytes += holder.bytes;
 		this._budget.release(holder);
 	}
 
@@ -100,22 +108,6 @@
 		this._options.metrics.gauge('memory_budget_bytes', this._budget.totalBytes);
 	}
 
-	/**
-	Runs the garbage collector if much memory was released and most of it is still allocated: V8 alone would let tens of megabytes of
-	buffers wait, since they are outside its heap. Without the flag `--expose-gc` nothing is run.
-	*/
-	private _collectReleased(): void {
-		if (this._uncollectedBytes < maxUncollectedBytes) {
-			return;
-		}
-
-		this._uncollectedBytes = 0;
-		if (globalThis.gc && process.memoryUsage().arrayBuffers > this._budget.usedBytes + maxUncollectedBytes) {
-			globalThis.gc();
-			this._options.metrics.count('memory_collections_total');
-		}
-	}
-
 	private _report({kind, owner}: Holder, growth: number, {outcome, limit, victims}: {readonly outcome: string; readonly limit: string; readonly victims: readonly Holder[]}, nowMs: number): void {
 		const {metrics} = this._options;
 		const {usedBytes, totalBytes} = this._budget;
@@ -136,7 +128,5 @@
 	}
 }
 
-/** Memory that may be released before the garbage collector is run, in bytes. */
-const maxUncollectedBytes = 8_388_608;
 /** Number of closed holders that one log line names. */
 const maxLoggedVictims = 8;
