--- a/src/common/memory/memory-budget.test.ts
+++ b/src/common/memory/memory-budget.test.ts
@@ -63,6 +63,16 @@
 	assert.deepEqual(budget.resize(budget.open('answer', 'c', 0), 10, 1).victims, [unread]);
 });
 
+test('running requests are bounded by themselves', () => {
+	const budget = new MemoryBudget({totalBytes: 100, maxOwnerShare: 0.5, maxRequestBytes: 20});
+	const first = budget.open('request', undefined, 0);
+	assert.equal(budget.resize(first, 20, 0).outcome, 'granted');
+	assert.deepEqual(budget.resize(budget.open('request', undefined, 0), 1, 0), {outcome: 'refused', limit: 'requests', victims: []});
+	assert.equal(budget.resize(budget.open('body', 'a', 0), 50, 0).outcome, 'granted');
+	budget.release(first);
+	assert.equal(budget.resize(budget.open('request', undefined, 0), 20, 0).outcome, 'granted');
+});
+
 test('the limits rise so that one owner may hold the largest body', () => {
 	const budget = createBudget();
 	assert.equal(budget.resize(budget.open('body', 'a', 0), 80, 0).outcome, 'refused');
--- a/src/common/memory/memory-budget.ts
+++ b/src/common/memory/memory-budget.ts
@@ -18,13 +18,15 @@
 	readonly totalBytes: number;
 	/** Largest fraction (0 to 1) of `totalBytes` that one owner may occupy. */
 	readonly maxOwnerShare: number;
+	/** Memory of all holders of the kind `request`, in bytes; bounded by `totalBytes` only if absent. It is in the heap, other than most of the rest. */
+	readonly maxRequestBytes?: number;
 };
 
 /** Whether memory is granted, and the holders that must be closed for it. */
 export type RoomDecision = {
 	readonly outcome: 'granted' | 'refused';
 	/** Which limit was reached; undefined if none was. */
-	readonly limit?: 'owner' | 'process';
+	readonly limit?: 'owner' | 'requests' | 'process';
 	readonly victims: readonly Holder[];
 };
 
@@ -41,6 +43,7 @@
 	private readonly _holders = new Set<MutableHolder>();
 	private readonly _bytesByOwner = new Map<string, number>();
 	private _usedBytes = 0;
+	private _requestBytes = 0;
 
 	constructor(private _limits: MemoryLimits) {}
 
@@ -100,6 +103,7 @@
 		const growth = bytes - holder.bytes;
 		(holder as MutableHolder).bytes = bytes;
 		this._usedBytes += growth;
+		this._requestBytes += holder.kind === 'request' ? growth : 0;
 		if (holder.owner !== undefined) {
 			const ownerBytes = this._bytesOf(holder.owner) + growth;
 			if (ownerBytes > 0) {
@@ -115,7 +119,11 @@
 	}
 
 	private _decide(holder: Holder, growth: number, nowMs: number): RoomDecision {
-		const {totalBytes, maxOwnerShare} = this._limits;
+		const {totalBytes, maxOwnerShare, maxRequestBytes = totalBytes} = this._limits;
+		if (holder.kind === 'request' && this._requestBytes + growth > maxRequestBytes) {
+			return {outcome: 'refused', limit: 'requests', victims: []};
+		}
+
 		const excessOfOwner = holder.owner === undefined ? 0 : this._bytesOf(holder.owner) + growth - (totalBytes * maxOwnerShare);
 		const excess = this._usedBytes + growth - totalBytes;
 		if (excessOfOwner <= 0 && excess <= 0) {
--- a/src/common/memory/memory-plan.ts
+++ b/src/common/memory/memory-plan.ts
@@ -10,6 +10,8 @@
 export type MemoryPlan = {
 	/** Memory that callers may make the process hold, in bytes. */
 	readonly totalBytes: number;
+	/** Memory of running requests without their bodies and answers, in bytes. */
+	readonly maxRequestBytes: number;
 	/** Memory that heads which have not ended may occupy, in bytes. */
 	readonly headBytes: number;
 	/** Largest number of open connections of callers. */
@@ -29,6 +31,7 @@
 /** Memory that is given out where the VM's memory is not known, in bytes. */
 const defaultTotalBytes = 67_108_864;
 const headBytes = 16_777_216;
+const maxRequestBytes = 33_554_432;
 /** Descriptors that are reserved for files outside the data folder. */
 const reservedDescriptors = 200;
 /** Parts of the other descriptors; the rest is for connections to servers and peers and for data files. */
@@ -41,12 +44,15 @@
 /** Divides the resources of a VM; those of a VM that states no limits are taken as ample. */
 export function planMemory(vm: PlannedVm | undefined): MemoryPlan {
 	if (!vm) {
-		return {totalBytes: defaultTotalBytes, headBytes, ...defaultConnections};
+		return {
+			totalBytes: defaultTotalBytes, maxRequestBytes, headBytes, ...defaultConnections,
+		};
 	}
 
 	const descriptors = Math.max(0, vm.descriptors - reservedDescriptors);
 	return {
 		totalBytes: Math.max(minTotalBytes, Math.floor((vm.memoryBytes - baseBytes) * grantedShare)),
+		maxRequestBytes,
 		headBytes,
 		maxCallers: Math.max(1, Math.floor(descriptors * callerShare)),
 		maxServiceCallers: Math.max(1, Math.floor(descriptors * serviceShare)),
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -19,7 +19,7 @@
 import {StartupGate} from './startup-gate.js';
 
 /** Memory of a request without its body, in bytes: its head, the connection to the server and the bookkeeping. */
-const requestBytes = 24_576;
+const requestBytes = 16_384;
 /** Retry delay that a refusal for lack of memory advises, in milliseconds. */
 const noMemoryRetryMs = 1000;
 /** Memory that a body may occupy besides its bytes, in bytes. */
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -520,7 +520,7 @@
 	const client = createControlClient(core);
 	const plan = planMemory(fleetSettings.vmLimits);
 	const memory = new MemoryKeeper({
-		totalBytes: plan.totalBytes, maxOwnerShare: maxCustomerShare, clock, logger, metrics,
+		totalBytes: plan.totalBytes, maxRequestBytes: plan.maxRequestBytes, maxOwnerShare: maxCustomerShare, clock, logger, metrics,
 	});
 	const processCount = () => Math.max(1, membership.entries.live.length);
 	const fleet = disposables.add(new ServerFleet({
