--- /dev/null
+++ b/src/common/memory/connection-book.ts
@@ -0,0 +1,109 @@
+/** What is done with a new connection: it is kept, kept in place of the waiting connection `victim`, or refused. */
+export type ConnectionDecision<T> = {readonly outcome: 'accepted' | 'refused'; readonly victim?: T};
+
+/** Time without a request after which a waiting connection may be closed in favour of a new one, in milliseconds. */
+const minWaitMs = 1000;
+/** Memory that a head of the smallest lines occupies once it is parsed, as a multiple of its bytes. */
+const parsedHeadFactor = 8;
+/** Number of header lines above any that fit into the largest head. */
+const unlimitedHeaderLines = 4096;
+/** Largest number of header lines of a request that the parser keeps on a connection that was opened in a crowd; a request with as many or more is refused there. */
+const crowdHeaderLines = 256;
+/** Number of open connections beyond which new ones belong to a crowd. Parsed heads of the smallest lines occupy up to 0.2 MB on each of the others. */
+const crowdConnections = 32;
+/** Memory of one parsed head of `crowdHeaderLines` lines at most, in bytes: its text and its header lines. */
+const maxParsedHeadBytes = 32_768;
+
+/** Open connections of callers, and since when each of them waits for a request. */
+export class ConnectionBook<T> {
+	/** Time since which each connection without a running request waits, in milliseconds; ordered by that time. */
+	private readonly _waitingSinceMs = new Map<T, number>();
+	private readonly _runningRequests = new Map<T, number>();
+
+	/** @param _maxConnections - largest number of open connections */
+	constructor(private readonly _maxConnections: number) {}
+
+	/** Number of open connections. */
+	get size(): number {
+		return this._waitingSinceMs.size + this._runningRequests.size;
+	}
+
+	/** Connections without a running request, the one that waits longest first. */
+	get waiting(): ReadonlyMap<T, number> {
+		return this._waitingSinceMs;
+	}
+
+	/** Adds a connection unless it is refused. The victim, if any, is removed. */
+	add(connection: T, nowMs: number): ConnectionDecision<T> {
+		if (this.size < this._maxConnections) {
+			this._waitingSinceMs.set(connection, nowMs);
+			return {outcome: 'accepted'};
+		}
+
+		const [oldest] = this._waitingSinceMs;
+		if (!oldest || nowMs - oldest[1] < minWaitMs) {
+			return {outcome: 'refused'};
+		}
+
+		this.remove(oldest[0]);
+		this._waitingSinceMs.set(connection, nowMs);
+		return {outcome: 'accepted', victim: oldest[0]};
+	}
+
+	beginRequest(connection: T): void {
+		const running = this._runningRequests.get(connection);
+		if (running !== undefined || this._waitingSinceMs.delete(connection)) {
+			this._runningRequests.set(connection, (running ?? 0) + 1);
+		}
+	}
+
+	endRequest(connection: T, nowMs: number): void {
+		const running = this._runningRequests.get(connection);
+		if (running === undefined) {
+			return;
+		}
+
+		if (running > 1) {
+			this._runningRequests.set(connection, running - 1);
+		} else {
+			this._runningRequests.delete(connection);
+			this._waitingSinceMs.set(connection, nowMs);
+		}
+	}
+
+	remove(connection: T): void {
+		this._waitingSinceMs.delete(connection);
+		this._runningRequests.delete(connection);
+	}
+}
+
+/** Returns the number of header lines that the parser of the next connection keeps, given the number of open connections. */
+export function headerLineLimit(openConnections: number): number {
+	return openConnections < crowdConnections ? unlimitedHeaderLines : crowdHeaderLines;
+}
+
+/** Number of waiting connections up to which their heads cannot occupy more than `limitBytes`. */
+export function harmlessConnections(limitBytes: number): number {
+	return Math.floor(limitBytes / maxParsedHeadBytes);
+}
+
+/**
+Chooses the connections to close so that heads that have not ended occupy at most `limitBytes`: those with the largest heads, of equal ones those that
+come first.
+@param heads - connections and the bytes of their heads so far
+*/
+export function chooseUnendedHeads<T>(heads: ReadonlyArray<readonly [connection: T, bytes: number]>, limitBytes: number): T[] {
+	const costs = heads.filter(([, bytes]) => bytes > 0).map(([connection, bytes]) => [connection, Math.min(maxParsedHeadBytes, bytes * parsedHeadFactor)] as const);
+	let excess = costs.reduce((sum, [, cost]) => sum + cost, 0) - limitBytes;
+	const chosen: T[] = [];
+	for (const [connection, cost] of excess > 0 ? costs.sort(([, a], [, b]) => b - a) : []) {
+		if (excess <= 0) {
+			break;
+		}
+
+		chosen.push(connection);
+		excess -= cost;
+	}
+
+	return chosen;
+}
--- a/src/node/forwarding/fleet-http-servers.test.ts
+++ b/src/node/forwarding/fleet-http-servers.test.ts
@@ -4,10 +4,12 @@
 import {test} from 'node:test';
 import {ManualClock} from '../../common/core/clock.js';
 import {NullLogger} from '../../common/core/log.js';
+import {planMemory} from '../../common/memory/memory-plan.js';
 import {PlatformProtocol} from '../../../platform/protocol.js';
 import type {ControlAdminClient} from '../control/control-admin-client.js';
 import {EvacuationOrders} from '../control/evacuation-orders.js';
 import {waitUntil} from '../control/test-helper.js';
+import {MemoryKeeper} from '../memory/memory-keeper.js';
 import {PromMetrics} from '../observability/prom-metrics.js';
 import {allocatePort} from '../../load/ports.js';
 import {FleetHttpServers} from './fleet-http-servers.js';
@@ -31,13 +33,21 @@
 				return {kind: 'done' as const, revision: 2};
 			},
 		};
+		const clock = new ManualClock();
+		const metrics = new PromMetrics({});
+		const plan = planMemory(undefined);
 		const servers = await FleetHttpServers.start({
 			protocol: new PlatformProtocol(),
 			adminClient: adminClient as unknown as ControlAdminClient,
-			evacuations: new EvacuationOrders(adminClient, new ManualClock()),
+			evacuations: new EvacuationOrders(adminClient, clock),
 			isKnownZone: () => true,
 			logger: new NullLogger(),
 			members: () => [],
+			clock,
+			memory: new MemoryKeeper({
+				totalBytes: plan.totalBytes, maxRequestBytes: plan.maxRequestBytes, maxOwnerShare: 1, clock, logger: new NullLogger(), metrics,
+			}),
+			plan,
 			namedRegions: () => [],
 			regionByZone: new Map(),
 			random: () => 0,
@@ -45,7 +55,7 @@
 			listen: {
 				operators: `127.0.0.1:${operators}`, ready: `127.0.0.1:${ready}`, directory: `127.0.0.1:${directory}`, metrics: `127.0.0.1:${metricsPort}`,
 			},
-			metrics: new PromMetrics({}),
+			metrics,
 			dump: () => undefined,
 		});
 		t.after(async () => servers.dispose());
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -8,6 +8,7 @@
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import type {MemoryKeeper} from '../memory/memory-keeper.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
 import type {ServerFleet} from './server-fleet.js';
@@ -19,6 +20,7 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly clock: Clock;
+	readonly memory: MemoryKeeper;
 	readonly zone: string;
 	/** Aborted when the process ends before the requests that are still running could. */
 	readonly shutdownSignal: AbortSignal;
@@ -30,6 +32,8 @@
 	readonly caller: CallerRequest;
 	readonly requestId: string;
 	readonly customer: string | undefined;
+	/** Whose share of the memory the request counts against: the customer or, on open routes, the caller's address. */
+	readonly owner: string;
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
 	/** Zones whose servers may run the request and keep the KV cache of its prompt; all zones if undefined. */
@@ -108,15 +112,22 @@
 	}
 
 	const callerHeaders = protocol.callerHeaders(headers);
+	const {length} = body;
+	const parts = body.takeParts();
 	if (isFramed) {
 		const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
 		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
-		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(body.length)]);
+		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(length)]);
 	} else {
 		// The body may have been cut short, which a content length would hide.
 		exchange.omitFraming();
 		exchange.writeHead(status, callerHeaders);
 	}
 
-	exchange.res.end(body);
+	// Each part is written by itself: to join them would need the memory of the answer once more.
+	for (const part of parts.slice(0, -1)) {
+		exchange.res.write(part);
+	}
+
+	exchange.res.end(parts.at(-1));
 }
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -2,13 +2,17 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Disposable} from '../../common/core/disposable.js';
+import type {MemoryPlan} from '../../common/memory/memory-plan.js';
+import {ConnectionGuard} from '../memory/connection-guard.js';
 import {createCallerServer, startListening} from '../entry/caller-listener.js';
 import {Exchange} from '../entry/exchange.js';
 import {ProblemError} from '../entry/problems.js';
 import {ActiveRequests} from '../entry/active-requests.js';
 import {defaultEntryLimits} from '../entry/types.js';
 import {sendLocalAnswer} from './forward-request.js';
-import {ForwardHandler, ForwardRefusal, refusalFromProblem} from './forward-handler.js';
+import {
+	ForwardHandler, ForwardRefusal, noMemoryRetryMs, refusalFromProblem,
+} from './forward-handler.js';
 import type {ForwardHandlerOptions} from './forward-handler.js';
 
 /** Time within which a resumable stream usually ends, in milliseconds; a stopping process that has less time left than this refuses such streams. One that takes longer can go on at another process. */
@@ -23,6 +27,7 @@
 export type ForwardServerOptions = Omit<ForwardHandlerOptions, 'hasTimeFor' | 'shutdownSignal'> & {
 	readonly host: string;
 	readonly port: number;
+	readonly plan: MemoryPlan;
 	/** Time from the start of a drain until the process is killed, in milliseconds. */
 	readonly stopWithinMs: number;
 	/** Time for which callers may still use this process after entry-point answers have ceased to name it, in milliseconds. */
@@ -33,6 +38,7 @@
 export class ForwardServer implements Disposable {
 	readonly handler: ForwardHandler;
 	private readonly _server: Server;
+	private readonly _guard: ConnectionGuard;
 	private readonly _activeRequests = new ActiveRequests();
 	private readonly _shutdown = new AbortController();
 	private _stopAtMs: number | undefined;
@@ -42,7 +48,12 @@
 		this.handler = new ForwardHandler({
 			..._options, shutdownSignal: this._shutdown.signal, hasTimeFor: (deadlineMs, isResumable) => this._hasTimeFor(deadlineMs, isResumable),
 		});
-		this._server = createCallerServer(defaultEntryLimits, _options.metrics);
+		const {metrics, plan: {maxCallers, headBytes}} = _options;
+		this._server = createCallerServer({...defaultEntryLimits, maxConnections: Number.POSITIVE_INFINITY}, metrics);
+		this._guard = new ConnectionGuard({
+			..._options, ports: 'callers', maxConnections: maxCallers, headBytes,
+		});
+		this._guard.watch(this._server);
 		this._server.on('request', (req, res) => {
 			void this._handle(req, res);
 		});
@@ -104,6 +115,7 @@
 		const closed = new Promise(resolve => {
 			this._server.close(resolve);
 		});
+		this._guard.dispose();
 		this._activeRequests.destroyConnections();
 		this._server.closeAllConnections();
 		await closed;
@@ -122,6 +134,11 @@
 		const exchange = new Exchange(req, res, {nowMs: this._options.clock.nowMs(), shouldCloseConnection: this.isDraining, omitsTraceHeaders: true});
 		this._activeRequests.add(exchange);
 		try {
+			if (this._guard.hasDroppedHeaders(req)) {
+				exchange.closeAfterResponse();
+				throw new ForwardRefusal(503, 'too many header lines while many connections are open', noMemoryRetryMs);
+			}
+
 			await this.handler.handle(exchange);
 			await exchange.waitUntilClosed();
 		} catch (err) {
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -15,6 +15,7 @@
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
+import {StreamWriter} from './stream-writer.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {HttpMethod} from './forward-adapter.js';
 import {
@@ -67,6 +68,7 @@
 	private readonly _priority: RequestPriority | undefined;
 	private _abort = new AbortController();
 	private readonly _resources: EngineResources;
+	private readonly _writer: StreamWriter;
 	/** Memory that another engine has reserved for a run that is silent, until the request goes on there or the memory is released. */
 	private _foundReservation: MemoryReservation | undefined;
 	/** Whether the request occupies one of the prefill slots of this process. */
@@ -97,6 +99,7 @@
 			isCallerRetry: isCallerRetry({waitMs, timeoutMs: route.timeoutMs}), waitMs, random: _dependencies.fleet.random.next(),
 		});
 		this._resources = new EngineResources(_dependencies, requestId);
+		this._writer = new StreamWriter(_request, _dependencies.memory);
 		this._state = createModelForward({
 			isResumable: route.isResumable,
 			maxAttempts: route.maxAttempts,
@@ -409,7 +412,7 @@
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body, isFramed} = await bufferAnswer(response, prefillAnswerLimitBytes);
-			const result = status === successStatus ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
+			const result = status === successStatus ? protocol.readPrefill(new TextDecoder().decode(body.take())) : undefined;
 			if (status === successStatus && !result && !isFramed) {
 				throw new CallError('broken', true, 'the answer ended early with its connection');
 			}
@@ -626,8 +629,7 @@
 						fleet.directory.recordWork(server, streamSize, msPerEvent, receivedMs);
 					}
 
-					await exchange.write(completeEvents);
-					pace.recordReaderDelay(clock.nowMs() - receivedMs);
+					this._writer.write(completeEvents);
 				}
 
 				if (eventBuffer.fault !== undefined) {
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -18,6 +18,7 @@
 import type {
 	MemberChangeReply, ProcessEffect, ProcessEvent, ProcessState, Replica,
 } from '../common/reducer.js';
+import {planMemory} from '../common/memory/memory-plan.js';
 import {splitAddress} from './address.js';
 import {SystemClock} from './clock.js';
 import {decodeConfiguration} from './control/configuration-codec.js';
@@ -33,6 +34,7 @@
 import {GossipEntryPointService} from './membership/gossip-entry-point-service.js';
 import {MembershipHost} from './membership/membership-host.js';
 import {PlatformListPoller} from './membership/platform-list-poller.js';
+import {MemoryKeeper} from './memory/memory-keeper.js';
 import {JsonLogger} from './observability/json-logger.js';
 import {LoadReporter} from './observability/load-reporter.js';
 import {PromMetrics} from './observability/prom-metrics.js';
@@ -44,7 +46,7 @@
 import {ServerStatusBroadcaster} from './forwarding/server-status-broadcaster.js';
 import {FleetHttpServers, entryAnswerValidityMs} from './forwarding/fleet-http-servers.js';
 import type {FleetProtocol} from './forwarding/fleet-protocol.js';
-import type {FleetSettings} from './forwarding/fleet-settings.js';
+import type {FleetSettings, VmLimits} from './forwarding/fleet-settings.js';
 import {ForwardServer} from './forwarding/forward-server.js';
 import {ServerFleet} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
@@ -152,6 +154,8 @@
 	readonly followsServerList?: boolean;
 	/** Capacity that this VM announces to the other members, in thousandths of a core; absent if it announces none. */
 	readonly capacity?: number;
+	/** Limits of the VM; absent if they are not known. */
+	readonly vmLimits?: VmLimits;
 	/** Fields added to every log line. */
 	readonly logContext?: Readonly<Record<string, string>>;
 };
@@ -174,6 +178,7 @@
 			metrics.count(metric, labels);
 		},
 		logger,
+		maxUnprovenPeers: planMemory(cluster.vmLimits).maxUnprovenPeers,
 	}));
 	for (const peer of settings.control) {
 		if (peer.vm !== vm) {
@@ -404,6 +409,9 @@
 /** Longest time for which callers use an entry-point answer, as a multiple of the validity that the answer states. */
 const entryAnswerRetentionFactor = 3;
 
+/** Largest fraction (0 to 1) of the memory that one customer of a `FleetProcess` may occupy. */
+const maxCustomerShare = 0.5;
+
 /** Components that a `FleetProcess` has in addition to `CoreComponents`. */
 type FleetComponents = {
 	readonly server: ForwardServer;
@@ -429,6 +437,7 @@
 				followsServerList: fleetSettings.serverList !== undefined,
 				...(fleetSettings.vmLimits && {capacity: announcedCapacity(fleetSettings.vmLimits)}),
 				logContext: {node: fleetSettings.node},
+				...(fleetSettings.vmLimits && {vmLimits: fleetSettings.vmLimits}),
 			});
 			const fleet = await startForwarding(core, fleetSettings, protocol);
 			trackControlVms(core, fleetSettings);
@@ -536,6 +545,10 @@
 	} = core;
 	const client = createControlClient(core);
 	const regionByZone = new Map([[settings.zone, settings.region], ...fleetSettings.regionByZone]);
+	const plan = planMemory(fleetSettings.vmLimits);
+	const memory = new MemoryKeeper({
+		totalBytes: plan.totalBytes, maxRequestBytes: plan.maxRequestBytes, maxOwnerShare: maxCustomerShare, clock, logger, metrics,
+	});
 	const processCount = () => Math.max(1, membership.entries.live.length);
 	const fleet = disposables.add(new ServerFleet({
 		protocol,
@@ -582,6 +595,8 @@
 		metrics,
 		logger,
 		clock,
+		memory,
+		plan,
 		zone: settings.zone,
 		access: client.access,
 		regionByZone,
@@ -642,6 +657,9 @@
 		adminClient,
 		evacuations: new EvacuationOrders(adminClient, clock),
 		isKnownZone: createZoneCheck(settings.zone, fleetSettings, fleet),
+		memory,
+		plan,
+		clock,
 		logger,
 		metrics,
 		dump: () => ({
