--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -289,7 +289,7 @@
 	}
 
 	if (state.round && state.refusedBy.size > 0) {
-		state.priority?.recordRefusedRound(state.round, nowMs);
+		state.priority?.recordRefusedRound(state.round, state.refusedBy.size, nowMs);
 	}
 
 	const {maxWaitMs, roundIntervalMs} = state.memoryWaitPolicy;
--- a/src/common/forwarding/priority-ranks.ts
+++ b/src/common/forwarding/priority-ranks.ts
@@ -21,8 +21,8 @@
 	private readonly _prioritiesByService = new Map<string, number[]>();
 
 	constructor({routes, services, tenants: customers}: Pick<Forwarding, 'routes' | 'services' | 'tenants'>) {
-		const customerPriorities = customers.flatMap(({priority}) => priority ?? []);
-		const isRouteDecisive = customers.length === 0 || customerPriorities.length < customers.length;
+		const customerPriorities = new Set(customers.flatMap(({priority}) => priority ?? []));
+		const isRouteDecisive = customers.length === 0 || customers.some(({priority}) => priority === undefined);
 		const sets = new Map(services.filter(({engine}) => engine).map(({name}) => [name, new Set<number>()]));
 		for (const {targets, priority, isOpen} of routes) {
 			const priorities = [...(isOpen || isRouteDecisive ? [priority] : []), ...(isOpen ? [] : customerPriorities)];
--- a/src/common/forwarding/reservation.ts
+++ b/src/common/forwarding/reservation.ts
@@ -7,6 +7,8 @@
 const reservedOutputShare = 0.6;
 /** Share of an engine's KV cache memory that should stay free, so that streams can grow beyond their reservations. */
 const spareMemoryRatio = 0.2;
+/** Maximum share of an engine's KV cache memory for a reservation and the room that is kept beside it for other requests. */
+const maxKeptShare = 0.5;
 /** Block size of the engines' memory allocation, in tokens. */
 const tokensPerBlock = 16;
 
@@ -28,3 +30,11 @@
 export function minFreeTokens(cacheTokens: number): number {
 	return Math.floor(cacheTokens * spareMemoryRatio / tokensPerBlock) * tokensPerBlock;
 }
+
+/**
+Returns the memory that an engine with room for `cacheTokens` tokens must keep free for other requests beside a reservation of `reserved` tokens, in
+tokens. A large request keeps less than `keptRatio` times its size, since it would find no engine otherwise, not even among idle ones.
+*/
+export function keptTokens(reserved: number, keptRatio: number, cacheTokens: number): number {
+	return Math.ceil(Math.max(0, Math.min(reserved * keptRatio, (cacheTokens * maxKeptShare) - reserved)));
+}
--- a/src/common/forwarding/room-shortage.ts
+++ b/src/common/forwarding/room-shortage.ts
@@ -21,8 +21,8 @@
 		this._ranksOf(service, nowMs)[rank] = nowMs + shortageMemoryMs;
 	}
 
-	/** Records that the first engine that was asked granted a reservation. */
-	recordRoom(service: string, {rank}: PriorityRank): void {
+	/** Records that the first engine that was asked granted a reservation to a request that competed with `rank`. */
+	recordRoom(service: string, rank: number): void {
 		this._shortUntilMs.get(service)?.fill(0, 0, rank + 1);
 	}
 
