forwarding: a request that would fail asks engines of all zones, also if they are believed to be full

Cause: if every zone refuses nearly everything, only engines at home are asked. A call that requires spare memory counts as a refusal like any other, so the belief can hold for the whole wait of a request: it was refused (or its begun stream cut) although an engine of another zone had room without spare memory. A second engine for a silent run and a prefill engine were sought at home only, too. Change: in the last round, and for what does not wait for a further round (begun streams, silent runs, prefill), engines of all zones are asked. Earlier rounds stay at home. Order and random draws are unchanged.

--- a/src/common/forwarding/engine-ranking.test.ts
+++ b/src/common/forwarding/engine-ranking.test.ts
@@ -2,6 +2,8 @@
 import {test} from 'node:test';
 import {SeededRandom} from '../core/random.js';
 import {buildServer} from './fixtures.js';
+import {createModelForward, isLastChance, reduceModelForward} from './model-forward.js';
+import type {ModelForwardEvent, ModelForwardState} from './model-forward.js';
 import {ServerDirectory} from './server-directory.js';
 import type {Server, ServerQuery} from './server-directory.js';
 import {StreamPace} from './stream-pace.js';
@@ -121,6 +123,61 @@
 	assert.equal(asked.size, 12);
 });
 
+/**
+Plays the reservation calls of one request of zone z1, 5 ms each, until it is placed, sent away or cut; returns the engine, or undefined. Meanwhile other
+requests are refused by every zone, so that all of them count as full. Only `roomAt` has room, and no spare memory.
+*/
+function playReservations(directory: ServerDirectory, roomAt: string, changes: Partial<ModelForwardState> = {}): Server | undefined {
+	const state = Object.assign(createModelForward({
+		isResumable: true, maxAttempts: 3, memoryWaitPolicy: {maxWaitMs: 400, roundIntervalMs: 50, spareMemoryRatio: 0}, fullPoolRetryAfterMs: 3000,
+		takeRetry: () => true, hasAcceptingPrefillEngine: () => true, chargeFailedPrefill: () => undefined,
+	}), changes);
+	const servers = [...directory.servers].filter(({record}) => record.id !== roomAt);
+	let nowMs = 0;
+	let input: ModelForwardEvent = {type: 'forward/start', nowMs};
+	for (;;) {
+		const [effect] = reduceModelForward(state, input);
+		if (effect?.type === 'forward/wait') {
+			nowMs += effect.durationMs;
+			input = {type: 'forward/wake', nowMs};
+			continue;
+		}
+
+		if (effect?.type !== 'forward/hold') {
+			return undefined;
+		}
+
+		for (const server of servers) {
+			directory.recordRefusal(server, nowMs);
+		}
+
+		const {attempt, exclude, isSpacious} = effect;
+		const server = directory.chooseDecodeEngine(query({exclude, nowMs, isLastChance: isLastChance(state, nowMs)}));
+		if (!server) {
+			input = {type: 'forward/no-engine', attempt, nowMs};
+			continue;
+		}
+
+		nowMs += 5;
+		if (server.record.id === roomAt && !isSpacious) {
+			return server;
+		}
+
+		directory.recordRefusal(server, nowMs);
+		input = {
+			type: 'forward/hold-refused', attempt, server: server.key, nowMs,
+		};
+	}
+}
+
+test('no request is refused for lack of room while an engine has room, also if all zones are believed to be full', () => {
+	const zones = ['z1', 'z2', 'z3'];
+	assert.equal(playReservations(buildPool(zones, 12, 'decode'), 'z3-7')?.record.id, 'z3-7');
+	// A stream that has begun would be cut.
+	assert.equal(playReservations(buildPool(zones, 12, 'decode'), 'z2-3', {hasForwardedHead: true})?.record.id, 'z2-3');
+	assert.equal(playReservations(buildPool(zones, 12, 'decode'), 'none'), undefined);
+});
+
 test('the requests of a zone without engines are served by the other zones', () => {
 	const directory = buildPool(['z2', 'z3'], 4, 'decode');
 	const server = directory.chooseDecodeEngine(query())!;
--- a/src/common/forwarding/engine-ranking.ts
+++ b/src/common/forwarding/engine-ranking.ts
@@ -61,7 +61,7 @@
 
 	/** Returns the candidate with the lowest cost; undefined if none should be asked. `usable` returns the usable engines of the pool, also those that the request has tried. */
 	choose(candidates: readonly Server[], usable: () => readonly Server[], query: ServerQuery, random: SeededRandom): Server | undefined {
-		const {zone: home, nowMs, tokens = 0} = query;
+		const {zone: home, nowMs, tokens = 0, isLastChance = false} = query;
 		this._update(usable, nowMs);
 		const {zone: preferred, mayAskOthers} = candidates.every(({record}) => record.zone === home)
 			? {zone: home, mayAskOthers: true}
@@ -70,7 +70,7 @@
 			}, random);
 		const {tokens: spreadTokens, exponent} = spreads[this._stage];
 		const toll = (zone: string) => zone === preferred ? 0 : (zone === home || preferred === home ? 1 : 2);
-		const askable = mayAskOthers ? candidates : candidates.filter(({record: {zone}}) => zone === home || zone === preferred);
+		const askable = mayAskOthers || isLastChance ? candidates : candidates.filter(({record: {zone}}) => zone === home || zone === preferred);
 		return lowestCostServer(askable, server => {
 			const serverSlowness = this.slownessOf(server, nowMs);
 			return (server.fullUntilMs > nowMs ? fullPenaltyTokens : 0) + (server.tokens * serverSlowness * (1 + (server.failureShare * failurePenaltyFactor)))
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -13,6 +13,8 @@
 const maxPrefillCalls = 2;
 /** Requests that a retry adds at the engines: one to a prefill engine and one to a decode engine. */
 const requestsPerRetry = 2;
+/** Time that may pass between the choice of an engine and the event that tells of it, in milliseconds. */
+const eventDelayMs = 5;
 /** `Retry-After` for callers whose request failed on the engines, in milliseconds. */
 const retryAfterFailureMs = 300;
 
@@ -258,6 +260,17 @@
 	return state.phase === 'prefilling' ? requestPrefill(state) : [{type: 'forward/send', attempt: state.attempt}];
 }
 
+/**
+Whether the request fails, or a stream that has begun is cut, if no engine that is asked in this round has room. Engines that are believed to be full
+are then asked as well.
+*/
+export function isLastChance({memoryWaitPolicy: {maxWaitMs, roundIntervalMs}, memoryWaitStartedMs, hasForwardedHead, isSpareRequired, refusedBy}: ModelForwardState, nowMs: number): boolean {
+	const isLastRound = nowMs - memoryWaitStartedMs + roundIntervalMs + eventDelayMs > maxWaitMs;
+	// Those that refused are asked again without the spare-memory requirement.
+	const isFollowed = isSpareRequired && refusedBy.size > 0;
+	return !isFollowed && (isLastRound || hasForwardedHead);
+}
+
 /** Starts another round without the spare-memory requirement if this round had it; otherwise waits for memory if the policy allows it, or else rejects the request. */
 function handleNoEngine(state: ModelForwardState, {nowMs, resumesInMs = 0, isPrefillBusy = false}: EventOf<'forward/no-engine'>): ModelForwardEffect[] {
 	if (state.isSpareRequired && state.refusedBy.size > 0) {
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -72,6 +72,8 @@
 	/** Size of the request's prompt in tokens; 0 if absent. */
 	readonly tokens?: number;
 	readonly nowMs: number;
+	/** Whether the request fails if no engine is found, so that engines of other zones are asked although all zones are believed to be full. */
+	readonly isLastChance?: boolean;
 };
 
 /** Servers of all services on the platform's list, with the load and health that this process observed, and the choice among them. */
@@ -159,7 +161,8 @@
 
 	/** Returns the prefill engine with the lowest cost, mainly the tokens that this process has queued on it; undefined if no engine may be used. The query's zone, which is the zone of the decode engine, is preferred. */
 	choosePrefillEngine(query: ServerQuery): Server | undefined {
-		return this._chooseEngine({...query, stage: 'prefill'}, 'prefill');
+		// Prompts do not wait for another round of calls: without a prefill engine, the decode engine prefills them.
+		return this._chooseEngine({...query, stage: 'prefill', isLastChance: true}, 'prefill');
 	}
 
 	/** Returns why a decode engine that was chosen is in another zone than the request; undefined if it is not. */
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -1,4 +1,4 @@
-import {createModelForward, reduceModelForward} from '../../common/forwarding/model-forward.js';
+import {createModelForward, isLastChance, reduceModelForward} from '../../common/forwarding/model-forward.js';
 import type {ModelForwardState, ModelForwardEffect, ModelForwardInput} from '../../common/forwarding/model-forward.js';
 import {memoryWaitPolicy, fullPoolRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
@@ -204,8 +204,10 @@
 	private _selectionCriteria(exclude: ReadonlySet<ServerKey>, zone: string) {
 		const {fleet, clock} = this._dependencies;
 		const {service} = this._request;
+		const nowMs = clock.nowMs();
 		return {
-			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), tokens: this._request.caller.prompt?.promptTokens ?? 0, nowMs: clock.nowMs(),
+			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), tokens: this._request.caller.prompt?.promptTokens ?? 0, nowMs,
+			isLastChance: isLastChance(this._state, nowMs),
 		};
 	}
 
@@ -265,7 +267,7 @@
 		const tried = new Set(exclude);
 		while (!this._isStale(attempt) && this._state.isSeekingEngine) {
 			this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
-			const server = this._hasPrefillSlot ? fleet.directory.chooseDecodeEngine(this._selectionCriteria(tried, zone)) : undefined;
+			const server = this._hasPrefillSlot ? fleet.directory.chooseDecodeEngine({...this._selectionCriteria(tried, zone), isLastChance: true}) : undefined;
 			if (!server) {
 				break;
 			}
