forwarding: the first sample of a server's speed is bounded like every other

Cause: the first sample was taken over in full (up to a factor of 4) and used at once. A pause of the process or a preemption within it then ranked the server as 4 times as slow; ordinary samples that followed counted as outliers, so about 20 of them were needed to undo it. Change: every sample moves the estimate by at most a factor of 1.5, divided by the weight.

--- a/src/common/forwarding/engine-speed.ts
+++ b/src/common/forwarding/engine-speed.ts
@@ -116,7 +116,7 @@
 
 		if (nowMs - this._followedMs >= steadyIntervalMs) {
 			this._followedMs = nowMs;
-			this._follow(isOutlier ? clamp(deviation, spellThreshold) : deviation, nowMs);
+			this._follow(clamp(deviation, spellThreshold), nowMs);
 		}
 	}
 
