forwarding: fractions that leave a zone are kept per home zone, and few engines are counted, not weighed

Pressures were forgotten by the engines that one request may use. The number of calls at home was estimated from engines weighted by speed, so two fast engines could count as eight. Change: fractions by home zone; without engines at home the target applies at once and is not stored; zones are dropped when the list changes (no timer or interval per choice any more); calls are counted in engines.

--- a/src/common/forwarding/engine-ranking.ts
+++ b/src/common/forwarding/engine-ranking.ts
@@ -13,8 +13,6 @@
 const otherZonePenaltyTokens = 2000;
 /** Cost added to an engine that refused work for lack of room, in tokens; more than any engine holds. */
 const fullPenaltyTokens = 1e9;
-/** Interval at which the zones of the pool are determined again, in milliseconds. */
-const updateIntervalMs = 500;
 
 /**
 Random part of an engine's cost, in tokens, and the power of its speed to which the probability of its choice is proportional. Prompts queue at
@@ -42,7 +40,6 @@
 export class EngineRanking {
 	readonly zones = new ZoneChoice();
 	private readonly _reference = new WorkReference();
-	private _updatedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly _stage: EngineStage) {}
 
@@ -62,7 +59,6 @@
 	/** Returns the candidate with the lowest cost; undefined if none should be asked. `usable` returns the usable engines of the pool, also those that the request has tried. */
 	choose(candidates: readonly Server[], usable: () => readonly Server[], query: ServerQuery, random: SeededRandom): Server | undefined {
 		const {zone: home, nowMs, tokens = 0, isLastChance = false} = query;
-		this._update(usable, nowMs);
 		const {zone: preferred, mayAskOthers} = candidates.every(({record}) => record.zone === home)
 			? {zone: home, mayAskOthers: true}
 			: this.zones.choose({
@@ -88,15 +84,16 @@
 			return 'no-engine-at-home';
 		}
 
-		return this.zones.leavingFractionAt(nowMs) > 0 ? 'leaving-pays' : 'home-refused';
+		return this.zones.leavingFractionAt(home, nowMs) > 0 ? 'leaving-pays' : 'home-refused';
 	}
 
-	describe(server: Server, nowMs: number): RankingFacts {
+	/** Returns what the ranking assumes of an engine and of the zone that is home to the request, for the log. */
+	describe(server: Server, home: string, nowMs: number): RankingFacts {
 		return {
 			slowness: rounded(this.slownessOf(server, nowMs)),
 			speedSamples: rounded(server.speed.weightAt(nowMs)),
 			pressure: rounded(this.zones.pressureAt(server.record.zone, nowMs)),
-			leavingFraction: rounded(this.zones.leavingFractionAt(nowMs)),
+			leavingFraction: rounded(this.zones.leavingFractionAt(home, nowMs)),
 		};
 	}
 
@@ -113,15 +110,9 @@
 			rooms.set(zone, room);
 		}
 
-		return [...rooms.values()].map(({zone, capacity, full, engines}) => ({zone, capacity, fullShare: full / engines}));
-	}
-
-	/** Forgets zones that have no engines any more. */
-	private _update(usable: () => readonly Server[], nowMs: number): void {
-		if (nowMs - this._updatedMs >= updateIntervalMs) {
-			this._updatedMs = nowMs;
-			this.zones.retainZones(new Set(usable().map(({record}) => record.zone)));
-		}
+		return [...rooms.values()].map(({zone, capacity, full, engines}) => ({
+			zone, engines, capacity, fullShare: full / engines,
+		}));
 	}
 }
 
--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -136,6 +136,11 @@
 			this._byService.set(server.record.service, servers);
 		}
 
+		const zones = new Set([...listed.values()].map(({zone}) => zone));
+		for (const ranking of this._rankings.values()) {
+			ranking.zones.retainZones(zones);
+		}
+
 		return {added, changed, removed};
 	}
 
@@ -170,10 +175,10 @@
 		return this._ranking(query.service, 'decode').departureReason(server, () => this._usableServers({...query, stage: 'decode'}), query);
 	}
 
-	/** Returns what the ranking assumes of an engine and its zone, for the log. */
-	describeRanking(server: Server, nowMs: number): RankingFacts | undefined {
+	/** Returns what the ranking assumes of an engine and its zone, and of the request's zone `home`, for the log. */
+	describeRanking(server: Server, home: string, nowMs: number): RankingFacts | undefined {
 		const {service, stage} = server.record;
-		return stage && this._ranking(service, stage).describe(server, nowMs);
+		return stage && this._ranking(service, stage).describe(server, home, nowMs);
 	}
 
 	/** Returns the state of the choice among zones, by service and stage, for the state dump. */
--- a/src/common/forwarding/zone-choice.test.ts
+++ b/src/common/forwarding/zone-choice.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {SeededRandom} from '../core/random.js';
 import {ZoneChoice, leavingFractions, transferMs} from './zone-choice.js';
+import type {ZoneRoom} from './zone-choice.js';
 
 const tokens = 5000;
 const enginesPerZone = 12;
@@ -27,6 +28,12 @@
 	readonly isHomeFirst?: boolean;
 };
 
+function buildRoom(zone: string, engineCount: number): ZoneRoom {
+	return {
+		zone, engines: engineCount, capacity: engineCount, fullShare: 0,
+	};
+}
+
 /** Plays the requests of many processes that choose zones on their own, and returns what became of them. */
 function simulate({loads, zonesWithoutEngines = [], seed, seconds = 15, vmsPerZone = 18, isCentral = false, isHomeFirst = false}: Scenario) {
 	const random = new SeededRandom(seed);
@@ -49,7 +56,7 @@
 
 	/** Makes the next reservation call of a request; returns whether it is granted. */
 	const call = (request: Request, nowMs: number): boolean => {
-		const rooms = () => zones.map(zone => ({zone, capacity: engines.filter(engine => engine.zone === zone).length, fullShare: 0})).filter(({capacity}) => capacity > 0);
+		const rooms = () => zones.map(zone => buildRoom(zone, engines.filter(engine => engine.zone === zone).length)).filter(room => room.engines > 0);
 		const decision = isHomeFirst
 			? {zone: request.zone, mayAskOthers: true}
 			: request.choice.choose({
@@ -181,23 +188,48 @@
 	assert.deepEqual([...leavingFractions([{zone: 'b', capacity: 3, load: 1}, {zone: 'c', capacity: 1, load: 1}], 'a', costMs)], [['b', 0.75], ['c', 0.25]]);
 });
 
+test('what leaves one zone changes nothing for requests that are at home in another zone, or may not use their own', () => {
+	const choice = new ZoneChoice();
+	const random = new SeededRandom(3);
+	const rooms = () => ['a', 'b', 'c'].map(zone => buildRoom(zone, 10));
+	for (let i = 0; i < 40; i++) {
+		choice.recordAnswer('a', true, i * 10);
+		choice.choose({
+			home: 'a', tokens, nowMs: i * 10, rooms,
+		}, random);
+	}
+
+	const leaving = choice.leavingFractionAt('a', 390);
+	assert.ok(leaving > 0.3 && leaving < 0.9);
+	for (let i = 0; i < 20; i++) {
+		assert.equal(choice.choose({
+			home: 'b', tokens, nowMs: 390, rooms,
+		}, random).zone, 'b');
+		assert.notEqual(choice.choose({
+			home: 'a', tokens, nowMs: 390, rooms: () => rooms().slice(1),
+		}, random).zone, 'a');
+	}
+
+	assert.equal(choice.leavingFractionAt('a', 390), leaving);
+});
+
 test('a zone that has room again gets all of its requests within a few seconds', () => {
 	const choice = new ZoneChoice();
 	const random = new SeededRandom(3);
 	const query = (nowMs: number) => ({
-		home: 'a', tokens, nowMs, rooms: () => ['a', 'b'].map(zone => ({zone, capacity: 10, fullShare: 0})),
+		home: 'a', tokens, nowMs, rooms: () => ['a', 'b'].map(zone => buildRoom(zone, 10)),
 	});
 	for (let i = 0; i < 40; i++) {
 		choice.choose(query(i * 10), random);
 		choice.recordAnswer('a', true, i * 10);
 	}
 
-	assert.ok(choice.leavingFractionAt(400) > 0.3);
+	assert.ok(choice.leavingFractionAt('a', 400) > 0.3);
 	for (let nowMs = 400; nowMs < 4400; nowMs += 200) {
 		const {zone} = choice.choose(query(nowMs), random);
 		choice.recordAnswer(zone, false, nowMs);
 	}
 
 	assert.equal(choice.choose(query(4400), random).zone, 'a');
-	assert.ok(choice.leavingFractionAt(4400) < 0.05);
+	assert.ok(choice.leavingFractionAt('a', 4400) < 0.05);
 });
--- a/src/common/forwarding/zone-choice.ts
+++ b/src/common/forwarding/zone-choice.ts
@@ -35,6 +35,8 @@
 /** Room of one zone for the requests of a pool. */
 export type ZoneRoom = {
 	readonly zone: string;
+	/** Number of usable engines. */
+	readonly engines: number;
 	/** Usable engines, each weighted by its speed. */
 	readonly capacity: number;
 	/** Share of the engines that are known to be full. */
@@ -60,13 +62,16 @@
 /** Fractions of the requests that leave for each zone; the rest stays at home. */
 export type ZoneFractions = ReadonlyMap<string, number>;
 
+/** Fractions of a home zone's requests as of the last decision. */
+type Leaving = {readonly fractions: ZoneFractions; readonly decidedMs: number};
+
 type Load = {readonly zone: string; readonly capacity: number; readonly load: number};
 
 /** Pressure of the zones on one pool of engines, and the fractions of this process's requests that leave its own zone. */
 export class ZoneChoice {
 	private readonly _pressures = new Map<string, {value: number; sampledMs: number}>();
-	private _leaving = new Map<string, number>();
-	private _decidedMs = 0;
+	/** By home zone: prompts are at home in the zone of the decode engine, which differs by request. */
+	private readonly _leaving = new Map<string, Leaving>();
 
 	/** Records the answer to a reservation call or a prompt. */
 	recordAnswer(zone: string, isRefused: boolean, nowMs: number): void {
@@ -81,44 +86,45 @@
 	}
 
 	/** Returns the fraction of this process's requests that leaves the zone. */
-	leavingFractionAt(nowMs: number): number {
-		const decay = Math.exp(-Math.max(0, nowMs - this._decidedMs) / leavingDecayMs);
-		return sum([...this._leaving.values()]) * decay;
+	leavingFractionAt(home: string, nowMs: number): number {
+		const leaving = this._leaving.get(home);
+		return leaving ? sum([...leaving.fractions.values()]) * leavingDecay(leaving, nowMs) : 0;
 	}
 
 	/** Chooses the zone for a request. Draws a random number only if some requests leave. */
 	choose(query: ZoneQuery, random: SeededRandom): ZoneDecision {
 		const {home, nowMs} = query;
-		if (this.pressureAt(home, nowMs) < minPressure && this.leavingFractionAt(nowMs) < minLeavingFraction) {
-			this._leaving.clear();
+		if (this.pressureAt(home, nowMs) < minPressure && this.leavingFractionAt(home, nowMs) < minLeavingFraction) {
+			this._leaving.delete(home);
 			return {zone: home, mayAskOthers: true};
 		}
 
 		const rooms = query.rooms();
 		const own = rooms.find(({zone}) => zone === home);
-		if (own && own.capacity * refusedCallMs <= transferMs(query.tokens)) {
+		if (own && own.engines * refusedCallMs <= transferMs(query.tokens)) {
 			// All engines at home are asked sooner than a transfer is done.
 			return {zone: home, mayAskOthers: true};
 		}
 
-		const othersCallsMs = sum(rooms.filter(room => room !== own).map(({capacity}) => capacity)) * refusedCallMs;
+		const othersCallsMs = sum(rooms.filter(room => room !== own).map(({engines}) => engines)) * refusedCallMs;
 		const mayAskOthers = !own || othersCallsMs <= roundIntervalMs || rooms.some(room => this._refusalShare(room, nowMs) < fullPressure);
-		this._approach(this._targetFractions(query, rooms), nowMs);
-		return {zone: this.leavingFractionAt(nowMs) < minLeavingFraction ? home : this._draw(home, random), mayAskOthers};
+		const target = this._targetFractions(query, rooms);
+		// Without engines at home, or for requests that may not use them, there is nothing to approach.
+		const fractions = own ? this._approach(home, target, nowMs) : target;
+		return {zone: sum([...fractions.values()]) < minLeavingFraction ? home : draw(fractions, home, random), mayAskOthers};
 	}
 
 	/** Returns the pressures with their ages, and the fractions of the last decision, for the state dump. */
 	dump(nowMs: number): unknown {
 		return {
 			pressures: [...this._pressures].map(([zone, {value, sampledMs}]) => ({zone, pressure: value, ageMs: nowMs - sampledMs})),
-			leaving: Object.fromEntries(this._leaving),
-			decidedAgeMs: nowMs - this._decidedMs,
+			leaving: [...this._leaving].map(([home, {fractions, decidedMs}]) => ({home, fractions: Object.fromEntries(fractions), ageMs: nowMs - decidedMs})),
 		};
 	}
 
 	/** Drops zones that have no servers any more. */
 	retainZones(zones: ReadonlySet<string>): void {
-		for (const zone of this._pressures.keys()) {
+		for (const zone of [...this._pressures.keys(), ...this._leaving.keys()]) {
 			if (!zones.has(zone)) {
 				this._pressures.delete(zone);
 				this._leaving.delete(zone);
@@ -126,18 +132,6 @@
 		}
 	}
 
-	private _draw(home: string, random: SeededRandom): string {
-		let rest = random.next();
-		for (const [zone, fraction] of this._leaving) {
-			rest -= fraction;
-			if (rest < 0) {
-				return zone;
-			}
-		}
-
-		return home;
-	}
-
 	/** Returns the share of reservation calls that a zone is expected to refuse. */
 	private _refusalShare({zone, fullShare}: ZoneRoom, nowMs: number): number {
 		return Math.min(maxPressure, Math.max(this.pressureAt(zone, nowMs), fullShare));
@@ -145,24 +139,42 @@
 
 	private _targetFractions({home, tokens, nowMs}: ZoneQuery, rooms: readonly ZoneRoom[]): ZoneFractions {
 		const loads = rooms.map(room => ({zone: room.zone, capacity: room.capacity, load: 1 / (1 - this._refusalShare(room, nowMs))}));
-		const staying = 1 - Math.min(0.9, this.leavingFractionAt(nowMs));
+		const staying = 1 - Math.min(0.9, this.leavingFractionAt(home, nowMs));
 		// Home's pressure shows only the requests that stay.
 		return leavingFractions(loads.map(load => load.zone === home ? {...load, load: load.load / staying} : load), home, transferMs(tokens));
 	}
 
-	private _approach(target: ZoneFractions, nowMs: number): void {
-		const decay = Math.exp(-Math.max(0, nowMs - this._decidedMs) / leavingDecayMs);
+	/** Moves the fractions of a home zone towards the target, and returns them. */
+	private _approach(home: string, target: ZoneFractions, nowMs: number): ZoneFractions {
+		const leaving = this._leaving.get(home) ?? {fractions: new Map<string, number>(), decidedMs: nowMs};
+		const decay = leavingDecay(leaving, nowMs);
 		const fractions = new Map<string, number>();
-		for (const zone of new Set([...this._leaving.keys(), ...target.keys()])) {
-			const current = (this._leaving.get(zone) ?? 0) * decay;
+		for (const zone of new Set([...leaving.fractions.keys(), ...target.keys()])) {
+			const current = (leaving.fractions.get(zone) ?? 0) * decay;
 			fractions.set(zone, current + (((target.get(zone) ?? 0) - current) * dampingShare));
 		}
 
-		this._leaving = fractions;
-		this._decidedMs = nowMs;
+		this._leaving.set(home, {fractions, decidedMs: nowMs});
+		return fractions;
 	}
 }
 
+function leavingDecay({decidedMs}: Leaving, nowMs: number): number {
+	return Math.exp(-Math.max(0, nowMs - decidedMs) / leavingDecayMs);
+}
+
+function draw(fractions: ZoneFractions, home: string, random: SeededRandom): string {
+	let rest = random.next();
+	for (const [zone, fraction] of fractions) {
+		rest -= fraction;
+		if (rest < 0) {
+			return zone;
+		}
+	}
+
+	return home;
+}
+
 /** Returns the wait that a transfer to another zone must save to pay, in milliseconds. */
 export function transferMs(tokens: number): number {
 	return (roundTrips * zoneRoundTripMs) + (tokens * transferMsPerToken) + minSavingMs;
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -250,7 +250,7 @@
 			metrics.count('forward_placements_total', {service: service.name, departure: departure ?? 'none'});
 			logger.log('info', 'request placed', {
 				requestId, attempt, server: server.key, tokens: this._reservedTokens, isSpacious, ownTokens: server.tokens, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
-				...fleet.directory.describeRanking(server, clock.nowMs()), ...(departure && {departure, fromZone: zone, toZone: server.record.zone}),
+				...fleet.directory.describeRanking(server, zone, clock.nowMs()), ...(departure && {departure, fromZone: zone, toZone: server.record.zone}),
 			});
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
