--- a/src/common/forwarding/engine-ranking.test.ts
+++ b/src/common/forwarding/engine-ranking.test.ts
@@ -61,6 +61,26 @@
 	assert.equal(counts['z1-0'], undefined);
 });
 
+for (const [zones, count] of [[['z1'], 12], [['z1', 'z2', 'z3'], 2]] as const) {
+	test(`engines of equal speed are chosen by load, zone and refusals alone, with one random number each: ${count} in each of ${zones.length} zones`, () => {
+		const directory = buildPool(zones, count, 'decode');
+		const random = new SeededRandom(1);
+		const events = new SeededRandom(7);
+		for (let nowMs = 0; nowMs < 20_000; nowMs += 10) {
+			const costs = [...directory.servers].map(server => (server.fullUntilMs > nowMs ? 1e9 : 0) + server.tokens + (server.record.zone === 'z1' ? 0 : 2000) + random.integer(0, 2000));
+			const server = directory.chooseDecodeEngine(query({nowMs}))!;
+			assert.equal(server, [...directory.servers][costs.indexOf(Math.min(...costs))]);
+			directory.recordWork(server, 1, 36 + (8 * events.next()), nowMs);
+			if (events.next() < 0.3) {
+				directory.recordRefusal(server, nowMs);
+			} else {
+				directory.recordGrant(server, nowMs);
+				directory.beginWork(server, events.integer(0, 500));
+			}
+		}
+	});
+}
+
 test('engines of another zone are not used as long as those at home are alike and have room', () => {
 	const directory = buildPool(['z1', 'z2'], 12, 'decode');
 	assert.deepEqual(countChoices(() => directory.chooseDecodeEngine(query()), ({record}) => record.zone), {z1: 600});
--- a/src/common/forwarding/engine-ranking.ts
+++ b/src/common/forwarding/engine-ranking.ts
@@ -70,7 +70,7 @@
 		return lowestCostServer(askable, server => {
 			const serverSlowness = this.slownessOf(server, nowMs);
 			return (server.fullUntilMs > nowMs ? fullPenaltyTokens : 0) + (server.tokens * serverSlowness * (1 + (server.failureShare * failurePenaltyFactor)))
-				+ (toll(server.record.zone) * otherZonePenaltyTokens) + (speedSpread(serverSlowness, exponent, random.next()) * spreadTokens);
+				+ (toll(server.record.zone) * otherZonePenaltyTokens) + Math.floor(speedSpread(serverSlowness, exponent, random.next()) * spreadTokens);
 		});
 	}
 
