--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -79,6 +79,8 @@
 	readonly coldRate?: ColdRate | undefined;
 	/** Zones whose servers may be chosen; all zones if undefined. */
 	readonly allowedZones?: ReadonlySet<string> | undefined;
+	/** Whether the request fails if no engine is found, so that engines of other zones are asked although all zones are believed to be full. */
+	readonly isLastChance?: boolean;
 };
 
 /** Servers of all services on the platform's list, with the load and health that this process observed, and the choice among them. */
@@ -145,6 +147,11 @@
 			this._byService.set(server.record.service, servers);
 		}
 
+		const zones = new Set([...listed.values()].map(({zone}) => zone));
+		for (const ranking of this._rankings.values()) {
+			ranking.zones.retainZones(zones);
+		}
+
 		return {
 			added, changed, removed, cold,
 		};
@@ -198,7 +205,8 @@
 
 	/** Returns the prefill engine with the lowest cost, mainly the tokens that this process has queued on it; undefined if no engine may be used. The query's zone, which is the zone of the decode engine, is preferred. */
 	choosePrefillEngine(query: ServerQuery): Server | undefined {
-		return this._chooseEngine({...query, stage: 'prefill'}, 'prefill');
+		// Prompts do not wait for another round of calls: without a prefill engine, the decode engine prefills them.
+		return this._chooseEngine({...query, stage: 'prefill', isLastChance: true}, 'prefill');
 	}
 
 	/** Returns why a decode engine that was chosen is in another zone than the request; undefined if it is not. */
@@ -206,10 +214,10 @@
 		return this._ranking(query.service, 'decode').departureReason(server, () => this._usableServers({...query, stage: 'decode'}), query);
 	}
 
-	/** Returns what the ranking assumes of an engine and its zone, for the log. */
-	describeRanking(server: Server, nowMs: number): RankingFacts | undefined {
+	/** Returns what the ranking assumes of an engine and its zone, and of the request's zone `home`, for the log. */
+	describeRanking(server: Server, home: string, nowMs: number): RankingFacts | undefined {
 		const {service, stage} = server.record;
-		return stage && this._ranking(service, stage).describe(server, nowMs);
+		return stage && this._ranking(service, stage).describe(server, home, nowMs);
 	}
 
 	/** Returns the state of the choice among zones, by service and stage, for the state dump. */
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -1,4 +1,4 @@
-import {createModelForward, reduceModelForward} from '../../common/forwarding/model-forward.js';
+import {createModelForward, isLastChance, reduceModelForward} from '../../common/forwarding/model-forward.js';
 import type {ModelForwardState, ModelForwardEffect, ModelForwardInput} from '../../common/forwarding/model-forward.js';
 import {memoryWaitPolicy, fullPoolRetryAfterMs, isCallerRetry} from '../../common/forwarding/memory-wait.js';
 import {RequestPriority} from '../../common/forwarding/priority-policy.js';
@@ -226,6 +226,7 @@
 	private _selectionCriteria(exclude: ReadonlySet<ServerKey>, zone: string): ServerQuery {
 		const {fleet, clock} = this._dependencies;
 		const {service, allowedZones} = this._request;
+		const nowMs = clock.nowMs();
 		return {
 			allowedZones,
 			service: service.name,
@@ -233,8 +234,9 @@
 			exclude,
 			maxInFlight: fleet.exchangeLimit(service.maxConnections),
 			tokens: this._request.caller.prompt?.promptTokens ?? 0,
-			nowMs: clock.nowMs(),
+			nowMs,
 			coldRate: fleet.coldRate(service),
+			isLastChance: isLastChance(this._state, nowMs),
 		};
 	}
 
@@ -280,7 +282,7 @@
 			logger.log('info', 'request placed', {
 				requestId, attempt, server: server.key, tokens: this._reservedTokens, isSpacious, ownTokens: server.tokens, priority: priority?.rank,
 				keptRatio: this._state.round?.keptRatio, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
-				...fleet.directory.describeRanking(server, clock.nowMs()), ...(departure && {departure, fromZone: zone, toZone: server.record.zone}),
+				...fleet.directory.describeRanking(server, zone, clock.nowMs()), ...(departure && {departure, fromZone: zone, toZone: server.record.zone}),
 			});
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
@@ -297,7 +299,7 @@
 		const tried = new Set(exclude);
 		while (!this._isStale(attempt) && this._state.isSeekingEngine) {
 			this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
-			const server = this._hasPrefillSlot ? fleet.directory.chooseDecodeEngine(this._selectionCriteria(tried, zone)) : undefined;
+			const server = this._hasPrefillSlot ? fleet.directory.chooseDecodeEngine({...this._selectionCriteria(tried, zone), isLastChance: true}) : undefined;
 			if (!server) {
 				break;
 			}
