upstreams: an answer that ends before its request was sent, or has no status of HTTP, is broken off

Cause: an answer without framing ended with any close of its connection, also while most of a 4 MB upload was unread; a server that dies with an empty receive buffer closes first, and its kernel resets only at later bytes. Statuses had a lower bound only.

Change: at the end of a connection the socket is asked whether the kernel has taken the whole request (undici's onRequestSent comes with the call of write); if not, an answer without framing counts as broken off. A status above 599 is a broken call. wasReset of responses and of the two log lines of streams is named wasBrokenOff, as it tells both.

--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -269,8 +269,8 @@
 				await exchange.write(chunk);
 			}
 
-			if (response.wasReset()) {
-				throw new CallError('broken', true, 'the connection was reset before the response was complete');
+			if (response.wasBrokenOff()) {
+				throw new CallError('broken', true, 'the connection was reset before the response was complete, or closed before the request was sent');
 			}
 
 			if (!response.isFramed && await this._upstreams.isLost(attempt.upstream.adapter.name)) {
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -35,7 +35,7 @@
 };
 
 /** Reads the body of an answer to its end. Throws `CallError` if the body breaks off or is larger than `limitBytes`. */
-export async function bufferAnswer({status, headers, body, isFramed, wasReset}: UpstreamResponse, limitBytes: number): Promise<BufferedAnswer> {
+export async function bufferAnswer({status, headers, body, isFramed, wasBrokenOff}: UpstreamResponse, limitBytes: number): Promise<BufferedAnswer> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	try {
@@ -52,8 +52,8 @@
 		throw CallError.from(err, {mayHaveBeenSent: true, isTimeout: false});
 	}
 
-	if (wasReset()) {
-		throw new CallError('broken', true, 'the connection was reset within the answer');
+	if (wasBrokenOff()) {
+		throw new CallError('broken', true, 'the connection was reset within the answer, or closed before the request was sent');
 	}
 
 	return {
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -656,14 +656,14 @@
 		const {fleet, logger} = this._dependencies;
 		const {server} = this._resources.reservation!;
 		const {isFramed} = response;
-		const wasReset = response.wasReset();
-		const isBroken = wasReset || isWithinEvent || (!isFramed && await fleet.isLost(server));
+		const wasBrokenOff = response.wasBrokenOff();
+		const isBroken = wasBrokenOff || isWithinEvent || (!isFramed && await fleet.isLost(server));
 		if (this._isStale(attempt)) {
 			return;
 		}
 
 		const end = {
-			requestId, attempt, server: server.key, isFramed, wasReset, isWithinEvent, after: this._eventTracker.lastEventId,
+			requestId, attempt, server: server.key, isFramed, wasBrokenOff, isWithinEvent, after: this._eventTracker.lastEventId,
 		};
 		if (isBroken) {
 			this._trackedSend?.end('broken');
--- a/src/node/upstreams/connection-pool.test.ts
+++ b/src/node/upstreams/connection-pool.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {createServer} from 'node:net';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo, ServerOpts, Socket} from 'node:net';
 import {once} from 'node:events';
 import {text} from 'node:stream/consumers';
 import type {TestContext} from 'node:test';
@@ -15,6 +16,8 @@
 
 /** Timeout of calls that a server answers, in milliseconds. Long, since a busy machine may delay an answer, and only a failing test waits for it. */
 const answerTimeoutMs = 10_000;
+/** Size of an upload that is larger than the kernel's largest send buffer, so that it isn't sent while its server does not read, in bytes. */
+const longUploadBytes = 8_000_000;
 
 function testCall(fields: Partial<UpstreamCall> = {}): UpstreamCall {
 	return {
@@ -82,8 +85,8 @@
 });
 
 /** Starts a server that answers each request with `respond`, and a pool of connections to it. */
-async function startRawServer(t: TestContext, respond: (socket: Socket, request: string) => void): Promise<ConnectionPool> {
-	const server = createServer(socket => {
+async function startRawServer(t: TestContext, respond: (socket: Socket, request: string) => void, options: ServerOpts = {}): Promise<ConnectionPool> {
+	const server = createServer(options, socket => {
 		socket.on('data', chunk => {
 			respond(socket, String(chunk));
 		});
@@ -114,10 +117,10 @@
 	});
 	const complete = await pool.call(testCall({path: '/whole'}));
 	assert.equal(await text(complete.body), 'half and all');
-	assert.equal(complete.wasReset(), false);
+	assert.equal(complete.wasBrokenOff(), false);
 	const truncated = await pool.call(testCall({path: '/reset'}));
 	assert.equal(await text(truncated.body), 'half');
-	assert.equal(truncated.wasReset(), true);
+	assert.equal(truncated.wasBrokenOff(), true);
 });
 
 // Guards against a part of an answer that passes as the whole one: if a reset follows the last bytes at once, Node.js reports the end of the connection.
@@ -127,9 +130,9 @@
 		socket.resetAndDestroy();
 	});
 	for (let i = 0; i < 20; i++) {
-		const {body, wasReset} = await pool.call(testCall());
+		const {body, wasBrokenOff} = await pool.call(testCall());
 		assert.equal(await text(body), 'half');
-		assert.equal(wasReset(), true);
+		assert.equal(wasBrokenOff(), true);
 	}
 });
 
@@ -176,10 +179,10 @@
 		socket.resetAndDestroy();
 	});
 	for (let i = 0; i < 30; i++) {
-		const {body, wasReset} = await pool.call(testCall({path: `/${i % answers.length}`}));
+		const {body, wasBrokenOff} = await pool.call(testCall({path: `/${i % answers.length}`}));
 		assert.equal(await text(body), 'whole');
 		await sleep(i % 3);
-		assert.equal(wasReset(), false, answers[i % answers.length]);
+		assert.equal(wasBrokenOff(), false, answers[i % answers.length]);
 	}
 });
 
@@ -195,9 +198,9 @@
 		}
 	});
 	for (const path of ['/kept', '/kept', '/unframed', '/kept', '/unframed']) {
-		const {body, wasReset} = await pool.call(testCall({path}));
+		const {body, wasBrokenOff} = await pool.call(testCall({path}));
 		assert.equal(await text(body), 'whole');
-		assert.equal(wasReset(), false, path);
+		assert.equal(wasBrokenOff(), false, path);
 		await waitUntil(() => pool.busyCount === 0);
 		if (path === '/kept') {
 			const closed = once(idle!, 'close');
@@ -265,3 +268,34 @@
 	assert.equal(server.connectionCount, 2);
 	assert.ok(written.bytes < 2_000_000, `${written.bytes} bytes`);
 });
+
+// Guards against an answer that callers can't read: HTTP has the statuses 100 to 599.
+test('an answer whose status is none of HTTP is no answer', async t => {
+	const pool = await startRawServer(t, (socket, request) => {
+		socket.end(`HTTP/1.1 ${request.split('/', 2)[1]!.split(' ', 1)[0]!} Status\r\nContent-Length: 5\r\n\r\nwhole`);
+	});
+	for (const status of ['000', '099', '600', '999']) {
+		await assert.rejects(pool.call(testCall({path: `/${status}`})), (err: unknown) => err instanceof CallError && err.kind === 'broken' && err.mayHaveBeenSent, status);
+	}
+
+	const {status} = await pool.call(testCall({path: '/599'}));
+	assert.equal(status, 599);
+});
+
+// Guards against a part of an answer that passes as the whole one: if the process of a server dies, its kernel closes the connection, and resets it only when more of the request arrives.
+test('an answer without framing that ends before its request was sent does not look complete, and one with framing does', async t => {
+	const pool = await startRawServer(t, (socket, request) => {
+		socket.pause();
+		socket.end(`HTTP/1.1 200 OK\r\n${heads[Number(/^POST \/(\d+)/.exec(request)![1])]!}`);
+	}, {allowHalfOpen: true});
+	const heads = ['Connection: close\r\n\r\nhalf', 'Content-Length: 4\r\n\r\nhalf', 'Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n'];
+	for (const [i, head] of heads.entries()) {
+		for (const bytes of [1, longUploadBytes]) {
+			const {body, wasBrokenOff} = await pool.call(testCall({
+				path: `/${i}`, method: 'POST', body: Buffer.alloc(bytes), isNewConnection: true,
+			}));
+			assert.equal(await text(body), 'half');
+			assert.equal(wasBrokenOff(), i === 0 && bytes === longUploadBytes, `${head}, ${bytes} bytes`);
+		}
+	}
+});
--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -24,6 +24,8 @@
 
 /** Lowest status of a final response. */
 const firstFinalStatus = 200;
+/** Highest status of a response (RFC 9110, section 15). */
+const lastStatus = 599;
 
 /** Errors with which the network or the upstream's host refuses a connection; others, such as a lack of file descriptors, have their cause in this process. */
 const refusalCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EHOSTUNREACH', 'ENETUNREACH']);
@@ -68,10 +70,10 @@
 	/** Whether the answer itself tells where its body ends. The body of any other answer ends when its connection closes, whether or not it is whole. */
 	readonly isFramed: boolean;
 	/**
-	Returns whether a body without framing was truncated by a reset of its connection; the result is final once the body has ended.
-	Such a body ends when its connection closes, and undici reports a reset as its end, too.
+	Returns whether a body without framing was truncated: its connection was reset, or closed before the request was sent; the result is final
+	once the body has ended. Such a body ends when its connection closes, and undici reports a reset as its end, too.
 	*/
-	readonly wasReset: () => boolean;
+	readonly wasBrokenOff: () => boolean;
 	/** Confirms that the answer is that of the call, so that the connection need not rest. An answer that bears the call's id is confirmed by it. */
 	readonly confirm: () => void;
 	/** Closes the connection, at the latest when it is no longer in use. */
@@ -111,7 +113,8 @@
 	/** Whether the connection has carried an earlier call. */
 	isReused: boolean;
 	lastUsedAtMs: number;
-	wasReset: boolean;
+	/** Whether the connection was reset, or closed by the upstream before the request was sent. */
+	wasBrokenOff: boolean;
 };
 
 /**
@@ -202,6 +205,10 @@
 			// A discarded body has no reader, and an unhandled `error` event would end the process. Code that reads the body still
 			// gets its errors.
 			body.on('error', () => undefined);
+			if (statusCode > lastStatus) {
+				throw new CallError('broken', true, `the answer's status is ${statusCode}, which HTTP does not have`);
+			}
+
 			const answerHeaders = flattenHeaders(headers);
 			if (isJoinedHead(statusText, answerHeaders)) {
 				throw new ForeignAnswerError('a part of another answer precedes the answer');
@@ -221,7 +228,7 @@
 				headers: answerHeaders,
 				body,
 				isFramed: hasFraming,
-				wasReset: () => connection.wasReset && !hasFraming,
+				wasBrokenOff: () => connection.wasBrokenOff && !hasFraming,
 				confirm() {
 					connection.isConfirmed = true;
 				},
@@ -317,25 +324,26 @@
 				connect(options, (...result) => {
 					const [, socket] = result;
 					// Undici connects again if the server closed the connection while it was idle.
-					connection.wasReset = false;
+					connection.wasBrokenOff = false;
 					connection.isReused = false;
-					// These listeners must run before undici's own listeners, which may end the body: `wasReset` must be final by then.
+					// These listeners must run before undici's own listeners, which may end the body: `wasBrokenOff` must be final by then.
 					socket?.once('error', (err: NodeJS.ErrnoException) => {
 						// Only errors of the operating system, such as a reset, have a `syscall`; errors that undici raises itself, such
 						// as for a closed connection, have none.
-						connection.wasReset ||= err.syscall !== undefined;
+						connection.wasBrokenOff ||= err.syscall !== undefined;
 					});
 					socket?.once('end', () => {
 						// If a reset arrives together with the last bytes, Node.js reports the end of the connection instead. A connection
-						// that was reset has no peer; one that the peer closed still has it.
-						connection.wasReset ||= socket.remoteAddress === undefined;
+						// that was reset has no peer; one that the peer closed still has it. Undici counts a request as sent once it has
+						// called `write`; only the socket knows what the kernel has not taken.
+						connection.wasBrokenOff ||= socket.remoteAddress === undefined || socket.writableLength > 0;
 					});
 					callback(...result);
 				});
 			},
 		});
 		const connection: Connection = {
-			client, exchangeIds: new Set(), isConfirmed: false, isCondemned: false, isReused: false, lastUsedAtMs: this._clock.nowMs(), wasReset: false,
+			client, exchangeIds: new Set(), isConfirmed: false, isCondemned: false, isReused: false, lastUsedAtMs: this._clock.nowMs(), wasBrokenOff: false,
 		};
 		return connection;
 	}
