--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -40,7 +40,7 @@
 */
 export async function bufferAnswer(
 	{
-		status, headers, body, isFramed, wasReset,
+		status, headers, body, isFramed, wasBrokenOff,
 	}: UpstreamResponse,
 	limitBytes: number,
 	reserve: (bytes: number) => boolean = () => true,
@@ -65,8 +65,8 @@
 		throw CallError.from(err, {mayHaveBeenSent: true, isTimeout: false});
 	}
 
-	if (wasReset()) {
-		throw new CallError('broken', true, 'the connection was reset within the answer');
+	if (wasBrokenOff()) {
+		throw new CallError('broken', true, 'the connection was reset within the answer, or closed before the request was sent');
 	}
 
 	return {
