forwarding: the first samples of a server's speed are bounded less tightly than the others

Change: a factor of 2 for the first two samples, which contains the speeds that pools have. With a bound that also held at a weight of 2, the existing test of one outlier failed; it is unchanged.

--- a/src/common/forwarding/engine-speed.ts
+++ b/src/common/forwarding/engine-speed.ts
@@ -16,6 +16,9 @@
 export const minUsedWeight = 0.9;
 /** Minimum time between samples that the long-run estimate follows, in milliseconds: the windows of one stream are alike. */
 const steadyIntervalMs = 500;
+/** Bound on a sample's deviation while the weight is below `minSettledWeight`, as a difference of logarithms: a factor of 2; one sample may contain a pause. */
+const maxFirstStep = Math.log(2);
+const minSettledWeight = 1.5;
 /** Time constant with which the weight of an estimate decays without samples, in milliseconds. */
 const weightDecayMs = 120_000;
 /** Deviation from the long-run estimate that may be a spell, as a difference of logarithms: a factor of 1.5. */
@@ -116,7 +119,7 @@
 
 		if (nowMs - this._followedMs >= steadyIntervalMs) {
 			this._followedMs = nowMs;
-			this._follow(clamp(deviation, spellThreshold), nowMs);
+			this._follow(clamp(deviation, this.weightAt(nowMs) < minSettledWeight ? maxFirstStep : spellThreshold), nowMs);
 		}
 	}
 
