forwarding: the pace of a stream no longer depends on its reader

Cause: since streams are read ahead of slow callers up to the memory budget, a slow caller does not delay the reading.

--- a/src/common/forwarding/stream-pace.ts
+++ b/src/common/forwarding/stream-pace.ts
@@ -1,7 +1,5 @@
 /** Duration of a window in which the time per event is measured, in milliseconds; long enough to hold several events, and short enough to show a slow spell. */
 const windowMs = 100;
-/** Time that the reader may take for what has arrived, in milliseconds; beyond it, the time between events is no longer the engine's. */
-const maxReaderDelayMs = 5;
 
 /** Measures how long an engine takes per event of a stream, from the arrival of its events. */
 export class StreamPace {
@@ -21,11 +19,4 @@
 		this._startedAtEvent = eventCount;
 		return msPerEvent;
 	}
-
-	/** Records how long the caller took to accept what arrived. Drops the window if it was too long. */
-	recordReaderDelay(delayMs: number): void {
-		if (delayMs > maxReaderDelayMs) {
-			this._startedMs = undefined;
-		}
-	}
 }
