--- a/src/common/forwarding/model-forward.test.ts
+++ b/src/common/forwarding/model-forward.test.ts
@@ -188,15 +188,15 @@
 	assert.deepEqual(run([{type: 'forward/held', attempt: 1}], {takeRetry: () => false, hasAcceptingPrefillEngine: () => true}), ['hold -', 'prefill']);
 });
 
-test('a request is rejected immediately if every engine is paused for longer than the request may wait, and the reason tells paused, full and busy engines apart', () => {
-	const refusal = (nowMs: number, resumesInMs?: number, isPrefillBusy = false) => {
+test('a request is rejected immediately if every engine is paused for longer than the request may wait, and the reason tells paused, full, busy and cold engines apart', () => {
+	const refusal = (nowMs: number, resumesInMs?: number, isPrefillBusy = false, coldWaitMs?: number) => {
 		const state = createModelForward({
 			isResumable: false, maxAttempts: 1, memoryWaitPolicy: {maxWaitMs: 600, roundIntervalMs: 50, spareMemoryRatio: 0}, fullPoolRetryAfterMs: 2000,
 			takeRetry: () => true, hasAcceptingPrefillEngine: () => false, chargeFailedPrefill: () => undefined,
 		});
 		reduceModelForward(state, {type: 'forward/start', nowMs: 0});
 		const effects = reduceModelForward(state, {
-			type: 'forward/no-engine', attempt: 1, nowMs, resumesInMs, isPrefillBusy,
+			type: 'forward/no-engine', attempt: 1, nowMs, resumesInMs, isPrefillBusy, coldWaitMs,
 		});
 		return effects.map(effect => effect.type === 'forward/answer' ? effect.answer : effect.type);
 	};
@@ -204,9 +204,19 @@
 	assert.deepEqual(refusal(0, 2500), ['forward/release', {status: 503, reason: 'no engine takes work', retryAfterMs: 2500}]);
 	assert.deepEqual(refusal(0, 300), ['forward/wait']);
 	assert.deepEqual(refusal(700), ['forward/release', {status: 503, reason: 'no engine has room', retryAfterMs: 2000}]);
+	assert.deepEqual(refusal(0, undefined, false, 3000), ['forward/release', {status: 503, reason: 'the servers have just started and take few requests', retryAfterMs: 1000}]);
+	assert.deepEqual(refusal(0, undefined, false, 300), ['forward/wait'], 'a turn comes within the wait');
 	assert.deepEqual(refusal(700, undefined, true), ['forward/release', {status: 503, reason: 'the prefill engines are busy', retryAfterMs: 2000}]);
 });
 
+test('an engine on which the request failed is asked again before the request is rejected because all others are cold', () => {
+	const cold = {type: 'forward/no-engine' as const, attempt: 1, coldWaitMs: 3000};
+	const steps: Step[] = [{type: 'forward/hold-failed', attempt: 1, server: 'd1'}, cold];
+	assert.deepEqual(run(steps), ['hold -', 'hold -d1', 'wait']);
+	assert.deepEqual(run([...steps, {type: 'forward/wake'}]), ['hold -', 'hold -d1', 'wait', 'hold -']);
+	assert.deepEqual(run([...steps, {type: 'forward/wake'}, cold]).slice(4), ['release', '503 retry-after']);
+});
+
 // Guards against a request with a blocked prompt that is sent on, and against a refusal that says "not run" although an engine may have run the request.
 test('a request whose prompt is blocked ends at once: as not run before its first send, and without that promise afterwards', () => {
 	const blocked = (attempt: number): Step => ({
@@ -217,3 +227,33 @@
 		type: 'forward/failed', attempt: 1, failure: {mayHaveRun: true, detail: 'closed'}, server: 'd1',
 	}, blocked(2)], {isResumable: true, maxAttempts: 2}), ['hold -', 'prefill', 'send', 'release', 'hold -d1', 'release', '502']);
 });
+
+test('a request that yields to more urgent ones gives up its round after as many engines as it may ask, and its refusal carries the later retry', () => {
+	const recorded: string[] = [];
+	const round = {
+		isSpareFirst: false, keptRatio: 1, maxEngines: 2, fullPoolRetryAfterMs: 5000,
+	};
+	const priority = {
+		planRound: () => round,
+		recordRefusedRound() {
+			recorded.push('refused');
+		},
+		recordGranted(refusals: number) {
+			recorded.push(`granted after ${refusals}`);
+		},
+	};
+	const refusedTwice = [reservationRefused('d1'), reservationRefused('d2')];
+	const steps: Step[] = [...refusedTwice, {type: 'forward/wake'}, reservationRefused('d1'), {type: 'forward/held', attempt: 1}];
+	assert.deepEqual(run(steps, {priority}), ['no-spare hold -', 'no-spare hold -d1', 'wait', 'no-spare hold -', 'no-spare hold -d1', 'prefill']);
+	assert.deepEqual(recorded, ['refused', 'granted after 1']);
+	const state = createModelForward({
+		isResumable: false, maxAttempts: 1, memoryWaitPolicy: {maxWaitMs: 0, roundIntervalMs: 50, spareMemoryRatio: 0}, fullPoolRetryAfterMs: 2000,
+		priority, takeRetry: () => true, hasAcceptingPrefillEngine: () => false, chargeFailedPrefill: () => undefined,
+	});
+	const effects = [{type: 'forward/start'} as const, ...refusedTwice].flatMap(step => reduceModelForward(state, {...step, nowMs: 0}));
+	assert.deepEqual(effects.at(-1), {type: 'forward/answer', answer: {status: 503, reason: 'no engine has room beside that kept for others', retryAfterMs: 5000}});
+	recorded.splice(2);
+	// An engine that failed or a busy prefill window shows no lack of memory.
+	run([{type: 'forward/no-engine', attempt: 1, isPrefillBusy: true}], {priority});
+	assert.equal(recorded.length, 2);
+});
--- a/src/common/forwarding/model-forward.ts
+++ b/src/common/forwarding/model-forward.ts
@@ -3,7 +3,9 @@
 prefill engine, and sends the request to the decode engine, which fetches the KV cache and streams the output.
 */
 import type {BaseEvent, UntimedEvent} from '../core/types.js';
+import {coldRetryAfterMs, coldServersReason} from './cold-budget.js';
 import type {MemoryWaitPolicy} from './memory-wait.js';
+import type {RequestPriority, ReservationRound} from './priority-policy.js';
 import type {
 	LocalAnswer, SendFailure, ServerKey, StopCause,
 } from './types.js';
@@ -13,6 +15,8 @@
 const maxPrefillCalls = 2;
 /** Requests that a retry adds at the engines: one to a prefill engine and one to a decode engine. */
 const requestsPerRetry = 2;
+/** Time that may pass between the choice of an engine and the event that tells of it, in milliseconds. */
+const eventDelayMs = 5;
 /** `Retry-After` for callers whose request failed on the engines, in milliseconds. */
 const retryAfterFailureMs = 300;
 
@@ -24,6 +28,8 @@
 	readonly memoryWaitPolicy: MemoryWaitPolicy;
 	/** `Retry-After` for the caller if the pool stays full, in milliseconds. */
 	readonly fullPoolRetryAfterMs: number;
+	/** Competition with requests of other priorities; undefined if all requests of the service have the same priority. */
+	readonly priority?: Pick<RequestPriority, 'planRound' | 'recordRefusedRound' | 'recordGranted'> | undefined;
 	/**
 	Takes as many requests from the service's retry budget as a retry adds at the engines (`requests`), and returns whether the budget had that many
 	left. With 0, takes nothing and returns whether the budget is not overdrawn.
@@ -46,6 +52,8 @@
 	attempt: number;
 	/** Whether the current round of reservation calls requires engines to keep spare memory beyond the reservation. */
 	isSpareRequired: boolean;
+	/** How the current round goes; undefined if all requests of the service have the same priority. */
+	round: ReservationRound | undefined;
 	/** Engines that refused a reservation in the current round of calls. */
 	refusedBy: Set<ServerKey>;
 	/** Engines on which the request failed; they are not asked again until the request waits for memory. */
@@ -73,7 +81,9 @@
 	No engine is left to ask for a reservation. `resumesInMs` is set if every engine paused new work: the time until the first engine resumes, in
 	milliseconds. `isPrefillBusy` is set if no engine was asked because this process already has as many prompts at the prefill engines as it may.
 	*/
-	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number; readonly resumesInMs?: number | undefined; readonly isPrefillBusy?: boolean})
+	| (BaseEvent<'forward/no-engine'> & {readonly attempt: number; readonly resumesInMs?: number | undefined; readonly isPrefillBusy?: boolean;
+		/** Set if engines are left out only because they are cold: the time until this process may send to the first of them, in milliseconds. */
+		readonly coldWaitMs?: number | undefined;})
 	| (BaseEvent<'forward/prefilled'> & {readonly attempt: number})
 	| (BaseEvent<'forward/prefill-failed'> & {readonly attempt: number; readonly server: ServerKey | undefined})
 	/** The head of a response arrived; `isNotRun` means that the engine reported that it did not run the request. */
@@ -126,6 +136,7 @@
 		memoryWaitStartedMs: 0,
 		attempt: 0,
 		isSpareRequired: true,
+		round: undefined,
 		refusedBy: new Set(),
 		failedOn: new Set(),
 		prefillCalls: 0,
@@ -153,12 +164,11 @@
 		}
 
 		case 'forward/held': {
-			return handleReservation(state, event.nowMs);
+			return handleGrant(state, event.nowMs);
 		}
 
 		case 'forward/hold-refused': {
-			state.refusedBy.add(event.server);
-			return requestReservation(state);
+			return handleRefusal(state, event);
 		}
 
 		case 'forward/hold-failed': {
@@ -203,12 +213,7 @@
 		}
 
 		case 'forward/wake': {
-			if (state.phase !== 'waiting') {
-				return [];
-			}
-
-			state.phase = 'holding';
-			return startReservationRound(state);
+			return wake(state, event.nowMs);
 		}
 
 		case 'forward/stopped': {
@@ -222,7 +227,7 @@
 
 function startAttempt(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
 	beginAttempt(state, nowMs);
-	return startReservationRound(state);
+	return startReservationRound(state, nowMs);
 }
 
 function beginAttempt(state: ModelForwardState, nowMs: number): void {
@@ -234,8 +239,9 @@
 }
 
 /** Starts a round of reservation calls that requires spare memory; if engines refuse, `handleNoEngine` asks again without that requirement. */
-function startReservationRound(state: ModelForwardState): ModelForwardEffect[] {
-	state.isSpareRequired = true;
+function startReservationRound(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
+	state.round = state.priority?.planRound(nowMs, state.hasForwardedHead);
+	state.isSpareRequired = state.round?.isSpareFirst ?? true;
 	state.refusedBy = new Set();
 	return requestReservation(state);
 }
@@ -246,6 +252,25 @@
 	}];
 }
 
+function wake(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
+	if (state.phase !== 'waiting') {
+		return [];
+	}
+
+	state.phase = 'holding';
+	return startReservationRound(state, nowMs);
+}
+
+function handleGrant(state: ModelForwardState, nowMs: number): ModelForwardEffect[] {
+	state.priority?.recordGranted(state.refusedBy.size);
+	return handleReservation(state, nowMs);
+}
+
+function handleRefusal(state: ModelForwardState, {server, nowMs}: EventOf<'forward/hold-refused'>): ModelForwardEffect[] {
+	state.refusedBy.add(server);
+	return state.refusedBy.size >= (state.round?.maxEngines ?? Infinity) ? handleNoEngine(state, {nowMs}) : requestReservation(state);
+}
+
 function requestPrefill(state: ModelForwardState): ModelForwardEffect[] {
 	state.prefillCalls++;
 	return [{type: 'forward/prefill', attempt: state.attempt, exclude: state.failedOn}];
@@ -258,18 +283,40 @@
 	return state.phase === 'prefilling' ? requestPrefill(state) : [{type: 'forward/send', attempt: state.attempt}];
 }
 
+/**
+Whether the request fails, or a stream that has begun is cut, if no engine that is asked in this round has room. Engines that are believed to be full
+are then asked as well.
+*/
+export function isLastChance({memoryWaitPolicy: {maxWaitMs, roundIntervalMs}, memoryWaitStartedMs, hasForwardedHead, isSpareRequired, refusedBy}: ModelForwardState, nowMs: number): boolean {
+	const isLastRound = nowMs - memoryWaitStartedMs + roundIntervalMs + eventDelayMs > maxWaitMs;
+	// Those that refused are asked again without the spare-memory requirement.
+	const isFollowed = isSpareRequired && refusedBy.size > 0;
+	return !isFollowed && (isLastRound || hasForwardedHead);
+}
+
+type NoEngineFacts = Omit<EventOf<'forward/no-engine'>, 'type' | 'attempt'>;
+
 /** Starts another round without the spare-memory requirement if this round had it; otherwise waits for memory if the policy allows it, or else rejects the request. */
-function handleNoEngine(state: ModelForwardState, {nowMs, resumesInMs = 0, isPrefillBusy = false}: EventOf<'forward/no-engine'>): ModelForwardEffect[] {
+function handleNoEngine(state: ModelForwardState, {nowMs, resumesInMs = 0, isPrefillBusy = false, coldWaitMs}: NoEngineFacts): ModelForwardEffect[] {
 	if (state.isSpareRequired && state.refusedBy.size > 0) {
 		state.isSpareRequired = false;
 		state.refusedBy = new Set();
 		return requestReservation(state);
 	}
 
+	if (state.round && state.refusedBy.size > 0) {
+		state.priority?.recordRefusedRound(state.round, state.refusedBy.size, nowMs);
+	}
+
 	const {maxWaitMs, roundIntervalMs} = state.memoryWaitPolicy;
+	const {fullPoolRetryAfterMs} = state.round ?? state;
 	const waitedMs = nowMs - state.memoryWaitStartedMs;
+	if (coldWaitMs !== undefined && state.refusedBy.size + state.failedOn.size === 0 && waitedMs + coldWaitMs > maxWaitMs) {
+		return failRequest(state, coldServersReason, coldRetryAfterMs(coldWaitMs));
+	}
+
 	if (resumesInMs > 0 && waitedMs + resumesInMs > maxWaitMs) {
-		return failRequest(state, 'no engine takes work', Math.max(resumesInMs, state.fullPoolRetryAfterMs));
+		return failRequest(state, 'no engine takes work', Math.max(resumesInMs, fullPoolRetryAfterMs));
 	}
 
 	if (waitedMs + roundIntervalMs <= maxWaitMs) {
@@ -279,7 +326,8 @@
 		return [{type: 'forward/wait', durationMs: roundIntervalMs}];
 	}
 
-	return failRequest(state, isPrefillBusy ? 'the prefill engines are busy' : 'no engine has room', state.fullPoolRetryAfterMs);
+	const noRoomReason = (state.round?.keptRatio ?? 0) > 0 ? 'no engine has room beside that kept for others' : 'no engine has room';
+	return failRequest(state, isPrefillBusy ? 'the prefill engines are busy' : noRoomReason, fullPoolRetryAfterMs);
 }
 
 /** Calls another prefill engine if one failed, the attempt has a call left and the retry budget is not overdrawn; otherwise lets the decode engine prefill the prompt. */
--- a/src/common/forwarding/route-table.ts
+++ b/src/common/forwarding/route-table.ts
@@ -1,14 +1,19 @@
 import type {
 	ForwardRoute, ForwardService, ForwardCustomer, Forwarding,
 } from '../configuration/forwarding.js';
+import {PriorityRanks} from './priority-ranks.js';
 
 /** Lookup tables for the forwarding section of the configuration; built once per configuration version. */
 export class RouteTable {
+	readonly priorityRanks: PriorityRanks;
 	private readonly _routesByHost = new Map<string, ForwardRoute[]>();
 	private readonly _customersByKey = new Map<string, ForwardCustomer>();
 	private readonly _services = new Map<string, ForwardService>();
+	private readonly _hasNamedRegions: boolean;
 
 	constructor(readonly forwarding: Forwarding) {
+		this.priorityRanks = new PriorityRanks(forwarding);
+		this._hasNamedRegions = forwarding.routes.some(({allowedRegions}) => allowedRegions !== undefined);
 		for (const route of forwarding.routes) {
 			const host = route.host.toLowerCase();
 			const routes = this._routesByHost.get(host) ?? [];
@@ -40,9 +45,12 @@
 	match(host: string, path: string): ForwardRoute | undefined {
 		const query = path.indexOf('?');
 		const pathname = query === -1 ? path : path.slice(0, query);
-		const name = host.toLowerCase();
-		const routes = this._routesByHost.get(name) ?? this._routesByHost.get(name.replace(/:\d+$/, ''));
-		return routes?.find(({pathPrefix}) => pathname.startsWith(pathPrefix));
+		return this._routesOf(host).find(({pathPrefix}) => pathname.startsWith(pathPrefix));
+	}
+
+	/** Returns the regions that each route of the host names, without the routes that name none; `host` may include a port. */
+	namedRegions(host: string): string[][] {
+		return this._hasNamedRegions ? this._routesOf(host).flatMap(({allowedRegions}) => allowedRegions ? [allowedRegions] : []) : [];
 	}
 
 	/** Returns the customer that owns an API key; undefined for an unknown key. */
@@ -53,6 +61,11 @@
 	service(name: string): ForwardService | undefined {
 		return this._services.get(name);
 	}
+
+	private _routesOf(host: string): readonly ForwardRoute[] {
+		const name = host.toLowerCase();
+		return this._routesByHost.get(name) ?? this._routesByHost.get(name.replace(/:\d+$/, '')) ?? [];
+	}
 }
 
 /** Chooses the service for a request among the targets of its route, in proportion to their weights; `random` is in [0, 1). */
--- a/src/node/control/control-admin-client.ts
+++ b/src/node/control/control-admin-client.ts
@@ -153,8 +153,20 @@
 	}
 
 	async listDrains(): Promise<DrainEntry[]> {
-		const result = await this._read({what: 'drains'}) as ResultOf<'drains'>;
-		return result.drains;
+		const {drains} = await this.readDrains();
+		return drains;
+	}
+
+	/** Reads the drains and the revision that they were read at. If the first control VM has not answered after `firstPatienceMs` milliseconds, another one is asked in addition. */
+	async readDrains(timeoutMs = operationTimeoutMs, firstPatienceMs?: number): Promise<Pick<ResultOf<'drains'>, 'drains' | 'revision'>> {
+		return await this._leaderClient.read({what: 'drains'}, timeoutMs, firstPatienceMs) as ResultOf<'drains'>;
+	}
+
+	/** Evacuates a zone or withdraws its evacuation, unless that was changed after the revision `unchangedSince`; the change is then refused as `stale`. */
+	async setEvacuation(zone: string, isEvacuated: boolean, unchangedSince: number, timeoutMs: number): Promise<ChangeResult> {
+		return toChangeResult(await this._propose({
+			type: 'drain.set', changeId: randomUUID(), target: 'zone', name: zone, draining: isEvacuated, unchangedSince,
+		}, timeoutMs));
 	}
 
 	/** Records an order, which the holder of the lease `orders` carries out. */
--- a/src/node/forwarding/engine-resources.ts
+++ b/src/node/forwarding/engine-resources.ts
@@ -21,7 +21,7 @@
 	reservation: MemoryReservation | undefined;
 	prefilledCache: PrefilledCache | undefined;
 
-	constructor(private readonly _dependencies: ForwardDependencies, private readonly _requestId: string) {}
+	constructor(private readonly _dependencies: Pick<ForwardDependencies, 'fleet' | 'protocol' | 'clock' | 'logger'>, private readonly _requestId: string) {}
 
 	/**
 	Reserves memory for `tokens` tokens on a decode engine, provided that the engine has room for `minFreeTokens` tokens more. The
@@ -31,9 +31,12 @@
 	async reserve(server: Server, {tokens, ttlMs, minFreeTokens}: {readonly tokens: number; readonly ttlMs: number; readonly minFreeTokens: number}): Promise<ReservationResult> {
 		const {fleet, protocol, clock} = this._dependencies;
 		fleet.directory.beginWork(server, tokens);
+		fleet.recordColdRequest(server, ttlMs);
+		// A cold engine gets no trial reservation, which would cost two more requests of the few that it takes.
+		const needsTrial = minFreeTokens > 0 && fleet.coldForMs(server) === 0;
 		let isReserved = false;
 		try {
-			if (minFreeTokens > 0 && !await this._hasRoom(server, tokens + minFreeTokens)) {
+			if (needsTrial && !await this._hasRoom(server, tokens + minFreeTokens)) {
 				fleet.directory.recordRefusal(server, clock.nowMs());
 				return {kind: 'refused'};
 			}
@@ -50,6 +53,7 @@
 			}
 
 			isReserved = true;
+			fleet.directory.recordGrant(server, clock.nowMs());
 			return {
 				kind: 'held', reservation: {
 					server, id: reservationId, tokens, isUsed: false,
@@ -58,6 +62,8 @@
 		} finally {
 			if (!isReserved) {
 				fleet.directory.endWork(server, tokens);
+				// No run follows, so the turn ends here.
+				fleet.recordColdRequest(server);
 			}
 		}
 	}
@@ -115,13 +121,19 @@
 
 	private async _release(server: Server, call: ServerCall, timeoutMs: number): Promise<void> {
 		const {fleet, protocol} = this._dependencies;
+		fleet.recordColdRequest(server);
 		await fleet.adapterFor(server).call(call, timeoutMs, {
 			// The answer to a release is empty, and one that belongs to another release does no harm.
 			isOwnAnswer: ({text}) => protocol.readReservationId(text) === undefined,
 		});
 	}
 
+	/** Tells the engine to release memory, unless nothing may be sent to it any more; it then does so at the end of the time to live. */
 	private async _releaseOnEngine(server: Server, call: ServerCall): Promise<void> {
+		if (this._dependencies.fleet.directory.isEvacuated(server)) {
+			return;
+		}
+
 		try {
 			await this._release(server, call, releaseTimeoutMs);
 		} catch (err) {
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -1,15 +1,23 @@
-import {Buffer} from 'node:buffer';
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import restana from 'restana';
+import type {MemoryPlan} from '../../common/memory/memory-plan.js';
+import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
+import {chooseEntryRegions} from '../../common/forwarding/allowed-regions.js';
+import type {RegionByZone} from '../../common/forwarding/allowed-regions.js';
+import {sampleEntryPoints} from '../../common/membership/entry-point-sample.js';
 import type {MemberRecord} from '../../common/membership/types.js';
 import {splitAddress} from '../address.js';
 import type {ControlAdminClient} from '../control/control-admin-client.js';
+import type {EvacuationOrders} from '../control/evacuation-orders.js';
 import {startListening} from '../entry/caller-listener.js';
 import type {PromMetrics} from '../observability/prom-metrics.js';
 import {stringifyState} from '../operators/operator-server.js';
+import type {MemoryKeeper} from '../memory/memory-keeper.js';
+import {BodyCollector} from '../memory/body-collector.js';
+import {ConnectionGuard} from '../memory/connection-guard.js';
 import type {FleetProtocol} from './fleet-protocol.js';
 
 /** Time for which a caller may use an entry-point answer before it has to ask again, in milliseconds. */
@@ -20,12 +28,25 @@
 const configurationLimitBytes = 8 * 1024 * 1024;
 /** Timeout of the operation on the replicated state that an operator's call starts, in milliseconds; longer than the second or so after which an operator tries another process. */
 const operatorTimeoutMs = 2500;
+/** Maximum length of the name of an availability zone. */
+const maxZoneNameLength = 128;
 
 export type FleetHttpServersOptions = {
 	readonly protocol: FleetProtocol;
 	readonly adminClient: ControlAdminClient;
+	readonly evacuations: EvacuationOrders;
+	/** Whether the deployment has an availability zone of this name. */
+	readonly isKnownZone: (zone: string) => boolean;
+	readonly memory: MemoryKeeper;
+	readonly plan: MemoryPlan;
+	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly members: () => readonly MemberRecord[];
+	/** Returns the regions that each route of a host names, without the routes that name none. */
+	readonly namedRegions: (host: string) => string[][];
+	readonly regionByZone: RegionByZone;
+	/** Returns a random number in [0, 1). */
+	readonly random: () => number;
 	readonly isReady: () => boolean;
 	readonly listen: {readonly operators: string; readonly ready: string; readonly directory: string; readonly metrics: string};
 	readonly metrics: PromMetrics;
@@ -43,6 +64,8 @@
 		await httpServers._listen(operators, service => {
 			service.put(paths.configuration, httpServers._handleErrors(async (req, res) => httpServers._publishConfiguration(req, res)));
 			service.get(paths.configuration, httpServers._handleErrors(async (_req, res) => httpServers._sendConfiguration(res)));
+			service.post(`${paths.evacuations}/:zone`, httpServers._handleErrors(async (req, res) => httpServers._setEvacuation(req, res, true)));
+			service.delete(`${paths.evacuations}/:zone`, httpServers._handleErrors(async (req, res) => httpServers._setEvacuation(req, res, false)));
 		});
 		await httpServers._listen(ready, service => {
 			service.get(paths.ready, (_req, res) => {
@@ -57,6 +80,7 @@
 		});
 		await httpServers._listen(metrics, service => {
 			service.get('/metrics', httpServers._handleErrors(async (_req, res) => {
+				options.memory.updateGauges();
 				res.writeHead(200, {'content-type': options.metrics.contentType});
 				res.end(await options.metrics.render());
 			}));
@@ -68,10 +92,17 @@
 	}
 
 	private readonly _servers: Server[] = [];
+	private readonly _guard: ConnectionGuard;
 
-	private constructor(private readonly _options: FleetHttpServersOptions) {}
+	private constructor(private readonly _options: FleetHttpServersOptions) {
+		const {maxServiceCallers, headBytes} = _options.plan;
+		this._guard = new ConnectionGuard({
+			..._options, ports: 'services', maxConnections: maxServiceCallers, headBytes,
+		});
+	}
 
 	async dispose(): Promise<void> {
+		this._guard.dispose();
 		await Promise.all(this._servers.map(async server => {
 			const closed = new Promise(resolve => {
 				server.close(resolve);
@@ -83,6 +114,7 @@
 
 	private async _listen(address: string, addRoutes: (service: restana.Service<restana.Protocol.HTTP>) => void): Promise<void> {
 		const server = createServer();
+		this._guard.watch(server);
 		addRoutes(restana({server, prioRequestsProcessing: false}));
 		const {host, port} = splitAddress(address);
 		await startListening(server, host, port);
@@ -104,7 +136,7 @@
 
 	private async _publishConfiguration(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {protocol, adminClient, logger} = this._options;
-		const source = await readText(req, configurationLimitBytes);
+		const source = await this._readText(req, res);
 		if (source === undefined) {
 			sendJson(res, 413, JSON.stringify({error: 'the configuration is too large'}));
 			return;
@@ -128,6 +160,66 @@
 		sendJson(res, 200, JSON.stringify({version: result.version}));
 	}
 
+	/** Evacuates a zone or withdraws its evacuation. Answers once a quorum has stored the change. The withdrawal for an unknown zone changes nothing. */
+	private async _setEvacuation(req: IncomingMessage, res: ServerResponse, isEvacuated: boolean): Promise<void> {
+		const {evacuations, isKnownZone, logger, metrics} = this._options;
+		const zone = decodeName((req as IncomingMessage & {params: Record<string, string>}).params.zone!);
+		if (zone === undefined || (isEvacuated && !isKnownZone(zone))) {
+			logger.log('warn', 'evacuation refused', {zone, isEvacuated, reason: 'unknown zone'});
+			sendJson(res, 404, JSON.stringify({error: 'the deployment has no zone of this name'}));
+			return;
+		}
+
+		const {socket} = req;
+		const result = await evacuations.execute({zone, isEvacuated, isAwaited: () => !socket.destroyed && !socket.readableEnded}, operatorTimeoutMs);
+		metrics.count('evacuation_orders_total', {outcome: result.kind});
+		if (result.kind === 'done') {
+			logger.log('info', 'evacuation acknowledged', {
+				zone, isEvacuated, revision: result.revision, isChanged: result.isChanged,
+			});
+			sendJson(res, 200, JSON.stringify({zone, evacuated: isEvacuated}));
+			return;
+		}
+
+		const reason = result.kind === 'refused' ? result.code : 'the operator left';
+		logger.log('warn', 'evacuation not carried out', {zone, isEvacuated, reason});
+		sendJson(res, 503, JSON.stringify({error: reason}));
+	}
+
+	/** Reads a body as UTF-8 text; undefined if it is too large. Rejects if there is no memory for it, or if it stalls while others need its memory. */
+	private async _readText(req: IncomingMessage, res: ServerResponse): Promise<string | undefined> {
+		const holding = this._options.memory.open('configuration', undefined, () => {
+			req.destroy(new Error('the body stalled while memory was needed'));
+		});
+		const collector = new BodyCollector(holding);
+		res.once('close', () => {
+			holding.release();
+		});
+		const isWhole = await new Promise<boolean>((resolve, reject) => {
+			const onData = (chunk: Uint8Array) => {
+				if (collector.length + chunk.length > configurationLimitBytes) {
+					resolve(false);
+				} else if (collector.add(chunk)) {
+					return;
+				}
+
+				req.off('data', onData).resume();
+				collector.drop();
+				reject(new Error('no memory is left for a configuration'));
+			};
+
+			req.on('data', onData);
+			req.once('end', () => {
+				resolve(true);
+			});
+			req.once('error', reject);
+			req.once('close', () => {
+				reject(new Error('the connection closed within the body'));
+			});
+		});
+		return isWhole ? new TextDecoder().decode(collector.take()) : undefined;
+	}
+
 	private async _sendConfiguration(res: ServerResponse): Promise<void> {
 		const {source} = await this._options.adminClient.getConfiguration(undefined, operatorTimeoutMs);
 		if (source === undefined) {
@@ -138,13 +230,19 @@
 		sendJson(res, 200, source);
 	}
 
-	/** Sends the addresses of the live entry VMs that are not draining, those in the caller's zone first. Sends suspect VMs only if no such VM is alive. */
+	/**
+	Sends the addresses of the live entry VMs that are not draining, those in the caller's zone first and large ones more often. Sends suspect VMs only if no such VM is alive.
+	If routes of the host name regions, VMs in other regions than these and the caller's are left out.
+	*/
 	private _sendEntryPoints(req: IncomingMessage, res: ServerResponse): void {
-		const {protocol, members} = this._options;
-		const {zone} = protocol.readEntryPointQuery(new URL(req.url!, 'http://directory').searchParams);
+		const {protocol, members, namedRegions, regionByZone, random} = this._options;
+		const {host, zone, region} = protocol.readEntryPointQuery(new URL(req.url!, 'http://directory').searchParams);
 		const usable = members().filter(({roles, status, isDraining}) => roles.includes('entry') && status !== 'dead' && !isDraining);
 		const alive = usable.filter(({status}) => status === 'alive');
-		const chosen = (alive.length > 0 ? alive : usable).sort((a, b) => Number(b.zone === zone) - Number(a.zone === zone)).slice(0, maxEntryPoints);
+		const allowed = chooseEntryRegions(alive.length > 0 ? alive : usable, {
+			namedRegions: host === undefined ? [] : namedRegions(host), callerRegion: region ?? regionByZone.get(zone ?? ''), regionByZone,
+		});
+		const chosen = sampleEntryPoints(allowed, {zone, maxCount: maxEntryPoints, random});
 		sendJson(res, 200, protocol.entryPointAnswer(chosen.flatMap(({callerAddress}) => callerAddress ?? []), entryAnswerValidityMs));
 	}
 }
@@ -154,18 +252,12 @@
 	res.end(body);
 }
 
-/** Reads a body as UTF-8 text; undefined if it is larger than `limitBytes`. */
-async function readText(req: IncomingMessage, limitBytes: number): Promise<string | undefined> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	for await (const chunk of req as AsyncIterable<Uint8Array>) {
-		length += chunk.length;
-		if (length > limitBytes) {
-			return undefined;
-		}
-
-		chunks.push(chunk);
+/** Decodes a name from a path; undefined if it is malformed or too long. */
+function decodeName(encoded: string): string | undefined {
+	try {
+		const name = decodeURIComponent(encoded);
+		return name.length > 0 && name.length <= maxZoneNameLength ? name : undefined;
+	} catch {
+		return undefined;
 	}
-
-	return Buffer.concat(chunks, length).toString('utf8');
 }
--- a/src/node/forwarding/fleet-protocol.ts
+++ b/src/node/forwarding/fleet-protocol.ts
@@ -30,6 +30,8 @@
 	readonly prefill?: {readonly address: string; readonly handle: string};
 	/** Id of the memory reservation on the server that the request uses. */
 	readonly reservationId?: string;
+	/** Level of the request among those that compete for the server, from 0, the most urgent, to 9; absent if all have the same priority. */
+	readonly priorityLevel?: number | undefined;
 };
 
 /** Values from the headers of a server's answer. */
@@ -44,6 +46,8 @@
 	Applies only if the status of the answer rejects the request for overload.
 	*/
 	readonly retryAfterMs: number | undefined;
+	/** Time for which the server remains cold, in milliseconds; undefined if it states none. */
+	readonly coldForMs: number | undefined;
 };
 
 /** A call that the router makes to a server on its own behalf, not for a caller. */
@@ -95,15 +99,20 @@
 	| {readonly ok: false; readonly reason: string};
 
 /** A caller's query for the entry points of a host. */
-export type EntryPointQuery = {readonly host: string | undefined; readonly zone: string | undefined};
+export type EntryPointQuery = {
+	readonly host: string | undefined;
+	/** Region and zone of the caller. */
+	readonly region: string | undefined;
+	readonly zone: string | undefined;
+};
 
 /**
 Header names, message formats and calls that a platform's callers, servers and operators use. Implementations only
 translate and make no decisions. A method that reads one value returns undefined if the value is absent or malformed.
 */
 export abstract class FleetProtocol {
-	/** Paths of the HTTP interfaces that the router serves. */
-	abstract readonly paths: {readonly configuration: string; readonly entryPoints: string; readonly ready: string};
+	/** Paths of the HTTP interfaces that the router serves. The name of a zone follows `evacuations`. */
+	abstract readonly paths: {readonly configuration: string; readonly evacuations: string; readonly entryPoints: string; readonly ready: string};
 
 	/** Reads the headers of a caller's request. `headers` contains names and values, alternating. */
 	abstract readCallerRequest(headers: readonly string[]): CallerRequest;
--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -1,7 +1,7 @@
-import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import {CallError, ForeignAnswerError} from '../upstreams/call-error.js';
 import type {UpstreamResponse, UpstreamCall} from '../upstreams/connection-pool.js';
+import {ByteBlocks} from '../../common/memory/byte-blocks.js';
 import {UpstreamAdapter} from '../upstreams/upstream-adapter.js';
 import type {UpstreamOptions} from '../upstreams/upstream-adapter.js';
 import type {Clock} from '../../common/core/clock.js';
@@ -29,35 +29,48 @@
 	readonly status: number;
 	/** Lower-case names and values of the headers, alternating. */
 	readonly headers: readonly string[];
-	readonly body: Uint8Array;
+	readonly body: ByteBlocks;
 	/** Whether the answer itself tells where its body ends. If it does not, the body may have been cut short. */
 	readonly isFramed: boolean;
 };
 
-/** Reads the body of an answer to its end. Throws `CallError` if the body breaks off or is larger than `limitBytes`. */
-export async function bufferAnswer({status, headers, body, isFramed, wasReset}: UpstreamResponse, limitBytes: number): Promise<BufferedAnswer> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
+/**
+Reads the body of an answer to its end. Throws `CallError` if the body breaks off or is larger than `limitBytes`, or if `reserve` returns false.
+@param reserve - called with the memory that the body is about to occupy, in bytes; returns whether there is room
+*/
+export async function bufferAnswer(
+	{
+		status, headers, body, isFramed, wasBrokenOff,
+	}: UpstreamResponse,
+	limitBytes: number,
+	reserve: (bytes: number) => boolean = () => true,
+): Promise<BufferedAnswer> {
+	const blocks = new ByteBlocks();
 	try {
 		for await (const chunk of body as AsyncIterable<Uint8Array>) {
-			length += chunk.length;
-			if (length > limitBytes) {
+			if (blocks.length + chunk.length > limitBytes) {
 				body.destroy();
 				throw new CallError('broken', true, `the answer has more than ${limitBytes} bytes`);
 			}
 
-			chunks.push(chunk);
+			const capacity = blocks.capacityWith(chunk.length);
+			if (capacity > blocks.capacity && !reserve(capacity)) {
+				body.destroy();
+				throw new CallError('broken', true, 'there is no memory for the answer');
+			}
+
+			blocks.append(chunk);
 		}
 	} catch (err) {
 		throw CallError.from(err, {mayHaveBeenSent: true, isTimeout: false});
 	}
 
-	if (wasReset()) {
-		throw new CallError('broken', true, 'the connection was reset within the answer');
+	if (wasBrokenOff()) {
+		throw new CallError('broken', true, 'the connection was reset within the answer, or closed before the request was sent');
 	}
 
 	return {
-		status, headers, body: Buffer.concat(chunks, length), isFramed,
+		status, headers, body: blocks, isFramed,
 	};
 }
 
@@ -159,7 +172,7 @@
 				isNewConnection,
 			});
 			const buffered = await bufferAnswer(response, callAnswerLimitBytes);
-			const answer = {status: buffered.status, text: Buffer.from(buffered.body).toString('utf8')};
+			const answer = {status: buffered.status, text: new TextDecoder().decode(buffered.body.take())};
 			const isOwn = isOwnAnswer?.(answer);
 			if (isOwn) {
 				response.confirm();
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -1,8 +1,12 @@
 import type {IncomingMessage} from 'node:http';
-import type {ForwardCustomer} from '../../common/configuration/forwarding.js';
-import {BodyMemoryBudget} from '../../common/requests/body-memory.js';
+import type {ForwardCustomer, ForwardRoute, ForwardService} from '../../common/configuration/forwarding.js';
+import {
+	allowedRegions, noAllowedServerReason, noAllowedServerRetryMs, zonesOf,
+} from '../../common/forwarding/allowed-regions.js';
+import type {RegionByZone} from '../../common/forwarding/allowed-regions.js';
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
+import {priorityLevel} from '../../common/forwarding/priority-ranks.js';
 import {stoppingRetryMs} from '../../common/forwarding/types.js';
 import {normalizeParts} from '../../common/quarantine/parts.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
@@ -19,13 +23,20 @@
 import type {CallerRequest} from './fleet-protocol.js';
 import {StartupGate} from './startup-gate.js';
 
-/** Memory limit for all request bodies together, in bytes. */
-const bodyMemoryLimitBytes = 32 * 1024 * 1024;
+/** Memory of a request without its body, in bytes: its head, the connection to the server and the bookkeeping. */
+const requestBytes = 16_384;
+/** Retry delay that a refusal for lack of memory advises, in milliseconds. */
+export const noMemoryRetryMs = 1000;
+/** Memory that a body may occupy besides its bytes, in bytes. */
+const bodyOverheadBytes = 131_072;
 /** Maximum time that a request waits for rate tokens of its customer, in milliseconds; half the latency objective of a model request. */
 const maxAllowanceWaitMs = 450;
 /** Retry delay that a refusal advises, in milliseconds, when the customer has used up its rate and it is not known when its bucket will cover the request. */
 const rateLimitRetryMs = 1000;
 
+/** Retry delay that a refusal advises when all servers of the service are in evacuated zones, in milliseconds; evacuations last for minutes. */
+const evacuatedRetryMs = 5000;
+
 /** Thrown to refuse a request; the router then answers the caller itself, with this status, reason and retry delay. */
 export class ForwardRefusal extends Error {
 	override readonly name = 'ForwardRefusal';
@@ -37,13 +48,14 @@
 
 export type ForwardHandlerOptions = ForwardDependencies & {
 	readonly access: AccessService;
+	/** Region of each availability zone. */
+	readonly regionByZone: RegionByZone;
 	/** Returns whether the process still runs for as long as the request may need, given the time at which the request's deadline passes, in milliseconds. */
 	readonly hasTimeFor: (deadlineMs: number, isResumable: boolean) => boolean;
 };
 
 /** Decides whether a caller's request is forwarded, and forwards it. */
 export class ForwardHandler {
-	private readonly _bodyMemory = new BodyMemoryBudget(bodyMemoryLimitBytes);
 	private _routeTable: RouteTable | undefined;
 	private _version = 0;
 	private readonly _startupGate: StartupGate;
@@ -66,12 +78,14 @@
 			this._routeTable = new RouteTable(configuration.forwarding);
 			this._version = version;
 			this._startupGate.open();
+			this._options.memory.ensureShare(configuration.forwarding.limits.bodyBytes + bodyOverheadBytes);
 		}
 	}
 
 	/** Handles a request. Resolves when the request has ended. Rejects with `ForwardRefusal` or `ProblemError` if the request is not forwarded. */
 	async handle(exchange: Exchange): Promise<void> {
 		const {req} = exchange;
+		this._reserveRequest(exchange);
 		const caller = this._options.protocol.readCallerRequest(req.rawHeaders);
 		await this._startupGate.waitUntilOpen(caller.waitMs ?? 0);
 		if (exchange.stopReason !== undefined) {
@@ -87,11 +101,13 @@
 			throw stoppingRefusal();
 		}
 
+		const allowedZones = this._findAllowedZones(route, customer, service);
 		this._refuseBlocked(caller.requestId!, normalizeParts(caller.promptParts));
-		const {limits} = this._routeTable!.forwarding;
+		const {forwarding: {limits}, priorityRanks} = this._routeTable!;
 		const version = this._version;
+		const owner = customer?.name ?? `address ${req.socket.remoteAddress}`;
 		const body = await readBody(exchange, {
-			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, bodyMemory: this._bodyMemory, customer: customer?.name ?? '',
+			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, memory: this._options.memory, customer: owner,
 		});
 		const fingerprint = fingerprintOf({
 			method: req.method!, host: req.headers.host ?? '', target: req.url!, customer: customer?.name, body,
@@ -103,8 +119,11 @@
 			caller,
 			requestId: caller.requestId!,
 			customer: customer?.name,
+			owner,
 			route,
 			service,
+			allowedZones,
+			priority: isModel ? priorityRanks.rankOf(service.name, route, customer) : undefined,
 			body,
 			fingerprint,
 			parts,
@@ -126,6 +145,39 @@
 		this._reportEnd(request, result, version);
 	}
 
+	/** Returns the regions that each route of the host names, without the routes that name none. */
+	namedRegions(host: string): string[][] {
+		return this._routeTable?.namedRegions(host) ?? [];
+	}
+
+	/** Returns the zones whose servers may run the request; undefined if all may. Throws `ForwardRefusal` if the service has no server there. */
+	private _findAllowedZones(route: ForwardRoute, customer: ForwardCustomer | undefined, service: ForwardService): ReadonlySet<string> | undefined {
+		const {fleet, regionByZone, logger} = this._options;
+		const regions = allowedRegions(route, customer);
+		const zones = zonesOf(regions, regionByZone);
+		const {directory} = fleet;
+		if (zones && directory.listRequestedAtMs !== undefined && directory.readyServers(service.name, undefined, zones).length === 0) {
+			logger.log('info', 'no server in the allowed regions', {
+				route: route.name, tenant: customer?.name, service: service.name, regions, listAgeMs: fleet.listAgeMs(),
+			});
+			throw new ForwardRefusal(503, noAllowedServerReason, noAllowedServerRetryMs);
+		}
+
+		return zones;
+	}
+
+	/** Throws `ForwardRefusal` if there is no memory for another request. */
+	private _reserveRequest(exchange: Exchange): void {
+		const holding = this._options.memory.open('request', undefined, () => undefined);
+		exchange.res.once('close', () => {
+			holding.release();
+		});
+		if (!holding.resize(requestBytes)) {
+			exchange.closeAfterResponse();
+			throw new ForwardRefusal(503, 'no memory is left for another request', noMemoryRetryMs);
+		}
+	}
+
 	/** Throws `ForwardRefusal` if servers crash on requests with these parts. */
 	private _refuseBlocked(requestId: string, parts: readonly PartId[]): void {
 		const {quarantine} = this._options;
@@ -157,6 +209,10 @@
 		}
 
 		const service = table.service(chooseTarget(route, this._options.fleet.random.next()))!;
+		if (this._options.fleet.directory.isServiceEvacuated(service.name)) {
+			throw new ForwardRefusal(503, 'the zones of all servers of the service are evacuated', evacuatedRetryMs);
+		}
+
 		return {route, service, tenant: customer};
 	}
 
@@ -195,14 +251,20 @@
 		}
 	}
 
-	private _reportEnd({exchange, requestId, fingerprint, route, customer, service}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
+	private _reportEnd({
+		exchange, requestId, fingerprint, route, customer, service, priority,
+	}: ForwardRequest, {sends, outcome, firstEventMs, longestGapMs}: ForwardResult, version: number): void {
 		const {logger, metrics, clock} = this._options;
 		const elapsedMs = Math.round(clock.nowMs() - exchange.startedAtMs);
 		const status = exchange.outcome?.status;
 		metrics.count('forward_requests_total', {route: route.name, status: String(status ?? 0)});
 		metrics.observe('forward_request_ms', elapsedMs, {route: route.name});
+		if (priority) {
+			metrics.count('forward_priority_requests_total', {level: String(priorityLevel(priority)), status: String(status ?? 0)});
+		}
+
 		logger.log('info', 'request ended', {
-			requestId, fingerprint, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs,
+			requestId, fingerprint, route: route.name, service: service.name, tenant: customer, version, status, outcome, sends, elapsedMs, firstEventMs, longestGapMs, priority: priority?.rank,
 		});
 	}
 }
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -2,10 +2,13 @@
 import type {Clock} from '../../common/core/clock.js';
 import type {Logger} from '../../common/core/log.js';
 import type {PartId} from '../../common/quarantine/types.js';
+import type {Server} from '../../common/forwarding/server-directory.js';
+import type {PriorityRank} from '../../common/forwarding/priority-ranks.js';
 import type {LocalAnswer, StopCause} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import type {Exchange} from '../entry/exchange.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
+import type {MemoryKeeper} from '../memory/memory-keeper.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
 import type {ServerFleet} from './server-fleet.js';
@@ -17,6 +20,7 @@
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly clock: Clock;
+	readonly memory: MemoryKeeper;
 	readonly zone: string;
 	/** Aborted when the process ends before the requests that are still running could. */
 	readonly shutdownSignal: AbortSignal;
@@ -28,8 +32,14 @@
 	readonly caller: CallerRequest;
 	readonly requestId: string;
 	readonly customer: string | undefined;
+	/** Whose share of the memory the request counts against: the customer or, on open routes, the caller's address. */
+	readonly owner: string;
 	readonly route: ForwardRoute;
 	readonly service: ForwardService;
+	/** Zones whose servers may run the request and keep the KV cache of its prompt; all zones if undefined. */
+	readonly allowedZones: ReadonlySet<string> | undefined;
+	/** Rank among the priorities of the service's requests; undefined if they all have the same priority. */
+	readonly priority: PriorityRank | undefined;
 	readonly body: Uint8Array;
 	/** Identifies the request by its contents: another attempt of the caller has the same fingerprint. */
 	readonly fingerprint: PartId;
@@ -74,6 +84,16 @@
 	});
 }
 
+/** Charges a request, or a prefill call for it, to the budget of a cold server as it is sent. */
+export function recordColdSend({requestId, service}: ForwardRequest, {fleet, metrics, logger}: ForwardDependencies, server: Server): void {
+	if (fleet.recordColdRequest(server) && fleet.coldRate(service)) {
+		metrics.count('forward_cold_sends_total', {service: service.name});
+		logger.log('info', 'request sent to a cold server', {
+			requestId, server: server.key, coldForMs: Math.round(fleet.coldForMs(server)), listAgeMs: fleet.listAgeMs(),
+		});
+	}
+}
+
 /** Sends the caller an answer that the router generates itself. Does nothing if an answer has already begun or the connection is closed. */
 export function sendLocalAnswer({exchange}: Pick<ForwardRequest, 'exchange'>, protocol: FleetProtocol, {status, reason, retryAfterMs}: LocalAnswer): void {
 	const body = new TextEncoder().encode(JSON.stringify({status, detail: reason}));
@@ -92,15 +112,22 @@
 	}
 
 	const callerHeaders = protocol.callerHeaders(headers);
+	const {length} = body;
+	const parts = body.takeParts();
 	if (isFramed) {
 		const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
 		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
-		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(body.length)]);
+		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(length)]);
 	} else {
 		// The body may have been cut short, which a content length would hide.
 		exchange.omitFraming();
 		exchange.writeHead(status, callerHeaders);
 	}
 
-	exchange.res.end(body);
+	// Each part is written by itself: to join them would need the memory of the answer once more.
+	for (const part of parts.slice(0, -1)) {
+		exchange.res.write(part);
+	}
+
+	exchange.res.end(parts.at(-1));
 }
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -1,8 +1,11 @@
-import {createModelForward, reduceModelForward} from '../../common/forwarding/model-forward.js';
+import {createModelForward, isLastChance, reduceModelForward} from '../../common/forwarding/model-forward.js';
 import type {ModelForwardState, ModelForwardEffect, ModelForwardInput} from '../../common/forwarding/model-forward.js';
-import {memoryWaitPolicy, fullPoolRetryAfterMs} from '../../common/forwarding/memory-wait.js';
-import {reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
-import type {Server} from '../../common/forwarding/server-directory.js';
+import {memoryWaitPolicy, fullPoolRetryAfterMs, isCallerRetry} from '../../common/forwarding/memory-wait.js';
+import {RequestPriority} from '../../common/forwarding/priority-policy.js';
+import {priorityLevel} from '../../common/forwarding/priority-ranks.js';
+import {keptTokens, reservedTokens, minFreeTokens} from '../../common/forwarding/reservation.js';
+import type {Server, ServerQuery} from '../../common/forwarding/server-directory.js';
+import {StreamPace} from '../../common/forwarding/stream-pace.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import {prefillParts} from '../../common/quarantine/parts.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
@@ -12,9 +15,12 @@
 import type {UpstreamResponse} from '../upstreams/connection-pool.js';
 import {EngineResources} from './engine-resources.js';
 import type {MemoryReservation, PrefilledCache} from './engine-resources.js';
+import {StreamWriter} from './stream-writer.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {HttpMethod} from './forward-adapter.js';
-import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
+import {
+	recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
+} from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 import type {ServerRequestFacts} from './fleet-protocol.js';
 import {SseEventBuffer} from './sse-event-buffer.js';
@@ -51,14 +57,18 @@
 const seekIntervalMs = 100;
 /** Time after the deadline of the request for which an answer's headers are still awaited, in milliseconds; the server may have sent them before the deadline. */
 const headersSlackMs = 100;
+/** Size by which the pace of streams is compared; the time per event hardly depends on the length of a stream. */
+const streamSize = 1;
 
 /** Forwards one request to a model service: executes the effects of the lifecycle reducer and dispatches their results to the reducer. */
 export class ModelForwarder {
 	private readonly _state: ModelForwardState;
 	private readonly _eventTracker = new SseEventTracker();
 	private readonly _reservedTokens: number;
+	private readonly _priority: RequestPriority | undefined;
 	private _abort = new AbortController();
 	private readonly _resources: EngineResources;
+	private readonly _writer: StreamWriter;
 	/** Memory that another engine has reserved for a run that is silent, until the request goes on there or the memory is released. */
 	private _foundReservation: MemoryReservation | undefined;
 	/** Whether the request occupies one of the prefill slots of this process. */
@@ -76,17 +86,31 @@
 	private _finish!: () => void;
 
 	constructor(private readonly _dependencies: ForwardDependencies, private readonly _request: ForwardRequest) {
-		const {route, service, requestId, caller: {prompt}} = _request;
+		const {
+			route, service, requestId, priority, caller: {prompt},
+		} = _request;
+		const waitMs = _request.callerDeadlineMs - _request.exchange.startedAtMs;
+		const base = {
+			memoryWaitPolicy: memoryWaitPolicy({waitMs, timeoutMs: route.timeoutMs, targetMs: route.targetMs}),
+			fullPoolRetryAfterMs: fullPoolRetryAfterMs(_dependencies.fleet.random.next()),
+		};
+		this._priority = priority && new RequestPriority({
+			...base, priority, service: service.name, shortage: _dependencies.fleet.roomShortage,
+			isCallerRetry: isCallerRetry({waitMs, timeoutMs: route.timeoutMs}), waitMs, random: _dependencies.fleet.random.next(),
+			readyEngines: () => _dependencies.fleet.directory.readyServers(service.name, 'decode').length,
+			sizeShare: reservedTokens(prompt) / (service.engine?.cacheTokens ?? Infinity),
+		});
 		this._resources = new EngineResources(_dependencies, requestId);
+		this._writer = new StreamWriter(_request, _dependencies.memory);
 		this._state = createModelForward({
 			isResumable: route.isResumable,
 			maxAttempts: route.maxAttempts,
-			memoryWaitPolicy: memoryWaitPolicy({waitMs: _request.callerDeadlineMs - _request.exchange.startedAtMs, timeoutMs: route.timeoutMs, targetMs: route.targetMs}),
-			fullPoolRetryAfterMs: fullPoolRetryAfterMs(_dependencies.fleet.random.next()),
+			...base,
+			priority: this._priority,
 			chargeFailedPrefill() {
 				_dependencies.fleet.recordRequest(service.name);
 			},
-			hasAcceptingPrefillEngine: nowMs => _dependencies.fleet.directory.hasAcceptingPrefillEngine(service.name, nowMs),
+			hasAcceptingPrefillEngine: nowMs => _dependencies.fleet.directory.hasAcceptingPrefillEngine(service.name, nowMs, _request.allowedZones),
 			takeRetry: (_nowMs, requests) => _dependencies.fleet.takeRetry(service.name, requests),
 		});
 		this._reservedTokens = reservedTokens(prompt);
@@ -138,6 +162,7 @@
 			}
 
 			case 'forward/wait': {
+				this._releasePrefillSlot();
 				this._wakeTimer = setTimeout(() => {
 					this._dispatch({type: 'forward/wake'});
 				}, effect.durationMs);
@@ -198,11 +223,20 @@
 		}
 	}
 
-	private _selectionCriteria(exclude: ReadonlySet<ServerKey>, zone: string) {
+	private _selectionCriteria(exclude: ReadonlySet<ServerKey>, zone: string): ServerQuery {
 		const {fleet, clock} = this._dependencies;
-		const {service} = this._request;
+		const {service, allowedZones} = this._request;
+		const nowMs = clock.nowMs();
 		return {
-			service: service.name, zone, exclude, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(),
+			allowedZones,
+			service: service.name,
+			zone,
+			exclude,
+			maxInFlight: fleet.exchangeLimit(service.maxConnections),
+			tokens: this._request.caller.prompt?.promptTokens ?? 0,
+			nowMs,
+			coldRate: fleet.coldRate(service),
+			isLastChance: isLastChance(this._state, nowMs),
 		};
 	}
 
@@ -215,15 +249,17 @@
 			return;
 		}
 
-		const {fleet, logger, clock, zone} = this._dependencies;
-		const {service, requestId} = this._request;
-		this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
+		const {fleet, logger, clock, zone, metrics} = this._dependencies;
+		const {service, requestId, priority} = this._request;
+		this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name, this._state.hasForwardedHead ? 0 : this._priority?.effectiveRank);
 		const isPrefillBusy = !this._hasPrefillSlot;
-		const server = isPrefillBusy ? undefined : fleet.directory.chooseDecodeEngine(this._selectionCriteria(exclude, zone));
+		const query = this._selectionCriteria(exclude, zone);
+		const server = isPrefillBusy ? undefined : fleet.directory.chooseDecodeEngine(query);
 		if (!server) {
+			const coldWaitMs = isPrefillBusy ? undefined : fleet.directory.coldWaitMs({...query, stage: 'decode'});
 			this._releasePrefillSlot();
 			this._dispatchLater({
-				type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), 'decode'), isPrefillBusy,
+				type: 'forward/no-engine', attempt, resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), 'decode', query.allowedZones), isPrefillBusy, coldWaitMs,
 			});
 			return;
 		}
@@ -241,8 +277,12 @@
 			}
 
 			this._resources.reservation = result.reservation;
+			const departure = fleet.directory.departureReason(server, query);
+			metrics.count('forward_placements_total', {service: service.name, departure: departure ?? 'none'});
 			logger.log('info', 'request placed', {
-				requestId, attempt, server: server.key, tokens: this._reservedTokens, isSpacious, ownTokens: server.tokens, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
+				requestId, attempt, server: server.key, tokens: this._reservedTokens, isSpacious, ownTokens: server.tokens, priority: priority?.rank,
+				keptRatio: this._state.round?.keptRatio, waitedMs: this._elapsedMs(), listAgeMs: fleet.listAgeMs(),
+				...fleet.directory.describeRanking(server, zone, clock.nowMs()), ...(departure && {departure, fromZone: zone, toZone: server.record.zone}),
 			});
 			this._dispatch({type: 'forward/held', attempt});
 		} catch (err) {
@@ -259,7 +299,7 @@
 		const tried = new Set(exclude);
 		while (!this._isStale(attempt) && this._state.isSeekingEngine) {
 			this._hasPrefillSlot ||= fleet.acquirePrefillSlot(service.name);
-			const server = this._hasPrefillSlot ? fleet.directory.chooseDecodeEngine(this._selectionCriteria(tried, zone)) : undefined;
+			const server = this._hasPrefillSlot ? fleet.directory.chooseDecodeEngine({...this._selectionCriteria(tried, zone), isLastChance: true}) : undefined;
 			if (!server) {
 				break;
 			}
@@ -320,7 +360,10 @@
 	/** Memory that an engine must have free in addition to the reservation, in tokens of KV cache. */
 	private _minFreeTokens(isSpacious: boolean): number {
 		const {service} = this._request;
-		return Math.max(this._reservedTokens * this._state.memoryWaitPolicy.spareMemoryRatio, isSpacious ? minFreeTokens(service.engine?.cacheTokens ?? 0) : 0);
+		const {round, memoryWaitPolicy: {spareMemoryRatio}} = this._state;
+		const cacheTokens = service.engine?.cacheTokens ?? 0;
+		const kept = round ? keptTokens(this._reservedTokens, round.keptRatio, cacheTokens) : this._reservedTokens * spareMemoryRatio;
+		return Math.max(kept, isSpacious ? minFreeTokens(cacheTokens) : 0);
 	}
 
 	private _isStale(attempt: number): boolean {
@@ -371,10 +414,11 @@
 		const startedMs = clock.nowMs();
 		const trackedPrefill = quarantine.track(server.key, requestId, parts);
 		fleet.directory.beginWork(server, tokens);
+		recordColdSend(this._request, this._dependencies, server);
 		try {
 			const response = await fleet.adapterFor(server).send(this._serverRequest(server, {isPrefill: true}, Math.max(1, route.targetMs * prefillTimeoutShare), signal));
 			const {status, headers, body, isFramed} = await bufferAnswer(response, prefillAnswerLimitBytes);
-			const result = status === successStatus ? protocol.readPrefill(new TextDecoder().decode(body)) : undefined;
+			const result = status === successStatus ? protocol.readPrefill(new TextDecoder().decode(body.take())) : undefined;
 			if (status === successStatus && !result && !isFramed) {
 				throw new CallError('broken', true, 'the answer ended early with its connection');
 			}
@@ -405,6 +449,10 @@
 
 			fleet.directory.recordAnswer(server, true, clock.nowMs() - startedMs, clock.nowMs());
 			fleet.recordPrefillDuration(service.name, clock.nowMs() - startedMs, route.targetMs);
+			if (tokens > 0) {
+				fleet.directory.recordWork(server, tokens, (clock.nowMs() - startedMs) / tokens, clock.nowMs());
+			}
+
 			this._resources.prefilledCache = prefilledCache;
 			this._dispatch({type: 'forward/prefilled', attempt});
 		} catch (err) {
@@ -421,13 +469,16 @@
 	}
 
 	private _serverRequest(server: Server, facts: Partial<ServerRequestFacts>, headersTimeoutMs: number, signal: AbortSignal) {
-		const {exchange: {req}, body, callerDeadlineMs, customer, caller} = this._request;
+		const {
+			exchange: {req}, body, callerDeadlineMs, customer, caller, priority,
+		} = this._request;
 		return {
 			requestId: this._request.requestId,
 			method: req.method as HttpMethod,
 			path: req.url!,
 			headers: this._dependencies.protocol.serverHeaders(req.rawHeaders, {
-				waitMs: callerDeadlineMs - this._dependencies.clock.nowMs(), serverId: server.record.id, customer, lastEventId: this._eventTracker.lastEventId ?? caller.lastEventId, ...facts,
+				waitMs: callerDeadlineMs - this._dependencies.clock.nowMs(), serverId: server.record.id, customer, lastEventId: this._eventTracker.lastEventId ?? caller.lastEventId,
+				priorityLevel: priority && priorityLevel(priority), ...facts,
 			}),
 			...(body.length > 0 && {body}),
 			headersTimeoutMs,
@@ -461,6 +512,7 @@
 			fleet.countSend(service.name);
 		}
 
+		recordColdSend(this._request, this._dependencies, server);
 		reservation.isUsed = true;
 		if (prefilledCache) {
 			prefilledCache.isUsed = true;
@@ -551,11 +603,12 @@
 	/** Relays a stream event by event, so that one that breaks off can resume after its last complete event. */
 	private async _relayStream(attempt: number): Promise<void> {
 		const {exchange} = this._request;
-		const {protocol} = this._dependencies;
+		const {protocol, fleet, clock} = this._dependencies;
 		const response = this._response!;
 		const {server} = this._resources.reservation!;
 		this._eventTracker.discardPartialEvent();
 		const eventBuffer = new SseEventBuffer(this._eventTracker);
+		const pace = new StreamPace();
 		try {
 			if (!exchange.res.headersSent) {
 				if (!response.isFramed) {
@@ -576,7 +629,13 @@
 				if (completeEvents.length > 0) {
 					this._armStallTimer(attempt, server.key, eventGapTimeoutMs);
 					this._recordEvent();
-					await exchange.write(completeEvents);
+					const receivedMs = clock.nowMs();
+					const msPerEvent = pace.record(this._eventTracker.eventCount, receivedMs);
+					if (msPerEvent !== undefined) {
+						fleet.directory.recordWork(server, streamSize, msPerEvent, receivedMs);
+					}
+
+					this._writer.write(completeEvents);
 				}
 
 				if (eventBuffer.fault !== undefined) {
@@ -605,14 +664,14 @@
 		const {fleet, logger} = this._dependencies;
 		const {server} = this._resources.reservation!;
 		const {isFramed} = response;
-		const wasReset = response.wasReset();
-		const isBroken = wasReset || isWithinEvent || (!isFramed && await fleet.isLost(server));
+		const wasBrokenOff = response.wasBrokenOff();
+		const isBroken = wasBrokenOff || isWithinEvent || (!isFramed && await fleet.isLost(server));
 		if (this._isStale(attempt)) {
 			return;
 		}
 
 		const end = {
-			requestId, attempt, server: server.key, isFramed, wasReset, isWithinEvent, after: this._eventTracker.lastEventId,
+			requestId, attempt, server: server.key, isFramed, wasBrokenOff, isWithinEvent, after: this._eventTracker.lastEventId,
 		};
 		if (isBroken) {
 			this._trackedSend?.end('broken');
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -1,14 +1,17 @@
 import {createPlainForward, reducePlainForward} from '../../common/forwarding/plain-forward.js';
 import type {PlainForwardState, PlainForwardEffect, PlainForwardEvent} from '../../common/forwarding/plain-forward.js';
-import type {Server} from '../../common/forwarding/server-directory.js';
+import type {Server, ServerQuery} from '../../common/forwarding/server-directory.js';
 import type {ServerKey, StopCause} from '../../common/forwarding/types.js';
 import type {UntimedEvent} from '../../common/core/types.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
 import {CallError, failureOf} from '../upstreams/call-error.js';
+import {AnswerMemory} from './answer-memory.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
-import {relayAnswer, sendLocalAnswer, watchForStop} from './forward-request.js';
+import {
+	recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
+} from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 
 /** Maximum size of a server's answer, in bytes; the whole answer is held in memory before it is relayed. */
@@ -25,9 +28,11 @@
 	private _outcome = 'unfinished';
 	private _isDeadlineExceeded = false;
 	private _finish!: () => void;
+	private readonly _answerMemory: AnswerMemory;
 
 	constructor(private readonly _dependencies: ForwardDependencies, private readonly _request: ForwardRequest) {
 		const {route, service} = _request;
+		this._answerMemory = new AnswerMemory(_request, _dependencies.memory);
 		this._state = createPlainForward({
 			isIdempotent: route.repeat === 'safe',
 			maxAttempts: route.maxAttempts,
@@ -88,12 +93,12 @@
 		}
 	}
 
-	private _chooseServer(): Server | undefined {
+	private _query(): ServerQuery {
 		const {fleet, clock, zone} = this._dependencies;
-		const {service} = this._request;
-		return fleet.directory.choose({
-			service: service.name, zone, exclude: this._triedServers, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(),
-		});
+		const {service, allowedZones} = this._request;
+		return {
+			service: service.name, zone, exclude: this._triedServers, maxInFlight: fleet.exchangeLimit(service.maxConnections), nowMs: clock.nowMs(), coldRate: fleet.coldRate(service), allowedZones,
+		};
 	}
 
 	private async _send(): Promise<void> {
@@ -110,17 +115,20 @@
 			return;
 		}
 
-		const server = this._chooseServer();
+		const query = this._query();
+		const server = fleet.directory.choose(query);
 		if (!server) {
+			const coldWaitMs = fleet.directory.coldWaitMs(query);
 			// Dispatched later, because the reducer must not be re-entered while its effects are being executed.
 			queueMicrotask(() => {
-				this._dispatch({type: 'forward/no-server', resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs())});
+				this._dispatch({type: 'forward/no-server', resumesInMs: fleet.directory.earliestResumeInMs(service.name, clock.nowMs(), undefined, query.allowedZones), coldWaitMs});
 			});
 			return;
 		}
 
 		this._triedServers.add(server.key);
 		const sentMs = clock.nowMs();
+		recordColdSend(this._request, this._dependencies, server);
 		if (this._state.sends === 1) {
 			fleet.countSend(service.name);
 		} else {
@@ -165,7 +173,7 @@
 			headersTimeoutMs: Math.max(1, deadlineMs - sentMs + 100),
 			signal,
 		});
-		const buffered = await bufferAnswer(response, answerLimitBytes);
+		const buffered = await bufferAnswer(response, answerLimitBytes, bytes => this._answerMemory.resize(bytes));
 		if (protocol.readServerAnswer(buffered.headers).isNotRun) {
 			trackedSend.end('inconclusive');
 			return {type: 'forward/answered', status: buffered.status, isNotRun: true};
@@ -198,5 +206,6 @@
 	private _relay(): void {
 		this._outcome = 'relayed';
 		relayAnswer(this._request.exchange, this._dependencies.protocol, this._answer!);
+		this._answerMemory.recordMove();
 	}
 }
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -11,11 +11,14 @@
 	CountEffect, VmId, VmIdentity,
 } from '../common/core/types.js';
 import type {ConsensusTimings} from '../common/consensus/types.js';
+import {SpeedNews, speedNewsSchema} from '../common/forwarding/speed-news.js';
+import {announcedCapacity} from '../common/membership/entry-point-sample.js';
 import type {LocalMember} from '../common/membership/types.js';
 import {reduce} from '../common/reducer.js';
 import type {
 	MemberChangeReply, ProcessEffect, ProcessEvent, ProcessState, Replica,
 } from '../common/reducer.js';
+import {planMemory} from '../common/memory/memory-plan.js';
 import {splitAddress} from './address.js';
 import {SystemClock} from './clock.js';
 import {decodeConfiguration} from './control/configuration-codec.js';
@@ -25,11 +28,13 @@
 import {ControlLeaseStore} from './control/control-lease-store.js';
 import {ControlLeaderClient} from './control/control-leader-client.js';
 import {ControlAdminClient} from './control/control-admin-client.js';
+import {EvacuationOrders} from './control/evacuation-orders.js';
 import {ControlServer} from './control/control-server.js';
 import {EntryServer} from './entry/entry-server.js';
 import {GossipEntryPointService} from './membership/gossip-entry-point-service.js';
 import {MembershipHost} from './membership/membership-host.js';
 import {PlatformListPoller} from './membership/platform-list-poller.js';
+import {MemoryKeeper} from './memory/memory-keeper.js';
 import {JsonLogger} from './observability/json-logger.js';
 import {LoadReporter} from './observability/load-reporter.js';
 import {PromMetrics} from './observability/prom-metrics.js';
@@ -41,7 +46,7 @@
 import {ServerStatusBroadcaster} from './forwarding/server-status-broadcaster.js';
 import {FleetHttpServers, entryAnswerValidityMs} from './forwarding/fleet-http-servers.js';
 import type {FleetProtocol} from './forwarding/fleet-protocol.js';
-import type {FleetSettings} from './forwarding/fleet-settings.js';
+import type {FleetSettings, VmLimits} from './forwarding/fleet-settings.js';
 import {ForwardServer} from './forwarding/forward-server.js';
 import {ServerFleet} from './forwarding/server-fleet.js';
 import {ServerListPoller} from './forwarding/server-list-poller.js';
@@ -147,6 +152,10 @@
 	readonly peerAddressOf?: (vm: VmId) => string;
 	/** Whether the process receives the platform's server list from the leader; false by default. */
 	readonly followsServerList?: boolean;
+	/** Capacity that this VM announces to the other members, in thousandths of a core; absent if it announces none. */
+	readonly capacity?: number;
+	/** Limits of the VM; absent if they are not known. */
+	readonly vmLimits?: VmLimits;
 	/** Fields added to every log line. */
 	readonly logContext?: Readonly<Record<string, string>>;
 };
@@ -169,6 +178,7 @@
 			metrics.count(metric, labels);
 		},
 		logger,
+		maxUnprovenPeers: planMemory(cluster.vmLimits).maxUnprovenPeers,
 	}));
 	for (const peer of settings.control) {
 		if (peer.vm !== vm) {
@@ -201,7 +211,7 @@
 
 	const leaderClient = new ControlLeaderClient({network, clock, controlVms});
 	const membership = disposables.add(new MembershipHost({
-		self: describeSelf(settings, self),
+		self: {...describeSelf(settings, self), ...(cluster.capacity !== undefined && {capacity: cluster.capacity})},
 		seeds: [...seeds],
 		network,
 		clock,
@@ -399,6 +409,9 @@
 /** Longest time for which callers use an entry-point answer, as a multiple of the validity that the answer states. */
 const entryAnswerRetentionFactor = 3;
 
+/** Largest fraction (0 to 1) of the memory that one customer of a `FleetProcess` may occupy. */
+const maxCustomerShare = 0.5;
+
 /** Components that a `FleetProcess` has in addition to `CoreComponents`. */
 type FleetComponents = {
 	readonly server: ForwardServer;
@@ -422,7 +435,9 @@
 				// The name of a VM is its IP address, and all VMs use the same port for peers.
 				peerAddressOf: vm => `${vm}:${port}`,
 				followsServerList: fleetSettings.serverList !== undefined,
+				...(fleetSettings.vmLimits && {capacity: announcedCapacity(fleetSettings.vmLimits)}),
 				logContext: {node: fleetSettings.node},
+				...(fleetSettings.vmLimits && {vmLimits: fleetSettings.vmLimits}),
 			});
 			const fleet = await startForwarding(core, fleetSettings, protocol);
 			trackControlVms(core, fleetSettings);
@@ -504,11 +519,36 @@
 	}
 }
 
+/** Returns a function that tells whether the deployment has a zone of a given name: one of the settings, this process's own, or a listed server's. Any name passes if the settings name no zones. */
+function createZoneCheck(ownZone: string, {regionByZone}: FleetSettings, fleet: ServerFleet): (zone: string) => boolean {
+	return zone => regionByZone.size === 0 || regionByZone.has(zone) || zone === ownZone || [...fleet.directory.servers].some(({record}) => record.zone === zone);
+}
+
+/** Shares what this process learns about the speed of servers, along with gossip. */
+function startSpeedNews({network, clock, membership, quarantine}: CoreComponents, {directory}: ServerFleet): void {
+	const speedNews = new SpeedNews();
+	network.registerHandler('forwarding/speeds', speedNewsSchema, (_from, message) => {
+		speedNews.apply(message, directory.servers, clock.nowMs());
+	});
+	membership.setGossipCompanion((to, isPage) => {
+		quarantine.accompanyGossip(to, isPage);
+		const message = speedNews.take(directory, clock.nowMs());
+		if (message) {
+			network.sendDatagram(to, message);
+		}
+	});
+}
+
 async function startForwarding(core: CoreComponents, fleetSettings: FleetSettings, protocol: FleetProtocol): Promise<FleetComponents> {
 	const {
 		settings, self, clock, logger, metrics, network, state, runtime, leaderClient, adminClient, membership, quarantine, disposables,
 	} = core;
 	const client = createControlClient(core);
+	const regionByZone = new Map([[settings.zone, settings.region], ...fleetSettings.regionByZone]);
+	const plan = planMemory(fleetSettings.vmLimits);
+	const memory = new MemoryKeeper({
+		totalBytes: plan.totalBytes, maxRequestBytes: plan.maxRequestBytes, maxOwnerShare: maxCustomerShare, clock, logger, metrics,
+	});
 	const processCount = () => Math.max(1, membership.entries.live.length);
 	const fleet = disposables.add(new ServerFleet({
 		protocol,
@@ -517,6 +557,7 @@
 		seed: self.incarnation,
 		retries: fleetSettings.retries,
 		processCount,
+		...(fleetSettings.coldAllowance && {cold: {allowance: fleetSettings.coldAllowance, self: self.vm, processes: () => membership.entries}}),
 		announceUnreachable(key) {
 			statusBroadcaster.announceUnreachable(key);
 		},
@@ -545,6 +586,7 @@
 			fleet.recordAnnouncedShutdown(key, announcedBy);
 		},
 	});
+	startSpeedNews(core, fleet);
 	const {host, port} = splitAddress(settings.listen.callers!);
 	const server = disposables.add(new ForwardServer({
 		protocol,
@@ -553,8 +595,11 @@
 		metrics,
 		logger,
 		clock,
+		memory,
+		plan,
 		zone: settings.zone,
 		access: client.access,
+		regionByZone,
 		host,
 		port,
 		stopWithinMs: fleetSettings.stopWithinMs,
@@ -610,12 +655,25 @@
 	disposables.add(await FleetHttpServers.start({
 		protocol,
 		adminClient,
+		evacuations: new EvacuationOrders(adminClient, clock),
+		isKnownZone: createZoneCheck(settings.zone, fleetSettings, fleet),
+		memory,
+		plan,
+		clock,
 		logger,
 		metrics,
 		dump: () => ({
-			...createStateDump(core, undefined), running: server.runningRequests, isDraining: server.isDraining, servers: [...fleet.directory.servers],
+			...createStateDump(core, undefined),
+			running: server.runningRequests,
+			isDraining: server.isDraining,
+			evacuatedZones: [...fleet.directory.evacuatedZones],
+			servers: [...fleet.directory.servers],
+			zoneChoices: fleet.directory.dumpRankings(clock.nowMs()),
 		}),
 		members: () => membership.members,
+		namedRegions: host => server.handler.namedRegions(host),
+		regionByZone,
+		random: () => fleet.random.next(),
 		isReady: () => server.handler.isConfigured && !server.isDraining,
 		listen: {operators: settings.listen.operators, ...fleetSettings.listen},
 	}));
