--- a/scripts/build-platform.ts
+++ b/scripts/build-platform.ts
@@ -1,7 +1,7 @@
 /** Builds the process for the users' platform: target/bundle.cjs, an esbuild bundle, its bytecode, and target/jasminehead.cjs, which loads both. */
 import {spawnSync} from 'node:child_process';
 import {
-	copyFileSync, existsSync, mkdirSync, readFileSync, rmSync,
+	existsSync, mkdirSync, readFileSync, rmSync,
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -31,19 +31,16 @@
 
 mkdirSync('target', {recursive: true});
 rmSync(bytecodeFile, {force: true});
+const options = {
+	bundle: true, platform: 'node', target: 'node20', format: 'cjs', minify: true, keepNames: true, logLevel: 'warning',
+} as const;
 await build({
+	...options,
 	entryPoints: ['platform/main.ts'],
 	outfile: 'target/bundle.cjs',
-	bundle: true,
-	platform: 'node',
-	target: 'node20',
-	format: 'cjs',
-	minify: true,
-	keepNames: true,
 	// The bundle cannot contain the native addon of cbor-x, so it takes the pure JavaScript build.
 	alias: {'cbor-x': path.resolve('node_modules/cbor-x/index.js')},
 	plugins: [slimLibraries],
-	logLevel: 'warning',
 });
-copyFileSync('scripts/cached-entry.cjs', 'target/jasminehead.cjs');
+await build({...options, entryPoints: ['scripts/cached-entry.ts'], outfile: 'target/jasminehead.cjs'});
 storeBytecode();
