--- a/scripts/cached-entry.ts
+++ b/scripts/cached-entry.ts
@@ -10,7 +10,8 @@
 import process from 'node:process';
 import {Script} from 'node:vm';
 
-type BundleFunction = (exports: unknown, require: NodeJS.Require, module: {exports: unknown}, file: string, folder: string) => void;
+/** Function that Node.js wraps around a CommonJS module; its parameters are the exports, `require`, the module, its file and its folder. */
+type ModuleFunction = (...args: unknown[]) => void;
 
 const entryFile = process.argv[1]!;
 const folder = path.dirname(entryFile);
@@ -26,4 +27,4 @@
 }
 
 const bundle = {exports: {}};
-(script.runInThisContext() as BundleFunction)(bundle.exports, createRequire(entryFile), bundle, bundleFile, folder);
+(script.runInThisContext() as ModuleFunction)(bundle.exports, createRequire(entryFile), bundle, bundleFile, folder);
