forwarding: few engines are not compared by speed and zone

Change: a stage with fewer than 8 engines records neither speeds nor refusals of zones, so its choice is what it was. The test of work ahead has a pool of 8 instead of 6 engines for that; its assertions are the same.

--- a/src/common/forwarding/server-directory.ts
+++ b/src/common/forwarding/server-directory.ts
@@ -27,6 +27,11 @@
 const coldDelayMs = 40;
 /** Expected extra latency of a server in another zone, in milliseconds: one round trip between zones. */
 const otherZoneDelayMs = 1;
+/**
+Number of engines of one stage from which their speed and the room of their zones are compared. Among fewer, the load of the moment explains most
+differences, and an engine that is shunned leaves the others too little memory.
+*/
+const minComparedEngines = 8;
 /** Time for which an engine that refused a reservation or a prompt is ranked last, in milliseconds. */
 const refusalPenaltyMs = 100;
 
@@ -228,7 +233,7 @@
 	/** Records how long an engine took for its work, per unit; only work of similar `size` is compared. */
 	recordWork(server: Server, size: number, msPerUnit: number, nowMs: number): void {
 		const {service, stage} = server.record;
-		if (stage) {
+		if (stage && this._isLargePool(service, stage)) {
 			this._ranking(service, stage).recordWork(server, size, msPerUnit, nowMs);
 		}
 	}
@@ -350,11 +355,16 @@
 
 	/** Records whether an engine had room for a request. */
 	private _recordRoom({record: {service, stage, zone}}: Server, isRefused: boolean, nowMs: number): void {
-		if (stage) {
+		if (stage && this._isLargePool(service, stage)) {
 			this._ranking(service, stage).zones.recordAnswer(zone, isRefused, nowMs);
 		}
 	}
 
+	/** Whether a stage of a service has enough engines to compare their speed and the room of their zones. */
+	private _isLargePool(service: string, stage: EngineStage): boolean {
+		return this.readyServers(service, stage).length >= minComparedEngines;
+	}
+
 	private _ranking(service: string, stage: EngineStage): EngineRanking {
 		const key = `${service} ${stage}`;
 		let ranking = this._rankings.get(key);
