--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,114 +1,86 @@
-/** A crowd holds every connection of a machine with requests whose bodies stop short of their end. See claim.txt. */
+/** A router process is killed while it relays streams that end with their connection. See claim.txt. */
 import {
-	call, clientHeaders, connect, modelHeaders, newId, plainAnswer, prepare, runCase, Server, sleep, streamAnswer,
+	call, framedPiece, modelHeaders, newId, prepare, proof, runCase, Server, sleep, streamAnswer,
 } from '../stand-ins-2/fleet.mjs';
 
-/** Connections of the crowd, and how many of them leave early. */
-const crowdSize = 2200;
-const leaving = 400;
-/** Clients that try, and the bound of the rule. */
-const clients = 8;
-const contactMs = 3000;
-const watchMs = 18_000;
+/** Events of each stream, and the time between two of them, in milliseconds. */
+const pieces = 80;
+const gapMs = 50;
+/** Every twentieth answer of a faulty server has neither a length nor chunks. */
+const unframedEvery = 20;
+const streams = 200;
 
-/** A request of a client of the tenant: its body stops after the first chunk, and its connection stays open. */
-function unendedRequest() {
-	const headers = Object.entries(modelHeaders(newId('c'))).map(([name, value]) => `${name}: ${value}\r\n`).join('');
-	return `POST /note/1 HTTP/1.1\r\n${headers}transfer-encoding: chunked\r\n\r\n1\r\na\r\n`;
-}
-
-async function addMember(router, i, sockets) {
-	try {
-		const socket = await connect(router.address('front'));
-		sockets.push(socket);
-		socket.resume();
-		socket.write(unendedRequest());
-		if (i < leaving) {
-			await sleep(200);
-			socket.destroy();
+/** Answers like a sound engine; every twentieth answer of a faulty one ends with its connection. */
+function answer(isFaulty) {
+	const framed = streamAnswer({pieces, gapMs});
+	let count = 0;
+	return (req, res, body, server) => {
+		count++;
+		if (!isFaulty || count % unframedEvery !== 0) {
+			framed(req, res, body, server);
+			return;
 		}
-	} catch {
-		// The machine refuses the connection.
-	}
+
+		const {socket} = res;
+		const headers = {
+			...proof(server, req), 'content-type': 'text/event-stream', 'weight-versions': '1', connection: 'close',
+		};
+		socket.write(`HTTP/1.1 200 OK\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`);
+		let id = 0;
+		const timer = setInterval(() => {
+			id++;
+			if (id > pieces) {
+				clearInterval(timer);
+				socket.end();
+			} else {
+				socket.write(framedPiece(id));
+			}
+		}, gapMs);
+		socket.on('close', () => {
+			clearInterval(timer);
+		});
+	};
 }
 
-await runCase(import.meta.dirname, {size: 3, disks: 3}, async (fleet, hasTrouble) => {
+await runCase(import.meta.dirname, {size: 6, disks: 3}, async (fleet, hasTrouble) => {
 	const {record, routers} = fleet;
-	for (let i = 0; i < 3; i++) {
-		await new Server({fleet, service: 'desk', handle: plainAnswer(20)}).start();
+	for (let i = 0; i < 6; i++) {
 		await new Server({
-			fleet, service: 'dossier', stage: i === 0 ? 'prefill' : 'decode', slots: 64, handle: streamAnswer(),
+			fleet, service: 'dossier', stage: i < 2 ? 'prefill' : 'decode', slots: 64, handle: answer(i >= 3),
 		}).start();
 	}
 
 	await prepare(fleet);
-	const [router] = routers;
-	const startMs = performance.now();
-	/** Time since which the machine was ready and answered no client, and the number of clients that tried. */
-	let silentSinceMs = startMs;
-	let triedBy = new Set();
-	let longestMs = 0;
-	const state = {isOver: false};
-	const restart = () => {
-		silentSinceMs = performance.now();
-		triedBy = new Set();
-	};
-
-	const watchReady = async () => {
-		while (!state.isOver) {
-			const answer = await call(router.address('ready'), {path: '/v1/ready'}, 1000);
-			record.line(`ready: ${answer.status ?? answer.error}`);
-			if (answer.status !== 200) {
-				restart();
-			}
-
-			await sleep(1000);
-		}
-	};
-
-	const runClient = async client => {
-		while (!state.isOver) {
+	const router = routers.at(-1);
+	let looksComplete = 0;
+	let isCut = 0;
+	const results = [];
+	for (let i = 0; i < streams; i++) {
+		results.push((async () => {
 			const id = newId();
-			const sentMs = performance.now();
-			const answer = await call(router.address('front'), {path: '/read/1', headers: clientHeaders(id)}, 1500);
-			record.line(`client ${client}, lookup ${id} on a new connection: ${answer.status ?? answer.error}`);
-			if (answer.status === undefined) {
-				triedBy.add(client);
-				if (triedBy.size >= 7 && sentMs > silentSinceMs) {
-					longestMs = Math.max(longestMs, sentMs - silentSinceMs);
-				}
-			} else {
-				restart();
+			const result = await call(router.address('front'), {
+				method: 'POST', path: '/note/1', body: 'prompt', headers: modelHeaders(id),
+			}, 14_000);
+			const events = (result.body?.match(/^id: \d+$/gm) ?? []).length;
+			const framing = result.headers?.['transfer-encoding'] ?? 'none';
+			record.line(`stream ${id}: ${result.status ?? result.error}, framing ${framing}, ${events} of ${pieces} events`);
+			if (result.status === 200 && events < pieces) {
+				looksComplete++;
+				record.line(`stream ${id} ended early and looks complete`);
+			} else if (result.status !== 200) {
+				isCut++;
 			}
-
-			await sleep(300);
-		}
-	};
-
-	watchReady();
-	for (let client = 1; client <= clients; client++) {
-		runClient(client);
-	}
-
-	await sleep(1500);
-	const sockets = [];
-	const size = hasTrouble ? crowdSize : 0;
-	for (let i = 0; i < size; i++) {
-		addMember(router, i, sockets);
-		if (i % 40 === 39) {
-			await sleep(10);
-		}
+		})());
+		await sleep(12);
 	}
 
-	record.line(`crowd: ${sockets.length} connections`);
-	await sleep(watchMs);
-	state.isOver = true;
-	for (const socket of sockets) {
-		socket.destroy();
+	if (hasTrouble) {
+		await sleep(800);
+		await router.kill();
 	}
 
-	await sleep(2000);
-	record.line(`longest time in which the ready machine took no new connection while ${clients} clients tried: ${(longestMs / 1000).toFixed(1)} s; the process ${router.isRunning ? 'lives' : 'ended'}`);
-	// RECOVER: a machine that says it is ready takes no new connection for `contactMs`, while seven clients or more try.
-	return longestMs > contactMs;
+	await Promise.all(results);
+	record.line(`${looksComplete} streams ended early and look complete, ${isCut} were not complete and show it, of ${streams}`);
+	// ORDER: the stream ends as complete before its last piece.
+	return looksComplete > 0;
 });
