--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -611,11 +611,8 @@
 		const pace = new StreamPace();
 		try {
 			if (!exchange.res.headersSent) {
-				if (!response.isFramed) {
-					exchange.omitFraming();
-				}
-
-				// Without a length, since another engine may go on with the stream in other bytes.
+				// Without a length, since another engine may go on with the stream in other bytes. In chunks also if the engine's answer has
+				// no framing: if this process is killed, the kernel closes the connection in order, and only a last chunk tells an end.
 				exchange.writeHead(response.status, withoutHeader(protocol.callerHeaders(response.headers), 'content-length'));
 				exchange.res.flushHeaders();
 			}
@@ -686,12 +683,6 @@
 		}
 
 		this._trackedSend?.endWithAnswer(response.status === successStatus);
-		if (!isFramed && !exchange.endsWithConnection) {
-			// The caller's answer began in chunks, and nothing tells that a last chunk would be true.
-			this._dispatch({type: 'forward/broken', attempt, server: server.key});
-			return;
-		}
-
 		this._outcome = 'relayed';
 		exchange.res.end();
 		this._dispatch({type: 'forward/completed', attempt});
