forwarding: a plain answer without framing reaches its caller with its length

What callers see: of a plain answer whose server sent neither a length nor chunks, and which its caller had not read whole when the router process was killed, 1.9 MB of 4 MB as 200 with a clean end of the connection.

The answer is read whole before it is relayed, but relayed without framing, so that the close which the kernel makes for a killed process looks like its end.

Change: `relayAnswer` states the length of what it has read, whatever framing the server used. That the answer has ended is decided before, as it was: closed without a reset, after the whole request was taken, by a server that is still there; else it is repeated or becomes a 502.

--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -105,8 +105,11 @@
 	}
 }
 
-/** Sends the caller a server's answer that has been read to its end. Does nothing if the connection is closed. */
-export function relayAnswer(exchange: Exchange, protocol: FleetProtocol, {status, headers, body, isFramed}: BufferedAnswer): void {
+/**
+Sends the caller a server's answer that has been read to its end. Does nothing if the connection is closed. The caller is told the length also
+if the answer has no framing: if this process is killed, the kernel closes the connection in order, which would look like the end of the answer.
+*/
+export function relayAnswer(exchange: Exchange, protocol: FleetProtocol, {status, headers, body}: BufferedAnswer): void {
 	if (exchange.res.destroyed) {
 		return;
 	}
@@ -114,16 +117,9 @@
 	const callerHeaders = protocol.callerHeaders(headers);
 	const {length} = body;
 	const parts = body.takeParts();
-	if (isFramed) {
-		const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
-		const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
-		exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(length)]);
-	} else {
-		// The body may have been cut short, which a content length would hide.
-		exchange.omitFraming();
-		exchange.writeHead(status, callerHeaders);
-	}
-
+	const hasLength = callerHeaders.some((name, i) => i % 2 === 0 && name === 'content-length');
+	const isBodiless = status === 204 || status === 304 || exchange.req.method === 'HEAD';
+	exchange.writeHead(status, hasLength || isBodiless ? callerHeaders : [...callerHeaders, 'content-length', String(length)]);
 	// Each part is written by itself: to join them would need the memory of the answer once more.
 	for (const part of parts.slice(0, -1)) {
 		exchange.res.write(part);
