entry: the project's own interface relays an answer without framing in chunks

What callers see: the same as on the platform's interface: the answer of a plain service that has neither a length nor chunks, relayed by an entry process that is killed, is 200 with a clean end and only the part that had come (here `part`).

Cause: the answer was relayed without framing, and the kernel closes the connections of a killed process in order.

Change: the answer is relayed in chunks; the last chunk follows only an end that the upstream has told, as before. `Exchange.omitFraming` is gone: a response ends with its connection only if its caller speaks HTTP/1.0, and a reset still tells these callers where it is given up.

Tests: plain-request-runner.test.ts demanded no framing in two tests; they demand chunks now, whole with a last chunk and, where the upstream is gone, none. That such a body is not recorded for its idempotency key is demanded as before.

--- a/src/node/entry/exchange.ts
+++ b/src/node/entry/exchange.ts
@@ -83,13 +83,7 @@
 		this._shouldCloseConnection = true;
 	}
 
-	/** Makes the response end with its connection, as that of an upstream whose answer does not tell where it ends. Must be called before the head is written. */
-	omitFraming(): void {
-		this.res.useChunkedEncodingByDefault = false;
-		this.closeAfterResponse();
-	}
-
-	/** Whether the response has begun and ends with its connection, so that a caller cannot tell an early end from the right one. */
+	/** Whether the response has begun and ends with its connection, since its caller speaks HTTP/1.0: the caller cannot tell an early end from the right one. */
 	get endsWithConnection(): boolean {
 		return this.res.headersSent && !this._hasContentLength && !this.res.chunkedEncoding;
 	}
--- a/src/node/entry/plain-request-runner.test.ts
+++ b/src/node/entry/plain-request-runner.test.ts
@@ -128,7 +128,7 @@
 }
 
 // Guards against a short answer that is framed as a whole one, at once or when it is replayed.
-test('an answer without framing is relayed without framing, and not recorded as a whole one', async t => {
+test('an answer without framing is relayed in chunks, and not recorded as a whole one', async t => {
 	const {url, address, deskServers} = await startHarness(t, {
 		deskHandlers: [(_req, res) => {
 			writeUnframed(res, 'ran', () => {
@@ -137,15 +137,14 @@
 		}],
 	});
 	const client = await postRaw(address, 'k1');
-	assert.match(client.received, /^HTTP\/1\.1 200[^]*\r\n\r\nran$/);
-	assert.doesNotMatch(client.received, /transfer-encoding|content-length/i);
-	assert.deepEqual([client.isClosed, client.wasReset], [true, false]);
+	assert.match(client.received, /^http\/1\.1 200[^]*\r\ntransfer-encoding: chunked\r\n[^]*\r\n3\r\nran\r\n0\r\n\r\n$/i);
+	assert.doesNotMatch(client.received, /content-length/i);
 	const resent = await readAnswer(await fetch(`${url}/s/desk/entries`, {...postInit('k1'), body: ''}));
 	assert.deepEqual([resent.code, resent.run, countRequests(deskServers)], ['outcome-not-recorded', 'unknown', 1]);
 });
 
 // Guards against an answer that ends early since its server is gone, and that its caller cannot tell from a whole one.
-test('an answer without framing whose server is gone at its end resets the connection of its caller, and its outcome is unknown', async t => {
+test('an answer without framing whose server is gone at its end does not end as complete, and its outcome is unknown', async t => {
 	const {url, address, deskServers} = await startHarness(t, {
 		deskHandlers: [(_req, res) => {
 			writeUnframed(res, 'ran', () => {
@@ -156,7 +155,9 @@
 		}],
 	});
 	const client = await postRaw(address, 'k1');
-	assert.deepEqual([client.isClosed, client.wasReset], [true, true]);
+	assert.match(client.received, /^http\/1\.1 200[^]*\r\ntransfer-encoding: chunked\r\n/i);
+	assert.doesNotMatch(client.received, /\r\n0\r\n\r\n$/);
+	assert.equal(client.isClosed, true);
 	const resent = await readAnswer(await fetch(`${url}/s/desk/entries`, {...postInit('k1'), body: ''}));
 	assert.equal(resent.code, 'outcome-unknown');
 });
--- a/src/node/entry/plain-request-runner.ts
+++ b/src/node/entry/plain-request-runner.ts
@@ -257,10 +257,7 @@
 		this._relayedResponse = response;
 		try {
 			if (!exchange.res.destroyed) {
-				if (!response.isFramed) {
-					exchange.omitFraming();
-				}
-
+				// In chunks if the upstream's response has no length: a close alone would also follow if this process were killed.
 				exchange.writeHead(response.status, buildCallerHeaders(response.headers));
 			}
 
--- a/src/node/process.test.ts
+++ b/src/node/process.test.ts
@@ -1,11 +1,16 @@
 /** Tests of the whole system with real processes, some of which are killed, suspended or stopped. The tests wait for conditions instead of fixed times. */
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {rmSync} from 'node:fs';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import path from 'node:path';
 import {test} from 'node:test';
 import type {TestContext} from 'node:test';
 import {request} from 'undici';
 import {System} from '../load/system.js';
+import {waitUntil} from './entry/testing/harness.js';
+import {RawClient} from './entry/testing/raw-client.js';
 
 const configuration = `profiles:
   batch: {maxWait: 3s, latency: {firstToken: 10s}}
@@ -162,6 +167,32 @@
 	assert.equal(second.status, 201);
 });
 
+// Guards against an answer that ends early since its entry process was killed, and that its caller takes for a whole one.
+test('an answer without framing does not look complete to its caller when its entry process is killed', async t => {
+	const system = await startSystem(t, 'unframed', 1);
+	const {key} = await system.issueKey('acme');
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart');
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	t.after(() => {
+		server.close();
+	});
+	const {port} = server.address() as AddressInfo;
+	await system.applyConfiguration(system.configuration.replace(/(?<=desk-1: .*address: )[^,]+/, `127.0.0.1:${port}`), 1);
+	await waitForVersion(system, ['entry-1'], 2);
+	const client = await RawClient.connect(system.cluster.plan('entry-1').listen.callers);
+	client.send('GET /s/desk/lookups HTTP/1.1', 'Host: entry', `Authorization: Bearer ${key}`, '', '');
+	await waitUntil(() => client.received.includes('part'));
+	system.cluster.signal('entry-1', 'SIGKILL');
+	await waitUntil(() => client.isClosed);
+	assert.match(client.received, /^http\/1\.1 200[^]*\r\ntransfer-encoding: chunked\r\n/i);
+	assert.doesNotMatch(client.received, /\r\n0\r\n\r\n$/);
+});
+
 test('a control VM whose disk was erased rejoins as a voter, and the loss of a second control VM right afterwards loses no change', async t => {
 	const system = await startSystem(t, 'repair', 1);
 	const leader = await system.leader();
