forwarding: an error without framing whose engine is gone at its end counts as broken off

What callers saw: the part of an error answer (500, "part") that a crashing engine had written, passed on as that engine's whole answer.

Cause: the check whether a server is still there at the end of an answer without framing was made for streams and plain answers only.

Evidence (x86_64): unframed-streams.test.ts, "an error without framing whose engine is gone at its end is not passed on", got 500 with the part before; 502 without it now.

Change: `checkEnd` is the one check of such an end for answers that are read whole.

--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -9,6 +9,7 @@
 import type {Exchange} from '../entry/exchange.js';
 import type {RequestQuarantine} from '../quarantine/request-quarantine.js';
 import type {MemoryKeeper} from '../memory/memory-keeper.js';
+import {CallError} from '../upstreams/call-error.js';
 import type {CallerRequest, FleetProtocol} from './fleet-protocol.js';
 import type {BufferedAnswer} from './forward-adapter.js';
 import type {ServerFleet} from './server-fleet.js';
@@ -105,6 +106,13 @@
 	}
 }
 
+/** Checks that an answer without framing has ended because it is whole. Throws `CallError` if its server is gone. */
+export async function checkEnd({isFramed}: BufferedAnswer, fleet: ServerFleet, server: Server): Promise<void> {
+	if (!isFramed && await fleet.isLost(server)) {
+		throw new CallError('broken', true, 'the server is gone at the end of an answer without framing');
+	}
+}
+
 /**
 Sends the caller a server's answer that has been read to its end. Does nothing if the connection is closed. The caller is told the length also
 if the answer has no framing: if this process is killed, the kernel closes the connection in order, which would look like the end of the answer.
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -19,7 +19,7 @@
 import {bufferAnswer} from './forward-adapter.js';
 import type {HttpMethod} from './forward-adapter.js';
 import {
-	recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
+	checkEnd, recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
 } from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 import type {ServerRequestFacts} from './fleet-protocol.js';
@@ -581,6 +581,7 @@
 		const {server} = this._resources.reservation!;
 		try {
 			const answer = await bufferAnswer(this._response!, failureAnswerLimitBytes);
+			await checkEnd(answer, this._dependencies.fleet, server);
 			if (this._isStale(attempt)) {
 				return;
 			}
--- a/src/node/forwarding/plain-forwarder.ts
+++ b/src/node/forwarding/plain-forwarder.ts
@@ -5,12 +5,12 @@
 import type {UntimedEvent} from '../../common/core/types.js';
 import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {TrackedAttempt} from '../quarantine/request-quarantine.js';
-import {CallError, failureOf} from '../upstreams/call-error.js';
+import {failureOf} from '../upstreams/call-error.js';
 import {AnswerMemory} from './answer-memory.js';
 import {bufferAnswer} from './forward-adapter.js';
 import type {BufferedAnswer, HttpMethod} from './forward-adapter.js';
 import {
-	recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
+	checkEnd, recordColdSend, relayAnswer, sendLocalAnswer, watchForStop,
 } from './forward-request.js';
 import type {ForwardDependencies, ForwardRequest, ForwardResult} from './forward-request.js';
 
@@ -179,10 +179,7 @@
 			return {type: 'forward/answered', status: buffered.status, isNotRun: true};
 		}
 
-		if (!buffered.isFramed && await fleet.isLost(server)) {
-			throw new CallError('broken', true, 'the server is gone at the end of an answer without framing');
-		}
-
+		await checkEnd(buffered, fleet, server);
 		trackedSend.endWithAnswer(buffered.status < firstServerErrorStatus);
 		this._answer = buffered;
 		fleet.directory.recordAnswer(server, buffered.status < firstServerErrorStatus, clock.nowMs() - sentMs, clock.nowMs());
