upstreams: an answer is given up after a bounded number of bytes besides its body

What happens without it: a faulty server that sends line breaks before a head, a reason phrase, spaces before a header's value, interim answers, digits of a chunk size or a chunk extension without end is read at full speed until the call's time is over, up to the deadline of the request.

Cause: the parser bounds the names and values of headers and trailers, the readers of bodies bound the body; nothing bounds the rest.

Change: `ConnectionPool` compares what has been read from a connection since the call was sent with what of it was body: 256 KiB, and 16 bytes more for each byte of the body, close the connection, and the call fails as one that may have run.

--- a/src/node/upstreams/connection-pool.ts
+++ b/src/node/upstreams/connection-pool.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders} from 'node:http';
 import {connect as connectSocket} from 'node:net';
+import type {Socket} from 'node:net';
 import type {Readable} from 'node:stream';
 import {buildConnector, Client, DecoratorHandler} from 'undici';
 import type {Dispatcher} from 'undici';
@@ -22,6 +23,14 @@
 /** Number of exchange ids that a connection carries before it is replaced, which bounds the ids that are kept. */
 const maxExchangeIds = 256;
 
+/**
+Largest number of bytes of an answer besides its body: head, interim answers, chunk sizes and extensions, trailers. Exceeds the largest head that
+is accepted, 16 KiB, and what is read ahead of the parser.
+*/
+const maxOverheadBytes = 262_144;
+/** Additional overhead for each byte of the body, in bytes; a chunk of one byte takes five more. */
+const overheadPerBodyByte = 16;
+
 /** Lowest status of a final response. */
 const firstFinalStatus = 200;
 /** Highest status of a response (RFC 9110, section 15). */
@@ -115,16 +124,33 @@
 	lastUsedAtMs: number;
 	/** Whether the connection was reset, or closed by the upstream before the request was sent. */
 	wasBrokenOff: boolean;
+	socket: Socket | undefined;
+	/** Bytes that had been read from the socket when the call was sent. */
+	readBeforeCall: number;
+	/** Bytes of the body of the answer so far. */
+	bodyBytes: number;
 };
 
-/**
-Wraps an undici handler so that `onStart` is called when undici is about to write the request to its socket; before that, nothing can have
-been sent. Interim responses (status 1xx) are passed over: undici's handlers expect one head.
-*/
-function observeHandler(handler: Dispatcher.DispatchHandler, onStart: () => void): Dispatcher.DispatchHandler {
+/** Closes a connection whose answer has too many bytes besides its body. The parser bounds names and values of headers only. */
+function checkOverhead({client, socket, readBeforeCall, bodyBytes}: Connection): void {
+	if (socket!.bytesRead - readBeforeCall - bodyBytes > maxOverheadBytes + (bodyBytes * overheadPerBodyByte)) {
+		void client.destroy(new CallError('broken', true, `the answer has more than ${maxOverheadBytes} bytes besides its body`));
+	}
+}
+
+/** What an undici handler is observed for. */
+type Observer = {
+	/** Called when undici is about to write the request to its socket; before that, nothing can have been sent. */
+	readonly onStart: () => void;
+	readonly onData: (bytes: number) => void;
+};
+
+/** Wraps an undici handler. Interim responses (status 1xx) are passed over: undici's handlers expect one head. */
+function observeHandler(handler: Dispatcher.DispatchHandler, {onStart, onData}: Observer): Dispatcher.DispatchHandler {
 	const observer: Dispatcher.DispatchHandler = new DecoratorHandler(handler);
 	const forwardStart = observer.onRequestStart?.bind(observer);
 	const forwardHead = observer.onResponseStart?.bind(observer);
+	const forwardData = observer.onResponseData?.bind(observer);
 	observer.onRequestStart = (controller, context) => {
 		onStart();
 		forwardStart?.(controller, context);
@@ -136,6 +162,11 @@
 		}
 	};
 
+	observer.onResponseData = (controller, chunk) => {
+		onData(chunk.length);
+		forwardData?.(controller, chunk);
+	};
+
 	return observer;
 }
 
@@ -196,8 +227,15 @@
 		}, call.headersTimeoutMs);
 		call.signal?.addEventListener('abort', discardConnection, {once: true});
 		try {
-			const observedClient = connection.client.compose(dispatch => (options, handler) => dispatch(options, observeHandler(handler, () => {
-				callState.mayHaveBeenSent = true;
+			const observedClient = connection.client.compose(dispatch => (options, handler) => dispatch(options, observeHandler(handler, {
+				onStart() {
+					callState.mayHaveBeenSent = true;
+					connection.readBeforeCall = connection.socket?.bytesRead ?? 0;
+					connection.bodyBytes = 0;
+				},
+				onData(bytes) {
+					connection.bodyBytes += bytes;
+				},
 			})));
 			const {statusCode, statusText, headers, body} = await observedClient.request({
 				method: call.method, path: call.path, headers: call.headers, body: call.body,
@@ -326,6 +364,10 @@
 					// Undici connects again if the server closed the connection while it was idle.
 					connection.wasBrokenOff = false;
 					connection.isReused = false;
+					connection.socket = socket ?? undefined;
+					socket?.on('readable', () => {
+						checkOverhead(connection);
+					});
 					// These listeners must run before undici's own listeners, which may end the body: `wasBrokenOff` must be final by then.
 					socket?.once('error', (err: NodeJS.ErrnoException) => {
 						// Only errors of the operating system, such as a reset, have a `syscall`; errors that undici raises itself, such
@@ -343,7 +385,16 @@
 			},
 		});
 		const connection: Connection = {
-			client, exchangeIds: new Set(), isConfirmed: false, isCondemned: false, isReused: false, lastUsedAtMs: this._clock.nowMs(), wasBrokenOff: false,
+			client,
+			exchangeIds: new Set(),
+			isConfirmed: false,
+			isCondemned: false,
+			isReused: false,
+			lastUsedAtMs: this._clock.nowMs(),
+			wasBrokenOff: false,
+			socket: undefined,
+			readBeforeCall: 0,
+			bodyBytes: 0,
 		};
 		return connection;
 	}
