forwarding: the list of servers is read through the connection pool, up to 4 MiB

What happens without it: a list without end, in a body, takes all memory of the process that reads it, and with it the requests of all its callers; in line breaks before a head, a reason phrase or spaces before a header's value it is read on for good, a core, beyond the second that a page may take.

Cause: the poller read the whole text with undici's `Agent`, with a time limit as the only bound, and the abort of that limit does not end the reading of a head that has not begun.

Evidence (x86_64): server-list-poller.test.ts, 17 parts of an answer and pages without end.

Change: a page is one call of `ConnectionPool`, whose time limit closes the connection, read with `bufferAnswer`.

--- a/src/node/forwarding/server-list-poller.ts
+++ b/src/node/forwarding/server-list-poller.ts
@@ -1,16 +1,19 @@
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Agent} from 'undici';
 import type {Clock} from '../../common/core/clock.js';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {Logger} from '../../common/core/log.js';
 import type {ServerRecord} from '../../common/forwarding/types.js';
 import type {Metrics} from '../../common/services/metrics.js';
+import {ConnectionPool} from '../upstreams/connection-pool.js';
 import type {FleetProtocol} from './fleet-protocol.js';
+import {bufferAnswer} from './forward-adapter.js';
 
 /** Timeout of the request for one page, in milliseconds. */
 const pageTimeoutMs = 1000;
 /** Maximum number of pages of one list; a longer list is treated as unreadable. */
 const maxPages = 100;
+/** Maximum size of all pages of a list, in bytes; the entries of about 10,000 servers. */
+const maxListBytes = 4_194_304;
 /** Interval between two reads of the list, in milliseconds; short enough that a server's shutdown is known well before the server stops serving. */
 const pollIntervalMs = 1000;
 /**
@@ -51,7 +54,7 @@
 it received from the reader is too old. After a failed read, the last list stays in use.
 */
 export class ServerListPoller implements Disposable {
-	private readonly _agent = new Agent({connections: 1, connect: {timeout: pageTimeoutMs}});
+	private readonly _pool: ConnectionPool;
 	private readonly _abort = new AbortController();
 	private readonly _jitterMs = Math.random() * fallbackJitterMs;
 	private _isFailing = false;
@@ -59,16 +62,18 @@
 	private _lastPollMs = Number.NEGATIVE_INFINITY;
 	private _earliestPollMs = Number.NEGATIVE_INFINITY;
 
-	constructor(private readonly _options: ServerListPollerOptions) {}
+	constructor(private readonly _options: ServerListPollerOptions) {
+		this._pool = new ConnectionPool(_options.address, _options.clock);
+	}
 
 	start(): void {
 		this._startedMs = this._options.clock.nowMs();
 		void this._run();
 	}
 
-	async dispose(): Promise<void> {
+	dispose(): void {
 		this._abort.abort();
-		await this._agent.destroy();
+		this._pool.destroy();
 	}
 
 	private async _run(): Promise<void> {
@@ -136,22 +141,21 @@
 
 	/** Reads all pages of the list; undefined if the platform refuses a call because of its rate limit. Throws if the list cannot be read. */
 	private async _readPages(): Promise<ServerRecord[] | undefined> {
-		const {address, protocol, metrics} = this._options;
+		const {protocol, metrics} = this._options;
 		const servers: ServerRecord[] = [];
+		let bytes = 0;
 		let page: string | undefined;
 		for (let count = 0; count < maxPages; count++) {
-			const {statusCode, body} = await this._agent.request({
-				origin: `http://${address}`, method: 'GET', path: protocol.listPath(page), signal: AbortSignal.any([AbortSignal.timeout(pageTimeoutMs), this._abort.signal]),
-			});
-			const text = await body.text();
-			if (statusCode === 429) {
+			const {status, text} = await this._readPage(page, maxListBytes - bytes);
+			if (status === 429) {
 				return undefined;
 			}
 
-			if (statusCode !== 200) {
-				throw new Error(`the server list was answered with status ${statusCode}`);
+			if (status !== 200) {
+				throw new Error(`the server list was answered with status ${status}`);
 			}
 
+			bytes += text.length;
 			const {servers: listed, unreadableCount, nextPage} = protocol.readList(text);
 			servers.push(...listed);
 			metrics.count('server_list_unreadable_total', {}, unreadableCount);
@@ -164,4 +168,12 @@
 
 		throw new Error(`the server list has more than ${maxPages} pages`);
 	}
+
+	private async _readPage(page: string | undefined, limitBytes: number): Promise<{status: number; text: string}> {
+		const response = await this._pool.call({
+			method: 'GET', path: this._options.protocol.listPath(page), headers: [], headersTimeoutMs: pageTimeoutMs, signal: AbortSignal.any([AbortSignal.timeout(pageTimeoutMs), this._abort.signal]),
+		});
+		const {status, body} = await bufferAnswer(response, limitBytes);
+		return {status, text: new TextDecoder().decode(body.take())};
+	}
 }
