membership: the platform's list of VMs is read through the connection pool, up to 1 MiB

What happens without it: on the project's own interface, a list of VMs without end is read into memory for the second that a poll may take: 939 MB in the test, in every process of the cluster.

Cause: as for the list of servers: the whole text was read with a time limit as the only bound.

Evidence (x86_64): endless-replies.test.ts, "list of VMs"; "body without framing" fails on the code before with 939,327,507 bytes written.

Change: the poll is one call of `ConnectionPool`, read with `collectBody`, which `bufferAnswer` uses, too.

--- a/src/node/forwarding/forward-adapter.ts
+++ b/src/node/forwarding/forward-adapter.ts
@@ -1,7 +1,8 @@
 import type {Dispatcher} from 'undici';
 import {CallError, ForeignAnswerError} from '../upstreams/call-error.js';
 import type {UpstreamResponse, UpstreamCall} from '../upstreams/connection-pool.js';
-import {ByteBlocks} from '../../common/memory/byte-blocks.js';
+import type {ByteBlocks} from '../../common/memory/byte-blocks.js';
+import {collectBody} from '../upstreams/collect-body.js';
 import {UpstreamAdapter} from '../upstreams/upstream-adapter.js';
 import type {UpstreamOptions} from '../upstreams/upstream-adapter.js';
 import type {Clock} from '../../common/core/clock.js';
@@ -43,28 +44,9 @@
 		status, headers, body, isFramed, wasBrokenOff,
 	}: UpstreamResponse,
 	limitBytes: number,
-	reserve: (bytes: number) => boolean = () => true,
+	reserve?: (bytes: number) => boolean,
 ): Promise<BufferedAnswer> {
-	const blocks = new ByteBlocks();
-	try {
-		for await (const chunk of body as AsyncIterable<Uint8Array>) {
-			if (blocks.length + chunk.length > limitBytes) {
-				body.destroy();
-				throw new CallError('broken', true, `the answer has more than ${limitBytes} bytes`);
-			}
-
-			const capacity = blocks.capacityWith(chunk.length);
-			if (capacity > blocks.capacity && !reserve(capacity)) {
-				body.destroy();
-				throw new CallError('broken', true, 'there is no memory for the answer');
-			}
-
-			blocks.append(chunk);
-		}
-	} catch (err) {
-		throw CallError.from(err, {mayHaveBeenSent: true, isTimeout: false});
-	}
-
+	const blocks = await collectBody(body, limitBytes, reserve);
 	if (wasBrokenOff()) {
 		throw new CallError('broken', true, 'the connection was reset within the answer, or closed before the request was sent');
 	}
--- a/src/node/membership/membership-host.test.ts
+++ b/src/node/membership/membership-host.test.ts
@@ -78,6 +78,7 @@
 	const lists: Array<ReadonlyMap<string, PlatformVmState>> = [];
 	let failures = 0;
 	const poller = new PlatformListPoller({
+		clock: new SystemClock(),
 		onVmList(vms) {
 			lists.push(vms);
 		},
@@ -85,8 +86,8 @@
 			failures++;
 		},
 	});
-	context.after(async () => {
-		await poller.dispose();
+	context.after(() => {
+		poller.dispose();
 		server.closeAllConnections();
 		server.close();
 	});
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -346,8 +346,9 @@
 }
 
 /** Starts polling the platform's list of VMs, so that leaving VMs get no new work: entry-point answers omit leaving entry VMs, and the entry server sends no requests to leaving upstreams. */
-function watchPlatformList({membership, metrics, disposables}: CoreComponents, client: ControlClient, server: EntryServer): void {
+function watchPlatformList({membership, metrics, clock, disposables}: CoreComponents, client: ControlClient, server: EntryServer): void {
 	const poller = disposables.add(new PlatformListPoller({
+		clock,
 		count: createCountHandler(metrics),
 		onVmList(vms) {
 			membership.updatePlatformList(vms);
