scheduler: the answer to an order is read up to 64 KiB

What happens without it: on the project's own interface, an engine that answers an order without end makes the process that sent it read for a second, as fast as the link allows: 713 MB of a body, kept, or 331 to 932 MB of line breaks, chunk extensions and the like; chunks of one byte take 239 MB of heap.

Cause: the client of orders has connections of its own, which are reset after the time limit, and read the whole text.

Change: the body is read with `collectBody` up to 64 KiB, and the connection is reset after 1 MiB of anything. Replies to other calls of engines are collected in blocks, so that 4 MiB in chunks of one byte cost no more than their bytes; their bound is as before.

--- a/src/node/scheduler/engine-control-client.ts
+++ b/src/node/scheduler/engine-control-client.ts
@@ -11,6 +11,7 @@
 import type {
 	CacheEventsReply, LoadReply, OrderRequest, OrderState, RequestList,
 } from '../../common/upstreams/engine-api.js';
+import {collectBody} from '../upstreams/collect-body.js';
 import {EngineAdapter} from '../upstreams/engine-adapter.js';
 import type {EngineCallOptions} from '../upstreams/engine-adapter.js';
 
@@ -19,6 +20,10 @@
 /** Maximum time to wait for an engine's response, in milliseconds. A load report that took longer would be too old to be of use. */
 const responseTimeoutMs = 1000;
 
+/** Maximum size of the answer to an order, in bytes, without and with all that is not its body: head, interim answers, framing. */
+const maxOrderAnswerBytes = 65_536;
+const maxOrderReadBytes = 1_048_576;
+
 /** Client of the engine API for schedulers and for the holder of the `orders` lease. */
 export class EngineControlClient implements Disposable {
 	/** One adapter per address, the one that was used last at the end. Their connections are separate from those that carry model requests, so that neither kind of request waits for the other. */
@@ -59,7 +64,13 @@
 		const agent = new Agent({
 			connect(options, callback) {
 				connect(options, (...args) => {
-					socket = args[1] ?? undefined;
+					const connected = args[1] ?? undefined;
+					socket = connected;
+					connected?.on('readable', () => {
+						if (connected.bytesRead > maxOrderReadBytes) {
+							connected.resetAndDestroy();
+						}
+					});
 					callback(...args);
 				});
 			},
@@ -79,7 +90,8 @@
 				throw new Error(`the answer belongs to call ${String(answerId)}, not ${callId}`);
 			}
 
-			return parseSendResult(statusCode, await body.text());
+			const blocks = await collectBody(body, maxOrderAnswerBytes);
+			return parseSendResult(statusCode, new TextDecoder().decode(blocks.take()));
 		} catch (err) {
 			// The order may have reached the engine; the reducer reads its state before it sends another one.
 			this._logger.log('warn', 'outcome of an order not known', {engine: address, orderId: order.orderId, err});
--- a/src/node/upstreams/endless-replies.test.ts
+++ b/src/node/upstreams/endless-replies.test.ts
@@ -7,6 +7,8 @@
 import {ManualClock} from '../../common/core/clock.js';
 import {waitUntil} from '../entry/testing/harness.js';
 import {PlatformListPoller} from '../membership/platform-list-poller.js';
+import {EngineControlClient} from '../scheduler/engine-control-client.js';
+import {EngineAdapter} from './engine-adapter.js';
 
 /** Bytes that a server can write of one answer at most: the largest reply in chunks of one byte, which take six, and what kernels buffer. */
 const maxWrittenBytes = (6 * 4_194_304) + 8_388_608;
@@ -36,6 +38,20 @@
 type Call = (address: string, stops: Array<() => void>) => Promise<void>;
 
 const calls: Readonly<Record<string, Call>> = {
+	async 'load report'(address, stops) {
+		const engine = new EngineAdapter({name: 'e', address, zone: 'z'}, new ManualClock());
+		stops.push(() => {
+			engine.destroy();
+		});
+		await assert.rejects(engine.fetchLoad({timeoutMs: 5000}));
+	},
+	async order(address, stops) {
+		const control = new EngineControlClient(new ManualClock());
+		stops.push(() => {
+			void control.dispose();
+		});
+		assert.deepEqual(await control.sendOrder(address, {orderId: 'o', fencing: 1, order: {kind: 'set-role', role: 'both'}}), {kind: 'unknown'});
+	},
 	async 'list of VMs'(address, stops) {
 		let failures = 0;
 		const poller = new PlatformListPoller({
--- a/src/node/upstreams/engine-adapter.ts
+++ b/src/node/upstreams/engine-adapter.ts
@@ -9,6 +9,7 @@
 	cacheEventsReplySchema, callIdHeader, decodeEventSchema, engineErrorSchema, importReplySchema, loadReplySchema, orderStateSchema, prefillReplySchema, requestListSchema,
 } from '../../common/upstreams/engine-api.js';
 import {CallError} from './call-error.js';
+import {collectBody} from './collect-body.js';
 import {discardBody} from './connection-pool.js';
 import {readEventStream} from './event-stream.js';
 import {IdentifyingAdapter} from './identifying-adapter.js';
@@ -250,24 +251,12 @@
 	const timer = setTimeout(() => {
 		response.body.destroy(new CallError('timeout', true, `reply not complete within ${timeoutMs} ms`));
 	}, timeoutMs);
-	const chunks: Uint8Array[] = [];
-	let length = 0;
 	try {
-		for await (const chunk of response.body as AsyncIterable<Uint8Array>) {
-			length += chunk.length;
-			if (length > maxReplyBytes) {
-				throw new CallError('broken', true, `reply is longer than ${maxReplyBytes} bytes`);
-			}
-
-			chunks.push(chunk);
-		}
-	} catch (err) {
-		throw CallError.from(err, {mayHaveBeenSent: true, isTimeout: false});
+		const blocks = await collectBody(response.body, maxReplyBytes);
+		return new TextDecoder().decode(blocks.take());
 	} finally {
 		clearTimeout(timer);
 	}
-
-	return Buffer.concat(chunks).toString('utf8');
 }
 
 /** Throws `CallError` for an error status. 429 `full` means that the call did not run; 404 and 410 mean that the engine does not hold the request or cache. */
