forwarding: what is kept of an engine's error or unended event counts in the memory of the VM

What could happen: each stream kept up to 256 KiB of an event that does not end, and each error answer up to 1 MiB, beside the memory budget: with a few hundred running streams more than a VM of 178 MB has left.

Cause: the budget counts what callers send and do not read; what servers send was bounded for each answer, but counted only for plain ones.

Change: `StreamWriter.hold` counts them with the unread part of the answer; if there is no room, the caller is disconnected as for unread answers. The answer to a prefill call is read up to 64 KiB like that to other calls.

--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -44,6 +44,8 @@
 	readonly reservations = new Set<string>();
 	/** Handler that is called first for each request. If it returns true, it has handled the request, and the default behaviour is skipped. */
 	overrideHandler: RequestHandler | undefined;
+	/** The same for calls of the list of servers. */
+	overrideList: RequestHandler | undefined;
 	/** Id of a prompt part on which an engine crashes when it begins to write the output; it starts again under another id a short time later. */
 	crashingPart: string | undefined;
 	/** Stage whose engines crash on the part. */
@@ -69,7 +71,11 @@
 
 	/** Starts the server of the list and returns its IP address and port. */
 	async startList(): Promise<string> {
-		return addressOf(await this._listen((_req, res) => {
+		return addressOf(await this._listen((req, res) => {
+			if (this.overrideList?.(req, res) === true) {
+				return;
+			}
+
 			const listed = this._listEntries.map(entry => ({...entry, coldLeftMs: this.coldLeftMs}));
 			const entries = [...listed, {id: 7, state: 'odd'}].map(entry => JSON.stringify(entry));
 			res.end(`{"instances":[${[...this.foreignEntries, ...entries].join(',')}],"next":null}`);
--- a/src/node/forwarding/model-forwarder.ts
+++ b/src/node/forwarding/model-forwarder.ts
@@ -31,8 +31,8 @@
 wasted entirely, whereas a prefill that ends after the objective is still useful.
 */
 const prefillTimeoutShare = 1.2;
-/** Maximum size of the answer to a prefill call, in bytes. */
-const prefillAnswerLimitBytes = 1024 * 1024;
+/** Maximum size of the answer to a prefill call, in bytes; as that of other calls that the router makes. */
+const prefillAnswerLimitBytes = 65_536;
 /** Maximum size of an answer other than a stream, in bytes. */
 const failureAnswerLimitBytes = 1024 * 1024;
 /** Status of an answer with output (HTTP 200, OK). */
@@ -580,7 +580,7 @@
 		const {exchange} = this._request;
 		const {server} = this._resources.reservation!;
 		try {
-			const answer = await bufferAnswer(this._response!, failureAnswerLimitBytes);
+			const answer = await bufferAnswer(this._response!, failureAnswerLimitBytes, bytes => this._writer.hold(bytes));
 			await checkEnd(answer, this._dependencies.fleet, server);
 			if (this._isStale(attempt)) {
 				return;
@@ -591,6 +591,7 @@
 			relayAnswer(exchange, this._dependencies.protocol, answer);
 			this._dispatch({type: 'forward/completed', attempt});
 		} catch (err) {
+			this._writer.hold(0);
 			if (!this._isStale(attempt)) {
 				this._trackedSend?.end('broken');
 				this._recordFailure(server, err, {isAborted: false, isUnreachable: false});
@@ -624,6 +625,10 @@
 				}
 
 				const completeEvents = eventBuffer.push(chunk);
+				if (!this._writer.hold(eventBuffer.partialBytes)) {
+					return;
+				}
+
 				if (completeEvents.length > 0) {
 					this._armStallTimer(attempt, server.key, eventGapTimeoutMs);
 					this._recordEvent();
@@ -642,6 +647,7 @@
 				}
 			}
 		} catch (err) {
+			this._writer.hold(0);
 			if (!this._isStale(attempt)) {
 				this._trackedSend?.end('broken');
 				this._recordFailure(server, err, {isAborted: false, isUnreachable: false});
@@ -651,6 +657,7 @@
 			return;
 		}
 
+		this._writer.hold(0);
 		if (!this._isStale(attempt)) {
 			await this._endStream(attempt, response, eventBuffer.hasPartialEvent);
 		}
--- a/src/node/forwarding/sse-event-buffer.ts
+++ b/src/node/forwarding/sse-event-buffer.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {ByteBlocks} from '../../common/memory/byte-blocks.js';
 import {CallError} from '../upstreams/call-error.js';
 import type {SseEventTracker} from './sse-event-tracker.js';
 
@@ -7,14 +8,18 @@
 
 /** Divides a stream of server-sent events (SSE) at event boundaries: passes complete events on and keeps an incomplete one until it ends. */
 export class SseEventBuffer {
-	private readonly _partialEvent: Uint8Array[] = [];
-	private _partialEventBytes = 0;
+	private readonly _partialEvent = new ByteBlocks();
 
 	constructor(private readonly _tracker: SseEventTracker) {}
 
 	/** Whether an incomplete event is kept. If this is true at the end of the stream, the stream broke off within an event. */
 	get hasPartialEvent(): boolean {
-		return this._partialEventBytes > 0;
+		return this._partialEvent.length > 0;
+	}
+
+	/** Memory of the incomplete event, in bytes. */
+	get partialBytes(): number {
+		return this._partialEvent.capacity;
 	}
 
 	/** Why the stream cannot continue after the events returned so far; undefined while it can. */
@@ -28,13 +33,12 @@
 	*/
 	push(chunk: Uint8Array): Uint8Array {
 		const end = this._tracker.push(chunk);
-		const completeEvents = end > 0 ? Buffer.concat([...this._partialEvent.splice(0), chunk.subarray(0, end)]) : new Uint8Array();
-		this._partialEventBytes = (end > 0 ? 0 : this._partialEventBytes) + chunk.length - end;
+		const completeEvents = end > 0 ? Buffer.concat([this._partialEvent.take(), chunk.subarray(0, end)]) : new Uint8Array();
 		if (end < chunk.length) {
-			this._partialEvent.push(chunk.subarray(end));
+			this._partialEvent.append(chunk.subarray(end));
 		}
 
-		if (this._partialEventBytes > maxPartialEventBytes) {
+		if (this._partialEvent.length > maxPartialEventBytes) {
 			throw new CallError('broken', true, `an event has more than ${maxPartialEventBytes} bytes`);
 		}
 
--- a/src/node/forwarding/stream-writer.ts
+++ b/src/node/forwarding/stream-writer.ts
@@ -11,6 +11,8 @@
 	private _writtenBytes = 0;
 	private _takenBytes = 0;
 	private _pendingWrites = 0;
+	/** Memory of what is not written yet, in bytes. */
+	private _heldBytes = 0;
 	/** Bytes that the caller had taken when the stall timer was checked last. */
 	private _checkedBytes = Number.NEGATIVE_INFINITY;
 	private _stallTimer: NodeJS.Timeout | undefined;
@@ -20,7 +22,7 @@
 		const {res} = _request.exchange;
 		res.on('drain', () => {
 			this._pendingWrites = 0;
-			this._memory.resize(0);
+			this._memory.resize(this._heldBytes);
 			this._clearTimer();
 		});
 		res.once('close', () => {
@@ -43,10 +45,25 @@
 
 		this._pendingWrites++;
 		this._recordProgress();
-		this._memory.resize(res.writableLength + (this._pendingWrites * bytesPerWrite));
+		this._resize();
 		this._stallTimer ??= this._watchStall();
 	}
 
+	/** Sets the memory of what is kept and not written yet, in bytes. Returns false, and has disconnected the caller, if there is no room. */
+	hold(bytes: number): boolean {
+		if (bytes === this._heldBytes) {
+			return true;
+		}
+
+		this._heldBytes = bytes;
+		return this._resize();
+	}
+
+	private _resize(): boolean {
+		const unreadBytes = this._pendingWrites === 0 ? 0 : this._request.exchange.res.writableLength + (this._pendingWrites * bytesPerWrite);
+		return this._memory.resize(unreadBytes + this._heldBytes);
+	}
+
 	/** Records whether the caller has taken data since the last call, and returns it. */
 	private _recordProgress(): boolean {
 		const taken = this._writtenBytes - this._request.exchange.res.writableLength;
