--- a/fakes/platform-servers.ts
+++ b/fakes/platform-servers.ts
@@ -44,7 +44,7 @@
 	readonly reservations = new Set<string>();
 	/** Handler that is called first for each request. If it returns true, it has handled the request, and the default behaviour is skipped. */
 	overrideHandler: RequestHandler | undefined;
-	/** The same for calls of the list of servers. */
+	/** Handler that is called first for each call of the list. If it returns true, it has handled the call. */
 	overrideList: RequestHandler | undefined;
 	/** Id of a prompt part on which an engine crashes when it begins to write the output; it starts again under another id a short time later. */
 	crashingPart: string | undefined;
