intake: bytes of callers reach the HTTP parser in parts, so that bodies in chunks of one byte do not use up the heap or the event loop

What callers saw: while 60 connections went on sending bodies in chunks of one byte, no ordinary caller was answered within 20 s, with a valid key or without, with a route or without, on plain routes and on streams; on a route with a short timeout the process aborted (heap limit of 64 MB).

Cause: Node.js parses all that it has read from a socket at once, up to 2 MB before the next socket has its turn. A chunk of one byte costs an object, a buffer and a call of about 2 µs; 16,384 of them, the limit of a stream in bytes, wait on the heap once their body is given up (408). A refusal within a body left the rest to be read and parsed.

Change: RequestIntake takes the bytes before the parser does. What waits counts in the memory budget.

--- a/src/node/entry/exchange.ts
+++ b/src/node/entry/exchange.ts
@@ -70,6 +70,11 @@
 		return this._stopReason;
 	}
 
+	/** Whether the connection is closed as soon as the response has been sent. */
+	get mustCloseAtOnce(): boolean {
+		return this._shouldCloseConnection;
+	}
+
 	/** Stops the request; later calls have no effect. */
 	stop(reason: StopReason): void {
 		if (this._stopReason === undefined) {
@@ -131,7 +136,12 @@
 
 		this._shouldCloseConnection = true;
 		this.writeHead(problem.status, [...Object.entries(problem.headers).flat(), 'content-length', String(new TextEncoder().encode(problem.body).length)], problem.code);
-		this.res.write(problem.body);
+		this.endLingering(problem.body);
+	}
+
+	/** Sends the last part of the response, but keeps the connection open for a moment, unless the rest of the request's body arrives before. */
+	endLingering(body: string | Uint8Array): void {
+		this.res.write(body);
 		const finish = () => {
 			clearTimeout(timer);
 			this.res.end();
--- a/src/node/forwarding/fleet-http-servers.test.ts
+++ b/src/node/forwarding/fleet-http-servers.test.ts
@@ -10,6 +10,7 @@
 import {EvacuationOrders} from '../control/evacuation-orders.js';
 import {waitUntil} from '../control/test-helper.js';
 import {MemoryKeeper} from '../memory/memory-keeper.js';
+import {RequestIntake} from '../memory/request-intake.js';
 import {PromMetrics} from '../observability/prom-metrics.js';
 import {allocatePort} from '../../load/ports.js';
 import {FleetHttpServers} from './fleet-http-servers.js';
@@ -36,6 +37,9 @@
 		const clock = new ManualClock();
 		const metrics = new PromMetrics({});
 		const plan = planMemory(undefined);
+		const memory = new MemoryKeeper({
+			totalBytes: plan.totalBytes, maxRequestBytes: plan.maxRequestBytes, maxOwnerShare: 1, clock, logger: new NullLogger(), metrics,
+		});
 		const servers = await FleetHttpServers.start({
 			protocol: new PlatformProtocol(),
 			adminClient: adminClient as unknown as ControlAdminClient,
@@ -44,10 +48,11 @@
 			logger: new NullLogger(),
 			members: () => [],
 			clock,
-			memory: new MemoryKeeper({
-				totalBytes: plan.totalBytes, maxRequestBytes: plan.maxRequestBytes, maxOwnerShare: 1, clock, logger: new NullLogger(), metrics,
-			}),
+			memory,
 			plan,
+			intake: new RequestIntake({
+				memory, clock, logger: new NullLogger(), metrics,
+			}),
 			namedRegions: () => [],
 			regionByZone: new Map(),
 			random: () => 0,
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -18,6 +18,7 @@
 import type {MemoryKeeper} from '../memory/memory-keeper.js';
 import {BodyCollector} from '../memory/body-collector.js';
 import {ConnectionGuard} from '../memory/connection-guard.js';
+import type {RequestIntake} from '../memory/request-intake.js';
 import type {FleetProtocol} from './fleet-protocol.js';
 
 /** Time for which a caller may use an entry-point answer before it has to ask again, in milliseconds. */
@@ -39,6 +40,7 @@
 	readonly isKnownZone: (zone: string) => boolean;
 	readonly memory: MemoryKeeper;
 	readonly plan: MemoryPlan;
+	readonly intake: RequestIntake;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly members: () => readonly MemberRecord[];
--- a/src/node/forwarding/forward-request.ts
+++ b/src/node/forwarding/forward-request.ts
@@ -96,16 +96,29 @@
 }
 
 /** Sends the caller an answer that the router generates itself. Does nothing if an answer has already begun or the connection is closed. */
-export function sendLocalAnswer({exchange}: Pick<ForwardRequest, 'exchange'>, protocol: FleetProtocol, {status, reason, retryAfterMs}: LocalAnswer): void {
-	const body = new TextEncoder().encode(JSON.stringify({status, detail: reason}));
+export function sendLocalAnswer({exchange}: Pick<ForwardRequest, 'exchange'>, protocol: FleetProtocol, answer: LocalAnswer): void {
+	if (!exchange.res.headersSent && !exchange.res.destroyed) {
+		exchange.res.end(writeLocalHead(exchange, protocol, answer));
+	}
+}
+
+/** Does the same for a request whose body has not arrived in full, and closes its connection a moment later. */
+export function sendLocalAnswerLingering(exchange: Exchange, protocol: FleetProtocol, answer: LocalAnswer): void {
 	if (!exchange.res.headersSent && !exchange.res.destroyed) {
-		exchange.writeHead(status, [
-			'content-type', 'application/problem+json', 'content-length', String(body.length), ...protocol.localAnswerHeaders(retryAfterMs),
-		], reason);
-		exchange.res.end(body);
+		exchange.closeAfterResponse();
+		exchange.endLingering(writeLocalHead(exchange, protocol, answer));
 	}
 }
 
+/** Writes the head of an answer that the router generates itself, and returns its body. */
+function writeLocalHead(exchange: Exchange, protocol: FleetProtocol, {status, reason, retryAfterMs}: LocalAnswer): Uint8Array {
+	const body = new TextEncoder().encode(JSON.stringify({status, detail: reason}));
+	exchange.writeHead(status, [
+		'content-type', 'application/problem+json', 'content-length', String(body.length), ...protocol.localAnswerHeaders(retryAfterMs),
+	], reason);
+	return body;
+}
+
 /** Checks that an answer without framing has ended because it is whole. Throws `CallError` if its server is gone. */
 export async function checkEnd({isFramed}: BufferedAnswer, fleet: ServerFleet, server: Server): Promise<void> {
 	if (!isFramed && await fleet.isLost(server)) {
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -4,12 +4,13 @@
 import type {Disposable} from '../../common/core/disposable.js';
 import type {MemoryPlan} from '../../common/memory/memory-plan.js';
 import {ConnectionGuard} from '../memory/connection-guard.js';
+import type {RequestIntake} from '../memory/request-intake.js';
 import {createCallerServer, startListening} from '../entry/caller-listener.js';
 import {Exchange} from '../entry/exchange.js';
 import {ProblemError} from '../entry/problems.js';
 import {ActiveRequests} from '../entry/active-requests.js';
 import {defaultEntryLimits} from '../entry/types.js';
-import {sendLocalAnswer} from './forward-request.js';
+import {sendLocalAnswer, sendLocalAnswerLingering} from './forward-request.js';
 import {
 	ForwardHandler, ForwardRefusal, noMemoryRetryMs, refusalFromProblem,
 } from './forward-handler.js';
@@ -28,6 +29,7 @@
 	readonly host: string;
 	readonly port: number;
 	readonly plan: MemoryPlan;
+	readonly intake: RequestIntake;
 	/** Time from the start of a drain until the process is killed, in milliseconds. */
 	readonly stopWithinMs: number;
 	/** Time for which callers may still use this process after entry-point answers have ceased to name it, in milliseconds. */
@@ -150,14 +152,22 @@
 	}
 
 	private _refuse(exchange: Exchange, err: unknown): void {
-		const {logger, metrics, protocol} = this._options;
+		const {logger, metrics, protocol, intake} = this._options;
 		const refusal = toRefusal(err);
 		const {status, message, retryAfterMs} = refusal;
 		metrics.count('forward_refusals_total', {status: String(status)});
 		logger.log(status >= 500 && status !== 503 ? 'error' : 'info', 'request refused', {
 			requestId: protocol.readCallerRequest(exchange.req.rawHeaders).requestId, status, reason: message, retryAfterMs, version: this.handler.version,
 		});
-		sendLocalAnswer({exchange}, protocol, {status, reason: message, retryAfterMs});
+		const {req, mustCloseAtOnce} = exchange;
+		const answer = {status, reason: message, retryAfterMs};
+		if (req.complete || mustCloseAtOnce) {
+			sendLocalAnswer({exchange}, protocol, answer);
+		} else {
+			// The rest of the body is neither parsed nor kept.
+			intake.discard(req.socket);
+			sendLocalAnswerLingering(exchange, protocol, answer);
+		}
 	}
 }
 
--- a/src/node/memory/connection-guard.ts
+++ b/src/node/memory/connection-guard.ts
@@ -8,6 +8,7 @@
 } from '../../common/memory/connection-book.js';
 import type {Metrics} from '../../common/services/metrics.js';
 import {BoundedLog} from './bounded-log.js';
+import type {RequestIntake} from './request-intake.js';
 
 /** Interval at which heads are checked while enough connections wait to fill their memory, in milliseconds. */
 const headCheckMs = 100;
@@ -20,6 +21,8 @@
 	readonly maxConnections: number;
 	/** Memory that heads which have not ended may occupy, in bytes. */
 	readonly headBytes: number;
+	/** Passes on the bytes of the connections. */
+	readonly intake: RequestIntake;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	readonly metrics: Metrics;
@@ -46,9 +49,10 @@
 
 	/** Begins to watch the connections of a server. */
 	watch(server: Server): void {
-		const {clock} = this._options;
+		const {clock, intake} = this._options;
 		this._servers.push(server);
 		this._limitHeaderLines();
+		intake.watch(server);
 		server.on('connection', (socket: Socket) => {
 			// The server has read its limit for this connection just before.
 			this._headerLines.set(socket, server.maxHeadersCount!);
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -35,6 +35,7 @@
 import {MembershipHost} from './membership/membership-host.js';
 import {PlatformListPoller} from './membership/platform-list-poller.js';
 import {MemoryKeeper} from './memory/memory-keeper.js';
+import {RequestIntake} from './memory/request-intake.js';
 import {JsonLogger} from './observability/json-logger.js';
 import {LoadReporter} from './observability/load-reporter.js';
 import {PromMetrics} from './observability/prom-metrics.js';
@@ -550,6 +551,9 @@
 	const memory = new MemoryKeeper({
 		totalBytes: plan.totalBytes, maxRequestBytes: plan.maxRequestBytes, maxOwnerShare: maxCustomerShare, clock, logger, metrics,
 	});
+	const intake = disposables.add(new RequestIntake({
+		memory, clock, logger, metrics,
+	}));
 	const processCount = () => Math.max(1, membership.entries.live.length);
 	const fleet = disposables.add(new ServerFleet({
 		protocol,
@@ -598,6 +602,7 @@
 		clock,
 		memory,
 		plan,
+		intake,
 		zone: settings.zone,
 		access: client.access,
 		regionByZone,
@@ -660,6 +665,7 @@
 		isKnownZone: createZoneCheck(settings.zone, fleetSettings, fleet),
 		memory,
 		plan,
+		intake,
 		clock,
 		logger,
 		metrics,
