intake: a request begins when the one before it on its connection has been answered

What callers saw: 60 callers that went on sending requests without waiting for answers, and read none, ended the process (heap limit).

Cause: Node.js parses and begins all requests that it has read from a socket at once; each takes some kilobytes and stays behind the answer to the first one. A refusal for lack of memory did not end the next ones.

Change: ConnectionIntake passes on no byte of a request before the one before it has been answered and has arrived in full.

Callers that send requests in advance get all their answers, in order (request-intake.test.ts).

--- a/src/node/memory/connection-intake.ts
+++ b/src/node/memory/connection-intake.ts
@@ -30,6 +30,7 @@
 	private _offset = 0;
 	/** Request that has been parsed, at least its head, and is not answered or not complete. */
 	private _req: IncomingMessage | undefined;
+	private _isAnswered = false;
 	/** Events that the current request has caused. */
 	private _requestEvents = 0;
 	/** Events of the body of the current request. */
@@ -60,6 +61,7 @@
 	/** Records that the parser has reported the head of a request. */
 	beginRequest(req: IncomingMessage, res: ServerResponse): void {
 		this._req = req;
+		this._isAnswered = false;
 		this._bodyEvents = 0;
 		this._framer.beginBody(framingOf(req));
 		// A body that was not read at first is read now.
@@ -67,7 +69,10 @@
 			this._continue();
 		});
 		res.once('close', () => {
-			if (this._req === req && !this._framer.isEnded && !req.complete) {
+			this._isAnswered = true;
+			if (this._framer.isEnded || req.complete) {
+				this._continue();
+			} else {
 				this._closeLingering();
 			}
 		});
@@ -147,6 +152,10 @@
 		}
 
 		if (this._framer.isEnded || this._req.complete) {
+			if (!this._isAnswered) {
+				return false;
+			}
+
 			this._req = undefined;
 			this._requestEvents = 0;
 			this._framer.beginHead();
--- a/src/node/memory/request-intake.test.ts
+++ b/src/node/memory/request-intake.test.ts
@@ -16,12 +16,12 @@
 import {RequestIntake} from './request-intake.js';
 
 /** Starts a server whose connections an intake watches, and returns its address. */
-async function startServer(t: TestContext, listener: RequestListener): Promise<string> {
+async function startServer(t: TestContext, listener: RequestListener, totalBytes = 10_000_000): Promise<string> {
 	const clock = new ManualClock();
 	const logger = new NullLogger();
 	const metrics = new PromMetrics({});
 	const memory = new MemoryKeeper({
-		totalBytes: 10_000_000, maxOwnerShare: 1, clock, logger, metrics,
+		totalBytes, maxOwnerShare: 1, clock, logger, metrics,
 	});
 	const intake = new RequestIntake({
 		memory, clock, logger, metrics,
@@ -61,6 +61,22 @@
 	return `POST ${path} HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n${chunks.join('')}0\r\n\r\n`;
 }
 
+test('a request begins when the one before it on its connection has been answered', async t => {
+	const running: ServerResponse[] = [];
+	const address = await startServer(t, (_req, res) => {
+		running.push(res);
+	});
+	const client = await RawClient.connect(address);
+	client.socket.write('GET /a HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(100));
+	for (let i = 0; i < 100; i++) {
+		await waitUntil(() => running.length === i + 1);
+		running[i]!.end('x');
+	}
+
+	await waitUntil(() => client.statuses.length === 100);
+	assert.equal(running.length, 100);
+});
+
 test('bodies arrive whole, whatever their framing, their chunks and the pieces in which they are sent', async t => {
 	const address = await startServer(t, echo);
 	const requestBody = fastCheck.array(fastCheck.string({unit: fastCheck.constantFrom('a', '\r', '\n', '0', ';'), maxLength: 40}), {maxLength: 40});
@@ -155,3 +171,14 @@
 	await waitUntil(() => client.isClosed);
 	assert.deepEqual(client.statuses, ['400']);
 });
+
+test('a connection is closed if there is no memory for its waiting requests', async t => {
+	let requests = 0;
+	const address = await startServer(t, () => {
+		requests++;
+	}, 1000);
+	const client = await RawClient.connect(address);
+	client.socket.write('GET /a HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(100));
+	await waitUntil(() => client.isClosed);
+	assert.equal(requests, 1);
+});
--- a/src/node/memory/request-intake.ts
+++ b/src/node/memory/request-intake.ts
@@ -18,7 +18,8 @@
 
 /**
 Passes the bytes of callers to the HTTP parser in parts. The parser creates objects for each request and each chunk, and would parse all that has
-arrived at once; here connections whose chunks are small take turns with each other and with the rest of the event loop. What follows of a body whose request has been answered is dropped unparsed. Bodies
+arrived at once; here a request begins only when the one before it on its connection has been answered, and connections whose chunks are small
+take turns with each other and with the rest of the event loop. What follows of a body whose request has been answered is dropped unparsed. Bodies
 must be read with `data` events.
 */
 export class RequestIntake implements Disposable {
