memory: a request counts by the size of its head, and one whose body has stalled makes room for another

What callers saw: 1,500 requests with heads of 150 lines (10 KB, within the limits) and bodies that stop ended the process (heap limit).

Cause: each request counted as 16 KiB. A parsed head of 150 lines takes 32 KB on the heap (measured on a bare server, Node.js 20.20), and running requests and unended heads together were given more than the heap of 64 MB. Nothing made room: bodies that stop held their memory until the route's timeout.

Change: a request counts by the text and the lines of its head, 16 KiB at least, until its answer has ended (after a refusal within a body: until its connection is closed). Requests have 24 MiB of the heap, unended heads 8 MiB. When the former is used up, the request whose body has not arrived for the longest time, a second at least, is refused with 408 and closed; running requests never are. 24 MiB are 1,536 requests with usual heads at the same time.

--- a/src/common/memory/memory-budget.test.ts
+++ b/src/common/memory/memory-budget.test.ts
@@ -73,6 +73,24 @@
 	assert.equal(budget.resize(budget.open('request', undefined, 0), 20, 0).outcome, 'granted');
 });
 
+test('a request whose body has stalled makes room for another request, one that runs does not', () => {
+	const budget = new MemoryBudget({totalBytes: 100, maxOwnerShare: 0.5, maxRequestBytes: 20});
+	const open = (bytes: number, nowMs: number, isClosable: boolean) => {
+		const holder = budget.open('request', undefined, nowMs);
+		assert.equal(budget.resize(holder, bytes, nowMs).outcome, 'granted');
+		budget.recordMove(holder, isClosable, nowMs);
+		return holder;
+	};
+
+	open(8, 0, false);
+	const late = open(6, 500, true);
+	const early = open(6, 0, true);
+	assert.equal(budget.resize(budget.open('request', undefined, stalledMs - 1), 5, stalledMs - 1).outcome, 'refused');
+	assert.deepEqual(budget.resize(budget.open('request', undefined, 1400), 5, 1400), {outcome: 'granted', limit: 'requests', victims: [early]});
+	assert.deepEqual(budget.resize(budget.open('request', undefined, 1500), 6, 1500), {outcome: 'granted', limit: 'requests', victims: [late]});
+	assert.equal(budget.resize(budget.open('request', undefined, 9000), 6, 9000).outcome, 'refused');
+});
+
 test('the limits rise so that one owner may hold the largest body', () => {
 	const budget = createBudget();
 	assert.equal(budget.resize(budget.open('body', 'a', 0), 80, 0).outcome, 'refused');
--- a/src/common/memory/memory-budget.ts
+++ b/src/common/memory/memory-budget.ts
@@ -9,7 +9,7 @@
 	readonly bytes: number;
 	/** Time at which the peer last sent or took data, in milliseconds. */
 	readonly movedAtMs: number;
-	/** Whether the holder may be closed to make room: an unended body or an unread answer. */
+	/** Whether the holder may be closed to make room: an unended body, its request, or an unread answer. */
 	readonly isClosable: boolean;
 };
 
@@ -121,7 +121,9 @@
 	private _decide(holder: Holder, growth: number, nowMs: number): RoomDecision {
 		const {totalBytes, maxOwnerShare, maxRequestBytes = totalBytes} = this._limits;
 		if (holder.kind === 'request' && this._requestBytes + growth > maxRequestBytes) {
-			return {outcome: 'refused', limit: 'requests', victims: []};
+			const stalled = this._closableFor(holder, nowMs).filter(({kind}) => kind === 'request');
+			const victims = takeUntil(stalled, this._requestBytes + growth - maxRequestBytes);
+			return victims ? {outcome: 'granted', limit: 'requests', victims} : {outcome: 'refused', limit: 'requests', victims: []};
 		}
 
 		const excessOfOwner = holder.owner === undefined ? 0 : this._bytesOf(holder.owner) + growth - (totalBytes * maxOwnerShare);
--- a/src/common/memory/memory-plan.ts
+++ b/src/common/memory/memory-plan.ts
@@ -30,8 +30,8 @@
 const minTotalBytes = 12_582_912;
 /** Memory that is given out where the VM's memory is not known, in bytes. */
 const defaultTotalBytes = 67_108_864;
-const headBytes = 16_777_216;
-const maxRequestBytes = 33_554_432;
+const headBytes = 8_388_608;
+const maxRequestBytes = 25_165_824;
 /** Descriptors that are reserved for files outside the data folder. */
 const reservedDescriptors = 200;
 /** Parts of the other descriptors; the rest is for connections to servers and peers and for data files. */
--- a/src/node/entry/caller-listener.ts
+++ b/src/node/entry/caller-listener.ts
@@ -3,6 +3,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Metrics} from '../../common/services/metrics.js';
+import {stalledBodyCode} from '../memory/connection-guard.js';
 import type {ProblemCode} from './problems.js';
 import {createProblem} from './problems.js';
 import type {EntryLimits} from './types.js';
@@ -17,6 +18,7 @@
 	['HPE_HEADER_OVERFLOW', 'headers-too-large'],
 	['HPE_CHUNK_EXTENSIONS_OVERFLOW', 'malformed-request'],
 	['ERR_HTTP_REQUEST_TIMEOUT', 'headers-timeout'],
+	[stalledBodyCode, 'body-timeout'],
 ]);
 
 /**
--- a/src/node/entry/request-body.ts
+++ b/src/node/entry/request-body.ts
@@ -11,6 +11,8 @@
 	readonly memory: MemoryKeeper;
 	/** Customer whose share of the memory the body counts against. */
 	readonly customer: string;
+	/** Called for each part of the body. */
+	readonly onData?: () => void;
 };
 
 /**
@@ -54,6 +56,7 @@
 		};
 
 		const onData = (chunk: Uint8Array) => {
+			limits.onData?.();
 			if (collector.length + chunk.length > limits.maxBytes) {
 				finish(bodyTooLargeError(limits.maxBytes));
 			} else if (!collector.add(chunk)) {
--- a/src/node/forwarding/forward-handler.ts
+++ b/src/node/forwarding/forward-handler.ts
@@ -1,10 +1,12 @@
 import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import type {ForwardCustomer, ForwardRoute, ForwardService} from '../../common/configuration/forwarding.js';
 import {
 	allowedRegions, noAllowedServerReason, noAllowedServerRetryMs, zonesOf,
 } from '../../common/forwarding/allowed-regions.js';
 import type {RegionByZone} from '../../common/forwarding/allowed-regions.js';
 import {unconfirmedStateRetryAfterMs} from '../../common/forwarding/memory-wait.js';
+import {requestMemory} from '../../common/memory/request-memory.js';
 import {chooseTarget, RouteTable} from '../../common/forwarding/route-table.js';
 import {priorityLevel} from '../../common/forwarding/priority-ranks.js';
 import {stoppingRetryMs} from '../../common/forwarding/types.js';
@@ -12,6 +14,7 @@
 import {blockedReason} from '../../common/quarantine/quarantine.js';
 import type {PartId} from '../../common/quarantine/types.js';
 import type {AccessService, Acquisition, SharedStateView} from '../../common/services/access-service.js';
+import type {Holding} from '../memory/memory-keeper.js';
 import {fingerprintOf} from '../quarantine/fingerprint.js';
 import {readBody} from '../entry/request-body.js';
 import type {Exchange} from '../entry/exchange.js';
@@ -23,8 +26,6 @@
 import type {CallerRequest} from './fleet-protocol.js';
 import {StartupGate} from './startup-gate.js';
 
-/** Memory of a request without its body, in bytes: its head, the connection to the server and the bookkeeping. */
-const requestBytes = 16_384;
 /** Retry delay that a refusal for lack of memory advises, in milliseconds. */
 export const noMemoryRetryMs = 1000;
 /** Memory that a body may occupy besides its bytes, in bytes. */
@@ -52,6 +53,8 @@
 	readonly regionByZone: RegionByZone;
 	/** Returns whether the process still runs for as long as the request may need, given the time at which the request's deadline passes, in milliseconds. */
 	readonly hasTimeFor: (deadlineMs: number, isResumable: boolean) => boolean;
+	/** Refuses the request of a connection, whose body has stalled, and closes the connection. */
+	readonly refuseStalled: (socket: Socket) => void;
 };
 
 /** Decides whether a caller's request is forwarded, and forwards it. */
@@ -85,7 +88,7 @@
 	/** Handles a request. Resolves when the request has ended. Rejects with `ForwardRefusal` or `ProblemError` if the request is not forwarded. */
 	async handle(exchange: Exchange): Promise<void> {
 		const {req} = exchange;
-		this._reserveRequest(exchange);
+		const holding = this._reserveRequest(exchange);
 		const caller = this._options.protocol.readCallerRequest(req.rawHeaders);
 		await this._startupGate.waitUntilOpen(caller.waitMs ?? 0);
 		if (exchange.stopReason !== undefined) {
@@ -107,8 +110,11 @@
 		const version = this._version;
 		const owner = customer?.name ?? `address ${req.socket.remoteAddress}`;
 		const body = await readBody(exchange, {
-			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, memory: this._options.memory, customer: owner,
+			maxBytes: limits.bodyBytes, timeoutMs: route.timeoutMs, memory: this._options.memory, customer: owner, onData() {
+				holding.recordMove(true);
+			},
 		});
+		holding.recordMove(false);
 		const fingerprint = fingerprintOf({
 			method: req.method!, host: req.headers.host ?? '', target: req.url!, customer: customer?.name, body,
 		});
@@ -166,16 +172,22 @@
 		return zones;
 	}
 
-	/** Throws `ForwardRefusal` if there is no memory for another request. */
-	private _reserveRequest(exchange: Exchange): void {
-		const holding = this._options.memory.open('request', undefined, () => undefined);
-		exchange.res.once('close', () => {
+	/** Takes the memory of a request, which may be closed while its body has stalled. Throws `ForwardRefusal` if there is none. */
+	private _reserveRequest(exchange: Exchange): Holding {
+		const {req, res} = exchange;
+		const holding = this._options.memory.open('request', undefined, () => {
+			this._options.refuseStalled(req.socket);
+		});
+		res.once('close', () => {
 			holding.release();
 		});
-		if (!holding.resize(requestBytes)) {
+		if (!holding.resize(requestMemory(req.rawHeaders))) {
 			exchange.closeAfterResponse();
 			throw new ForwardRefusal(503, 'no memory is left for another request', noMemoryRetryMs);
 		}
+
+		holding.recordMove(true);
+		return holding;
 	}
 
 	/** Throws `ForwardRefusal` if servers crash on requests with these parts. */
--- a/src/node/forwarding/forward-server.ts
+++ b/src/node/forwarding/forward-server.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Disposable} from '../../common/core/disposable.js';
 import type {MemoryPlan} from '../../common/memory/memory-plan.js';
-import {ConnectionGuard} from '../memory/connection-guard.js';
+import {ConnectionGuard, refuseStalledBody} from '../memory/connection-guard.js';
 import type {RequestIntake} from '../memory/request-intake.js';
 import {createCallerServer, startListening} from '../entry/caller-listener.js';
 import {Exchange} from '../entry/exchange.js';
@@ -25,7 +25,7 @@
 /** Interval at which a draining process checks whether requests are still running, in milliseconds. */
 const drainPollIntervalMs = 50;
 
-export type ForwardServerOptions = Omit<ForwardHandlerOptions, 'hasTimeFor' | 'shutdownSignal'> & {
+export type ForwardServerOptions = Omit<ForwardHandlerOptions, 'hasTimeFor' | 'refuseStalled' | 'shutdownSignal'> & {
 	readonly host: string;
 	readonly port: number;
 	readonly plan: MemoryPlan;
@@ -48,7 +48,12 @@
 	constructor(private readonly _options: ForwardServerOptions) {
 		setMaxListeners(0, this._shutdown.signal);
 		this.handler = new ForwardHandler({
-			..._options, shutdownSignal: this._shutdown.signal, hasTimeFor: (deadlineMs, isResumable) => this._hasTimeFor(deadlineMs, isResumable),
+			..._options,
+			shutdownSignal: this._shutdown.signal,
+			hasTimeFor: (deadlineMs, isResumable) => this._hasTimeFor(deadlineMs, isResumable),
+			refuseStalled: socket => {
+				refuseStalledBody(this._server, socket);
+			},
 		});
 		const {metrics, plan: {maxCallers, headBytes}} = _options;
 		this._server = createCallerServer({...defaultEntryLimits, maxConnections: Number.POSITIVE_INFINITY}, metrics);
--- a/src/node/memory/connection-guard.ts
+++ b/src/node/memory/connection-guard.ts
@@ -15,6 +15,9 @@
 /** Number of new connections after which heads are checked without waiting for the interval. */
 const headCheckConnections = 16;
 
+/** Code of the error with which a server refuses a request whose body has stalled. */
+export const stalledBodyCode = 'ERR_BODY_STALLED';
+
 export type ConnectionGuardOptions = {
 	/** Name of the ports in log lines and metrics. */
 	readonly ports: string;
@@ -142,3 +145,10 @@
 		this._armHeadTimer();
 	}
 }
+
+/** Refuses a request whose body has stalled, which therefore has not run, and closes its connection. */
+export function refuseStalledBody(server: Server, socket: Socket): void {
+	if (!server.emit('clientError', Object.assign(new Error('the body stalled'), {code: stalledBodyCode}), socket)) {
+		socket.destroy();
+	}
+}
