connections: a request whose body has stalled makes room for a new connection

What callers saw: 600 connections of one customer, each with a request whose body stops after a byte, kept a process with room for 400 from taking any new connection until the route's timeout; callers had no answer within 20 s. Operators and readiness checks had none either while their ports were held so.

Cause: only connections that wait for a request made room; a request whose body had stopped counted as running.

Change: ConnectionBook knows whose bodies have not ended and when a byte of them came last. If no connection has waited for a second, the one whose body has stalled longest, for a second at least, is refused with 408, which is true (it has not run), and closed. Bodies that go on arriving, however slowly, and requests that run are left alone.

--- a/src/common/memory/connection-book.test.ts
+++ b/src/common/memory/connection-book.test.ts
@@ -27,6 +27,27 @@
 	assert.equal(book.size, 1);
 });
 
+test('a request whose body has stalled for a second makes room for a new connection, the one that has stalled longest first, after those that wait', () => {
+	const book = new ConnectionBook<string>(3);
+	for (const connection of ['a', 'b', 'c']) {
+		book.add(connection, 0);
+		book.beginRequest(connection);
+		book.recordBody(connection, 0);
+	}
+
+	book.recordBody('a', 500);
+	book.endBody('c');
+	assert.equal(book.add('d', 999).outcome, 'refused');
+	assert.deepEqual(book.add('d', 1000), {outcome: 'accepted', victim: 'b', isStalled: true});
+	assert.deepEqual(book.add('e', 2000), {outcome: 'accepted', victim: 'd'});
+	book.beginRequest('e');
+	assert.deepEqual(book.add('f', 2000), {outcome: 'accepted', victim: 'a', isStalled: true});
+	book.beginRequest('f');
+	assert.equal(book.add('g', 9000).outcome, 'refused');
+	book.endRequest('c', 9000);
+	assert.equal(book.size, 3);
+});
+
 test('the largest unended heads are closed until the rest fits', () => {
 	const heads = [['none', 0], ['small', 1000], ['large', 9000], ['middle', 2000]] as const;
 	assert.deepEqual(chooseUnendedHeads(heads, 32_768 + 24_000), []);
--- a/src/common/memory/connection-book.ts
+++ b/src/common/memory/connection-book.ts
@@ -1,8 +1,10 @@
-/** What is done with a new connection: it is kept, kept in place of the waiting connection `victim`, or refused. */
-export type ConnectionDecision<T> = {readonly outcome: 'accepted' | 'refused'; readonly victim?: T};
+/** What is done with a new connection: it is kept, kept in place of `victim`, or refused. A victim waits for a request, or the body of its request has stalled. */
+export type ConnectionDecision<T> = {readonly outcome: 'accepted' | 'refused'; readonly victim?: T; readonly isStalled?: true};
 
 /** Time without a request after which a waiting connection may be closed in favour of a new one, in milliseconds. */
 const minWaitMs = 1000;
+/** Time without a byte of an unended body after which a connection may be closed in favour of a new one, in milliseconds. */
+const minStallMs = 1000;
 /** Memory that a head of the smallest lines occupies once it is parsed, as a multiple of its bytes. */
 const parsedHeadFactor = 8;
 /** Number of header lines above any that fit into the largest head. */
@@ -14,10 +16,12 @@
 /** Memory of one parsed head of `crowdHeaderLines` lines at most, in bytes: its text and its header lines. */
 const maxParsedHeadBytes = 32_768;
 
-/** Open connections of callers, and since when each of them waits for a request. */
+/** Open connections of callers, and since when each of them waits for a request or for the rest of a body. */
 export class ConnectionBook<T> {
-	/** Time since which each connection without a running request waits, in milliseconds; ordered by that time. */
+	/** Time since which each connection without a request waits, in milliseconds; ordered by that time. */
 	private readonly _waitingSinceMs = new Map<T, number>();
+	/** Time at which each connection whose request has an unended body last received some of it, in milliseconds; ordered by that time. */
+	private readonly _receivedAtMs = new Map<T, number>();
 	private readonly _runningRequests = new Map<T, number>();
 
 	/** @param _maxConnections - largest number of open connections */
@@ -35,19 +39,12 @@
 
 	/** Adds a connection unless it is refused. The victim, if any, is removed. */
 	add(connection: T, nowMs: number): ConnectionDecision<T> {
-		if (this.size < this._maxConnections) {
+		const decision = this.size < this._maxConnections ? {outcome: 'accepted' as const} : this._makeRoom(nowMs);
+		if (decision.outcome === 'accepted') {
 			this._waitingSinceMs.set(connection, nowMs);
-			return {outcome: 'accepted'};
 		}
 
-		const [oldest] = this._waitingSinceMs;
-		if (!oldest || nowMs - oldest[1] < minWaitMs) {
-			return {outcome: 'refused'};
-		}
-
-		this.remove(oldest[0]);
-		this._waitingSinceMs.set(connection, nowMs);
-		return {outcome: 'accepted', victim: oldest[0]};
+		return decision;
 	}
 
 	beginRequest(connection: T): void {
@@ -57,6 +54,19 @@
 		}
 	}
 
+	/** Records that a part of the body of a running request has arrived, or is still to come. */
+	recordBody(connection: T, nowMs: number): void {
+		if (this._runningRequests.has(connection)) {
+			this._receivedAtMs.delete(connection);
+			this._receivedAtMs.set(connection, nowMs);
+		}
+	}
+
+	/** Records that the body of a running request has ended. */
+	endBody(connection: T): void {
+		this._receivedAtMs.delete(connection);
+	}
+
 	endRequest(connection: T, nowMs: number): void {
 		const running = this._runningRequests.get(connection);
 		if (running === undefined) {
@@ -67,14 +77,32 @@
 			this._runningRequests.set(connection, running - 1);
 		} else {
 			this._runningRequests.delete(connection);
+			this._receivedAtMs.delete(connection);
 			this._waitingSinceMs.set(connection, nowMs);
 		}
 	}
 
 	remove(connection: T): void {
 		this._waitingSinceMs.delete(connection);
+		this._receivedAtMs.delete(connection);
 		this._runningRequests.delete(connection);
 	}
+
+	private _makeRoom(nowMs: number): ConnectionDecision<T> {
+		const [waiting] = this._waitingSinceMs;
+		if (waiting && nowMs - waiting[1] >= minWaitMs) {
+			this.remove(waiting[0]);
+			return {outcome: 'accepted', victim: waiting[0]};
+		}
+
+		const [receiving] = this._receivedAtMs;
+		if (receiving && nowMs - receiving[1] >= minStallMs) {
+			this.remove(receiving[0]);
+			return {outcome: 'accepted', victim: receiving[0], isStalled: true};
+		}
+
+		return {outcome: 'refused'};
+	}
 }
 
 /** Returns the number of header lines that the parser of the next connection keeps, given the number of open connections. */
--- a/src/node/memory/connection-guard.ts
+++ b/src/node/memory/connection-guard.ts
@@ -55,15 +55,23 @@
 		const {clock, intake} = this._options;
 		this._servers.push(server);
 		this._limitHeaderLines();
-		intake.watch(server);
+		intake.watch(server, {
+			onBodyData: socket => {
+				this._book.recordBody(socket, clock.nowMs());
+			},
+			onBodyEnd: socket => {
+				this._book.endBody(socket);
+			},
+		});
 		server.on('connection', (socket: Socket) => {
 			// The server has read its limit for this connection just before.
 			this._headerLines.set(socket, server.maxHeadersCount!);
-			this._add(socket);
+			this._add(server, socket);
 			this._limitHeaderLines();
 		});
 		server.on('request', ({socket}: IncomingMessage, res: ServerResponse) => {
 			this._book.beginRequest(socket);
+			this._book.recordBody(socket, clock.nowMs());
 			res.once('close', () => {
 				this._readBytes.set(socket, socket.bytesRead);
 				this._book.endRequest(socket, clock.nowMs());
@@ -80,15 +88,21 @@
 		clearTimeout(this._headTimer);
 	}
 
-	private _add(socket: Socket): void {
+	private _add(server: Server, socket: Socket): void {
 		const {metrics, ports, maxConnections, clock} = this._options;
 		const nowMs = clock.nowMs();
-		const {outcome, victim} = this._book.add(socket, nowMs);
+		const {outcome, victim, isStalled} = this._book.add(socket, nowMs);
 		if (outcome === 'refused' || victim) {
-			metrics.count('connections_over_limit_total', {ports, closed: victim ? 'waiting' : 'new'});
+			const closed = isStalled ? 'stalled' : (victim ? 'waiting' : 'new');
+			metrics.count('connections_over_limit_total', {ports, closed});
 			this._log.log('connection limit reached', {
-				ports, open: this._book.size, maxConnections, closed: victim ? 'waiting' : 'new',
+				ports, open: this._book.size, maxConnections, closed,
 			});
+		}
+
+		if (victim && isStalled) {
+			refuseStalledBody(server, victim);
+		} else if (outcome === 'refused' || victim) {
 			(victim ?? socket).destroy();
 		}
 
--- a/src/node/memory/connection-intake.ts
+++ b/src/node/memory/connection-intake.ts
@@ -19,6 +19,14 @@
 /** Bytes waiting for the parser from which on a connection is not read, in bytes; one more read of its socket may be under way. */
 const maxWaitingBytes = 16_384;
 
+/** What is told about the bodies of a connection. */
+export type BodyObserver = {
+	/** Bytes of a body that has not ended have arrived. */
+	readonly onBodyData: (socket: Socket) => void;
+	/** All of a request has arrived. */
+	readonly onBodyEnd: (socket: Socket) => void;
+};
+
 /** The bytes of one connection that have not been passed to the parser yet. */
 export class ConnectionIntake {
 	private readonly _framer = new RequestFramer();
@@ -42,7 +50,7 @@
 	private _isParsing = false;
 	private _holding: Holding | undefined;
 
-	constructor(private readonly _intake: RequestIntake, private readonly _socket: Socket) {
+	constructor(private readonly _intake: RequestIntake, private readonly _socket: Socket, private readonly _observer: BodyObserver) {
 		// The listener of the server, which parses all bytes that it gets. With another listener Node.js no longer parses beneath the socket.
 		const [parse] = _socket.listeners('data') as Array<(bytes: Uint8Array) => void>;
 		this._parse = parse!;
@@ -113,6 +121,10 @@
 
 		this._waiting.push(bytes);
 		this._heldBytes += bytes.length;
+		if (this._req && !this._framer.isEnded) {
+			this._observer.onBodyData(this._socket);
+		}
+
 		if (this._waiting.length === 1 && this._requestEvents < unqueuedEvents) {
 			this.visit();
 		} else {
@@ -178,6 +190,10 @@
 
 		this._bodyEvents += events;
 		this._parse(part);
+		if (this._req && this._framer.isEnded) {
+			this._observer.onBodyEnd(this._socket);
+		}
+
 		return events;
 	}
 
--- a/src/node/memory/request-intake.test.ts
+++ b/src/node/memory/request-intake.test.ts
@@ -15,8 +15,10 @@
 import {MemoryKeeper} from './memory-keeper.js';
 import {RequestIntake} from './request-intake.js';
 
+type Options = {readonly totalBytes?: number; readonly onBodyData?: () => void; readonly onBodyEnd?: () => void};
+
 /** Starts a server whose connections an intake watches, and returns its address. */
-async function startServer(t: TestContext, listener: RequestListener, totalBytes = 10_000_000): Promise<string> {
+async function startServer(t: TestContext, listener: RequestListener, {totalBytes = 10_000_000, onBodyData = () => undefined, onBodyEnd = () => undefined}: Options = {}): Promise<string> {
 	const clock = new ManualClock();
 	const logger = new NullLogger();
 	const metrics = new PromMetrics({});
@@ -27,7 +29,7 @@
 		memory, clock, logger, metrics,
 	});
 	const server = createServer();
-	intake.watch(server);
+	intake.watch(server, {onBodyData, onBodyEnd});
 	server.on('request', listener);
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -176,9 +178,29 @@
 	let requests = 0;
 	const address = await startServer(t, () => {
 		requests++;
-	}, 1000);
+	}, {totalBytes: 1000});
 	const client = await RawClient.connect(address);
 	client.socket.write('GET /a HTTP/1.1\r\nhost: a\r\n\r\n'.repeat(100));
 	await waitUntil(() => client.isClosed);
 	assert.equal(requests, 1);
 });
+
+test('the arrival and the end of a body are told', async t => {
+	const events: string[] = [];
+	const address = await startServer(t, echo, {
+		onBodyData() {
+			events.push('data');
+		},
+		onBodyEnd() {
+			events.push('end');
+		},
+	});
+	const client = await RawClient.connect(address);
+	client.socket.write('POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n');
+	await sleep(30);
+	client.socket.write('a');
+	await waitUntil(() => events.length === 1);
+	client.socket.write('b');
+	await waitUntil(() => client.statuses.length === 1);
+	assert.deepEqual(events, ['data', 'data', 'end']);
+});
--- a/src/node/memory/request-intake.ts
+++ b/src/node/memory/request-intake.ts
@@ -7,6 +7,7 @@
 import type {Metrics} from '../../common/services/metrics.js';
 import {BoundedLog} from './bounded-log.js';
 import {ConnectionIntake} from './connection-intake.js';
+import type {BodyObserver} from './connection-intake.js';
 import type {Holding, MemoryKeeper} from './memory-keeper.js';
 
 export type RequestIntakeOptions = {
@@ -33,9 +34,9 @@
 	}
 
 	/** Begins to pass on the bytes of a server's connections. */
-	watch(server: Server): void {
+	watch(server: Server, observer: BodyObserver): void {
 		server.on('connection', (socket: Socket) => {
-			this._connections.set(socket, new ConnectionIntake(this, socket));
+			this._connections.set(socket, new ConnectionIntake(this, socket, observer));
 		});
 		server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
 			this._connections.get(req.socket)?.beginRequest(req, res);
