ports of operators, checks, directory and metrics: a limit of connections each, and a time limit for a call

What callers saw: 600 connections to the operators' port, each with a configuration that does not end, kept readiness checks and operators from an answer for 20 s; with bodies that stop, and, since those make room now, with bodies that arrive slowly.

Cause: the four ports shared one limit of connections, and their calls had Node.js's time limit of 300 s.

A call must arrive in full within 10 s, else it gets 408. Operators try another process after about a second, so that none inside the limits meets it.

--- a/src/common/memory/byte-blocks.test.ts
+++ b/src/common/memory/byte-blocks.test.ts
@@ -34,6 +34,6 @@
 test('one request of the usual limits fits into the smallest plan, and connections leave room for servers and files', () => {
 	const {totalBytes, maxCallers, maxServiceCallers, maxUnprovenPeers} = planMemory({memoryBytes: 88_000_000, descriptors: 2212});
 	assert.ok(totalBytes / 2 >= 4_194_304 + 131_072);
-	assert.ok(maxCallers + maxServiceCallers + maxUnprovenPeers <= 0.71 * (2212 - 200));
+	assert.ok(maxCallers + (4 * maxServiceCallers) + maxUnprovenPeers <= 0.71 * (2212 - 200));
 	assert.ok(planMemory({memoryBytes: 310_000_000, descriptors: 10_250}).totalBytes > planMemory({memoryBytes: 178_000_000, descriptors: 4100}).totalBytes);
 });
--- a/src/node/forwarding/fleet-http-servers.ts
+++ b/src/node/forwarding/fleet-http-servers.ts
@@ -29,6 +29,10 @@
 const configurationLimitBytes = 8 * 1024 * 1024;
 /** Timeout of the operation on the replicated state that an operator's call starts, in milliseconds; longer than the second or so after which an operator tries another process. */
 const operatorTimeoutMs = 2500;
+/** Time in which a call must arrive in full, in milliseconds; an operator tries another process long before. */
+const requestTimeoutMs = 10_000;
+/** Interval at which connections are checked for calls that have not arrived in full, in milliseconds. */
+const requestCheckIntervalMs = 500;
 /** Maximum length of the name of an availability zone. */
 const maxZoneNameLength = 128;
 
@@ -62,25 +66,25 @@
 export class FleetHttpServers implements Disposable {
 	static async start(options: FleetHttpServersOptions): Promise<FleetHttpServers> {
 		const httpServers = new FleetHttpServers(options);
-		const {protocol: {paths}, listen: {operators, ready, directory, metrics}} = options;
-		await httpServers._listen(operators, service => {
+		const {protocol: {paths}} = options;
+		await httpServers._listen('operators', service => {
 			service.put(paths.configuration, httpServers._handleErrors(async (req, res) => httpServers._publishConfiguration(req, res)));
 			service.get(paths.configuration, httpServers._handleErrors(async (_req, res) => httpServers._sendConfiguration(res)));
 			service.post(`${paths.evacuations}/:zone`, httpServers._handleErrors(async (req, res) => httpServers._setEvacuation(req, res, true)));
 			service.delete(`${paths.evacuations}/:zone`, httpServers._handleErrors(async (req, res) => httpServers._setEvacuation(req, res, false)));
 		});
-		await httpServers._listen(ready, service => {
+		await httpServers._listen('ready', service => {
 			service.get(paths.ready, (_req, res) => {
 				res.writeHead(options.isReady() ? 200 : 503);
 				res.end();
 			});
 		});
-		await httpServers._listen(directory, service => {
+		await httpServers._listen('directory', service => {
 			service.get(paths.entryPoints, httpServers._handleErrors((req, res) => {
 				httpServers._sendEntryPoints(req, res);
 			}));
 		});
-		await httpServers._listen(metrics, service => {
+		await httpServers._listen('metrics', service => {
 			service.get('/metrics', httpServers._handleErrors(async (_req, res) => {
 				options.memory.updateGauges();
 				res.writeHead(200, {'content-type': options.metrics.contentType});
@@ -94,17 +98,15 @@
 	}
 
 	private readonly _servers: Server[] = [];
-	private readonly _guard: ConnectionGuard;
+	private readonly _guards: ConnectionGuard[] = [];
 
-	private constructor(private readonly _options: FleetHttpServersOptions) {
-		const {maxServiceCallers, headBytes} = _options.plan;
-		this._guard = new ConnectionGuard({
-			..._options, ports: 'services', maxConnections: maxServiceCallers, headBytes,
-		});
-	}
+	private constructor(private readonly _options: FleetHttpServersOptions) {}
 
 	async dispose(): Promise<void> {
-		this._guard.dispose();
+		for (const guard of this._guards) {
+			guard.dispose();
+		}
+
 		await Promise.all(this._servers.map(async server => {
 			const closed = new Promise(resolve => {
 				server.close(resolve);
@@ -114,11 +116,16 @@
 		}));
 	}
 
-	private async _listen(address: string, addRoutes: (service: restana.Service<restana.Protocol.HTTP>) => void): Promise<void> {
-		const server = createServer();
-		this._guard.watch(server);
+	private async _listen(name: keyof FleetHttpServersOptions['listen'], addRoutes: (service: restana.Service<restana.Protocol.HTTP>) => void): Promise<void> {
+		const {plan: {maxServiceCallers, serviceHeadBytes}, listen} = this._options;
+		const server = createServer({requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs, connectionsCheckingInterval: requestCheckIntervalMs});
+		const guard = new ConnectionGuard({
+			...this._options, ports: name, maxConnections: maxServiceCallers, headBytes: serviceHeadBytes,
+		});
+		this._guards.push(guard);
+		guard.watch(server);
 		addRoutes(restana({server, prioRequestsProcessing: false}));
-		const {host, port} = splitAddress(address);
+		const {host, port} = splitAddress(listen[name]);
 		await startListening(server, host, port);
 		this._servers.push(server);
 	}
