connections: a body that brings less than 512 bytes in two seconds makes room, too, when all connections are in use

What callers saw: 600 connections of twelve customers with bodies that bring a byte each 400 ms kept a process with room for 400 from taking any new connection until the route's timeout.

Cause: a byte now and then kept a body from counting as stalled.

Change: if no connection waits and no body has stalled, the one that has brought less than 512 bytes for the longest time, 2 s at least, is refused with 408, which is true (it has not run), and closed. While a place is free, a body may arrive as slowly as before.

--- a/src/common/memory/connection-book.test.ts
+++ b/src/common/memory/connection-book.test.ts
@@ -32,10 +32,10 @@
 	for (const connection of ['a', 'b', 'c']) {
 		book.add(connection, 0);
 		book.beginRequest(connection);
-		book.recordBody(connection, 0);
+		book.beginBody(connection, 0);
 	}
 
-	book.recordBody('a', 500);
+	book.recordBody('a', 1, 500);
 	book.endBody('c');
 	assert.equal(book.add('d', 999).outcome, 'refused');
 	assert.deepEqual(book.add('d', 1000), {outcome: 'accepted', victim: 'b', isStalled: true});
@@ -48,6 +48,27 @@
 	assert.equal(book.size, 3);
 });
 
+test('a body that arrives slowly makes room if no other connection can, but only after two seconds and after bodies that have stalled', () => {
+	const book = new ConnectionBook<string>(3);
+	for (const connection of ['stalled', 'slow', 'fast']) {
+		book.add(connection, 0);
+		book.beginRequest(connection);
+		book.beginBody(connection, 0);
+	}
+
+	for (let nowMs = 400; nowMs <= 2400; nowMs += 400) {
+		book.recordBody('slow', 6, nowMs);
+		book.recordBody('fast', 300, nowMs);
+		book.recordBody('stalled', 6, Math.min(nowMs, 1200));
+	}
+
+	assert.deepEqual(book.add('a', 2400), {outcome: 'accepted', victim: 'stalled', isStalled: true});
+	book.beginRequest('a');
+	assert.deepEqual(book.add('b', 2400), {outcome: 'accepted', victim: 'slow', isStalled: true});
+	book.beginRequest('b');
+	assert.equal(book.add('c', 2400).outcome, 'refused');
+});
+
 test('the largest unended heads are closed until the rest fits', () => {
 	const heads = [['none', 0], ['small', 1000], ['large', 9000], ['middle', 2000]] as const;
 	assert.deepEqual(chooseUnendedHeads(heads, 32_768 + 24_000), []);
--- a/src/common/memory/connection-book.ts
+++ b/src/common/memory/connection-book.ts
@@ -5,6 +5,10 @@
 const minWaitMs = 1000;
 /** Time without a byte of an unended body after which a connection may be closed in favour of a new one, in milliseconds. */
 const minStallMs = 1000;
+/** Bytes of an unended body that must arrive within `maxSlowMs` so that its connection is not closed in favour of a new one. */
+const minProgressBytes = 512;
+/** Time in which a body may arrive more slowly, in milliseconds. */
+const maxSlowMs = 2000;
 /** Memory that a head of the smallest lines occupies once it is parsed, as a multiple of its bytes. */
 const parsedHeadFactor = 8;
 /** Number of header lines above any that fit into the largest head. */
@@ -22,6 +26,8 @@
 	private readonly _waitingSinceMs = new Map<T, number>();
 	/** Time at which each connection whose request has an unended body last received some of it, in milliseconds; ordered by that time. */
 	private readonly _receivedAtMs = new Map<T, number>();
+	/** Time since which each of these connections has not received `minProgressBytes`, in milliseconds, and the bytes received since then; ordered by that time. */
+	private readonly _progress = new Map<T, {readonly sinceMs: number; bytes: number}>();
 	private readonly _runningRequests = new Map<T, number>();
 
 	/** @param _maxConnections - largest number of open connections */
@@ -54,17 +60,34 @@
 		}
 	}
 
-	/** Records that a part of the body of a running request has arrived, or is still to come. */
-	recordBody(connection: T, nowMs: number): void {
+	/** Records that the body of a running request is still to come. */
+	beginBody(connection: T, nowMs: number): void {
 		if (this._runningRequests.has(connection)) {
-			this._receivedAtMs.delete(connection);
 			this._receivedAtMs.set(connection, nowMs);
+			this._progress.set(connection, {sinceMs: nowMs, bytes: 0});
+		}
+	}
+
+	/** Records that a part of a body has arrived. */
+	recordBody(connection: T, bytes: number, nowMs: number): void {
+		const progress = this._progress.get(connection);
+		if (!progress) {
+			return;
+		}
+
+		this._receivedAtMs.delete(connection);
+		this._receivedAtMs.set(connection, nowMs);
+		progress.bytes += bytes;
+		if (progress.bytes >= minProgressBytes) {
+			this._progress.delete(connection);
+			this._progress.set(connection, {sinceMs: nowMs, bytes: 0});
 		}
 	}
 
 	/** Records that the body of a running request has ended. */
 	endBody(connection: T): void {
 		this._receivedAtMs.delete(connection);
+		this._progress.delete(connection);
 	}
 
 	endRequest(connection: T, nowMs: number): void {
@@ -77,15 +100,15 @@
 			this._runningRequests.set(connection, running - 1);
 		} else {
 			this._runningRequests.delete(connection);
-			this._receivedAtMs.delete(connection);
+			this.endBody(connection);
 			this._waitingSinceMs.set(connection, nowMs);
 		}
 	}
 
 	remove(connection: T): void {
 		this._waitingSinceMs.delete(connection);
-		this._receivedAtMs.delete(connection);
 		this._runningRequests.delete(connection);
+		this.endBody(connection);
 	}
 
 	private _makeRoom(nowMs: number): ConnectionDecision<T> {
@@ -95,13 +118,24 @@
 			return {outcome: 'accepted', victim: waiting[0]};
 		}
 
-		const [receiving] = this._receivedAtMs;
-		if (receiving && nowMs - receiving[1] >= minStallMs) {
-			this.remove(receiving[0]);
-			return {outcome: 'accepted', victim: receiving[0], isStalled: true};
+		const stalled = this._findStalled(nowMs);
+		if (stalled === undefined) {
+			return {outcome: 'refused'};
+		}
+
+		this.remove(stalled);
+		return {outcome: 'accepted', victim: stalled, isStalled: true};
+	}
+
+	/** Returns the connection whose body has had no byte for the longest time or, if none has stalled, the one that has been slow for the longest time. */
+	private _findStalled(nowMs: number): T | undefined {
+		const [received] = this._receivedAtMs;
+		if (received && nowMs - received[1] >= minStallMs) {
+			return received[0];
 		}
 
-		return {outcome: 'refused'};
+		const [slow] = this._progress;
+		return slow && nowMs - slow[1].sinceMs >= maxSlowMs ? slow[0] : undefined;
 	}
 }
 
--- a/src/node/memory/connection-guard.ts
+++ b/src/node/memory/connection-guard.ts
@@ -56,8 +56,8 @@
 		this._servers.push(server);
 		this._limitHeaderLines();
 		intake.watch(server, {
-			onBodyData: socket => {
-				this._book.recordBody(socket, clock.nowMs());
+			onBodyData: (socket, bytes) => {
+				this._book.recordBody(socket, bytes, clock.nowMs());
 			},
 			onBodyEnd: socket => {
 				this._book.endBody(socket);
@@ -71,7 +71,7 @@
 		});
 		server.on('request', ({socket}: IncomingMessage, res: ServerResponse) => {
 			this._book.beginRequest(socket);
-			this._book.recordBody(socket, clock.nowMs());
+			this._book.beginBody(socket, clock.nowMs());
 			res.once('close', () => {
 				this._readBytes.set(socket, socket.bytesRead);
 				this._book.endRequest(socket, clock.nowMs());
--- a/src/node/memory/connection-intake.ts
+++ b/src/node/memory/connection-intake.ts
@@ -22,7 +22,7 @@
 /** What is told about the bodies of a connection. */
 export type BodyObserver = {
 	/** Bytes of a body that has not ended have arrived. */
-	readonly onBodyData: (socket: Socket) => void;
+	readonly onBodyData: (socket: Socket, bytes: number) => void;
 	/** All of a request has arrived. */
 	readonly onBodyEnd: (socket: Socket) => void;
 };
@@ -122,7 +122,7 @@
 		this._waiting.push(bytes);
 		this._heldBytes += bytes.length;
 		if (this._req && !this._framer.isEnded) {
-			this._observer.onBodyData(this._socket);
+			this._observer.onBodyData(this._socket, bytes.length);
 		}
 
 		if (this._waiting.length === 1 && this._requestEvents < unqueuedEvents) {
