--- a/src/node/memory/request-intake.test.ts
+++ b/src/node/memory/request-intake.test.ts
@@ -79,6 +79,19 @@
 	assert.equal(running.length, 100);
 });
 
+test('a request with an unknown expectation is refused, and the next one begins after it', async t => {
+	let requests = 0;
+	const address = await startServer(t, (req, res) => {
+		requests++;
+		echo(req, res);
+	});
+	const client = await RawClient.connect(address);
+	const refused = 'POST /a HTTP/1.1\r\nhost: a\r\nexpect: x\r\ncontent-length: 30\r\n\r\nPOST /hidden HTTP/1.1\r\nhost: a';
+	client.socket.write(`${refused}${refused}${chunkedRequest('/b', ['abc'])}`);
+	await waitUntil(() => client.received.includes('/b=abc;'));
+	assert.deepEqual([client.statuses, requests], [['417', '417', '200'], 1]);
+});
+
 test('bodies arrive whole, whatever their framing, their chunks and the pieces in which they are sent', async t => {
 	const address = await startServer(t, echo);
 	const requestBody = fastCheck.array(fastCheck.string({unit: fastCheck.constantFrom('a', '\r', '\n', '0', ';'), maxLength: 40}), {maxLength: 40});
