--- a/src/node/memory/request-intake.test.ts
+++ b/src/node/memory/request-intake.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
+import process from 'node:process';
 import {createServer} from 'node:http';
 import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -15,6 +16,9 @@
 import {MemoryKeeper} from './memory-keeper.js';
 import {RequestIntake} from './request-intake.js';
 
+const firstSeed = Number(process.env.INTAKE_SEED ?? 57);
+const runs = Number(process.env.INTAKE_RUNS ?? 60);
+
 type Options = {readonly totalBytes?: number; readonly onBodyData?: () => void; readonly onBodyEnd?: () => void};
 
 /** Starts a server whose connections an intake watches, and returns its address. */
@@ -117,7 +121,7 @@
 		}
 
 		client.socket.destroy();
-	}), {seed: 57, numRuns: 60});
+	}), {seed: firstSeed, numRuns: runs});
 });
 
 test('a body that nobody reads at first arrives whole later, in chunks of one byte too', async t => {
