memory: requests that make room for another one make enough for the limit of the process

A request for which stalled ones are closed was granted by the limit of requests alone, so that the memory held could exceed the limit of the process by the rest of its head. memory-budget.test.ts failed before and passes. Found by reading; no crowd showed it.

--- a/src/common/memory/memory-budget.test.ts
+++ b/src/common/memory/memory-budget.test.ts
@@ -91,6 +91,20 @@
 	assert.equal(budget.resize(budget.open('request', undefined, 9000), 6, 9000).outcome, 'refused');
 });
 
+test('requests that make room for another request make enough for the limit of the process, too', () => {
+	const budget = new MemoryBudget({totalBytes: 100, maxOwnerShare: 1, maxRequestBytes: 20});
+	const stalled = [12, 4].map(bytes => {
+		const holder = budget.open('request', undefined, 0);
+		budget.resize(holder, bytes, 0);
+		budget.recordMove(holder, true, 0);
+		return holder;
+	});
+	hold(budget, 'a', 84, {isClosable: false});
+	assert.deepEqual(budget.resize(budget.open('request', undefined, 2000), 14, 2000).victims, stalled);
+	assert.equal(budget.usedBytes, 98);
+	assert.equal(budget.resize(budget.open('request', undefined, 4000), 7, 4000).outcome, 'refused');
+});
+
 test('the limits rise so that one owner may hold the largest body', () => {
 	const budget = createBudget();
 	assert.equal(budget.resize(budget.open('body', 'a', 0), 80, 0).outcome, 'refused');
--- a/src/common/memory/memory-budget.ts
+++ b/src/common/memory/memory-budget.ts
@@ -122,7 +122,7 @@
 		const {totalBytes, maxOwnerShare, maxRequestBytes = totalBytes} = this._limits;
 		if (holder.kind === 'request' && this._requestBytes + growth > maxRequestBytes) {
 			const stalled = this._closableFor(holder, nowMs).filter(({kind}) => kind === 'request');
-			const victims = takeUntil(stalled, this._requestBytes + growth - maxRequestBytes);
+			const victims = takeUntil(stalled, Math.max(this._requestBytes + growth - maxRequestBytes, this._usedBytes + growth - totalBytes));
 			return victims ? {outcome: 'granted', limit: 'requests', victims} : {outcome: 'refused', limit: 'requests', victims: []};
 		}
 
