entry: the project's own interface takes the bytes of callers in parts, too

Of 40 requests that a caller sent without waiting for answers 40 ran at once, and a body of 200,000 chunks of one byte left the event loop 18 turns while it was parsed.

Change: EntryServer has a RequestIntake, with four requests of a connection side by side, since callers of this interface may send requests in advance. The two new tests of caller-listener.test.ts failed before and pass (x86_64). Its operators' listener and real processes of it were not tried.

--- a/src/node/entry/caller-listener.test.ts
+++ b/src/node/entry/caller-listener.test.ts
@@ -109,6 +109,49 @@
 	}
 });
 
+// Guards against a heap that is used up by requests that a caller sends without waiting for answers.
+test('of the requests that a caller sends in advance four run at the same time', async t => {
+	const handlers: Array<() => void> = [];
+	const {address, entry} = await startHarness(t, {
+		deskHandlers: [(_req, res) => {
+			handlers.push(() => {
+				res.end('x');
+			});
+		}],
+	});
+	const client = await RawClient.connect(address);
+	client.socket.write([post, host, key, 'Content-Length: 0', '', ''].join('\r\n').repeat(40));
+	for (let i = 1; i <= 40; i++) {
+		await waitUntil(() => handlers.length > 0);
+		assert.ok(entry.runningCount <= 4, `${entry.runningCount} requests run`);
+		handlers.shift()!();
+		await waitUntil(() => client.statuses.length === i);
+	}
+
+	assert.equal(client.statuses.every(status => status === '200'), true);
+});
+
+// Guards against an event loop that does nothing but parse the chunks of one caller.
+test('the event loop has its turn again and again while a body in chunks of one byte arrives', async t => {
+	const {address} = await startHarness(t, {
+		profile: {bodyLimit: '1MiB'}, deskHandlers: [(_req, res) => {
+			res.end();
+		}],
+	});
+	const client = await RawClient.connect(address);
+	client.socket.write(`${[post, host, key, 'Transfer-Encoding: chunked', '', ''].join('\r\n')}${'1\r\na\r\n'.repeat(200_000)}0\r\n\r\n`);
+	let turns = 0;
+	while (client.statuses.length === 0) {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+		turns++;
+	}
+
+	assert.deepEqual(client.statuses, ['200']);
+	assert.ok(turns > 200, `${turns} turns for 200,000 chunks`);
+});
+
 test('pipelined requests are each answered once, in the order of their arrival', async t => {
 	const {address} = await startHarness(t, {
 		deskHandlers: [(req, res) => {
--- a/src/node/entry/entry-server.ts
+++ b/src/node/entry/entry-server.ts
@@ -5,6 +5,7 @@
 import {SeededRandom} from '../../common/core/random.js';
 import {UpstreamRegistry} from '../upstreams/upstream-registry.js';
 import {MemoryKeeper} from '../memory/memory-keeper.js';
+import {RequestIntake} from '../memory/request-intake.js';
 import {createCallerServer, startListening} from './caller-listener.js';
 import {ChatHandler} from './chat-handler.js';
 import {Exchange} from './exchange.js';
@@ -20,6 +21,9 @@
 /** Largest fraction (0 to 1) of the memory for request bodies that one customer may occupy. */
 const maxCustomerShare = 0.25;
 
+/** Largest number of requests of one connection that run at the same time; what a caller sends in advance beyond them waits. */
+const maxUnanswered = 4;
+
 /** HTTP server for callers: authenticates and rate-limits their requests and runs them on upstreams. */
 export class EntryServer implements Disposable {
 	private readonly _limits: EntryLimits;
@@ -27,6 +31,7 @@
 	private readonly _upstreams: UpstreamRegistry;
 	private readonly _activeRequests = new ActiveRequests();
 	private readonly _memory: MemoryKeeper;
+	private readonly _intake: RequestIntake;
 	private readonly _unsubscribers: Array<() => void>;
 	private readonly _disposeController = new AbortController();
 	private _entryPointAnswersExpireAtMs = 0;
@@ -44,6 +49,10 @@
 			zone: _options.zone, random: new SeededRandom(_options.seed), clock, metrics, logger,
 		});
 		this._server = createCallerServer(this._limits, metrics);
+		this._intake = new RequestIntake({
+			memory: this._memory, clock, logger, metrics,
+		}, maxUnanswered);
+		this._intake.watch(this._server);
 		this._addRoutes();
 		this._unsubscribers = [
 			access.events.on('onViewChanged', view => {
@@ -108,6 +117,7 @@
 		this._activeRequests.destroyConnections();
 		this._server.closeAllConnections();
 		await closed;
+		this._intake.dispose();
 		this._upstreams.dispose();
 	}
 
--- a/src/node/memory/connection-intake.ts
+++ b/src/node/memory/connection-intake.ts
@@ -36,9 +36,10 @@
 	private _heldBytes = 0;
 	/** Bytes at the start of the first of them that have been passed on. */
 	private _offset = 0;
-	/** Request that has been parsed, at least its head, and is not answered or not complete. */
+	/** Request whose head was parsed last; undefined before the first one and while a head is parsed. */
 	private _req: IncomingMessage | undefined;
-	private _isAnswered = false;
+	/** Number of requests that have not been answered. */
+	private _unanswered = 0;
 	/** Events that the current request has caused. */
 	private _requestEvents = 0;
 	/** Events of the body of the current request. */
@@ -50,7 +51,7 @@
 	private _isParsing = false;
 	private _holding: Holding | undefined;
 
-	constructor(private readonly _intake: RequestIntake, private readonly _socket: Socket, private readonly _observer: BodyObserver) {
+	constructor(private readonly _intake: RequestIntake, private readonly _socket: Socket, private readonly _observer: BodyObserver | undefined) {
 		// The listener of the server, which parses all bytes that it gets. With another listener Node.js no longer parses beneath the socket.
 		const [parse] = _socket.listeners('data') as Array<(bytes: Uint8Array) => void>;
 		this._parse = parse!;
@@ -69,7 +70,7 @@
 	/** Records that the parser has reported the head of a request. */
 	beginRequest(req: IncomingMessage, res: ServerResponse): void {
 		this._req = req;
-		this._isAnswered = false;
+		this._unanswered++;
 		this._bodyEvents = 0;
 		this._framer.beginBody(framingOf(req));
 		// A body that was not read at first is read now.
@@ -77,8 +78,8 @@
 			this._continue();
 		});
 		res.once('close', () => {
-			this._isAnswered = true;
-			if (this._framer.isEnded || req.complete) {
+			this._unanswered--;
+			if (req.complete || this._req !== req || this._framer.isEnded) {
 				this._continue();
 			} else {
 				this._closeLingering();
@@ -122,7 +123,7 @@
 		this._waiting.push(bytes);
 		this._heldBytes += bytes.length;
 		if (this._req && !this._framer.isEnded) {
-			this._observer.onBodyData(this._socket, bytes.length);
+			this._observer?.onBodyData(this._socket, bytes.length);
 		}
 
 		if (this._waiting.length === 1 && this._requestEvents < unqueuedEvents) {
@@ -164,7 +165,7 @@
 		}
 
 		if (this._framer.isEnded || this._req.complete) {
-			if (!this._isAnswered) {
+			if (this._unanswered >= this._intake.maxUnanswered) {
 				return false;
 			}
 
@@ -191,7 +192,7 @@
 		this._bodyEvents += events;
 		this._parse(part);
 		if (this._req && this._framer.isEnded) {
-			this._observer.onBodyEnd(this._socket);
+			this._observer?.onBodyEnd(this._socket);
 		}
 
 		return events;
--- a/src/node/memory/request-intake.ts
+++ b/src/node/memory/request-intake.ts
@@ -19,7 +19,7 @@
 
 /**
 Passes the bytes of callers to the HTTP parser in parts. The parser creates objects for each request and each chunk, and would parse all that has
-arrived at once; here a request begins only when the one before it on its connection has been answered, and connections whose chunks are small
+arrived at once; here a request begins only when few of those before it on its connection have not been answered, and connections whose chunks are small
 take turns with each other and with the rest of the event loop. What follows of a body whose request has been answered is dropped unparsed. Bodies
 must be read with `data` events.
 */
@@ -29,12 +29,13 @@
 	private readonly _log: BoundedLog;
 	private _immediate: NodeJS.Immediate | undefined;
 
-	constructor(private readonly _options: RequestIntakeOptions) {
+	/** @param maxUnanswered - number of requests on one connection that run at the same time */
+	constructor(private readonly _options: RequestIntakeOptions, readonly maxUnanswered = 1) {
 		this._log = new BoundedLog(_options.logger, _options.clock);
 	}
 
 	/** Begins to pass on the bytes of a server's connections. */
-	watch(server: Server, observer: BodyObserver): void {
+	watch(server: Server, observer?: BodyObserver): void {
 		server.on('connection', (socket: Socket) => {
 			this._connections.set(socket, new ConnectionIntake(this, socket, observer));
 		});
