--- a/review/stand-ins-3/system.mjs
+++ b/review/stand-ins-3/system.mjs
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
 import {
-	closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync, writeSync,
+	closeSync, mkdtempSync, openSync, readdirSync, readFileSync, rmSync, statSync, writeFileSync, writeSync,
 } from 'node:fs';
 import http from 'node:http';
 import {tmpdir} from 'node:os';
@@ -186,6 +186,26 @@
 		return 0;
 	}
 
+	/** Returns the host and the resident memory, in MB, of each running process. */
+	memoryMb() {
+		return [...this._processes].flatMap(([host, {pid}]) => {
+			try {
+				return [[host, Math.round(Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))[1]) * 1024 / 1e6)]];
+			} catch {
+				// The process has just ended.
+				return [];
+			}
+		});
+	}
+
+	/** Returns the size of each data folder, in MB. */
+	diskMb() {
+		return this.hosts.map(host => {
+			const files = readdirSync(path.join(this._folder, host), {recursive: true, withFileTypes: true}).filter(file => file.isFile());
+			return Math.round(files.reduce((sum, file) => sum + statSync(path.join(file.parentPath, file.name)).size, 0) / 1e6);
+		});
+	}
+
 	/** Returns the largest resident memory of each process so far, in MB. */
 	peakMemoryMb() {
 		return this.hosts.map(host => Math.round(Number(/VmHWM:\s+(\d+)/.exec(readFileSync(`/proc/${this.pidOf(host)}/status`, 'utf8'))[1]) * 1024 / 1e6));
