--- a/review/stand-ins-3/system.mjs
+++ b/review/stand-ins-3/system.mjs
@@ -168,11 +168,13 @@
 	/** Sends a configuration until it is acknowledged or refused, to one node after the other, as an operator does. */
 	async publish(configuration, timeoutMs = 15_000) {
 		const body = JSON.stringify(configuration);
+		// A second, and more for large bodies.
+		const patienceMs = 1000 + (body.length / 500);
 		const endMs = performance.now() + timeoutMs;
 		for (let i = 0; performance.now() < endMs; i++) {
 			const host = this.hosts[i % this.hosts.length];
 			const {status} = await call({
-				host, port: ports.control, path: '/v1/config', method: 'PUT', headers: {'content-type': 'application/json'}, body, timeoutMs: 1000,
+				host, port: ports.control, path: '/v1/config', method: 'PUT', headers: {'content-type': 'application/json'}, body, timeoutMs: patienceMs,
 			});
 			if (status === 200 || (status >= 400 && status < 500)) {
 				this._record.write(`configuration ${configuration.version}: ${status} from ${host}`);
