--- a/review/stand-ins-3/system.mjs
+++ b/review/stand-ins-3/system.mjs
@@ -355,6 +355,7 @@
 	let exitCode = 2;
 	process.once('SIGTERM', () => {
 		routers.killAll();
+		rmSync(routers.folder, {recursive: true, force: true});
 		process.exit(2);
 	});
 	try {
